Add stand-ins of the platform, a launcher, and the HTTP adapters

The adapters tell apart what took effect: a refused dial or a 503 is UNAVAILABLE, a timeout, reset or cut body after the request was sent is OUTCOME_UNKNOWN, a body whose end is not marked is never whole. Idle connections are let go of before usual servers close them, as a close that crosses a request makes its outcome unknown. Ruled out: reusing status 5xx as a whole for "nothing done"; only 503 says that.

The stand-ins' processes ask the kernel to be killed with their launcher, which two tests show with real processes (SIGHUP and SIGKILL).

--- a/reedspar/platform/__init__.py
+++ b/reedspar/platform/__init__.py
@@ -1,5 +1,14 @@
 """The platform behind protocols: key-value service, instances, weights, targets."""
 
+from .http_instance_list import HttpInstanceList, create_http_instance_list
+from .http_key_value import HttpKeyValueStore, create_http_key_value_store
+from .http_target import (
+    HttpModelEngine,
+    HttpPlainService,
+    create_http_model_engine,
+    create_http_plain_service,
+)
+from .http_weight_source import HttpWeightSource, create_http_weight_source
 from .models import (
     EngineState,
     InstanceRecord,
@@ -19,6 +28,11 @@
 
 __all__ = [
     "EngineState",
+    "HttpInstanceList",
+    "HttpKeyValueStore",
+    "HttpModelEngine",
+    "HttpPlainService",
+    "HttpWeightSource",
     "InstanceList",
     "InstanceRecord",
     "InstanceState",
@@ -30,4 +44,9 @@
     "TargetRequest",
     "TargetResponse",
     "WeightSource",
+    "create_http_instance_list",
+    "create_http_key_value_store",
+    "create_http_model_engine",
+    "create_http_plain_service",
+    "create_http_weight_source",
 ]
--- /dev/null
+++ b/reedspar/platform/http_body.py
@@ -0,0 +1,100 @@
+"""The body of a target's answer, with an end that is marked or not whole."""
+
+from collections.abc import AsyncIterator
+
+import anyio
+import httpx
+
+from reedspar.errors import Failure, Reason, Step
+
+__all__ = ["HOP_BY_HOP", "HttpTargetResponse"]
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Headers of one connection (RFC 9110, section 7.6.1), and its framing."""
+STREAM_TYPE = "text/event-stream"
+STREAM_END = b"data: [DONE]"
+
+
+class HttpTargetResponse:
+    """An answer while it arrives (see `TargetResponse`)."""
+
+    def __init__(
+        self,
+        response: httpx.Response,
+        peer: str,
+        deadline_s: float,
+        *,
+        must_end_with_done: bool,
+    ) -> None:
+        self._response = response
+        self._peer = peer
+        self._deadline_s = deadline_s
+        self._must_end_with_done = must_end_with_done
+        self.status = response.status_code
+        self.headers: tuple[tuple[str, str], ...] = tuple(
+            (name, value)
+            for name, value in response.headers.multi_items()
+            if name.lower() not in HOP_BY_HOP
+        )
+        self.weights_digest = response.headers.get("x-weights-digest", "")
+
+    @property
+    def _has_marked_end(self) -> bool:
+        headers = self._response.headers
+        is_bodiless = self.status in (
+            httpx.codes.NO_CONTENT,
+            httpx.codes.NOT_MODIFIED,
+        )
+        is_head = self._response.request.method == "HEAD"
+        is_chunked = "chunked" in headers.get("transfer-encoding", "").lower()
+        return is_bodiless or is_head or is_chunked or "content-length" in headers
+
+    @property
+    def _is_stream(self) -> bool:
+        content_type = self._response.headers.get("content-type", "")
+        return self._must_end_with_done and content_type.startswith(STREAM_TYPE)
+
+    async def iterate(self) -> AsyncIterator[bytes | Failure]:
+        """Yield the body; a failure, if any, comes last: it was not whole."""
+        tail = b""
+        pieces = self._response.aiter_raw()
+        while True:
+            piece = await self._next_piece(pieces)
+            if piece is None:
+                break
+            yield piece
+            if isinstance(piece, Failure):
+                return
+            tail = (tail + piece)[-2 * len(STREAM_END) :]
+        if not self._has_marked_end:
+            yield self._fail("the body's end is not marked")
+        elif self._is_stream and STREAM_END not in tail:
+            yield self._fail("the stream ended before its end marker")
+
+    async def _next_piece(self, pieces: AsyncIterator[bytes]) -> bytes | Failure | None:
+        """Return the next piece, None at the end, or why there is none."""
+        remaining_s = self._deadline_s - anyio.current_time()
+        try:
+            with anyio.fail_after(remaining_s):
+                return await anext(pieces)
+        except StopAsyncIteration:
+            return None
+        except (httpx.HTTPError, httpx.StreamError, TimeoutError) as error:
+            return self._fail(f"{type(error).__name__}: {error}")
+
+    def _fail(self, detail: str) -> Failure:
+        step = Step.TARGET_CALL
+        return Failure(Reason.OUTCOME_UNKNOWN, step, self._peer, detail)
--- /dev/null
+++ b/reedspar/platform/http_target.py
@@ -0,0 +1,173 @@
+"""Targets over HTTP: plain services, and model engines.
+
+The engine's interface is that of usual completion servers, with
+``x-request-id``, ``x-priority`` and ``x-weights-digest`` headers.
+"""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+import httpx
+from pydantic import TypeAdapter, ValidationError
+
+from reedspar.errors import Failure, Reason, Step
+
+from .http_body import HOP_BY_HOP, HttpTargetResponse
+from .http_client import (
+    HttpAdapter,
+    create_client,
+    failure_of_read,
+    failure_of_status,
+    failure_of_write,
+)
+from .models import EngineState, LoadOrder, TargetRequest
+from .protocols import TargetResponse
+
+__all__ = [
+    "HttpModelEngine",
+    "HttpPlainService",
+    "create_http_model_engine",
+    "create_http_plain_service",
+]
+
+LOAD_TIMEOUT_S = 120.0
+DIAL_TIMEOUT_S = 2.0
+_STATE = TypeAdapter(EngineState)
+_LOAD_ORDER = TypeAdapter(LoadOrder)
+
+
+class HttpPlainService(HttpAdapter):
+    """Hand requests to a plain service (see `Target`)."""
+
+    _ends_streams_with_done = False
+
+    async def read_state(self) -> EngineState | Failure:
+        """Return the target's own report."""
+        step = Step.TARGET_CALL
+        try:
+            response = await self._client.get("/state")
+        except httpx.HTTPError as error:
+            return failure_of_read(error, step, self._peer)
+        if response.status_code != httpx.codes.OK:
+            return failure_of_status(response, step, self._peer)
+        try:
+            return _STATE.validate_json(response.content)
+        except ValidationError as error:
+            detail = str(error).splitlines()[0]
+            return Failure(Reason.CORRUPT, step, self._peer, detail)
+
+    @asynccontextmanager
+    async def send(
+        self, request: TargetRequest
+    ) -> AsyncIterator[TargetResponse | Failure]:
+        """Hand over a request; `UNAVAILABLE` only if nothing was handed over."""
+        deadline_s = anyio.current_time() + request.timeout_s
+        answer = await self._open(request)
+        if isinstance(answer, Failure):
+            yield answer
+            return
+        try:
+            yield HttpTargetResponse(
+                answer,
+                self._peer,
+                deadline_s,
+                must_end_with_done=self._ends_streams_with_done,
+            )
+        finally:
+            with anyio.CancelScope(shield=True):
+                await answer.aclose()
+
+    async def cancel(self, request_id: str) -> Failure | None:
+        """Return `NOT_FOUND`: a plain service runs to its end what it began."""
+        detail = f"{request_id}: plain services take no cancellation"
+        return Failure(Reason.NOT_FOUND, Step.TARGET_CALL, self._peer, detail)
+
+    async def _open(self, request: TargetRequest) -> httpx.Response | Failure:
+        outgoing = self._client.build_request(
+            request.method,
+            request.path,
+            headers=make_headers(request),
+            content=request.body,
+            timeout=httpx.Timeout(None, connect=DIAL_TIMEOUT_S),
+        )
+        try:
+            with anyio.fail_after(request.timeout_s):
+                return await self._client.send(outgoing, stream=True)
+        except (httpx.HTTPError, TimeoutError) as error:
+            return failure_of_write(error, Step.TARGET_CALL, self._peer)
+
+
+class HttpModelEngine(HttpPlainService):
+    """Hand requests and weights to a model engine (see `ModelEngine`)."""
+
+    _ends_streams_with_done = True
+
+    async def cancel(self, request_id: str) -> Failure | None:
+        """Ask the engine to stop working on a request."""
+        return await self._call("POST", f"/v1/cancel/{request_id}", Step.TARGET_CALL)
+
+    async def stage_chunk(
+        self, root_digest: str, index: int, data: bytes
+    ) -> Failure | None:
+        """Hand over one checked chunk of a version."""
+        return await self._call("POST", f"/stage/{root_digest}/{index}", data=data)
+
+    async def drop_staged(self, root_digest: str) -> Failure | None:
+        """Let go of the chunks of a version that will not be loaded."""
+        return await self._call("DELETE", f"/stage/{root_digest}")
+
+    async def load(self, order: LoadOrder) -> Failure | None:
+        """Order a load; `FENCED` if a newer fencing number was seen.
+
+        Returns when the engine has loaded; its `read_state` says what.
+        """
+        failure = await self._call(
+            "POST", "/load", data=_LOAD_ORDER.dump_json(order), timeout_s=LOAD_TIMEOUT_S
+        )
+        if failure is not None and failure.reason is Reason.CONFLICT:
+            return Failure(Reason.FENCED, Step.LOAD, self._peer, failure.detail)
+        return failure
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        step: Step = Step.LOAD,
+        *,
+        data: bytes = b"",
+        timeout_s: float | None = None,
+    ) -> Failure | None:
+        timeout = timeout_s if timeout_s is not None else self._client.timeout
+        try:
+            response = await self._client.request(
+                method, path, content=data, timeout=timeout
+            )
+        except httpx.HTTPError as error:
+            return failure_of_write(error, step, self._peer)
+        if response.is_success:
+            return None
+        return failure_of_status(response, step, self._peer)
+
+
+def make_headers(request: TargetRequest) -> list[tuple[str, str]]:
+    """Return the headers to send: the caller's, less those of its connection."""
+    headers = [
+        (name, value)
+        for name, value in request.headers
+        if name.lower() not in HOP_BY_HOP
+        and name.lower() not in {"x-request-id", "x-priority", "accept-encoding"}
+    ]
+    headers.append(("x-request-id", request.request_id))
+    headers.append(("x-priority", str(request.priority)))
+    return headers
+
+
+def create_http_plain_service(url: str, *, timeout_s: float = 5.0) -> HttpPlainService:
+    """Make an adapter; `timeout_s` bounds calls other than requests."""
+    return HttpPlainService(create_client(url, timeout_s, max_connections=None))
+
+
+def create_http_model_engine(url: str, *, timeout_s: float = 5.0) -> HttpModelEngine:
+    """Make an adapter; `timeout_s` bounds calls other than requests and loads."""
+    return HttpModelEngine(create_client(url, timeout_s, max_connections=None))
--- /dev/null
+++ b/reedspar/platform/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapters, over loopback against the stand-ins."""
--- /dev/null
+++ b/reedspar/platform/tests/test_http_reads.py
@@ -0,0 +1,114 @@
+"""Tests of the adapters of the origin and of the instance list."""
+
+import unittest
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import asdict, replace
+
+import anyio
+import httpx
+
+from reedspar.errors import Failure, Reason
+from reedspar.platform import (
+    InstanceRecord,
+    InstanceState,
+    TargetRequest,
+    create_http_instance_list,
+    create_http_plain_service,
+    create_http_weight_source,
+)
+from stand_ins import instance_list, origin
+from stand_ins.serving import open_server
+
+RECORD = InstanceRecord("a", "entry", "z", "r", "127.0.0.1", 1, 2)
+
+
+@asynccontextmanager
+async def open_raw_server(answer: bytes) -> AsyncIterator[str]:
+    """Answer each connection with these bytes, then close it."""
+
+    async def handle(stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            await stream.receive()
+            await stream.send(answer)
+
+    async with anyio.create_task_group() as tasks:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        tasks.start_soon(listener.serve, handle)
+        yield f"http://127.0.0.1:{port}"
+        tasks.cancel_scope.cancel()
+        await listener.aclose()
+
+
+class WeightSourceTest(unittest.IsolatedAsyncioTestCase):
+    async def test_reads_ranges(self) -> None:
+        async with open_server(origin.create_app()) as url:
+            source = create_http_weight_source(url)
+            self.assertIsNone(await source.publish("m/1", b"0123456789"))
+            self.assertEqual(await source.read("m/1", 0, 0), b"0123456789")
+            self.assertEqual(await source.read("m/1", 2, 3), b"234")
+            self.assertEqual(await source.read("m/1", 8, 9), b"89")
+            missing = await source.read("m/2", 0, 0)
+            assert isinstance(missing, Failure)
+            self.assertIs(missing.reason, Reason.NOT_FOUND)
+            await source.aclose()
+
+    async def test_short_bodies_are_not_whole(self) -> None:
+        # The origin's connection breaks within a chunk, once against the
+        # length it promised and once with a length that fits the broken body.
+        # A target that took the piece for the chunk would load bad weights.
+        broken = b"HTTP/1.1 206 P\r\ncontent-range: bytes 0-9/10\r\n"
+        for length in (10, 4):
+            head = broken + f"content-length: {length}\r\n\r\n".encode()
+            async with open_raw_server(head + b"0123") as url:
+                source = create_http_weight_source(url)
+                result = await source.read("m", 0, 10)
+                assert isinstance(result, Failure)
+                self.assertIs(result.reason, Reason.CORRUPT)
+                await source.aclose()
+
+    async def test_bytes_are_counted_by_object(self) -> None:
+        async with open_server(origin.create_app(bytes_per_s=1e9)) as url:
+            source = create_http_weight_source(url)
+            await source.publish("m", bytes(200_000))
+            for _ in range(2):
+                await source.read("m", 0, 100_000)
+            async with httpx.AsyncClient(trust_env=False) as client:
+                counts = (await client.get(f"{url}/control/counts")).json()
+            self.assertEqual(counts["bytes_by_object"], {"m": 200_000})
+            await source.aclose()
+
+
+class UnmarkedEndTest(unittest.IsolatedAsyncioTestCase):
+    async def test_body_without_a_marked_end_is_not_whole(self) -> None:
+        # An old service ends its answer by closing the connection.  A cut
+        # connection looks the same, and half a confirmation would pass on.
+        async with open_raw_server(b"HTTP/1.1 200 OK\r\n\r\nhalf a confir") as url:
+            service = create_http_plain_service(url)
+            request = TargetRequest("r", "POST", "/d", (), b"", 5.0)
+            async with service.send(request) as response:
+                assert not isinstance(response, Failure)
+                pieces = [piece async for piece in response.iterate()]
+            assert isinstance(pieces[-1], Failure)
+            self.assertIs(pieces[-1].reason, Reason.OUTCOME_UNKNOWN)
+            await service.aclose()
+
+
+class InstanceListTest(unittest.IsolatedAsyncioTestCase):
+    async def test_list_shows_changes_after_the_lag(self) -> None:
+        async with (
+            open_server(instance_list.create_app(lag_s=3600.0)) as url,
+            httpx.AsyncClient(trust_env=False, base_url=url) as client,
+        ):
+            instances = create_http_instance_list(url)
+            leaving = replace(RECORD, state=InstanceState.LEAVING)
+            body = {**asdict(leaving), "state": "leaving"}
+            answer = await client.put("/control/instances/a", json=body)
+            self.assertEqual(answer.status_code, 204)
+            self.assertEqual(await instances.fetch(), ())
+            await client.put("/control/lag/0.0")
+            self.assertEqual(await instances.fetch(), (leaving,))
+            await client.delete("/control/instances/a")
+            self.assertEqual(await instances.fetch(), ())
+            await instances.aclose()
--- /dev/null
+++ b/stand_ins/processes.py
@@ -0,0 +1,174 @@
+"""Processes of a deployment: started, watched, stopped, none left behind."""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import FrameType
+
+import httpx
+
+__all__ = ["ManagedProcess", "ProcessGroup", "StartError", "exit_on_signals"]
+
+TOP = Path(__file__).resolve().parent.parent
+POLL_S = 0.02
+STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
+
+
+class StartError(Exception):
+    """A process did not become ready; the text holds the end of its log."""
+
+
+@dataclass
+class ManagedProcess:
+    """One process, and how to start it again."""
+
+    name: str
+    arguments: list[str]
+    log_path: Path
+    ready_url: str
+    popen: subprocess.Popen[bytes] = field(repr=False)
+    is_wanted: bool = True
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process has not ended."""
+        return self.popen.poll() is None
+
+    def read_log_tail(self, size_bytes: int = 2000) -> str:
+        """Return the end of the log."""
+        return self.log_path.read_bytes()[-size_bytes:].decode(errors="replace")
+
+
+class ProcessGroup:
+    """Start processes that die with this one, and stop them all.
+
+    Use it from the main thread: the kernel takes the end of the thread that
+    started a process for the end of its parent.
+    """
+
+    def __init__(self, log_folder: Path) -> None:
+        self._log_folder = log_folder
+        self._processes: dict[str, ManagedProcess] = {}
+
+    def __getitem__(self, name: str) -> ManagedProcess:
+        """Return the process of that name."""
+        return self._processes[name]
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Return the names in the order of start."""
+        return tuple(self._processes)
+
+    def start(self, name: str, module: str, *arguments: str, ready_url: str) -> None:
+        """Start ``python -m module`` under a name."""
+        command = [sys.executable, "-m", "stand_ins.run", str(os.getpid()), module]
+        command.extend(arguments)
+        log_path = self._log_folder / f"{name}.log"
+        popen = self._open(command, log_path)
+        self._processes[name] = ManagedProcess(
+            name, command, log_path, ready_url, popen
+        )
+
+    def wait_ready(self, names: list[str], timeout_s: float) -> None:
+        """Wait until each answers HTTP at its URL; raise `StartError` otherwise."""
+        deadline_s = time.monotonic() + timeout_s
+        with httpx.Client(trust_env=False, verify=False, timeout=1.0) as client:
+            for name in names:
+                self._wait_one(client, self._processes[name], deadline_s)
+
+    def kill(self, name: str, number: signal.Signals = signal.SIGKILL) -> None:
+        """Send a signal."""
+        process = self._processes[name]
+        if process.is_running:
+            process.popen.send_signal(number)
+
+    def stop(self, name: str, timeout_s: float) -> int | None:
+        """Ask for a graceful stop and return the exit code; None if too late."""
+        process = self._processes[name]
+        process.is_wanted = False
+        self.kill(name, signal.SIGTERM)
+        try:
+            return process.popen.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def restart(self, name: str) -> None:
+        """Start a process again that has ended."""
+        process = self._processes[name]
+        if process.is_running:
+            self.kill(name)
+        process.popen.wait()
+        process.is_wanted = True
+        process.popen = self._open(process.arguments, process.log_path)
+
+    def find_dead(self) -> list[ManagedProcess]:
+        """Return those that ended though nobody asked them to."""
+        return [p for p in self._processes.values() if p.is_wanted and not p.is_running]
+
+    def stop_all(self, timeout_s: float = 3.0) -> list[str]:
+        """Stop all, the last first; return the names that had to be killed."""
+        running = [p for p in reversed(self._processes.values()) if p.is_running]
+        for process in running:
+            process.is_wanted = False
+            process.popen.send_signal(signal.SIGCONT)
+            process.popen.send_signal(signal.SIGTERM)
+        deadline_s = time.monotonic() + timeout_s
+        killed = []
+        for process in running:
+            try:
+                process.popen.wait(max(0.0, deadline_s - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.popen.kill()
+                process.popen.wait()
+                killed.append(process.name)
+        return killed
+
+    def _open(self, command: list[str], log_path: Path) -> subprocess.Popen[bytes]:
+        environment = {**os.environ, "PYTHONPATH": str(TOP)}
+        with log_path.open("ab") as log:
+            return subprocess.Popen(
+                command,
+                cwd=TOP,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                process_group=0,
+            )
+
+    def _wait_one(
+        self, client: httpx.Client, process: ManagedProcess, deadline_s: float
+    ) -> None:
+        while time.monotonic() < deadline_s:
+            if not process.is_running:
+                code = process.popen.returncode
+                tail = process.read_log_tail()
+                raise StartError(f"{process.name} ended with {code}:\n{tail}")
+            try:
+                answer = client.get(process.ready_url)
+            except httpx.HTTPError:
+                time.sleep(POLL_S)
+                continue
+            if answer.status_code < httpx.codes.INTERNAL_SERVER_ERROR:
+                return
+            time.sleep(POLL_S)
+        tail = process.read_log_tail()
+        raise StartError(f"{process.name} is not ready in time:\n{tail}")
+
+
+def exit_on_signals(numbers: tuple[signal.Signals, ...] = STOP_SIGNALS) -> None:
+    """Turn stop signals into `SystemExit`, so that all is stopped on the way out."""
+    handler: Callable[[int, FrameType | None], None] = _raise_exit
+    for number in numbers:
+        signal.signal(number, handler)
+
+
+def _raise_exit(number: int, frame: FrameType | None) -> None:
+    for other in STOP_SIGNALS:
+        signal.signal(other, signal.SIG_IGN)
+    raise SystemExit(128 + number)
--- /dev/null
+++ b/stand_ins/tests/test_states.py
@@ -0,0 +1,43 @@
+"""Tests of the stand-ins' states under virtual time."""
+
+import unittest
+
+from stand_ins.key_value_state import KeyValueState
+from stand_ins.rate import RateLimit
+
+
+class KeyValueStateTest(unittest.TestCase):
+    def test_ended_lease_takes_its_keys_along(self) -> None:
+        # A daemon dies without a word.  What it held under its lease must go
+        # by itself, or its zone would count it as live for ever.
+        state = KeyValueState()
+        lease = state.grant(5.0, now_s=0.0)
+        self.assertEqual(state.compare_and_swap("held", b"1", 0, lease), 1)
+        self.assertEqual(state.compare_and_swap("kept", b"1", 0, ""), 2)
+        state.expire(4.0)
+        self.assertTrue(state.renew(lease, 4.0))
+        state.expire(8.9)
+        self.assertIsNotNone(state.get("held"))
+        state.expire(9.0)
+        self.assertIsNone(state.get("held"))
+        self.assertIsNotNone(state.get("kept"))
+        self.assertFalse(state.renew(lease, 9.0))
+
+    def test_revisions_are_never_used_twice(self) -> None:
+        # A key goes with its lease and is written anew.  Were its revision to
+        # start again, a writer paused since would overwrite the newer value.
+        state = KeyValueState()
+        lease = state.grant(1.0, now_s=0.0)
+        old = state.compare_and_swap("k", b"1", 0, lease)
+        assert old is not None
+        state.expire(2.0)
+        self.assertIsNotNone(state.compare_and_swap("k", b"2", 0, ""))
+        self.assertIsNone(state.compare_and_swap("k", b"paused", old, ""))
+
+
+class RateLimitTest(unittest.TestCase):
+    def test_waits_add_up_over_all_readers(self) -> None:
+        limit = RateLimit(100.0)
+        self.assertAlmostEqual(limit.reserve(50, now_s=10.0), 0.5)
+        self.assertAlmostEqual(limit.reserve(50, now_s=10.0), 1.0)
+        self.assertAlmostEqual(limit.reserve(10, now_s=20.0), 0.1)
