--- a/reedspar/platform/tests/test_http_reads.py
+++ b/reedspar/platform/tests/test_http_reads.py
@@ -32,13 +32,12 @@
             await stream.receive()
             await stream.send(answer)
 
-    async with anyio.create_task_group() as tasks:
-        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    async with listener, anyio.create_task_group() as tasks:
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         tasks.start_soon(listener.serve, handle)
         yield f"http://127.0.0.1:{port}"
         tasks.cancel_scope.cancel()
-        await listener.aclose()
 
 
 class WeightSourceTest(unittest.IsolatedAsyncioTestCase):
