Add links over TCP, watched by a monitor that dials before it judges

An open connection can go silent for good while new ones work. Silence alone therefore never condemns a peer: the monitor dials a second connection first, and only that one's failure, or a refused dial, reports the link as down. A pause of this process is not held against its peers. Ruled out: answered heartbeats, since two one-way ones let each end judge the direction it hears at half the messages.

--- a/reedspar/attempts/attempts.capnp
+++ b/reedspar/attempts/attempts.capnp
@@ -63,12 +63,14 @@
 struct AttemptCancel {
   requestId @0 :Text;
   attempt @1 :UInt32;
+  agentIncarnation @2 :UInt64;
 }
 
 struct AttemptResume {
   requestId @0 :Text;
   attempt @1 :UInt32;
   offset @2 :UInt64;
+  agentIncarnation @3 :UInt64;
 }
 
 struct AttemptStatus {
@@ -103,3 +105,10 @@
   sequence @9 :UInt64;
   latencyS @10 :Float64;
 }
+
+struct CrashNotice {
+  target @0 :Text;
+  pool @1 :Text;
+  bootId @2 :Text;
+  fingerprints @3 :List(Text);
+}
--- a/reedspar/attempts/messages.py
+++ b/reedspar/attempts/messages.py
@@ -24,6 +24,7 @@
     "AttemptResume",
     "AttemptStart",
     "AttemptStatus",
+    "CrashNotice",
     "EndKind",
     "Header",
     "LoadedWeights",
@@ -140,20 +141,27 @@
 class AttemptCancel:
     """Revokes a queued attempt, or cancels a running one.
 
-    Answered with `AttemptRefused` (never ran) or `AttemptStatus`.
+    Answered with `AttemptRefused` (never ran) or `AttemptStatus`.  It names
+    the incarnation that the attempt was handed to: another one knows nothing
+    of the attempt, and its word would be no proof.
     """
 
     request_id: str
     attempt: int
+    agent_incarnation: int
 
 
 @dataclass(frozen=True, slots=True)
 class AttemptResume:
-    """Asks for the attempt's status and its answer from `offset` on."""
+    """Asks for the attempt's status and its answer from `offset` on.
+
+    An incarnation other than the one named answers ``UNKNOWN``.
+    """
 
     request_id: str
     attempt: int
     offset: int
+    agent_incarnation: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -202,6 +210,17 @@
     latency_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class CrashNotice:
+    """Tells which requests were in flight when a target's process ended."""
+
+    target: str
+    pool: str
+    boot_id: str
+    """The boot that crashed: a notice that comes twice counts once."""
+    fingerprints: tuple[str, ...]
+
+
 def register_messages(registry: MessageRegistry) -> None:
     """Add these message types to `registry`."""
     schema = load_schema(__file__, "attempts.capnp")
@@ -217,4 +236,5 @@
         AttemptStatus,
         AttemptAck,
         TargetReport,
+        CrashNotice,
     )
--- a/reedspar/links/__init__.py
+++ b/reedspar/links/__init__.py
@@ -1,14 +1,26 @@
 """Connections between daemons: dialled, watched by heartbeats, replaced on silence."""
 
-from .messages import Heartbeat, HeartbeatReply, Hello, Role
-from .network import Handler, Network, Priority
+from .messages import Heartbeat, Hello, Role, register_messages
+from .monitor import LinkChange
+from .network import (
+    Handler,
+    LinkEvent,
+    LinkListener,
+    Network,
+    PeerAddress,
+    Priority,
+)
 
 __all__ = [
     "Handler",
     "Heartbeat",
-    "HeartbeatReply",
     "Hello",
+    "LinkChange",
+    "LinkEvent",
+    "LinkListener",
     "Network",
+    "PeerAddress",
     "Priority",
     "Role",
+    "register_messages",
 ]
--- /dev/null
+++ b/reedspar/links/connection.py
@@ -0,0 +1,143 @@
+"""One TCP connection: frames in, frames out, live ones before bulk."""
+
+from collections import deque
+from collections.abc import Callable
+
+import anyio
+from anyio.abc import ByteStream
+
+from reedspar.errors import Failure, Reason, Step
+
+from .network import Priority
+
+__all__ = ["FRAME_SIZE_MAX_BYTES", "FrameBuffer", "FrameConnection"]
+
+LENGTH_SIZE_BYTES = 4
+FRAME_SIZE_MAX_BYTES = 4 * 1024 * 1024
+RECEIVE_SIZE_BYTES = 256 * 1024
+BULK_SHARE_BYTES = 128 * 1024
+LIVE_BACKLOG_MAX_BYTES = 16 * 1024 * 1024
+BULK_BACKLOG_MAX_BYTES = 512 * 1024
+
+
+class FrameBuffer:
+    """Cut a byte stream into frames, each behind its length (big-endian)."""
+
+    def __init__(self) -> None:
+        self._data = bytearray()
+
+    def feed(self, data: bytes) -> list[bytes] | Failure:
+        """Return the frames that `data` completes.
+
+        A length beyond the bound means that the two ends have lost step; the
+        connection must go, since every later frame would be misread.
+        """
+        self._data += data
+        frames = []
+        start = 0
+        while len(self._data) - start >= LENGTH_SIZE_BYTES:
+            head_end = start + LENGTH_SIZE_BYTES
+            size = int.from_bytes(self._data[start:head_end], "big")
+            if size > FRAME_SIZE_MAX_BYTES:
+                return Failure(Reason.CORRUPT, Step.LINK, detail=f"frame of {size} B")
+            if len(self._data) - head_end < size:
+                break
+            frames.append(bytes(self._data[head_end : head_end + size]))
+            start = head_end + size
+        del self._data[:start]
+        return frames
+
+
+class FrameConnection:
+    """A connection that coalesces all frames ready in one turn of the loop."""
+
+    def __init__(self, stream: ByteStream) -> None:
+        self._stream = stream
+        self._live: deque[bytes] = deque()
+        self._bulk: deque[bytes] = deque()
+        self._live_bytes = 0
+        self._bulk_bytes = 0
+        self._wake = anyio.Event()
+        self._is_closed = False
+
+    @property
+    def is_closed(self) -> bool:
+        """Tell whether the connection has ended."""
+        return self._is_closed
+
+    @property
+    def bulk_backlog_bytes(self) -> int:
+        """Return how much bulk waits to be sent."""
+        return self._bulk_bytes
+
+    def send(self, frame: bytes, priority: Priority) -> Failure | None:
+        """Queue a frame; refused if the connection is closed or its queue full."""
+        if self._is_closed:
+            return Failure(Reason.UNAVAILABLE, Step.LINK, detail="closed")
+        size = len(frame) + LENGTH_SIZE_BYTES
+        if priority is Priority.BULK:
+            if self._bulk_bytes + size > BULK_BACKLOG_MAX_BYTES:
+                return Failure(Reason.OVERLOADED, Step.LINK, detail="bulk backlog")
+            self._bulk.append(frame)
+            self._bulk_bytes += size
+        else:
+            if self._live_bytes + size > LIVE_BACKLOG_MAX_BYTES:
+                return Failure(Reason.OVERLOADED, Step.LINK, detail="live backlog")
+            self._live.append(frame)
+            self._live_bytes += size
+        self._wake.set()
+        return None
+
+    async def read_frames(self, handle: Callable[[bytes], bool]) -> None:
+        """Call `handle` with each frame until it returns False or the end."""
+        buffer = FrameBuffer()
+        while not self._is_closed:
+            try:
+                data = await self._stream.receive(RECEIVE_SIZE_BYTES)
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return
+            except anyio.ClosedResourceError:
+                return
+            frames = buffer.feed(data)
+            if isinstance(frames, Failure):
+                return
+            for frame in frames:
+                if not handle(frame):
+                    return
+
+    async def write_frames(self) -> None:
+        """Write queued frames until the connection ends."""
+        while not self._is_closed:
+            if not self._live and not self._bulk:
+                self._wake = anyio.Event()
+                await self._wake.wait()
+            data = self._take()
+            if not data:
+                continue
+            try:
+                await self._stream.send(data)
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                return
+
+    async def close(self) -> None:
+        """End the connection; a later call does nothing."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        self._wake.set()
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(self._stream)
+
+    def _take(self) -> bytes:
+        parts: list[bytes] = []
+        for frame in self._live:
+            parts += (len(frame).to_bytes(LENGTH_SIZE_BYTES, "big"), frame)
+        self._live.clear()
+        self._live_bytes = 0
+        taken_bytes = 0
+        while self._bulk and taken_bytes < BULK_SHARE_BYTES:
+            frame = self._bulk.popleft()
+            parts += (len(frame).to_bytes(LENGTH_SIZE_BYTES, "big"), frame)
+            taken_bytes += len(frame) + LENGTH_SIZE_BYTES
+        self._bulk_bytes -= taken_bytes
+        return b"".join(parts)
--- a/reedspar/links/links.capnp
+++ b/reedspar/links/links.capnp
@@ -13,7 +13,3 @@
 struct Heartbeat {
   nonce @0 :UInt64;
 }
-
-struct HeartbeatReply {
-  nonce @0 :UInt64;
-}
--- a/reedspar/links/messages.py
+++ b/reedspar/links/messages.py
@@ -5,7 +5,7 @@
 
 from reedspar.messages import MessageRegistry, load_schema
 
-__all__ = ["Heartbeat", "HeartbeatReply", "Hello", "Role", "register_messages"]
+__all__ = ["Heartbeat", "Hello", "Role", "register_messages"]
 
 
 class Role(Enum):
@@ -30,14 +30,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Asks for a reply, so that a silent connection shows."""
+    """Tells that the sender can still be heard; it is not answered.
 
-    nonce: int
-
-
-@dataclass(frozen=True, slots=True)
-class HeartbeatReply:
-    """Answers the heartbeat of the same nonce."""
+    Both ends send it, so each end judges the direction that it hears.
+    """
 
     nonce: int
 
@@ -45,4 +41,4 @@
 def register_messages(registry: MessageRegistry) -> None:
     """Add these message types to `registry`."""
     schema = load_schema(__file__, "links.capnp")
-    registry.add_all(schema, Hello, Heartbeat, HeartbeatReply)
+    registry.add_all(schema, Hello, Heartbeat)
--- /dev/null
+++ b/reedspar/links/tcp_network.py
@@ -0,0 +1,387 @@
+"""The network over TCP: a listener, and a watched link to each peer."""
+
+import itertools
+import logging
+import random
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+from anyio.abc import ByteStream, TaskGroup
+
+from reedspar.errors import Failure, Reason, Step
+from reedspar.messages import (
+    Envelope,
+    MessageRegistry,
+    Sender,
+    decode_frame,
+    encode_frame,
+)
+from reedspar.settings.models import LinkSettings
+from reedspar.timers import TimerService
+
+from .connection import FrameConnection
+from .messages import Heartbeat, Hello
+from .monitor import (
+    CloseConnection,
+    Dial,
+    LinkAction,
+    LinkChange,
+    LinkMonitor,
+    LinkTimings,
+    Notify,
+)
+from .network import Handler, LinkEvent, LinkListener, PeerAddress, Priority
+
+__all__ = ["TcpNetwork", "create_tcp_network"]
+
+TICK_S = 0.1
+LOGGER = logging.getLogger(__name__)
+
+
+@dataclass
+class _Peer:
+    """What is known of one peer, and its link."""
+
+    name: str
+    monitor: LinkMonitor
+    incarnation: int = 0
+    address: PeerAddress | None = None
+    connections: dict[int, FrameConnection] = field(default_factory=dict)
+
+
+class TcpNetwork:
+    """Links to peers over TCP, each watched by a `LinkMonitor`."""
+
+    def __init__(
+        self,
+        hello: Hello,
+        registry: MessageRegistry,
+        timers: TimerService,
+        settings: LinkSettings,
+        describe_sender: Callable[[], Sender],
+        rng: random.Random,
+    ) -> None:
+        self._hello = hello
+        self._registry = registry
+        self._timers = timers
+        self._settings = settings
+        self._describe_sender = describe_sender
+        self._rng = rng
+        self._timings = LinkTimings(
+            settings.heartbeat_s,
+            settings.idle_heartbeat_s,
+            settings.silence_s,
+            settings.dial_timeout_s,
+        )
+        self._peers: dict[str, _Peer] = {}
+        self._incarnations: dict[str, int] = {}
+        self._wanted: dict[str, dict[str, PeerAddress]] = {}
+        self._handlers: dict[type, list[Handler]] = defaultdict(list)
+        self._link_listeners: list[LinkListener] = []
+        self._sender_listeners: list[Callable[[Sender], None]] = []
+        self._ids = itertools.count(1)
+        self._nonces = itertools.count(1)
+        self._tasks: TaskGroup | None = None
+        self._unreadable_count = 0
+        self._sent_bytes = 0
+        self._received_bytes = 0
+        self._sent_count = 0
+        self._received_count = 0
+
+    @property
+    def unreadable_count(self) -> int:
+        """Return how many frames could not be read."""
+        return self._unreadable_count
+
+    @property
+    def sent_bytes(self) -> int:
+        """Return the bytes of all frames sent."""
+        return self._sent_bytes
+
+    @property
+    def received_bytes(self) -> int:
+        """Return the bytes of all frames received."""
+        return self._received_bytes
+
+    @property
+    def sent_count(self) -> int:
+        """Return the number of frames sent."""
+        return self._sent_count
+
+    @property
+    def received_count(self) -> int:
+        """Return the number of frames received."""
+        return self._received_count
+
+    def subscribe(self, message_class: type, handler: Handler) -> None:
+        """Call `handler` with each such message."""
+        self._handlers[message_class].append(handler)
+
+    def on_link_event(self, listener: LinkListener) -> None:
+        """Call `listener` when a link comes up, is replaced or goes down."""
+        self._link_listeners.append(listener)
+
+    def on_sender(self, listener: Callable[[Sender], None]) -> None:
+        """Call `listener` with what each received frame says of its sender."""
+        self._sender_listeners.append(listener)
+
+    def peers(self) -> tuple[str, ...]:
+        """Return the names of the peers that a link is open to."""
+        return tuple(peer.name for peer in self._peers.values() if peer.connections)
+
+    def incarnation_of(self, peer: str) -> int:
+        """Return the incarnation heard last of a peer; 0 if none."""
+        return self._incarnations.get(peer, 0)
+
+    def bulk_backlog_bytes(self, peer: str) -> int:
+        """Return how much bulk waits to be sent to a peer."""
+        connection = self._connection_to(peer)
+        return connection.bulk_backlog_bytes if connection else 0
+
+    def want(self, owner: str, peers: Iterable[PeerAddress]) -> None:
+        """Keep links to these peers, until the same owner wants others."""
+        own_name = self._hello.name
+        self._wanted[owner] = {p.name: p for p in peers if p.name != own_name}
+        wanted: dict[str, PeerAddress] = {}
+        for addresses in self._wanted.values():
+            wanted |= addresses
+        for name, address in wanted.items():
+            peer = self._peer(name)
+            peer.address = address
+            peer.monitor.is_wanted = True
+        for name, peer in self._peers.items():
+            if name not in wanted:
+                peer.monitor.is_wanted = False
+
+    def send(
+        self, peer: str, message: Any, priority: Priority = Priority.LIVE
+    ) -> Failure | None:
+        """Queue a message; a failure means that nothing was sent."""
+        connection = self._connection_to(peer)
+        if connection is None:
+            return Failure(Reason.UNAVAILABLE, Step.LINK, peer, "no link")
+        frame = encode_frame(self._registry, self._describe_sender(), message)
+        failure = connection.send(frame, priority)
+        if failure is not None:
+            return Failure(failure.reason, Step.LINK, peer, failure.detail)
+        self._sent_bytes += len(frame)
+        self._sent_count += 1
+        is_traffic = not isinstance(message, Heartbeat)
+        monitor = self._peers[peer].monitor
+        monitor.note_sent(self._timers.now_s(), is_traffic=is_traffic)
+        return None
+
+    async def run(self, *, task_status: Any = anyio.TASK_STATUS_IGNORED) -> None:
+        """Listen, dial and watch until cancelled; started once it listens."""
+        listener = await anyio.create_tcp_listener(
+            local_host=self._hello.host, local_port=self._hello.port, backlog=1024
+        )
+        self._timers.on_pause(self._note_pause)
+        ticks = self._timers.call_every(TICK_S, self._tick)
+        try:
+            async with anyio.create_task_group() as tasks, listener:
+                self._tasks = tasks
+                task_status.started()
+                await listener.serve(self._accept, tasks)
+        finally:
+            ticks.cancel()
+
+    def _peer(self, name: str) -> _Peer:
+        if name not in self._peers:
+            self._peers[name] = _Peer(name, LinkMonitor(self._timings, self._rng))
+        return self._peers[name]
+
+    def _connection_to(self, name: str) -> FrameConnection | None:
+        peer = self._peers.get(name)
+        if peer is None or not peer.monitor.connections:
+            return None
+        return peer.connections.get(peer.monitor.connections[-1])
+
+    def _note_pause(self, gap_s: float) -> None:
+        for peer in self._peers.values():
+            peer.monitor.note_pause(gap_s)
+
+    def _tick(self) -> None:
+        now_s = self._timers.now_s()
+        for peer in list(self._peers.values()):
+            self._carry_out(peer, peer.monitor.tick(now_s))
+            monitor = peer.monitor
+            if not (peer.connections or monitor.is_wanted or monitor.is_up):
+                del self._peers[peer.name]
+
+    def _carry_out(self, peer: _Peer, actions: list[LinkAction]) -> None:
+        for action in actions:
+            if isinstance(action, Notify):
+                self._notify(peer, action)
+            elif isinstance(action, Dial):
+                self._start(self._dial, peer)
+            elif isinstance(action, CloseConnection):
+                connection = peer.connections.get(action.connection)
+                if connection is not None:
+                    self._start(connection.close)
+            else:
+                self.send(peer.name, Heartbeat(next(self._nonces)))
+
+    def _start(self, function: Callable[..., Any], *args: Any) -> None:
+        if self._tasks is not None:
+            self._tasks.start_soon(function, *args)
+
+    def _notify(self, peer: _Peer, action: Notify) -> None:
+        event = LinkEvent(peer.name, peer.incarnation, action.change, action.reason)
+        LOGGER.info(
+            "link %s",
+            action.change.value,
+            extra={
+                "peer": peer.name,
+                "incarnation": peer.incarnation,
+                "reason": action.reason.value if action.reason else "",
+            },
+        )
+        for listener in self._link_listeners:
+            listener(event)
+
+    async def _accept(self, stream: ByteStream) -> None:
+        await self._serve(stream, expected=None)
+
+    async def _dial(self, peer: _Peer) -> None:
+        address = peer.address
+        assert address is not None
+        reason = Reason.TIMEOUT
+        try:
+            with anyio.fail_after(self._settings.dial_timeout_s):
+                stream = await anyio.connect_tcp(address.host, address.port)
+        except TimeoutError:
+            pass
+        except OSError:
+            reason = Reason.UNAVAILABLE
+        else:
+            if await self._serve(stream, expected=peer.name):
+                return
+        actions = peer.monitor.note_dial_failed(reason, self._timers.now_s())
+        self._carry_out(peer, actions)
+
+    async def _serve(self, stream: ByteStream, expected: str | None) -> bool:
+        """Run a connection to its end; tell whether the peer said hello."""
+        session = _Session(self, FrameConnection(stream), expected)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(session.connection.write_frames)
+                tasks.start_soon(session.close_without_hello)
+                session.connection.send(self._encode(self._hello), Priority.LIVE)
+                await session.connection.read_frames(session.handle)
+                tasks.cancel_scope.cancel()
+        finally:
+            await session.connection.close()
+            self._note_closed(session)
+        return session.peer is not None
+
+    def _encode(self, message: Any) -> bytes:
+        return encode_frame(self._registry, self._describe_sender(), message)
+
+    def _greet(self, session: "_Session", sender: Sender, hello: Hello) -> bool:
+        """Take in a peer's hello; False if the connection must go."""
+        if session.expected is not None and hello.name != session.expected:
+            return False
+        peer = self._peer(hello.name)
+        if sender.incarnation < self.incarnation_of(hello.name):
+            # A predecessor that was paused speaks up; its successor is known.
+            return False
+        if sender.incarnation > peer.incarnation:
+            self._replace_incarnation(peer, sender.incarnation)
+            self._incarnations[hello.name] = sender.incarnation
+        if peer.address is None:
+            peer.address = PeerAddress(hello.name, hello.host, hello.port)
+        session.peer = peer
+        peer.connections[session.id] = session.connection
+        if session.expected is not None:
+            peer.monitor.is_dialling = False
+        now_s = self._timers.now_s()
+        self._carry_out(peer, peer.monitor.note_opened(session.id, now_s))
+        return True
+
+    def _replace_incarnation(self, peer: _Peer, incarnation: int) -> None:
+        old = peer.monitor
+        if old.is_up:
+            self._notify(peer, Notify(LinkChange.DOWN, Reason.UNAVAILABLE))
+        for connection in peer.connections.values():
+            self._start(connection.close)
+        peer.connections.clear()
+        peer.monitor = LinkMonitor(self._timings, self._rng, is_wanted=old.is_wanted)
+        peer.monitor.is_dialling = old.is_dialling
+        peer.incarnation = incarnation
+
+    def _note_closed(self, session: "_Session") -> None:
+        peer = session.peer
+        if peer is None or peer.connections.pop(session.id, None) is None:
+            return
+        now_s = self._timers.now_s()
+        self._carry_out(peer, peer.monitor.note_closed(session.id, now_s))
+
+    def _receive(self, session: "_Session", frame: bytes) -> bool:
+        self._received_bytes += len(frame)
+        self._received_count += 1
+        envelope = decode_frame(self._registry, frame)
+        if isinstance(envelope, Failure):
+            self._unreadable_count += 1
+            return envelope.reason is not Reason.CORRUPT
+        if isinstance(envelope.message, Hello):
+            return self._greet(session, envelope.sender, envelope.message)
+        if session.peer is None:
+            return False
+        self._dispatch(session.peer, envelope)
+        return True
+
+    def _dispatch(self, peer: _Peer, envelope: Envelope) -> None:
+        now_s = self._timers.now_s()
+        peer.monitor.note_heard(now_s)
+        for listener in self._sender_listeners:
+            listener(envelope.sender)
+        message = envelope.message
+        if isinstance(message, Heartbeat):
+            return
+        peer.monitor.note_traffic(now_s)
+        for handler in self._handlers.get(type(message), ()):
+            handler(envelope.sender, message)
+
+
+class _Session:
+    """One connection's passage from accept or dial to its end."""
+
+    def __init__(
+        self, network: TcpNetwork, connection: FrameConnection, expected: str | None
+    ) -> None:
+        self.id = next(network._ids)
+        self.connection = connection
+        self.expected = expected
+        self.peer: _Peer | None = None
+        self._network = network
+
+    def handle(self, frame: bytes) -> bool:
+        """Take in a frame; False ends the connection."""
+        return self._network._receive(self, frame)
+
+    async def close_without_hello(self) -> None:
+        """End the connection if the peer does not say hello in time.
+
+        A frozen process still accepts connections: its kernel does.
+        """
+        await anyio.sleep(self._network._settings.dial_timeout_s)
+        if self.peer is None:
+            await self.connection.close()
+
+
+def create_tcp_network(
+    hello: Hello,
+    registry: MessageRegistry,
+    timers: TimerService,
+    settings: LinkSettings,
+    describe_sender: Callable[[], Sender],
+    rng: random.Random | None = None,
+) -> TcpNetwork:
+    """Make the network of a daemon that introduces itself by `hello`."""
+    return TcpNetwork(
+        hello, registry, timers, settings, describe_sender, rng or random.Random()
+    )
--- /dev/null
+++ b/reedspar/links/tests/test_monitor.py
@@ -0,0 +1,142 @@
+"""Tests of the decision when a link is silent, replaced or down."""
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from reedspar.errors import Reason
+from reedspar.links.monitor import (
+    CloseConnection,
+    Dial,
+    LinkChange,
+    LinkMonitor,
+    LinkTimings,
+    Notify,
+    SendHeartbeat,
+)
+
+TIMINGS = LinkTimings(
+    heartbeat_s=0.5, idle_heartbeat_s=2.0, silence_s=1.5, dial_timeout_s=1.0
+)
+TICK_S = 0.1
+
+
+def create_monitor(*, is_wanted: bool = True) -> LinkMonitor:
+    return LinkMonitor(TIMINGS, random.Random(1), is_wanted=is_wanted)
+
+
+def run(monitor: LinkMonitor, from_s: float, to_s: float) -> list:
+    actions = []
+    for i in range(round((to_s - from_s) / TICK_S) + 1):
+        actions += monitor.tick(from_s + i * TICK_S)
+    return actions
+
+
+class LinkMonitorTest(unittest.TestCase):
+    def test_silent_connection_is_replaced_before_the_peer_is_judged(self) -> None:
+        # A middlebox forgets the connection: nothing comes any more, though
+        # the peer is well.  A caller must not see its target reported as gone.
+        monitor = create_monitor()
+        self.assertEqual(monitor.note_opened(1, 0.0), [Notify(LinkChange.UP)])
+        monitor.note_traffic(0.0)
+        actions = run(monitor, 0.1, 1.8)
+        self.assertIn(Dial(), actions)
+        self.assertNotIn(LinkChange.DOWN, [getattr(a, "change", 0) for a in actions])
+        replaced = monitor.note_opened(2, 1.9)
+        self.assertEqual(replaced, [Notify(LinkChange.REPLACED)])
+        self.assertEqual(monitor.connections[-1], 2)
+
+    def test_frozen_peer_goes_down_only_after_the_second_dial_failed(self) -> None:
+        # The peer is stopped: its kernel accepts, but no hello comes.
+        monitor = create_monitor()
+        monitor.note_opened(1, 0.0)
+        monitor.note_traffic(0.0)
+        self.assertIn(Dial(), run(monitor, 0.1, 1.6))
+        self.assertEqual(monitor.note_dial_failed(Reason.TIMEOUT, 2.6), [])
+        actions = run(monitor, 2.7, 6.0)
+        self.assertIn(Notify(LinkChange.DOWN, Reason.TIMEOUT), actions)
+        self.assertIn(CloseConnection(1), actions)
+
+    def test_refused_dial_is_proof_at_once(self) -> None:
+        # The process was killed: its host refuses the dial.
+        monitor = create_monitor()
+        monitor.note_opened(1, 0.0)
+        monitor.note_closed(1, 0.5)
+        self.assertIn(Dial(), monitor.tick(0.6))
+        down = monitor.note_dial_failed(Reason.UNAVAILABLE, 0.6)
+        self.assertEqual(down, [Notify(LinkChange.DOWN, Reason.UNAVAILABLE)])
+
+    def test_own_pause_condemns_nobody(self) -> None:
+        # This process is stopped for ten seconds and continued.  Without the
+        # correction it would find every peer silent, and drop all its links.
+        monitor = create_monitor()
+        monitor.note_opened(1, 0.0)
+        monitor.note_traffic(0.0)
+        monitor.note_pause(10.0)
+        actions = monitor.tick(10.1)
+        self.assertEqual(actions, [SendHeartbeat()])
+
+    def test_unwanted_silent_link_is_closed_for_the_dialling_end(self) -> None:
+        # The path from the dialling end to here is lost, the way back is not.
+        # The close tells the other end, which hears this one well, to dial.
+        monitor = create_monitor(is_wanted=False)
+        monitor.note_opened(1, 0.0)
+        monitor.note_traffic(0.0)
+        actions = run(monitor, 0.1, 2.0)
+        self.assertIn(CloseConnection(1), actions)
+        self.assertNotIn(Dial(), actions)
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(st.lists(st.tuples(st.integers(0, 4), st.floats(0.0, 3.0)), max_size=40))
+    def test_notices_alternate(self, steps: list[tuple[int, float]]) -> None:
+        history = LinkHistory(self)
+        for kind, gap_s in steps:
+            history.take_step(kind, gap_s)
+        is_up = False
+        for change in history.notices:
+            self.assertEqual(is_up, change is not LinkChange.UP)
+            is_up = change is not LinkChange.DOWN
+        self.assertEqual(is_up, history.monitor.is_up)
+
+
+class LinkHistory:
+    """A random history of one link, with the dials that it asks for."""
+
+    def __init__(self, case: unittest.TestCase) -> None:
+        self.case = case
+        self.monitor = create_monitor()
+        self.now_s = 0.0
+        self.last_connection = 0
+        self.notices: list[LinkChange] = []
+        self.is_dialling = False
+
+    def take_step(self, kind: int, gap_s: float) -> None:
+        self.now_s += gap_s
+        self.take(self.monitor.tick(self.now_s))
+        if kind == 0 and self.is_dialling:
+            self.is_dialling = self.monitor.is_dialling = False
+            self.last_connection += 1
+            self.take(self.monitor.note_opened(self.last_connection, self.now_s))
+        elif kind in (1, 2) and self.is_dialling:
+            self.is_dialling = False
+            reason = Reason.TIMEOUT if kind == 1 else Reason.UNAVAILABLE
+            self.take(self.monitor.note_dial_failed(reason, self.now_s))
+        elif kind == 3 and self.monitor.connections:
+            oldest = self.monitor.connections[0]
+            self.take(self.monitor.note_closed(oldest, self.now_s))
+        elif kind == 4:
+            self.monitor.note_heard(self.now_s)
+
+    def take(self, actions: list) -> None:
+        for action in actions:
+            if isinstance(action, Notify):
+                self.notices.append(action.change)
+            elif isinstance(action, Dial):
+                self.case.assertFalse(self.is_dialling, "one dial at a time")
+                self.is_dialling = True
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/reedspar/links/tests/test_tcp_network.py
@@ -0,0 +1,177 @@
+"""Tests of the network over real connections on the loopback interface."""
+
+import socket
+import unittest
+from contextlib import AsyncExitStack
+
+import anyio
+
+from reedspar.attempts import AttemptAck
+from reedspar.attempts import register_messages as register_attempts
+from reedspar.errors import Reason
+from reedspar.links import (
+    Hello,
+    LinkChange,
+    LinkEvent,
+    PeerAddress,
+    Priority,
+    Role,
+    register_messages,
+)
+from reedspar.links.connection import FRAME_SIZE_MAX_BYTES, FrameBuffer
+from reedspar.links.tcp_network import TcpNetwork, create_tcp_network
+from reedspar.messages import MessageRegistry, Sender
+from reedspar.settings import LinkSettings
+from reedspar.timers import create_timer_service
+
+SETTINGS = LinkSettings(heartbeat_s=0.05, silence_s=0.3, dial_timeout_s=0.3)
+PATIENCE_S = 20.0
+
+
+def find_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        return server.getsockname()[1]
+
+
+class Node:
+    """A network with its timers, started on its own task group."""
+
+    def __init__(self, name: str, incarnation: int = 1) -> None:
+        self.port = find_port()
+        self.address = PeerAddress(name, "127.0.0.1", self.port)
+        self.timers = create_timer_service()
+        registry = MessageRegistry()
+        register_messages(registry)
+        register_attempts(registry)
+        hello = Hello(name, Role.AGENT, "zone-a", "region-a", "127.0.0.1", self.port)
+        self.network: TcpNetwork = create_tcp_network(
+            hello,
+            registry,
+            self.timers,
+            SETTINGS,
+            lambda: Sender(name, incarnation, config_version=7),
+        )
+        self.events: list[LinkEvent] = []
+        self.acks: list[tuple[Sender, AttemptAck]] = []
+        self.network.on_link_event(self.events.append)
+        self.network.subscribe(AttemptAck, lambda s, m: self.acks.append((s, m)))
+
+    async def start(self, tasks) -> None:
+        tasks.start_soon(self.timers.run)
+        await tasks.start(self.network.run)
+
+
+async def wait_until(condition) -> None:
+    with anyio.fail_after(PATIENCE_S):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+class TcpNetworkTest(unittest.TestCase):
+    def run_nodes(self, scenario, *nodes: Node) -> None:
+        async def main() -> None:
+            async with AsyncExitStack() as stack:
+                tasks = await stack.enter_async_context(anyio.create_task_group())
+                for node in nodes:
+                    await node.start(tasks)
+                await scenario()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+
+    def test_messages_both_ways_and_large_bulk(self) -> None:
+        first, second = Node("agent-1"), Node("agent-2")
+
+        async def scenario() -> None:
+            first.network.want("test", [second.address])
+            await wait_until(lambda: first.network.peers() and second.network.peers())
+            ack = AttemptAck("r1", 1, 42, is_complete=False)
+            self.assertIsNone(first.network.send("agent-2", ack))
+            bulk = AttemptAck("r" * 300_000, 1, 0, is_complete=True)
+            self.assertIsNone(second.network.send("agent-1", bulk, Priority.BULK))
+            await wait_until(lambda: first.acks and second.acks)
+            self.assertEqual(second.acks[0], (Sender("agent-1", 1, 7), ack))
+            self.assertEqual(first.acks[0][1], bulk)
+
+        self.run_nodes(scenario, first, second)
+
+    def test_without_link_nothing_is_sent(self) -> None:
+        node = Node("agent-1")
+
+        async def scenario() -> None:
+            failure = node.network.send("agent-9", AttemptAck("r1", 1, 0, True))
+            self.assertIs(failure.reason, Reason.UNAVAILABLE)
+            self.assertEqual(failure.peer, "agent-9")
+
+        self.run_nodes(scenario, node)
+
+    def test_lost_connection_is_replaced(self) -> None:
+        # Something between the two ends resets the connection.  The caller's
+        # attempt goes on over a new one; the peer is not reported as down.
+        first, second = Node("agent-1"), Node("agent-2")
+
+        async def scenario() -> None:
+            first.network.want("test", [second.address])
+            await wait_until(lambda: first.events)
+            for peer in first.network._peers.values():
+                for connection in list(peer.connections.values()):
+                    await connection.close()
+            await wait_until(lambda: len(first.events) > 1 and first.network.peers())
+            changes = [event.change for event in first.events]
+            self.assertEqual(changes[:2], [LinkChange.UP, LinkChange.REPLACED])
+
+        self.run_nodes(scenario, first, second)
+
+    def test_peer_that_never_says_hello_is_not_up(self) -> None:
+        # A frozen process: its kernel accepts the connection, and that is all.
+        node = Node("agent-1")
+
+        async def scenario() -> None:
+            with socket.create_server(("127.0.0.1", 0)) as server:
+                port = server.getsockname()[1]
+                node.network.want("test", [PeerAddress("frozen", "127.0.0.1", port)])
+                await anyio.sleep(0.8)
+                self.assertEqual(node.events, [])
+                self.assertEqual(node.network.peers(), ())
+
+        self.run_nodes(scenario, node)
+
+    def test_older_incarnation_is_refused(self) -> None:
+        # A daemon was paused, replaced under its name, and continued.  Its
+        # late messages must not be taken for its successor's.
+        node = Node("agent-1")
+        newer, older = Node("agent-2", 5), Node("agent-2", 4)
+
+        async def scenario() -> None:
+            newer.network.want("test", [node.address])
+            await wait_until(lambda: node.network.incarnation_of("agent-2") == 5)
+            older.network.want("test", [node.address])
+            await anyio.sleep(0.5)
+            older.network.send("agent-1", AttemptAck("old", 1, 0, True))
+            newer.network.send("agent-1", AttemptAck("new", 1, 0, True))
+            await wait_until(lambda: node.acks)
+            await anyio.sleep(0.2)
+            self.assertEqual([ack.request_id for _, ack in node.acks], ["new"])
+
+        self.run_nodes(scenario, node, newer, older)
+
+
+class FrameBufferTest(unittest.TestCase):
+    def test_frames_survive_any_cut(self) -> None:
+        frames = [b"", b"a", b"bc" * 500]
+        data = b"".join(len(f).to_bytes(4, "big") + f for f in frames)
+        for size in (1, 3, 4, 5, 700, len(data)):
+            buffer, got = FrameBuffer(), []
+            for i in range(0, len(data), size):
+                got += buffer.feed(data[i : i + size])
+            self.assertEqual(got, frames)
+
+    def test_absurd_length_ends_the_connection(self) -> None:
+        # The two ends have lost step, say by a corrupted length.  Reading on
+        # would wait for gigabytes and misread all that follows.
+        failure = FrameBuffer().feed((FRAME_SIZE_MAX_BYTES + 1).to_bytes(4, "big"))
+        self.assertIs(failure.reason, Reason.CORRUPT)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/reedspar/settings/models.py
+++ b/reedspar/settings/models.py
@@ -50,7 +50,10 @@
 class LinkSettings(Section):
     """Connections between daemons."""
 
-    heartbeat_s: Seconds = Field(0.5, description="Time between heartbeats.")
+    heartbeat_s: Seconds = Field(0.5, description="Between heartbeats, link in use.")
+    idle_heartbeat_s: Seconds = Field(
+        2.0, description="Between heartbeats, idle link; alike in all daemons."
+    )
     silence_s: Seconds = Field(
         1.5, description="Silence after which a second connection is dialled."
     )
