Add the agent's side of requests: gate, attempts, crashes, reports, drain

An agent decides alone what concerns its target: the limit follows completions, boots and broken streams, since the target's own report lags.

--- a/reedspar/links/network.py
+++ b/reedspar/links/network.py
@@ -8,6 +8,7 @@
 from reedspar.errors import Failure, Reason
 from reedspar.messages import Sender
 
+from .messages import Role
 from .monitor import LinkChange
 
 __all__ = [
@@ -83,8 +84,8 @@
         """Keep links to these peers, until the same owner wants others."""
         ...
 
-    def peers(self) -> tuple[str, ...]:
-        """Return the names of the peers that a link is open to."""
+    def peers(self, role: Role | None = None) -> tuple[str, ...]:
+        """Return the names of the peers (of a role) that a link is open to."""
         ...
 
     def incarnation_of(self, peer: str) -> int:
--- a/reedspar/links/tcp_network.py
+++ b/reedspar/links/tcp_network.py
@@ -23,7 +23,7 @@
 from reedspar.timers import TimerService
 
 from .connection import FrameConnection
-from .messages import Heartbeat, Hello
+from .messages import Heartbeat, Hello, Role
 from .monitor import (
     CloseConnection,
     Dial,
@@ -48,6 +48,7 @@
     name: str
     monitor: LinkMonitor
     incarnation: int = 0
+    role: Role | None = None
     address: PeerAddress | None = None
     connections: dict[int, FrameConnection] = field(default_factory=dict)
 
@@ -128,9 +129,13 @@
         """Call `listener` with what each received frame says of its sender."""
         self._sender_listeners.append(listener)
 
-    def peers(self) -> tuple[str, ...]:
-        """Return the names of the peers that a link is open to."""
-        return tuple(peer.name for peer in self._peers.values() if peer.connections)
+    def peers(self, role: Role | None = None) -> tuple[str, ...]:
+        """Return the names of the peers (of a role) that a link is open to."""
+        return tuple(
+            peer.name
+            for peer in self._peers.values()
+            if peer.connections and role in (None, peer.role)
+        )
 
     def incarnation_of(self, peer: str) -> int:
         """Return the incarnation heard last of a peer; 0 if none."""
@@ -294,6 +299,7 @@
             self._incarnations[hello.name] = sender.incarnation
         if peer.address is None:
             peer.address = PeerAddress(hello.name, hello.host, hello.port)
+        peer.role = hello.role
         session.peer = peer
         peer.connections[session.id] = session.connection
         if session.expected is not None:
--- /dev/null
+++ b/reedspar/targets/__init__.py
@@ -0,0 +1,15 @@
+"""The agent's side of requests: the gate, the attempts, the reports, the drain."""
+
+from .controller import OfferSource, TargetController, create_target_controller
+from .gate import ColdStartGate, GateSettings
+from .table import AttemptRecord, AttemptTable
+
+__all__ = [
+    "AttemptRecord",
+    "AttemptTable",
+    "ColdStartGate",
+    "GateSettings",
+    "OfferSource",
+    "TargetController",
+    "create_target_controller",
+]
--- /dev/null
+++ b/reedspar/targets/controller.py
@@ -0,0 +1,309 @@
+"""The agent's side of requests: admit, queue, run, keep answers, report, drain."""
+
+import logging
+from collections.abc import Callable
+from typing import Protocol
+
+import anyio
+
+from reedspar.attempts import (
+    AttemptStart,
+    CrashNotice,
+    EndKind,
+    LoadedWeights,
+    TargetReport,
+    TargetStatus,
+)
+from reedspar.errors import Failure, Reason, Step
+from reedspar.links import Network, Role
+from reedspar.platform import EngineState, Target
+from reedspar.settings import DaemonSettings, TargetSettings
+from reedspar.timers import TimerService
+
+from .crashes import CrashLedger
+from .desk import AttemptDesk
+from .gate import ColdStartGate, GateSettings
+from .queue import AttemptQueue
+from .reports import ReportPublisher
+from .runner import AttemptOutcome, AttemptRunner
+from .table import AttemptTable
+
+__all__ = ["OfferSource", "TargetController", "create_target_controller"]
+
+POLL_INTERVAL_S = 0.25
+MISSED_REPORTS_MAX = 3
+LOGGER = logging.getLogger(__name__)
+
+
+class OfferSource(Protocol):
+    """What weights the target is confirmed to hold."""
+
+    def offered(self) -> tuple[LoadedWeights, ...]:
+        """Return the confirmed weights."""
+        ...
+
+    def is_offering(self) -> bool:
+        """Tell whether all that the pool needs is confirmed."""
+        ...
+
+    def note_engine_state(self, state: EngineState | None) -> None:
+        """Take in the target's report, or None if it can't be reached."""
+        ...
+
+
+class TargetController:
+    """Stand before one target and decide all that concerns it alone."""
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        target_settings: TargetSettings,
+        incarnation: int,
+        network: Network,
+        timers: TimerService,
+        target: Target,
+        offers: OfferSource,
+        may_start_work: Callable[[], Failure | None],
+        spawn: Callable[..., None],
+    ) -> None:
+        self._settings = settings
+        self._target_settings = target_settings
+        self._network = network
+        self._timers = timers
+        self._target = target
+        self._offers = offers
+        self._may_start_work = may_start_work
+        self._spawn = spawn
+        limit = target_settings.concurrency_limit
+        gate_settings = GateSettings(target_settings.cold_concurrency, limit)
+        self._gate = ColdStartGate(gate_settings)
+        self._incarnation = incarnation
+        self._crashes = CrashLedger()
+        self._is_reachable = False
+        self._is_draining = False
+        self._switching: set[str] = set()
+        self._is_polling = False
+        self._missed_reports = 0
+        runner = AttemptRunner(
+            target,
+            timers.clock,
+            network.send,
+            self._accepts_digest,
+            self._gate.note_first_byte,
+        )
+        self._desk = AttemptDesk(
+            AttemptTable(incarnation, target_settings.answer_ttl_s),
+            self._gate,
+            AttemptQueue(limit),
+            runner,
+            network,
+            timers,
+            self,
+            spawn,
+        )
+        self._reports = ReportPublisher(network, timers, self._describe)
+        timers.call_every(POLL_INTERVAL_S, self._start_poll)
+        timers.on_pause(self._note_pause)
+
+    @property
+    def gate(self) -> ColdStartGate:
+        """Return the gate before the target."""
+        return self._gate
+
+    @property
+    def status(self) -> TargetStatus:
+        """Return whether the target may be given work."""
+        if self._is_draining:
+            return TargetStatus.LEAVING
+        if not self._is_reachable or not self._offers.is_offering():
+            return TargetStatus.DOWN
+        if self._switching:
+            return TargetStatus.DOWN
+        return TargetStatus.COLD if self._gate.is_cold else TargetStatus.READY
+
+    @property
+    def running_count(self) -> int:
+        """Return how many attempts are at the target."""
+        return self._desk.running_count
+
+    @property
+    def queued_count(self) -> int:
+        """Return how many attempts wait."""
+        return self._desk.queued_count
+
+    def publish(self) -> None:
+        """Tell the entries how the target is."""
+        self._reports.publish()
+
+    def note_offers_changed(self) -> None:
+        """Take in that other weights are confirmed, or none."""
+        self._reports.publish_if_changed()
+
+    async def begin_switch(self, model: str) -> None:
+        """Refuse new work and wait until nothing uses the model's old weights."""
+        self._switching.add(model)
+        self._desk.refuse_queued(Reason.DRAINING, "switching weights")
+        self._reports.publish_if_changed()
+        await self._desk.wait_idle()
+
+    def end_switch(self, model: str) -> None:
+        """Take work again."""
+        self._switching.discard(model)
+        self._reports.publish_if_changed()
+
+    def begin_drain(self) -> None:
+        """Refuse new work from now on; what runs goes on to its end."""
+        if self._is_draining:
+            return
+        self._is_draining = True
+        self._desk.refuse_queued(Reason.DRAINING, "leaving")
+        self._reports.publish()
+
+    async def drain(self, timeout_s: float) -> bool:
+        """Wait until the last answer was delivered; tell whether it was."""
+        self.begin_drain()
+        with anyio.move_on_after(timeout_s):
+            await self._desk.wait_delivered()
+        return self._desk.running_count == 0
+
+    def _accepts_digest(self, digest: str) -> bool:
+        return any(weights.root_digest == digest for weights in self._offers.offered())
+
+    def _describe(self, sequence: int) -> TargetReport:
+        return TargetReport(
+            target=self._settings.name,
+            pool=self._target_settings.pool,
+            zone=self._settings.zone,
+            status=self.status,
+            boot_id=self._gate.boot_id,
+            in_flight=self._gate.in_flight,
+            queued=self._desk.queued_count,
+            limit=self._gate.limit,
+            offered=self._offers.offered(),
+            sequence=sequence,
+            latency_s=self._gate.latency_s,
+        )
+
+    def check(self, start: AttemptStart) -> Failure | None:
+        """Return why this attempt may not start now."""
+        self._timers.check_pause()
+        step = Step.AGENT_ADMIT
+        if start.agent_incarnation not in (0, self._incarnation):
+            return Failure(Reason.STALE, step, detail="meant for a predecessor")
+        if start.pool != self._target_settings.pool:
+            return Failure(Reason.NO_TARGET, step, detail=f"not of pool {start.pool}")
+        if self._is_draining or self._switching:
+            return Failure(Reason.DRAINING, step)
+        failure = self._may_start_work()
+        if failure is not None:
+            return failure
+        if not self._is_reachable or not self._offers.is_offering():
+            return Failure(Reason.NOT_READY, step, detail="target or weights")
+        if start.weights_digest and not self._accepts_digest(start.weights_digest):
+            return Failure(Reason.NO_TARGET, step, detail="other weights")
+        if not self._gate.is_confirmed:
+            self._start_poll()
+        return None
+
+    def note_outcome(self, start: AttemptStart, outcome: AttemptOutcome) -> None:
+        """Take in how an attempt ended."""
+        if outcome.kind is EndKind.COMPLETE:
+            self._gate.note_completed()
+        elif outcome.reason is not Reason.CANCELLED:
+            self._note_broken(start, outcome.reason)
+        self._reports.publish_if_changed()
+
+    def _note_broken(self, start: AttemptStart, reason: Reason) -> None:
+        if reason is Reason.TIMEOUT:
+            return
+        self._gate.note_broken()
+        self._crashes.note_broken(start.fingerprint, self._timers.now_s())
+        self._start_poll()
+
+    def _start_poll(self) -> None:
+        if not self._is_polling:
+            self._is_polling = True
+            self._spawn(self._poll)
+
+    async def _poll(self) -> None:
+        try:
+            state = await self._target.read_state()
+        finally:
+            self._is_polling = False
+        if isinstance(state, Failure):
+            self._note_no_report(state)
+        else:
+            self._take_state(state)
+        self._desk.pump()
+        self._reports.publish_if_changed()
+
+    def _note_no_report(self, failure: Failure) -> None:
+        """Take in that the target gave no report.
+
+        A refused connection proves that its process is gone; a late report
+        may only mean that it is busy, so it takes several.
+        """
+        self._missed_reports += 1
+        is_gone = failure.reason is Reason.UNAVAILABLE
+        if is_gone or self._missed_reports >= MISSED_REPORTS_MAX:
+            self._lapse()
+            self._offers.note_engine_state(None)
+
+    def _lapse(self) -> None:
+        """Trust nothing that was known of the target until it reports again."""
+        self._is_reachable = False
+        self._gate.drop()
+
+    def _note_pause(self, gap_s: float) -> None:
+        # While this process was stopped the target may have been restarted.
+        self._lapse()
+        self._start_poll()
+
+    def _take_state(self, state: EngineState) -> None:
+        previous = self._gate.boot_id
+        if self._gate.note_boot(state.boot_id) and previous:
+            self._announce_crash(previous)
+        self._gate.note_report(is_cold=state.is_cold)
+        self._is_reachable = True
+        self._missed_reports = 0
+        self._offers.note_engine_state(state)
+
+    def _announce_crash(self, boot_id: str) -> None:
+        in_flight = self._desk.running_fingerprints()
+        suspects = self._crashes.take_suspects(in_flight, self._timers.now_s())
+        LOGGER.warning(
+            "target restarted", extra={"boot_id": boot_id, "suspects": len(suspects)}
+        )
+        if not suspects:
+            return
+        notice = CrashNotice(
+            self._settings.name, self._target_settings.pool, boot_id, suspects
+        )
+        for peer in self._network.peers(Role.ENTRY):
+            self._network.send(peer, notice)
+
+
+def create_target_controller(
+    settings: DaemonSettings,
+    incarnation: int,
+    network: Network,
+    timers: TimerService,
+    target: Target,
+    offers: OfferSource,
+    may_start_work: Callable[[], Failure | None],
+    spawn: Callable[..., None],
+) -> TargetController:
+    """Make the controller of the target that the settings describe."""
+    if settings.target is None:
+        raise ValueError("an entry daemon has no target")
+    return TargetController(
+        settings,
+        settings.target,
+        incarnation,
+        network,
+        timers,
+        target,
+        offers,
+        may_start_work,
+        spawn,
+    )
--- /dev/null
+++ b/reedspar/targets/desk.py
@@ -0,0 +1,235 @@
+"""Attempts at an agent: admit, queue, run, revoke, resume, keep the answers."""
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import anyio
+
+from reedspar.attempts import (
+    AttemptAck,
+    AttemptCancel,
+    AttemptData,
+    AttemptPhase,
+    AttemptResume,
+    AttemptStart,
+    AttemptStatus,
+)
+from reedspar.errors import Failure, Reason, Step
+from reedspar.links import Network
+from reedspar.messages import Sender
+from reedspar.timers import TimerService
+
+from .gate import ColdStartGate
+from .queue import AttemptQueue
+from .runner import AttemptOutcome, AttemptRunner, RunHandle
+from .table import AttemptKey, AttemptRecord, AttemptTable
+
+__all__ = ["AttemptDesk", "DeskPolicy"]
+
+EXPIRE_INTERVAL_S = 1.0
+DRAIN_POLL_S = 0.05
+MIN_RETRY_AFTER_S = 0.25
+
+
+class DeskPolicy(Protocol):
+    """What the controller of the target decides for the desk."""
+
+    def check(self, start: AttemptStart) -> Failure | None:
+        """Return why this attempt may not start now."""
+        ...
+
+    def note_outcome(self, start: AttemptStart, outcome: AttemptOutcome) -> None:
+        """Take in how an attempt ended."""
+        ...
+
+
+class AttemptDesk:
+    """Take attempts in, run each at most once, and hand out their answers."""
+
+    def __init__(
+        self,
+        table: AttemptTable,
+        gate: ColdStartGate,
+        queue: AttemptQueue,
+        runner: AttemptRunner,
+        network: Network,
+        timers: TimerService,
+        policy: DeskPolicy,
+        spawn: Callable[..., None],
+    ) -> None:
+        self._table = table
+        self._gate = gate
+        self._queue = queue
+        self._runner = runner
+        self._network = network
+        self._timers = timers
+        self._policy = policy
+        self._spawn = spawn
+        self._handles: dict[AttemptKey, RunHandle] = {}
+        network.subscribe(AttemptStart, self._on_start)
+        network.subscribe(AttemptCancel, self._on_cancel)
+        network.subscribe(AttemptResume, self._on_resume)
+        network.subscribe(AttemptAck, self._on_ack)
+        timers.call_every(EXPIRE_INTERVAL_S, self._expire)
+
+    @property
+    def running_count(self) -> int:
+        """Return how many attempts are at the target."""
+        return len(self._handles)
+
+    @property
+    def queued_count(self) -> int:
+        """Return how many attempts wait."""
+        return len(self._queue)
+
+    def running_fingerprints(self) -> list[str]:
+        """Return the fingerprints of the requests that are at the target."""
+        records = self._table.unfinished()
+        return [
+            record.start.fingerprint
+            for record in records
+            if record.start is not None and record.phase is AttemptPhase.RUNNING
+        ]
+
+    def refuse_queued(self, reason: Reason, detail: str) -> None:
+        """Refuse all that wait; they provably did not run."""
+        while (record := self._queue.pop()) is not None:
+            self._refuse(record, Failure(reason, Step.AGENT_ADMIT, detail=detail))
+
+    def pump(self) -> None:
+        """Hand waiting attempts to the target as far as the gate has room."""
+        while self._gate.has_room:
+            record = self._queue.pop()
+            if record is None:
+                return
+            assert record.start is not None
+            failure = self._policy.check(record.start)
+            if failure is not None:
+                self._refuse(record, failure)
+                continue
+            self._launch(record)
+
+    async def wait_idle(self) -> None:
+        """Return once nothing is at the target."""
+        while self._handles:
+            await anyio.sleep(DRAIN_POLL_S)
+
+    async def wait_delivered(self) -> None:
+        """Return once every answer has reached its entry."""
+        while self._handles or self._table.undelivered():
+            await anyio.sleep(DRAIN_POLL_S)
+
+    def _send(self, peer: str, message: Any) -> None:
+        # A failed send is no loss: the entry asks again from what it has.
+        self._network.send(peer, message)
+
+    def _on_start(self, sender: Sender, start: AttemptStart) -> None:
+        known = self._table.get(start.request_id, start.attempt)
+        if known is not None:
+            self._send(sender.name, known.refusal or known.describe())
+            return
+        record = self._table.open(sender.name, start, self._timers.now_s())
+        failure = self._policy.check(start)
+        if failure is not None:
+            self._refuse(record, failure)
+        elif self._gate.has_room and not len(self._queue):
+            self._launch(record)
+        elif self._queue.is_full:
+            detail = "queue is full"
+            self._refuse(
+                record, Failure(Reason.OVERLOADED, Step.AGENT_ADMIT, detail=detail)
+            )
+        else:
+            self._queue.push(record)
+
+    def _refuse(self, record: AttemptRecord, failure: Failure) -> None:
+        retry_after_s = failure.retry_after_s or self._estimate_wait_s()
+        refusal = self._table.refuse(
+            record, failure.reason, failure.detail, retry_after_s
+        )
+        self._send(record.entry, refusal)
+
+    def _estimate_wait_s(self) -> float:
+        ahead = len(self._queue) + self._gate.in_flight
+        rounds = 1 + ahead / max(self._gate.limit, 1)
+        return max(rounds * self._gate.latency_s, MIN_RETRY_AFTER_S)
+
+    def _launch(self, record: AttemptRecord) -> None:
+        self._table.note_running(record)
+        self._gate.note_started()
+        self._handles[record.key] = RunHandle()
+        self._spawn(self._run, record)
+
+    async def _run(self, record: AttemptRecord) -> None:
+        start = record.start
+        assert start is not None
+        outcome = await self._runner.run(record, self._handles[record.key])
+        del self._handles[record.key]
+        self._gate.note_ended()
+        self._policy.note_outcome(start, outcome)
+        end = self._table.finish(record, outcome.kind, outcome.reason, outcome.detail)
+        self._send(record.entry, end)
+        self.pump()
+
+    def _on_cancel(self, sender: Sender, cancel: AttemptCancel) -> None:
+        record = self._table.get(cancel.request_id, cancel.attempt)
+        if record is None:
+            answer: Any = self._table.revoke_unseen(
+                cancel.request_id,
+                cancel.attempt,
+                sender.name,
+                cancel.agent_incarnation,
+                self._timers.now_s(),
+            )
+            self._send(sender.name, answer)
+            return
+        if record.phase is AttemptPhase.QUEUED and self._queue.remove(record):
+            self._refuse(
+                record, Failure(Reason.CANCELLED, Step.AGENT_ADMIT, detail="revoked")
+            )
+            return
+        handle = self._handles.get(record.key)
+        if handle is not None and record.start and record.start.is_idempotent:
+            handle.cancel()
+        self._send(sender.name, record.refusal or record.describe())
+
+    def _on_resume(self, sender: Sender, resume: AttemptResume) -> None:
+        record = self._table.get(resume.request_id, resume.attempt)
+        if record is None or resume.agent_incarnation != self._table.incarnation:
+            status = AttemptStatus(
+                resume.request_id, resume.attempt, AttemptPhase.UNKNOWN, 0
+            )
+            self._send(sender.name, status)
+            return
+        if record.refusal is not None:
+            self._send(sender.name, record.refusal)
+            return
+        record.entry = sender.name
+        self._send(sender.name, record.describe())
+        self._send_again(record, resume.offset)
+
+    def _send_again(self, record: AttemptRecord, offset: int) -> None:
+        if record.head is not None:
+            self._send(record.entry, record.head)
+        data = record.read_from(offset)
+        key = record.key
+        if data:
+            self._send(
+                record.entry, AttemptData(key.request_id, key.attempt, offset, data)
+            )
+        if record.end is not None:
+            self._send(record.entry, record.end)
+
+    def _on_ack(self, sender: Sender, ack: AttemptAck) -> None:
+        record = self._table.acknowledge(ack)
+        if record is None:
+            return
+        handle = self._handles.get(record.key)
+        if handle is not None:
+            handle.note_acknowledged()
+
+    def _expire(self) -> None:
+        now_s = self._timers.now_s()
+        for record in self._queue.pop_expired(now_s):
+            self._refuse(record, Failure(Reason.EXPIRED, Step.AGENT_ADMIT))
+        self._table.forget_expired(now_s)
--- /dev/null
+++ b/reedspar/targets/gate.py
@@ -0,0 +1,137 @@
+"""Decide how many requests a target bears at once.
+
+A target in cold start falls over under full load, and its reported load lags.
+The limit therefore follows what this agent sees itself: it begins at the cold
+limit, grows by completions, and drops at once on a new boot, on a report of
+cold start, or when the latency jumps.  The agent is the only one that gives
+the target work, so the limit holds however many entries there are.
+"""
+
+from dataclasses import dataclass
+
+__all__ = ["ColdStartGate", "GateSettings"]
+
+LATENCY_SMOOTHING = 0.1
+LATENCY_JUMP_FACTOR = 4.0
+LATENCY_JUMP_FLOOR_S = 0.05
+WARM_COMPLETIONS_PER_SLOT = 2
+
+
+@dataclass(frozen=True, slots=True)
+class GateSettings:
+    """Bounds on a target's concurrency."""
+
+    cold_concurrency: int
+    concurrency_limit: int
+
+
+class ColdStartGate:
+    """The limit on requests in flight at one target."""
+
+    def __init__(self, settings: GateSettings) -> None:
+        self._settings = settings
+        self._boot_id = ""
+        self._is_reported_cold = True
+        self._limit = settings.cold_concurrency
+        self._in_flight = 0
+        self._completions_since_cold = 0
+        self._latency_s = 0.0
+        self._is_confirmed = False
+
+    @property
+    def limit(self) -> int:
+        """Return how many requests may be in flight now."""
+        return self._limit
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests are in flight."""
+        return self._in_flight
+
+    @property
+    def latency_s(self) -> float:
+        """Return the smoothed time to the first byte."""
+        return self._latency_s
+
+    @property
+    def boot_id(self) -> str:
+        """Return the boot that the limit is for."""
+        return self._boot_id
+
+    @property
+    def is_cold(self) -> bool:
+        """Tell whether the target is held to the cold limit."""
+        needed = self._settings.cold_concurrency * WARM_COMPLETIONS_PER_SLOT
+        return self._is_reported_cold or self._completions_since_cold < needed
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Tell whether the boot was read since the target was last idle."""
+        return self._is_confirmed
+
+    @property
+    def has_room(self) -> bool:
+        """Tell whether one more request may start.
+
+        A target that restarts while it is idle breaks no stream that would
+        show it, and the next burst would meet it cold.  After a moment without
+        requests only the cold limit may start, until the boot is confirmed.
+        """
+        cold = self._settings.cold_concurrency
+        bound = self._limit if self._is_confirmed else min(cold, self._limit)
+        return self._in_flight < bound
+
+    def note_boot(self, boot_id: str) -> bool:
+        """Take in the boot id just read; tell whether it differs from the last."""
+        self._is_confirmed = True
+        if not boot_id or boot_id == self._boot_id:
+            return False
+        self._boot_id = boot_id
+        self._latency_s = 0.0
+        self.drop()
+        self._is_confirmed = True
+        return True
+
+    def note_report(self, *, is_cold: bool) -> None:
+        """Take in the target's own, lagging, report."""
+        if is_cold and not self._is_reported_cold:
+            self.drop()
+        self._is_reported_cold = is_cold
+
+    def drop(self) -> None:
+        """Go back to the cold limit."""
+        self._is_confirmed = False
+        self._limit = self._settings.cold_concurrency
+        self._completions_since_cold = 0
+
+    def note_started(self) -> None:
+        """Take in that a request was handed to the target."""
+        self._in_flight += 1
+
+    def note_ended(self) -> None:
+        """Take in that a request is no longer at the target."""
+        self._in_flight -= 1
+        if not self._in_flight:
+            self._is_confirmed = False
+
+    def note_first_byte(self, latency_s: float) -> None:
+        """Take in how long a request's first byte took."""
+        known_s = self._latency_s
+        jump_s = max(known_s * LATENCY_JUMP_FACTOR, LATENCY_JUMP_FLOOR_S)
+        if known_s and latency_s > jump_s:
+            # The target may have turned cold without a word; its report lags.
+            # Were the limit to wait for it, full load would bring it down.
+            self._limit = max(self._settings.cold_concurrency, self._limit // 2)
+        self._latency_s = known_s + LATENCY_SMOOTHING * (latency_s - known_s)
+        if not known_s:
+            self._latency_s = latency_s
+
+    def note_completed(self) -> None:
+        """Take in that a request was answered whole."""
+        self._completions_since_cold += 1
+        if not self.is_cold:
+            self._limit = min(self._limit + 1, self._settings.concurrency_limit)
+
+    def note_broken(self) -> None:
+        """Take in that the target broke off an answer: it may be restarting."""
+        self.drop()
--- /dev/null
+++ b/reedspar/targets/reports.py
@@ -0,0 +1,58 @@
+"""Tell the entries how the target is, at once when it matters, else seldom."""
+
+from collections.abc import Callable
+
+from reedspar.attempts import TargetReport, TargetStatus
+from reedspar.links import LinkChange, LinkEvent, Network, Role
+from reedspar.timers import TimerService
+
+__all__ = ["ReportPublisher"]
+
+REPORT_INTERVAL_S = 2.0
+
+
+class ReportPublisher:
+    """Send the target's report to every entry that a link is open to."""
+
+    def __init__(
+        self,
+        network: Network,
+        timers: TimerService,
+        describe: Callable[[int], TargetReport],
+    ) -> None:
+        self._network = network
+        self._describe = describe
+        self._sequence = 0
+        self._last_key: tuple[object, ...] = ()
+        timers.call_every(REPORT_INTERVAL_S, self.publish)
+        network.on_link_event(self._note_link)
+
+    def publish(self) -> None:
+        """Send a report to all linked entries."""
+        report = self._next_report()
+        for peer in self._network.peers(Role.ENTRY):
+            self._network.send(peer, report)
+
+    def publish_if_changed(self) -> None:
+        """Send a report if what decides about new work has changed."""
+        report = self._describe(self._sequence)
+        if self._key(report) != self._last_key:
+            self.publish()
+
+    def _note_link(self, event: LinkEvent) -> None:
+        if event.change is LinkChange.DOWN:
+            return
+        if event.peer in self._network.peers(Role.ENTRY):
+            self._network.send(event.peer, self._next_report())
+
+    def _next_report(self) -> TargetReport:
+        self._sequence += 1
+        report = self._describe(self._sequence)
+        self._last_key = self._key(report)
+        return report
+
+    @staticmethod
+    def _key(report: TargetReport) -> tuple[object, ...]:
+        is_full = report.in_flight + report.queued >= report.limit
+        is_serving = report.status in (TargetStatus.READY, TargetStatus.COLD)
+        return (is_serving, report.boot_id, report.offered, is_full)
--- /dev/null
+++ b/reedspar/targets/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the agent's side of requests."""
