Serve requests at an entry: filters, routing, retries, whole answers

Entry side of the thin path: an ASGI application with a chain of filters (identify, bound, classify, relay), the assembly of answers out of an attempt's messages, soft state of targets, two random choices, a retry budget.

An internal request id never seen by callers names attempts: a shop that sends one x-request-id twice would otherwise meet its first attempt at the agent. A refusal after a broken attempt ends as unknown, not as not run.

--- /dev/null
+++ b/reedspar/requests/attempt_client.py
@@ -0,0 +1,255 @@
+"""Shell around the assembly of answers: sends attempts and keeps them going.
+
+Handlers of the network are synchronous: they feed the assembly and wake the
+one task that waits for it.  All messages that arrive in one turn of the event
+loop thus cost one wake-up and one write to the caller.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+
+from reedspar.attempts import (
+    AttemptAck,
+    AttemptCancel,
+    AttemptData,
+    AttemptEnd,
+    AttemptHead,
+    AttemptRefused,
+    AttemptResume,
+    AttemptStart,
+    AttemptStatus,
+)
+from reedspar.errors import Failure
+from reedspar.links import Network
+from reedspar.messages import Sender
+from reedspar.timers import TimerService
+
+from .assembly import AnswerAssembly, Progress, Verdict
+
+__all__ = ["AttemptClient", "ClientCounts", "OpenAttempt", "create_attempt_client"]
+
+SWEEP_S = 0.25
+RESUME_AFTER_S = 1.0
+"""Silence on an attempt after which its agent is asked for more."""
+GAP_RESUME_S = 0.1
+LOST_AFTER_S = 3.0
+"""Silence after which an idempotent request is better run elsewhere."""
+ROOM_BYTES = 16 * 1024 * 1024
+"""Most bytes of one answer that wait for the caller."""
+ACK_EVERY_BYTES = 256 * 1024
+
+
+@dataclass(slots=True)
+class ClientCounts:
+    """What the client met, for the metrics."""
+
+    dropped: int = 0
+    """Messages that matched no open attempt."""
+    gaps: int = 0
+    resumed: int = 0
+    corrupt: int = 0
+    lost: int = 0
+
+
+class OpenAttempt:
+    """One attempt that waits for its answer; one task may wait at a time."""
+
+    def __init__(self, assembly: AnswerAssembly, now_s: float) -> None:
+        self.assembly = assembly
+        self.heard_s = now_s
+        self.asked_s = now_s
+        self.acked_bytes = 0
+        self.room_bytes = ROOM_BYTES
+        self.is_full = False
+        self._event: anyio.Event | None = None
+
+    @property
+    def target(self) -> str:
+        """Return the name of the agent that it was handed to."""
+        return self.assembly.target
+
+    def wake(self) -> None:
+        """Wake the waiting task, if there is one."""
+        if self._event is not None:
+            self._event.set()
+            self._event = None
+
+    async def wait(self) -> None:
+        """Wait for news."""
+        self._event = anyio.Event()
+        await self._event.wait()
+
+
+class AttemptClient:
+    """Hands requests over to agents and matches what they answer."""
+
+    def __init__(
+        self,
+        network: Network,
+        timers: TimerService,
+        *,
+        resume_after_s: float = RESUME_AFTER_S,
+        lost_after_s: float = LOST_AFTER_S,
+    ) -> None:
+        self._network = network
+        self._timers = timers
+        self._resume_after_s = resume_after_s
+        self._lost_after_s = lost_after_s
+        self._open: dict[tuple[str, int], OpenAttempt] = {}
+        self.counts = ClientCounts()
+        network.subscribe(AttemptHead, self._on_head)
+        network.subscribe(AttemptData, self._on_data)
+        network.subscribe(AttemptEnd, self._on_end)
+        network.subscribe(AttemptRefused, self._on_refused)
+        network.subscribe(AttemptStatus, self._on_status)
+        timers.call_every(SWEEP_S, self.sweep)
+
+    @property
+    def open_count(self) -> int:
+        """Return how many attempts wait for their answer."""
+        return len(self._open)
+
+    def open(self, target: str, start: AttemptStart) -> OpenAttempt | Failure:
+        """Hand a request over; a failure means that nothing was handed over."""
+        key = (start.request_id, start.attempt)
+        attempt = OpenAttempt(AnswerAssembly(start, target), self._timers.now_s())
+        self._open[key] = attempt
+        failure = self._network.send(target, start)
+        if failure is not None:
+            del self._open[key]
+            return failure
+        return attempt
+
+    def close(self, attempt: OpenAttempt) -> None:
+        """Let go of an attempt; an unfinished one is cancelled at its agent."""
+        start = attempt.assembly.start
+        if self._open.pop((start.request_id, start.attempt), None) is None:
+            return
+        if attempt.assembly.verdict is Verdict.WHOLE:
+            self._ack(attempt, is_complete=True)
+        elif attempt.assembly.is_open:
+            self.cancel(attempt)
+
+    def cancel(self, attempt: OpenAttempt) -> None:
+        """Ask the agent to revoke or cancel; its word is awaited as before."""
+        start = attempt.assembly.start
+        attempt.assembly.is_cancelled = True
+        message = AttemptCancel(start.request_id, start.attempt)
+        self._network.send(attempt.target, message)
+
+    def take(self, attempt: OpenAttempt) -> bytes:
+        """Return the bytes that arrived, and tell the agent now and then."""
+        data = attempt.assembly.take()
+        if attempt.assembly.size_bytes - attempt.acked_bytes >= ACK_EVERY_BYTES:
+            self._ack(attempt, is_complete=False)
+        if attempt.is_full:
+            attempt.is_full = False
+            self._resume(attempt)
+        return data
+
+    def on_link_replaced(self, target: str) -> None:
+        """Resume every attempt at an agent whose link was replaced."""
+        for attempt in self._open.values():
+            if attempt.target == target and attempt.assembly.is_open:
+                self._resume(attempt)
+
+    def on_incarnation(self, target: str, incarnation: int) -> None:
+        """Give up the attempts at predecessors of a restarted agent."""
+        for attempt in list(self._open.values()):
+            expected = attempt.assembly.start.agent_incarnation
+            if attempt.target == target and 0 < expected < incarnation:
+                self._give_up(attempt, "the agent was restarted")
+
+    def sweep(self) -> None:
+        """Resume what went silent, and give up what is better run elsewhere."""
+        now_s = self._timers.now_s()
+        for attempt in list(self._open.values()):
+            if not attempt.assembly.is_open:
+                continue
+            silent_s = now_s - attempt.heard_s
+            if silent_s >= self._lost_after_s and attempt.assembly.start.is_idempotent:
+                self._give_up(attempt, f"silent for {silent_s:.1f} s")
+            elif now_s - max(attempt.heard_s, attempt.asked_s) >= self._resume_after_s:
+                self._resume(attempt)
+
+    def _give_up(self, attempt: OpenAttempt, detail: str) -> None:
+        if attempt.assembly.on_lost(detail) is Progress.NEWS:
+            self.counts.lost += 1
+            self.cancel(attempt)
+            attempt.wake()
+
+    def _resume(self, attempt: OpenAttempt) -> None:
+        assembly = attempt.assembly
+        attempt.asked_s = self._timers.now_s()
+        self.counts.resumed += 1
+        start = assembly.start
+        message = AttemptResume(start.request_id, start.attempt, assembly.size_bytes)
+        self._network.send(attempt.target, message)
+
+    def _ack(self, attempt: OpenAttempt, *, is_complete: bool) -> None:
+        assembly = attempt.assembly
+        attempt.acked_bytes = assembly.size_bytes
+        start = assembly.start
+        message = AttemptAck(
+            start.request_id, start.attempt, assembly.size_bytes, is_complete
+        )
+        self._network.send(attempt.target, message)
+
+    def _on_head(self, sender: Sender, message: AttemptHead) -> None:
+        self._feed(sender, message, lambda assembly: assembly.on_head(message))
+
+    def _on_data(self, sender: Sender, message: AttemptData) -> None:
+        attempt = self._find(sender, message)
+        if attempt is not None:
+            progress = attempt.assembly.on_data(message, attempt.room_bytes)
+            self._react(attempt, progress)
+
+    def _on_end(self, sender: Sender, message: AttemptEnd) -> None:
+        self._feed(sender, message, lambda assembly: assembly.on_end(message))
+
+    def _on_refused(self, sender: Sender, message: AttemptRefused) -> None:
+        self._feed(
+            sender,
+            message,
+            lambda assembly: assembly.on_refused(message, sender.incarnation),
+        )
+
+    def _on_status(self, sender: Sender, message: AttemptStatus) -> None:
+        self._feed(
+            sender,
+            message,
+            lambda assembly: assembly.on_status(message, sender.incarnation),
+        )
+
+    def _feed(
+        self, sender: Sender, message: Any, feed: Callable[[AnswerAssembly], Progress]
+    ) -> None:
+        attempt = self._find(sender, message)
+        if attempt is not None:
+            self._react(attempt, feed(attempt.assembly))
+
+    def _find(self, sender: Sender, message: Any) -> OpenAttempt | None:
+        attempt = self._open.get((message.request_id, message.attempt))
+        if attempt is None or attempt.target != sender.name:
+            self.counts.dropped += 1
+            return None
+        attempt.heard_s = self._timers.now_s()
+        return attempt
+
+    def _react(self, attempt: OpenAttempt, progress: Progress) -> None:
+        if progress is Progress.NEWS:
+            attempt.wake()
+        elif progress is Progress.FULL:
+            attempt.is_full = True
+        elif progress is Progress.GAP and not attempt.is_full:
+            self.counts.gaps += 1
+            if attempt.heard_s - attempt.asked_s >= GAP_RESUME_S:
+                self._resume(attempt)
+
+
+def create_attempt_client(network: Network, timers: TimerService) -> AttemptClient:
+    """Make a client and subscribe it to the answers of agents."""
+    return AttemptClient(network, timers)
--- /dev/null
+++ b/reedspar/requests/endings.py
@@ -0,0 +1,119 @@
+"""The three endings as HTTP: status codes, headers and the JSON of a refusal.
+
+Status codes are those of RFC 9110; 429 is of RFC 6585.  The table for callers
+is in docs/requests.md.
+"""
+
+import json
+import math
+from collections.abc import Iterable
+
+from reedspar.attempts import Header
+from reedspar.errors import Failure, Reason, Step
+
+from .request import Answer, Outcome
+
+__all__ = [
+    "OUTCOME_HEADER",
+    "REQUEST_ID_HEADER",
+    "WEIGHTS_HEADER",
+    "encode_refusal",
+    "make_headers",
+    "make_not_run",
+    "make_unknown",
+    "status_of_failure",
+]
+
+OUTCOME_HEADER = "x-reedspar-outcome"
+REQUEST_ID_HEADER = "x-request-id"
+WEIGHTS_HEADER = "x-weights-digest"
+
+DEFAULT_RETRY_AFTER_S = 1.0
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "content-length",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Headers that end at each hop (RFC 9110, section 7.6.1), and the length, which
+is set anew."""
+OWN_HEADERS = frozenset({OUTCOME_HEADER, REQUEST_ID_HEADER, WEIGHTS_HEADER})
+
+STATUS_BY_STEP_AND_REASON = {
+    (Step.BOUND, Reason.OVERLOADED): 413,
+    (Step.IDENTIFY, Reason.NOT_FOUND): 404,
+    (Step.ADMIT, Reason.OVERLOADED): 429,
+    (Step.DEDUPLICATE, Reason.DUPLICATE): 409,
+    (Step.DEDUPLICATE, Reason.EXPIRED): 410,
+    (Step.DEDUPLICATE, Reason.CONFLICT): 422,
+}
+STATUS_BY_REASON = {Reason.INVALID: 400}
+UNAVAILABLE_STATUS = 503
+UNKNOWN_STATUS = 504
+PERMANENT_STATUSES = frozenset({400, 404, 410, 413, 422})
+
+
+def make_not_run(failure: Failure) -> Answer:
+    """Return the answer that says: it was not run."""
+    return Answer(Outcome.NOT_RUN, failure=failure)
+
+
+def make_unknown(failure: Failure) -> Answer:
+    """Return the answer that says: it may have run."""
+    return Answer(Outcome.UNKNOWN, failure=failure)
+
+
+def status_of_failure(outcome: Outcome, failure: Failure) -> int:
+    """Return the status code of an ending that is no answer."""
+    by_step = STATUS_BY_STEP_AND_REASON.get((failure.step, failure.reason))
+    if by_step is not None:
+        return by_step
+    if outcome is Outcome.UNKNOWN:
+        return UNKNOWN_STATUS
+    return STATUS_BY_REASON.get(failure.reason, UNAVAILABLE_STATUS)
+
+
+def encode_refusal(
+    outcome: Outcome, failure: Failure
+) -> tuple[int, list[Header], bytes]:
+    """Return status, headers and body that tell an ending that is no answer."""
+    status = status_of_failure(outcome, failure)
+    headers = [Header("content-type", "application/json")]
+    if status not in PERMANENT_STATUSES and outcome is Outcome.NOT_RUN:
+        after_s = failure.retry_after_s or DEFAULT_RETRY_AFTER_S
+        headers.append(Header("retry-after", str(max(1, math.ceil(after_s)))))
+    document = {
+        "outcome": outcome.value,
+        "reason": failure.reason.value,
+        "step": failure.step.value,
+        "peer": failure.peer,
+        "detail": failure.detail,
+        "retry_after_s": failure.retry_after_s,
+    }
+    return status, headers, json.dumps(document).encode()
+
+
+def make_headers(
+    outcome: Outcome,
+    caller_request_id: str,
+    weights_digest: str,
+    headers: Iterable[Header],
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers of an answer as ASGI takes them."""
+    own = [Header(OUTCOME_HEADER, outcome.value)]
+    own.append(Header(REQUEST_ID_HEADER, caller_request_id))
+    if weights_digest:
+        own.append(Header(WEIGHTS_HEADER, weights_digest))
+    left_out = HOP_BY_HOP | OWN_HEADERS
+    passed = [item for item in headers if item.name.lower() not in left_out]
+    return [
+        (item.name.lower().encode("latin-1"), item.value.encode("latin-1"))
+        for item in [*passed, *own]
+    ]
--- /dev/null
+++ b/reedspar/requests/request.py
@@ -0,0 +1,99 @@
+"""A caller's request on its way through the filters, and the answer on its way back."""
+
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from reedspar.attempts import Header
+from reedspar.configuration import PoolKind
+from reedspar.errors import Failure
+
+__all__ = ["Answer", "Filter", "Outcome", "Proceed", "Request", "Responder"]
+
+
+class Outcome(Enum):
+    """The three endings that a caller can tell apart."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    """Proved never to have started, and never will."""
+    UNKNOWN = "unknown"
+    """May have run; never run again by the system."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """How a request ended.
+
+    `is_sent` tells that a stream went to the caller while it arrived;
+    `is_cut` that such a stream broke, so that the connection must be aborted.
+    """
+
+    outcome: Outcome
+    status: int = 0
+    headers: tuple[Header, ...] = ()
+    body: bytes = b""
+    weights_digest: str = ""
+    failure: Failure | None = None
+    is_sent: bool = False
+    is_cut: bool = False
+
+
+class Responder(Protocol):
+    """Passes a stream on to the caller while it arrives."""
+
+    @property
+    def is_started(self) -> bool:
+        """Tell whether the head went to the caller."""
+        ...
+
+    async def start(
+        self, status: int, headers: Iterable[Header], weights_digest: str
+    ) -> None:
+        """Send the head of an answer of unknown length."""
+        ...
+
+    async def send(self, data: bytes, *, is_last: bool = False) -> None:
+        """Send a piece of the body."""
+        ...
+
+
+@dataclass(slots=True)
+class Request:
+    """What the filters learn of a request; times are the timer service's."""
+
+    request_id: str
+    """Unique in the whole system, whatever the caller sent."""
+    caller_request_id: str
+    method: str
+    pool: str
+    path: str
+    """Path and query as the target gets them."""
+    headers: tuple[Header, ...]
+    body: bytes
+    responder: Responder
+    arrived_s: float
+    deadline_s: float = 0.0
+    workspace: str = ""
+    priority: int = 1
+    pool_kind: PoolKind = PoolKind.PLAIN
+    is_idempotent: bool = False
+    idempotency_key: str = ""
+    fingerprint: str = ""
+    weights_digest: str = ""
+    header_map: dict[str, str] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.header_map = {header.name: header.value for header in self.headers}
+
+
+Proceed = Callable[[Request], Awaitable[Answer]]
+
+
+class Filter(Protocol):
+    """One step of the chain: answers by itself or lets the rest proceed."""
+
+    async def apply(self, request: Request, proceed: Proceed) -> Answer:
+        """Return the answer to `request`."""
+        ...
--- /dev/null
+++ b/reedspar/requests/retries.py
@@ -0,0 +1,31 @@
+"""Decision: how many retries first attempts pay for."""
+
+__all__ = ["RetryBudget"]
+
+BURST = 10.0
+
+
+class RetryBudget:
+    """Retries as a share of first attempts, so that a fault isn't multiplied.
+
+    Each first attempt pays in `share`, each retry takes out 1; at most `burst`
+    is saved up, so that a quiet hour does not pay for a storm.
+    """
+
+    def __init__(self, share: float, burst: float = BURST) -> None:
+        self._share = share
+        self._burst = burst
+        self._saved = burst
+        self.refused = 0
+
+    def on_first_attempt(self) -> None:
+        """Pay in for a first attempt."""
+        self._saved = min(self._burst, self._saved + self._share)
+
+    def try_spend(self) -> bool:
+        """Take out one retry, if there is one."""
+        if self._saved < 1.0:
+            self.refused += 1
+            return False
+        self._saved -= 1.0
+        return True
--- /dev/null
+++ b/reedspar/requests/routing.py
@@ -0,0 +1,115 @@
+"""Decision: the target of an attempt, by the power of two random choices.
+
+Mitzenmacher, "The power of two choices in randomized load balancing" (IEEE
+Transactions on Parallel and Distributed Systems, 2001).
+"""
+
+import random
+from collections.abc import Collection
+
+from reedspar.configuration import ConfigurationDocument, PoolKind
+from reedspar.errors import Failure, Reason, Step
+from reedspar.utils import rank_by_rendezvous
+
+from .request import Request
+from .target_directory import TargetDirectory, TargetView
+
+__all__ = ["Router"]
+
+FULL_LOAD = 1.0
+"""Load from which a target is full; its agent queues or refuses beyond."""
+QUEUE_LOAD = 1.5
+"""Load from which another request would only wait out its deadline."""
+AFFINITY_LOAD = 0.75
+"""Load up to which a prefix keeps going to the target that has it cached."""
+PREFIX_BYTES = 256
+NO_TARGET_RETRY_S = 1.0
+
+
+class Router:
+    """Chooses targets for the requests of one entry."""
+
+    def __init__(
+        self, directory: TargetDirectory, zone: str, rng: random.Random
+    ) -> None:
+        self._directory = directory
+        self._zone = zone
+        self._rng = rng
+
+    def choose(
+        self,
+        request: Request,
+        document: ConfigurationDocument,
+        tried: Collection[str] = (),
+    ) -> TargetView | Failure:
+        """Return the target of the next attempt, own zone first."""
+        views = [
+            view
+            for view in self._directory.usable(request.pool)
+            if document.is_zone_in(view.report.zone) and _serves(view, request)
+        ]
+        if not views:
+            return self._explain(request)
+        fresh = [view for view in views if view.name not in tried]
+        open_views = [view for view in fresh if view.load < QUEUE_LOAD]
+        if not open_views:
+            return Failure(
+                Reason.OVERLOADED,
+                Step.ROUTE,
+                detail=f"all {len(views)} targets of {request.pool} are full",
+                retry_after_s=_drain_time_s(views),
+            )
+        return self._pick(request, open_views)
+
+    def _pick(self, request: Request, views: list[TargetView]) -> TargetView:
+        own = [view for view in views if view.report.zone == self._zone]
+        for group in (own, views):
+            free = [view for view in group if view.load < FULL_LOAD]
+            if free:
+                return self._pick_affine(request, free) or self._pick_by_load(free)
+        return self._pick_by_load(views)
+
+    def _pick_affine(
+        self, request: Request, views: list[TargetView]
+    ) -> TargetView | None:
+        if request.pool_kind is not PoolKind.MODEL or not request.body:
+            return None
+        key = request.workspace + request.body[:PREFIX_BYTES].decode("latin-1")
+        by_name = {view.name: view for view in views}
+        first = by_name[rank_by_rendezvous(key, by_name)[0]]
+        return first if first.load < AFFINITY_LOAD else None
+
+    def _pick_by_load(self, views: list[TargetView]) -> TargetView:
+        if len(views) == 1:
+            return views[0]
+        one, two = self._rng.sample(views, 2)
+        return one if one.load <= two.load else two
+
+    def _explain(self, request: Request) -> Failure:
+        known = self._directory.count(request.pool)
+        detail = f"none of {known} known targets of {request.pool} may be given work"
+        return Failure(
+            Reason.NO_TARGET,
+            Step.ROUTE,
+            detail=detail,
+            retry_after_s=NO_TARGET_RETRY_S,
+        )
+
+
+def _serves(view: TargetView, request: Request) -> bool:
+    if request.pool_kind is not PoolKind.MODEL:
+        return True
+    offered = view.report.offered
+    if not request.weights_digest:
+        return bool(offered)
+    return any(item.root_digest == request.weights_digest for item in offered)
+
+
+def _drain_time_s(views: list[TargetView]) -> float:
+    """Return the time until a full target has worked off one queue's length."""
+    waits = [
+        view.report.latency_s * max(0.0, view.load - FULL_LOAD + 1 / view.report.limit)
+        for view in views
+        if view.report.limit
+    ]
+    return max(NO_TARGET_RETRY_S, min(waits, default=NO_TARGET_RETRY_S))
--- /dev/null
+++ b/reedspar/requests/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of requests at an entry."""
--- /dev/null
+++ b/reedspar/requests/tests/test_application.py
@@ -0,0 +1,248 @@
+"""Tests of the application over ASGI, with agents that answer as a test says."""
+
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import httpx
+
+from reedspar.attempts import AttemptCancel, AttemptEnd, AttemptStart, EndKind
+from reedspar.errors import Reason
+from reedspar.requests import EntryAddress
+from reedspar.requests.tests.fakes import (
+    DOCUMENT,
+    FakeConfiguration,
+    FakeEntries,
+    FakeNetwork,
+    make_answer,
+    make_refusal,
+    make_report,
+    make_service,
+)
+from reedspar.timers import TimerService, VirtualClock
+
+Script = Callable[[str, AttemptStart], list[Any]]
+SHOP = {"x-workspace": "shop"}
+
+
+class ApplicationTestCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.network = FakeNetwork()
+        self.timers = TimerService(VirtualClock())
+        self.configuration = FakeConfiguration()
+        self.entries = FakeEntries()
+        self.service = make_service(
+            self.network,
+            self.timers,
+            configuration=self.configuration,
+            entries=self.entries,
+        )
+        self.network.deliver("t1", make_report("t1"))
+        self.network.deliver("t2", make_report("t2"))
+
+    def answer_with(self, script: Script) -> None:
+        def on_send(peer: str, message: Any) -> None:
+            if isinstance(message, AttemptStart):
+                self.network.deliver(peer, *script(peer, message))
+
+        self.network.on_send = on_send
+
+    def call(self, method: str, path: str, **options: Any) -> httpx.Response:
+        async def run() -> httpx.Response:
+            transport = httpx.ASGITransport(app=self.service.application)
+            async with httpx.AsyncClient(
+                transport=transport, base_url="http://entry"
+            ) as client:
+                return await client.request(method, path, **options)
+
+        return anyio.run(run)
+
+    def starts(self) -> list[AttemptStart]:
+        return self.network.sent_of(AttemptStart)
+
+
+class AnswerTest(ApplicationTestCase):
+    def test_whole_answer_with_its_headers(self) -> None:
+        self.answer_with(lambda peer, start: make_answer(start, b"quote 12", cut=3))
+        headers = {**SHOP, "x-request-id": "mine"}
+        response = self.call("POST", "/v1/pools/orders/o/1?x=%20y", headers=headers)
+        self.assertEqual((response.status_code, response.content), (200, b"quote 12"))
+        self.assertEqual(response.headers["x-reedspar-outcome"], "answered")
+        self.assertEqual(response.headers["x-request-id"], "mine")
+        self.assertEqual(response.headers["x-weights-digest"], "d1")
+        self.assertEqual(self.starts()[0].path, "/o/1?x=%20y")
+
+    def test_refusals_tell_step_reason_and_when_to_come_back(self) -> None:
+        cases = [
+            ("/v1/pools/nowhere/x", SHOP, 404, "identify", "not_found"),
+            ("/v1/pools/orders/x", {}, 400, "identify", "invalid"),
+            ("/v1/pools/quotes/x", SHOP, 503, "route", "no_target"),
+            ("/v1/pools/orders/x", {**SHOP, "x-deadline-s": "-1"}, 400, "bound", ""),
+        ]
+        for path, headers, status, step, reason in cases:
+            with self.subTest(path=path, headers=headers):
+                response = self.call("GET", path, headers=headers)
+                self.assertEqual(response.status_code, status)
+                self.assertEqual(response.headers["x-reedspar-outcome"], "not-run")
+                self.assertEqual(response.json()["step"], step)
+                self.assertIn(reason, response.json()["reason"])
+                self.assertEqual("retry-after" in response.headers, status == 503)
+        self.assertEqual(self.starts(), [])
+
+    def test_unconfirmed_configuration_starts_no_work(self) -> None:
+        # The entry has heard no confirmation of its configuration for a while;
+        # a zone may be out by now.  The caller is told to come back.
+        self.configuration.fresh = False
+        response = self.call("GET", "/v1/pools/orders/x", headers=SHOP)
+        self.assertEqual(response.status_code, 503)
+        self.assertEqual(response.json()["reason"], "stale")
+
+    def test_refused_order_is_run_by_the_other_target(self) -> None:
+        def script(peer: str, start: AttemptStart) -> list[Any]:
+            if len(self.starts()) == 1:
+                return [make_refusal(start, Reason.DRAINING)]
+            return make_answer(start, b"ok")
+
+        self.answer_with(script)
+        response = self.call("POST", "/v1/pools/orders/o", headers=SHOP)
+        self.assertEqual(response.status_code, 200)
+        self.assertEqual(len({start.attempt for start in self.starts()}), 2)
+
+    def test_broken_order_is_not_run_again(self) -> None:
+        # The target dies in the middle of an order.  Whether the deposit was
+        # booked cannot be known, so the shop is told just that.
+        self.answer_with(self._break_first)
+        response = self.call("POST", "/v1/pools/orders/o", headers=SHOP)
+        self.assertEqual(response.status_code, 504)
+        self.assertEqual(response.headers["x-reedspar-outcome"], "unknown")
+        self.assertEqual(len(self.starts()), 1)
+
+    def test_broken_status_request_is_run_again(self) -> None:
+        self.answer_with(self._break_first)
+        response = self.call("GET", "/v1/pools/orders/o", headers=SHOP)
+        self.assertEqual((response.status_code, response.content), (200, b"ok"))
+
+    def test_refusal_after_a_broken_attempt_is_no_proof(self) -> None:
+        # The first target breaks off, the second refuses.  The request may
+        # have run at the first, so the caller must not read "not run".
+        def script(peer: str, start: AttemptStart) -> list[Any]:
+            if len(self.starts()) == 1:
+                return self._break_first(peer, start)
+            return [make_refusal(start, Reason.OVERLOADED)]
+
+        self.answer_with(script)
+        response = self.call("GET", "/v1/pools/orders/o", headers=SHOP)
+        self.assertEqual(response.headers["x-reedspar-outcome"], "unknown")
+
+    def test_late_answer_of_another_attempt_is_dropped(self) -> None:
+        # The answer of an abandoned first attempt comes while the second
+        # runs.  Mixed in, the caller would read two answers in one.
+        def script(peer: str, start: AttemptStart) -> list[Any]:
+            if len(self.starts()) == 1:
+                return self._break_first(peer, start)
+            late = make_answer(self.starts()[0], b"late")
+            return [*late, *make_answer(start, b"right")]
+
+        self.answer_with(script)
+        response = self.call("GET", "/v1/pools/orders/o", headers=SHOP)
+        self.assertEqual(response.content, b"right")
+        self.assertEqual(self.service.client.counts.dropped, 3)
+
+    def _break_first(self, peer: str, start: AttemptStart) -> list[Any]:
+        if len(self.starts()) > 1:
+            return make_answer(start, b"ok")
+        head, data, _ = make_answer(start, b"half of it")
+        key = (start.request_id, start.attempt)
+        broken = AttemptEnd(*key, EndKind.BROKEN, 0, "", Reason.UNAVAILABLE, "died")
+        return [head, data, broken]
+
+
+class StreamTest(ApplicationTestCase):
+    def run_stream(
+        self,
+        script: Script,
+        disconnect: bool = False,
+        on_piece: Callable[[dict], None] = lambda message: None,
+    ) -> list[dict]:
+        self.answer_with(script)
+        sent: list[dict] = []
+        incoming = [{"type": "http.request", "body": b"", "more_body": False}]
+        if disconnect:
+            incoming.append({"type": "http.disconnect"})
+
+        async def receive() -> dict:
+            if not incoming:
+                await anyio.sleep_forever()
+            return incoming.pop(0)
+
+        async def send(message: dict) -> None:
+            sent.append(message)
+            on_piece(message)
+
+        scope = {
+            "type": "http",
+            "method": "GET",
+            "path": "/v1/pools/orders/s",
+            "raw_path": b"/v1/pools/orders/s",
+            "query_string": b"",
+            "headers": [(b"x-workspace", b"shop")],
+        }
+        anyio.run(self.service.application, scope, receive, send)
+        return sent
+
+    def test_all_frames_of_one_turn_go_out_in_one_piece(self) -> None:
+        stream = "text/event-stream"
+        sent = self.run_stream(
+            lambda peer, start: make_answer(start, b"abcdefgh", stream, cut=8)
+        )
+        bodies = [message["body"] for message in sent[1:]]
+        self.assertEqual(b"".join(bodies), b"abcdefgh")
+        self.assertLessEqual(len(bodies), 2)
+        self.assertFalse(sent[-1]["more_body"])
+
+    def test_broken_stream_is_never_finished(self) -> None:
+        # The target dies in mid-stream.  If the entry finished the body
+        # properly, the caller would take the half for the whole.
+        def break_off(message: dict) -> None:
+            if message["type"] == "http.response.body":
+                start = self.starts()[0]
+                key = (start.request_id, start.attempt)
+                cause = (Reason.UNAVAILABLE, "died")
+                end = AttemptEnd(*key, EndKind.BROKEN, 0, "", *cause)
+                self.network.deliver(self.network.sent[0][0], end)
+
+        sent = self.run_stream(
+            lambda peer, start: make_answer(start, b"abcd", "text/event-stream")[:-1],
+            on_piece=break_off,
+        )
+        self.assertEqual(sent[1]["body"], b"abcd")
+        self.assertTrue(all(message.get("more_body", True) for message in sent))
+        self.assertEqual(len(self.starts()), 1)
+
+    def test_caller_that_goes_away_cancels_its_attempt(self) -> None:
+        self.run_stream(lambda peer, start: [], disconnect=True)
+        self.assertEqual(len(self.network.sent_of(AttemptCancel)), 1)
+        self.assertEqual(self.service.client.open_count, 0)
+
+
+class AddressesTest(ApplicationTestCase):
+    def test_own_zone_first_and_no_leaving_or_taken_out_entries(self) -> None:
+        self.entries.addresses = [
+            EntryAddress("e1", "a", "10.0.0.1", 80),
+            EntryAddress("e2", "b", "10.0.0.2", 80),
+            EntryAddress("e3", "a", "10.0.0.3", 80, is_leaving=True),
+            EntryAddress("e4", "c", "10.0.0.4", 80),
+        ]
+        zones = {**DOCUMENT.zones, "c": "out"}
+        document = DOCUMENT.model_dump() | {"zones": zones}
+        self.configuration.document = type(DOCUMENT).model_validate(document)
+        response = self.call("GET", "/v1/addresses")
+        self.assertEqual(
+            response.json(),
+            {"addresses": ["http://10.0.0.1:80", "http://10.0.0.2:80"], "ttl_s": 5.0},
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
