Add weights: manifest, publishing, and the first whole path into an engine

Cause: targets had no way from a configured model version to an offer. A manifest names its chunks by digest; a hashed drawer per region and chunk draws once and serves the others; the engine's own digest is read back before anything is offered, and a new boot or another digest withdraws the offer. Measured: nothing yet; unit tests only. Chunk memory is not bounded and the links are not paced in this first distribution.

--- /dev/null
+++ b/reedspar/weights/controller.py
@@ -0,0 +1,355 @@
+"""The agent's shell around the decisions on weights: links, origin, engine, timers."""
+
+import logging
+from collections import deque
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import anyio
+from anyio.abc import TaskGroup
+
+from reedspar.attempts import LoadedWeights
+from reedspar.configuration import ConfigurationDocument, ModelVersion
+from reedspar.errors import Failure, Reason, is_failure
+from reedspar.links import Network, Priority
+from reedspar.messages import Sender
+from reedspar.platform import EngineState, ModelEngine, WeightSource
+from reedspar.settings import DaemonSettings
+from reedspar.timers import TimerService
+
+from .activation import SwitchGate
+from .distribution import (
+    Distribution,
+    ObjectReady,
+    ReadOrigin,
+    SendMessage,
+    WeightPeer,
+)
+from .fencing import FencingNumbers
+from .hashed import HashedDistribution
+from .loading import Loader
+from .manifest import decode_manifest
+from .messages import ChunkCancel, ChunkPiece, ChunkRefused, ChunkRequest
+from .offers import OfferBook
+from .staging import StagedVersion, StagingOrder
+
+__all__ = [
+    "ConfigurationView",
+    "PeerView",
+    "WeightController",
+    "create_weight_controller",
+]
+
+TICK_S = 0.05
+STAGE_RETRY_S = 0.2
+PEER_REFRESH_S = 0.5
+CHUNKS_LOST = (Reason.INVALID, Reason.NOT_FOUND, Reason.CORRUPT)
+"""Refusals of a load after which the engine is given every chunk again."""
+
+_logger = logging.getLogger(__name__)
+
+
+class PeerView(Protocol):
+    """What the membership knows of the other agents."""
+
+    def agents_of(self, model: str) -> tuple[WeightPeer, ...]:
+        """Return the live agents, without this one, whose pools serve a model."""
+        ...
+
+
+class ConfigurationView(Protocol):
+    """The configuration as this daemon knows it."""
+
+    @property
+    def document(self) -> ConfigurationDocument | None:
+        """Return the latest document, or None before the first."""
+        ...
+
+    def on_change(self, listener: Callable[[ConfigurationDocument], None]) -> None:
+        """Call `listener` with each newer document."""
+        ...
+
+
+class WeightController:
+    """Bring the configured models into the target's engine, and say what is offered."""
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        network: Network,
+        timers: TimerService,
+        tasks: TaskGroup,
+        origin: WeightSource,
+        engine: ModelEngine,
+        peers: PeerView,
+        configuration: ConfigurationView,
+        fencing: FencingNumbers,
+        gate: SwitchGate,
+        distribution: Distribution,
+    ) -> None:
+        if settings.target is None:
+            raise ValueError("weights are for agents: the settings have no target")
+        self._target = settings.target
+        self._network = network
+        self._timers = timers
+        self._tasks = tasks
+        self._origin = origin
+        self._engine = engine
+        self._peers = peers
+        self._configuration = configuration
+        self._distribution = distribution
+        self._book = OfferBook()
+        self._loader = Loader(
+            settings.target,
+            timers,
+            engine,
+            fencing,
+            gate,
+            self._book,
+            self.note_engine_state,
+            self._notify,
+        )
+        self._staged: dict[str, StagedVersion] = {}
+        self._to_stage: deque[StagingOrder] = deque()
+        self._stage_wakeup = anyio.Event()
+        self._listeners: list[Callable[[], None]] = []
+        self._last_offered: tuple[LoadedWeights, ...] = ()
+
+    def offered(self) -> tuple[LoadedWeights, ...]:
+        """Return the versions that requests may be given to now."""
+        return self._book.offered()
+
+    def on_offer_change(self, listener: Callable[[], None]) -> None:
+        """Call `listener` after each change of what is offered."""
+        self._listeners.append(listener)
+
+    def start(self) -> None:
+        """Subscribe to messages, timers and the configuration, and start to work."""
+        for message_class in (ChunkRequest, ChunkPiece, ChunkRefused, ChunkCancel):
+            self._network.subscribe(message_class, self._receive)
+        self._timers.call_every(TICK_S, self._tick)
+        self._timers.call_every(PEER_REFRESH_S, self._refresh_peers)
+        self._timers.on_pause(self._lapse)
+        self._configuration.on_change(self._adopt)
+        self._tasks.start_soon(self._stage)
+        self._tasks.start_soon(self._loader.settle)
+        if self._configuration.document is not None:
+            self._adopt(self._configuration.document)
+
+    def note_engine_state(self, state: EngineState) -> None:
+        """Take what the agent's poll has read; call it with every report."""
+        confirmed = {m for m in self._staged if self._book.is_confirmed(m)}
+        is_new_boot = self._book.note_state(state)
+        for staged in self._staged.values():
+            is_lost = staged.model in confirmed
+            is_lost = is_lost and not self._book.is_confirmed(staged.model)
+            if is_new_boot or is_lost:
+                self._restage(staged)
+        self._pump()
+        self._advance()
+        self._notify()
+
+    def note_engine_lost(self) -> None:
+        """Withdraw every offer: the engine does not answer the agent's poll."""
+        self._book.note_lost()
+        self._notify()
+
+    def _adopt(self, document: ConfigurationDocument) -> None:
+        pool = document.pools.get(self._target.pool)
+        models = pool.models if pool is not None else ()
+        wanted = {m: document.models[m] for m in models if m in document.models}
+        self._book.set_wanted(wanted)
+        for model, staged in list(self._staged.items()):
+            version = wanted.get(model)
+            if version != staged.version:
+                self._let_go(staged)
+                if version is None or version.root_digest != staged.root_digest:
+                    self._tasks.start_soon(self._engine.drop_staged, staged.root_digest)
+        for model, version in wanted.items():
+            if model not in self._staged:
+                self._get(model, version)
+        self._pump()
+        self._notify()
+
+    def _get(self, model: str, version: ModelVersion) -> None:
+        if not self._book.is_forward(model, version.sequence):
+            _logger.error("version is older than the one served: %s %s", model, version)
+            return
+        self._staged[model] = StagedVersion(model, version)
+        now_s = self._timers.now_s()
+        self._distribution.set_peers(model, self._peers.agents_of(model), now_s)
+        self._distribution.want_object(model, version.manifest_digest, now_s)
+
+    def _let_go(self, staged: StagedVersion) -> None:
+        del self._staged[staged.model]
+        self._distribution.forget(staged.root_digest, self._timers.now_s())
+
+    def _restage(self, staged: StagedVersion) -> None:
+        """Give the engine a version again: it has lost what it was given."""
+        staged.reset()
+        self._want_chunks(staged)
+
+    def _want_chunks(self, staged: StagedVersion) -> None:
+        """Get the chunks, unless the engine is unknown or serves them already."""
+        is_needed = self._book.boot_id and not self._book.is_confirmed(staged.model)
+        if staged.manifest is not None and is_needed:
+            self._distribution.want_chunks(staged.manifest, self._timers.now_s())
+
+    def _receive(self, sender: Sender, message: Any) -> None:
+        self._distribution.receive(sender.name, message, self._timers.now_s())
+        self._pump()
+
+    def _tick(self) -> None:
+        self._distribution.tick(self._timers.now_s())
+        self._pump()
+        self._advance()
+
+    def _refresh_peers(self) -> None:
+        now_s = self._timers.now_s()
+        for model in self._staged:
+            self._distribution.set_peers(model, self._peers.agents_of(model), now_s)
+
+    def _lapse(self, gap_s: float) -> None:
+        self._distribution.lapse(self._timers.now_s())
+
+    def _pump(self) -> None:
+        """Carry out what the distribution has decided."""
+        while actions := self._distribution.take_actions():
+            for action in actions:
+                if isinstance(action, SendMessage):
+                    self._send(action)
+                elif isinstance(action, ReadOrigin):
+                    self._tasks.start_soon(self._read_origin, action.digest)
+                elif isinstance(action, ObjectReady):
+                    self._take_object(action.digest)
+
+    def _send(self, action: SendMessage) -> None:
+        # A failure needs no answer here: the request's deadline covers a lost
+        # message and one that was never sent alike.
+        self._network.send(action.peer, action.message, Priority.BULK)
+
+    async def _read_origin(self, digest: str) -> None:
+        result = await self._origin.read(digest, 0, 0)
+        self._distribution.complete_read(digest, result, self._timers.now_s())
+        self._pump()
+
+    def _take_object(self, digest: str) -> None:
+        orders = []
+        for staged in list(self._staged.values()):
+            if staged.manifest is None and staged.version.manifest_digest == digest:
+                self._take_manifest(staged)
+            orders += staged.orders_for(digest, self._book.boot_id)
+        if orders:
+            self._to_stage += orders
+            self._stage_wakeup.set()
+        else:
+            self._distribution.release(digest, self._timers.now_s())
+
+    def _take_manifest(self, staged: StagedVersion) -> None:
+        digest = staged.version.manifest_digest
+        data = self._distribution.object_bytes(digest)
+        if data is None:
+            return
+        manifest = decode_manifest(data, digest)
+        if isinstance(manifest, Failure):
+            staged.is_invalid = True
+            _logger.error("manifest can't be used: %s", manifest)
+        elif not staged.set_manifest(manifest):
+            _logger.error("manifest is of another version: %s", digest)
+        else:
+            self._want_chunks(staged)
+
+    async def _stage(self) -> None:
+        """Hand chunks to the engine, one after the other."""
+        while True:
+            if not self._to_stage:
+                self._stage_wakeup = anyio.Event()
+                await self._stage_wakeup.wait()
+            await self._stage_next(self._to_stage.popleft())
+
+    async def _stage_next(self, order: StagingOrder) -> None:
+        data = self._distribution.object_bytes(order.digest)
+        if self._is_current(order) and data is not None:
+            root_digest = order.root_digest
+            failure = await self._engine.stage_chunk(root_digest, order.index, data)
+            if not self._is_current(order):
+                pass
+            elif is_failure(failure):
+                _logger.warning("chunk was not staged: %s", failure)
+                self._to_stage.append(order)
+                await anyio.sleep(STAGE_RETRY_S)
+            else:
+                self._staged[order.model].mark(order)
+        if not any(s.needs(order.digest) for s in self._staged.values()):
+            self._distribution.release(order.digest, self._timers.now_s())
+            self._pump()
+        self._advance()
+
+    def _is_current(self, order: StagingOrder) -> bool:
+        """Tell whether a chunk is still meant for this version and boot."""
+        staged = self._staged.get(order.model)
+        if staged is None or staged.root_digest != order.root_digest:
+            return False
+        return order.boot_id == self._book.boot_id and staged.needs(order.digest)
+
+    def _advance(self) -> None:
+        """Start the switch of each version that is whole in the engine."""
+        for staged in self._staged.values():
+            if staged.is_whole and self._loader.may_start(staged):
+                self._loader.reserve(staged)
+                self._tasks.start_soon(self._switch, staged)
+
+    async def _switch(self, staged: StagedVersion) -> None:
+        failure = await self._loader.load(staged)
+        if failure is None:
+            return
+        _logger.warning(
+            "%s %s was not loaded: %s", staged.model, staged.version, failure
+        )
+        is_current = self._staged.get(staged.model) is staged
+        if is_current and failure.reason in CHUNKS_LOST:
+            self._restage(staged)
+            self._pump()
+
+    def _notify(self) -> None:
+        offered = self.offered()
+        if offered == self._last_offered:
+            return
+        self._last_offered = offered
+        for listener in self._listeners:
+            listener()
+
+
+def create_weight_controller(
+    settings: DaemonSettings,
+    *,
+    network: Network,
+    timers: TimerService,
+    tasks: TaskGroup,
+    origin: WeightSource,
+    engine: ModelEngine,
+    peers: PeerView,
+    configuration: ConfigurationView,
+    fencing: FencingNumbers,
+    gate: SwitchGate,
+) -> WeightController:
+    """Make the controller of an agent before a model engine; call `start` next."""
+    me = WeightPeer(settings.name, settings.region, settings.zone)
+    distribution = HashedDistribution(
+        me,
+        settings.weights.origin_region or settings.region,
+        settings.weights.request_timeout_s,
+    )
+    return WeightController(
+        settings,
+        network,
+        timers,
+        tasks,
+        origin,
+        engine,
+        peers,
+        configuration,
+        fencing,
+        gate,
+        distribution,
+    )
--- /dev/null
+++ b/reedspar/weights/staging.py
@@ -0,0 +1,83 @@
+"""Which chunks of a version the engine has, lacks, and is being given."""
+
+from dataclasses import dataclass
+
+from reedspar.configuration import ModelVersion
+
+from .manifest import Manifest
+
+__all__ = ["StagedVersion", "StagingOrder"]
+
+
+@dataclass(frozen=True, slots=True)
+class StagingOrder:
+    """A chunk to hand to the engine at one place of a version."""
+
+    model: str
+    root_digest: str
+    index: int
+    digest: str
+    boot_id: str
+    """The boot that the chunk is meant for; another one has lost the others."""
+
+
+class StagedVersion:
+    """The way of one version of a model into the engine."""
+
+    def __init__(self, model: str, version: ModelVersion) -> None:
+        self.model = model
+        self.version = version
+        self.manifest: Manifest | None = None
+        self.is_invalid = False
+        self._indexes: dict[str, list[int]] = {}
+        self._missing: set[int] = set()
+
+    @property
+    def root_digest(self) -> str:
+        """Return the version's root digest."""
+        return self.version.root_digest
+
+    @property
+    def is_whole(self) -> bool:
+        """Tell whether the engine was given every chunk in its present boot."""
+        return self.manifest is not None and not self._missing
+
+    @property
+    def missing_count(self) -> int:
+        """Return how many chunks the engine lacks."""
+        return len(self._missing)
+
+    def set_manifest(self, manifest: Manifest) -> bool:
+        """Take the manifest; tell whether it is the one that was announced."""
+        announced = (self.model, self.version.sequence, self.root_digest)
+        found = (manifest.model, manifest.sequence, manifest.root_digest)
+        if announced != found:
+            self.is_invalid = True
+            return False
+        self.manifest = manifest
+        self._indexes = {}
+        for index, digest in enumerate(manifest.chunk_digests):
+            self._indexes.setdefault(digest, []).append(index)
+        self.reset()
+        return True
+
+    def reset(self) -> None:
+        """Note that the engine has lost what it was given."""
+        if self.manifest is not None:
+            self._missing = set(range(len(self.manifest.chunks)))
+
+    def orders_for(self, digest: str, boot_id: str) -> list[StagingOrder]:
+        """Return what to hand to the engine now that a chunk is there."""
+        return [
+            StagingOrder(self.model, self.root_digest, index, digest, boot_id)
+            for index in self._indexes.get(digest, ())
+            if index in self._missing
+        ]
+
+    def needs(self, digest: str) -> bool:
+        """Tell whether the engine lacks a chunk at any place."""
+        return any(index in self._missing for index in self._indexes.get(digest, ()))
+
+    def mark(self, order: StagingOrder) -> None:
+        """Note that the engine took a chunk."""
+        self._missing.discard(order.index)
--- /dev/null
+++ b/reedspar/weights/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of weights: manifests, distribution, activation."""
--- /dev/null
+++ b/reedspar/weights/tests/fakes.py
@@ -0,0 +1,326 @@
+"""Fakes at the interfaces of the weight controller, driven by virtual time."""
+
+from collections import Counter, deque
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+
+from reedspar.configuration import (
+    ConfigurationDocument,
+    ModelVersion,
+    PoolConfiguration,
+    PoolKind,
+)
+from reedspar.errors import Failure, Reason, Step
+from reedspar.links import Priority
+from reedspar.messages import Sender
+from reedspar.platform import EngineState, LoadOrder
+from reedspar.settings import DaemonSettings
+from reedspar.timers import TimerService, VirtualClock
+from reedspar.utils import digest_bytes
+from reedspar.weights import (
+    FencingRecord,
+    OrderedVersion,
+    WeightController,
+    WeightPeer,
+    create_weight_controller,
+    publish_weights,
+)
+from reedspar.weights.manifest import compute_root_digest
+
+MODEL = "quotes"
+POOL = "models"
+TURNS_PER_STEP = 20
+
+
+class FakeOrigin:
+    """Objects in memory, with an outage and corruption to switch on."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, bytes] = {}
+        self.reads: Counter[str] = Counter()
+        self.puts: list[str] = []
+        self.is_away = False
+        self.corrupt_next = 0
+
+    async def has(self, name: str) -> bool | Failure:
+        return name in self.objects
+
+    async def put(self, name: str, data: bytes) -> Failure | None:
+        if self.is_away:
+            return Failure(Reason.UNAVAILABLE, Step.MANIFEST, "origin")
+        self.puts.append(name)
+        self.objects[name] = data
+        return None
+
+    async def read(self, name: str, offset: int, size_bytes: int) -> bytes | Failure:
+        await anyio.lowlevel.checkpoint()
+        if self.is_away:
+            return Failure(Reason.UNAVAILABLE, Step.ORIGIN_DRAW, "origin")
+        self.reads[name] += 1
+        data = self.objects[name]
+        if self.corrupt_next:
+            self.corrupt_next -= 1
+            return bytes([data[0] ^ 1]) + data[1:]
+        return data
+
+    @property
+    def bytes_read(self) -> int:
+        return sum(len(self.objects[n]) * count for n, count in self.reads.items())
+
+
+class FakeEngine:
+    """Keeps chunks, and computes its own digest as engines do."""
+
+    def __init__(self, checks_fencing: bool = True) -> None:
+        self.checks_fencing = checks_fencing
+        self.boot = 1
+        self.staged: dict[str, dict[int, bytes]] = {}
+        self.loaded: dict[str, str] = {}
+        self.fencing_number = 0
+        self.orders: list[LoadOrder] = []
+        self.load_failures: deque[Failure] = deque()
+
+    def restart(self) -> None:
+        self.boot += 1
+        self.staged.clear()
+        self.loaded = {}
+        self.fencing_number = 0
+
+    async def read_state(self) -> EngineState | Failure:
+        return EngineState(f"boot-{self.boot}", loaded=dict(self.loaded))
+
+    async def stage_chunk(
+        self, root_digest: str, index: int, data: bytes
+    ) -> Failure | None:
+        await anyio.lowlevel.checkpoint()
+        self.staged.setdefault(root_digest, {})[index] = data
+        return None
+
+    async def drop_staged(self, root_digest: str) -> Failure | None:
+        self.staged.pop(root_digest, None)
+        return None
+
+    async def load(self, order: LoadOrder) -> Failure | None:
+        if self.load_failures:
+            return self.load_failures.popleft()
+        if self.checks_fencing and order.fencing_number < self.fencing_number:
+            return Failure(Reason.FENCED, Step.LOAD, "engine")
+        chunks = self.staged.get(order.root_digest, {})
+        if len(chunks) != len(order.chunk_digests):
+            return Failure(Reason.INVALID, Step.LOAD, "engine", "missing chunks")
+        self.fencing_number = order.fencing_number
+        self.orders.append(order)
+        digests = [digest_bytes(chunks[i]) for i in sorted(chunks)]
+        self.loaded[order.model] = compute_root_digest(digests)
+        del self.staged[order.root_digest]
+        return None
+
+
+class FakeConfiguration:
+    """A document that tests change."""
+
+    def __init__(self) -> None:
+        self.document = ConfigurationDocument()
+        self._listeners: list[Callable[[ConfigurationDocument], None]] = []
+
+    def on_change(self, listener: Callable[[ConfigurationDocument], None]) -> None:
+        self._listeners.append(listener)
+
+    def set_models(self, **models: ModelVersion) -> None:
+        pool = PoolConfiguration(kind=PoolKind.MODEL, models=tuple(models))
+        self.document = ConfigurationDocument(
+            version=self.document.version + 1, pools={POOL: pool}, models=models
+        )
+        for listener in self._listeners:
+            listener(self.document)
+
+
+class FakeFencing:
+    """Numbers in memory that outlive the agents of a test."""
+
+    def __init__(self) -> None:
+        self.record = FencingRecord()
+
+    async def read(self) -> FencingRecord | Failure:
+        return self.record
+
+    async def next_number(
+        self, model: str, root_digest: str, sequence: int
+    ) -> int | Failure:
+        ordered = OrderedVersion(model, root_digest, sequence)
+        number = self.record.number + 1
+        self.record = FencingRecord(number, (*self.record.ordered, ordered))
+        return number
+
+
+class FakeGate:
+    """Counts switches."""
+
+    def __init__(self) -> None:
+        self.events: list[str] = []
+
+    async def begin_switch(self, model: str) -> Failure | None:
+        self.events.append("begin")
+        return None
+
+    def end_switch(self, model: str) -> None:
+        self.events.append("end")
+
+
+class FakeLinks:
+    """Delivers messages between agents in order, in the next turn."""
+
+    def __init__(self) -> None:
+        self.handlers: dict[tuple[str, type], Any] = {}
+        self.queue: deque[tuple[str, str, Any]] = deque()
+        self.sent: Counter[str] = Counter()
+        self.dead: set[str] = set()
+
+    def deliver(self) -> None:
+        for _ in range(len(self.queue)):
+            sender, peer, message = self.queue.popleft()
+            handler = self.handlers.get((peer, type(message)))
+            if handler and not self.dead & {sender, peer}:
+                handler(Sender(sender, 1, 1), message)
+
+
+class FakeNetwork:
+    """One agent's end of the links."""
+
+    def __init__(self, name: str, links: FakeLinks) -> None:
+        self._name = name
+        self._links = links
+
+    def send(
+        self, peer: str, message: Any, priority: Priority = Priority.LIVE
+    ) -> Failure | None:
+        self._links.sent[type(message).__name__] += 1
+        self._links.queue.append((self._name, peer, message))
+        return None
+
+    def subscribe(self, message_class: type, handler: Any) -> None:
+        self._links.handlers[self._name, message_class] = handler
+
+    def peers(self) -> tuple[str, ...]:
+        return ()
+
+
+class FakePeers:
+    """All agents of the test but one."""
+
+    def __init__(self, me: str, agents: list[WeightPeer]) -> None:
+        self._me = me
+        self._agents = agents
+
+    def agents_of(self, model: str) -> tuple[WeightPeer, ...]:
+        return tuple(agent for agent in self._agents if agent.name != self._me)
+
+
+class Agent:
+    """A controller and the fakes around it."""
+
+    def __init__(self, pool: "AgentPool", peer: WeightPeer, checks_fencing: bool):
+        self.peer = peer
+        self.engine = FakeEngine(checks_fencing)
+        self.fencing = FakeFencing()
+        self.gate = FakeGate()
+        self.pool = pool
+        self.controller: WeightController
+
+    def start(self, tasks: Any) -> None:
+        pool = self.pool
+        self.controller = create_weight_controller(
+            make_settings(self.peer, self.engine.checks_fencing),
+            network=FakeNetwork(self.peer.name, pool.links),
+            timers=pool.timers,
+            tasks=tasks,
+            origin=pool.origin,
+            engine=self.engine,
+            peers=FakePeers(self.peer.name, pool.peers),
+            configuration=pool.configuration,
+            fencing=self.fencing,
+            gate=self.gate,
+        )
+        self.controller.start()
+
+    async def poll(self) -> None:
+        state = await self.engine.read_state()
+        assert isinstance(state, EngineState)
+        self.controller.note_engine_state(state)
+
+    @property
+    def offered_root(self) -> str:
+        offered = self.controller.offered()
+        return offered[0].root_digest if offered else ""
+
+
+class AgentPool:
+    """Agents before one origin, under one virtual clock."""
+
+    def __init__(self, peers: list[WeightPeer], checks_fencing: bool = True) -> None:
+        self.clock = VirtualClock()
+        self.timers = TimerService(self.clock)
+        self.links = FakeLinks()
+        self.origin = FakeOrigin()
+        self.configuration = FakeConfiguration()
+        self.peers = peers
+        self.agents = [Agent(self, peer, checks_fencing) for peer in peers]
+
+    async def publish(self, weights: bytes, sequence: int = 1) -> ModelVersion:
+        """Publish weights, and make them the configured version."""
+        publication = await publish_weights(
+            self.origin, MODEL, f"v{sequence}", sequence, weights, 1024
+        )
+        assert not isinstance(publication, Failure)
+        self.configuration.set_models(**{MODEL: publication.version})
+        return publication.version
+
+    async def step(self, seconds: float) -> None:
+        """Let time pass, and everything that is ready run."""
+        for _ in range(round(seconds / 0.05)):
+            self.clock.advance(0.05)
+            self.timers.run_due()
+            for _ in range(TURNS_PER_STEP):
+                self.links.deliver()
+                await anyio.lowlevel.checkpoint()
+
+
+def make_settings(peer: WeightPeer, checks_fencing: bool = True) -> DaemonSettings:
+    return DaemonSettings.model_validate(
+        {
+            "name": peer.name,
+            "role": "agent",
+            "zone": peer.zone,
+            "region": peer.region,
+            "port": 7000,
+            "http_port": 7001,
+            "platform": {
+                "key_value_url": "http://127.0.0.1:1",
+                "instance_list_url": "http://127.0.0.1:2",
+                "origin_url": "http://127.0.0.1:3",
+            },
+            "weights": {"origin_region": "centro"},
+            "target": {
+                "kind": "model_engine",
+                "pool": POOL,
+                "url": "http://127.0.0.1:4",
+                "checks_fencing": checks_fencing,
+                "order_settle_s": 0.01,
+            },
+        }
+    )
+
+
+def run_pool(pool: AgentPool, history: Callable[[AgentPool], Awaitable[None]]) -> None:
+    """Start the agents of a pool, and let a history happen to them."""
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            for agent in pool.agents:
+                agent.start(tasks)
+            await history(pool)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
--- /dev/null
+++ b/reedspar/weights/tests/test_publishing.py
@@ -0,0 +1,47 @@
+"""Tests that publishing uploads what is missing, and names only whole versions."""
+
+import unittest
+
+import anyio
+
+from reedspar.errors import Failure
+from reedspar.weights import Publication, publish_weights
+
+from .fakes import FakeOrigin
+
+FIRST = b"a" * 100 + b"b" * 100 + b"c" * 100
+SECOND = b"a" * 100 + b"x" * 100 + b"c" * 100
+
+
+def publish(origin: FakeOrigin, weights: bytes, sequence: int) -> Publication | Failure:
+    return anyio.run(
+        publish_weights, origin, "quotes", f"v{sequence}", sequence, weights, 100
+    )
+
+
+class PublishingTest(unittest.TestCase):
+    def test_next_version_uploads_only_its_new_chunks(self) -> None:
+        origin = FakeOrigin()
+        publish(origin, FIRST, 1)
+        publication = publish(origin, SECOND, 2)
+        assert isinstance(publication, Publication)
+        self.assertEqual(publication.uploaded_chunks, 1)
+        self.assertEqual(origin.puts[-1], publication.version.manifest_digest)
+
+    def test_interrupted_publishing_goes_on_where_it_stopped(self) -> None:
+        # The origin goes away after the first chunk.  The operator sees a
+        # failure and calls again; no manifest may name chunks that are missing.
+        class ShortLived(FakeOrigin):
+            async def put(self, name: str, data: bytes) -> Failure | None:
+                self.is_away = len(self.puts) == 1
+                return await super().put(name, data)
+
+        origin = ShortLived()
+        self.assertIsInstance(publish(origin, FIRST, 1), Failure)
+        self.assertEqual(len(origin.objects), 1)
+        origin.__class__ = FakeOrigin
+        origin.is_away = False
+        publication = publish(origin, FIRST, 1)
+        assert isinstance(publication, Publication)
+        self.assertEqual(publication.uploaded_chunks, 2)
+        self.assertIn(publication.version.manifest_digest, origin.objects)
