Accept configuration patches exactly once

Operators race, and an answer can be lost after the write took effect. Older reads are told by the number that the patch names. Ruled out: a key for each patch, which needs two writes that can come apart.

--- /dev/null
+++ b/reedspar/configuration/store.py
@@ -0,0 +1,169 @@
+"""The document in the key-value service: read it, and accept patches exactly once."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
+from datetime import UTC, datetime
+
+import anyio
+from pydantic import ValidationError
+
+from reedspar.errors import Failure, Reason, Step
+from reedspar.platform import KeyValueEntry, KeyValueStore
+
+from .document import ConfigurationDocument
+from .patching import PatchRequest, apply_patch, describe_errors, encode_document
+
+__all__ = [
+    "CURRENT_KEY",
+    "AcceptedPatch",
+    "ConfigurationStore",
+    "StoredConfiguration",
+    "create_configuration_store",
+    "decode_document",
+]
+
+CURRENT_KEY = "configuration/current"
+ATTEMPT_LIMIT = 8
+BACKOFF_S = 0.1
+
+Sleep = Callable[[float], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True)
+class StoredConfiguration:
+    """A document and the revision of the key-value service that it was read at."""
+
+    document: ConfigurationDocument
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptedPatch:
+    """A patch that took effect under the number `version`."""
+
+    version: int
+    document: ConfigurationDocument
+    """The newest document seen, which may be a later version."""
+    was_repeated: bool = False
+    """Whether an earlier send of the same patch had taken effect already."""
+
+
+def decode_document(data: bytes) -> ConfigurationDocument | Failure:
+    """Return the document in its JSON form, or `CORRUPT`."""
+    try:
+        return ConfigurationDocument.model_validate_json(data)
+    except ValidationError as error:
+        detail = describe_errors(error)
+        return Failure(Reason.CORRUPT, Step.CONFIGURE, detail=detail)
+
+
+def decode_entry(entry: KeyValueEntry | None) -> StoredConfiguration | Failure:
+    """Return the stored document; an absent entry is version 0."""
+    if entry is None:
+        return StoredConfiguration(ConfigurationDocument(), 0)
+    document = decode_document(entry.value)
+    if isinstance(document, Failure):
+        return document
+    return StoredConfiguration(document, entry.revision)
+
+
+class ConfigurationStore:
+    """Reads the document and replaces it by compare-and-swap."""
+
+    def __init__(
+        self,
+        key_value: KeyValueStore,
+        *,
+        sleep: Sleep = anyio.sleep,
+        utc_now: Callable[[], str] | None = None,
+    ) -> None:
+        self._key_value = key_value
+        self._sleep = sleep
+        self._utc_now = utc_now or (lambda: datetime.now(UTC).isoformat())
+
+    async def read(self) -> StoredConfiguration | Failure:
+        """Return the stored document (version 0 if none); it may be an older one."""
+        entry = await self._key_value.get(CURRENT_KEY)
+        if isinstance(entry, Failure):
+            return entry
+        return decode_entry(entry)
+
+    async def accept(
+        self, request: PatchRequest, known_version: int = 0
+    ) -> AcceptedPatch | Failure:
+        """Make the patch the next version, exactly once.
+
+        Fails with `CONFLICT` (stale, names the current number), `INVALID`,
+        `UNAVAILABLE` (it did not and will not take effect) or
+        `OUTCOME_UNKNOWN` (send the same patch again to learn).
+        `known_version` is the newest version that the caller knows of.
+        """
+        doubt: Failure | None = None
+        for attempt in range(ATTEMPT_LIMIT):
+            if attempt:
+                await self._sleep(BACKOFF_S * attempt)
+            result = await self._try_once(request, known_version)
+            if not isinstance(result, Failure) or result.step is Step.CONFIGURE:
+                return result
+            if result.reason is Reason.OUTCOME_UNKNOWN:
+                doubt = result
+            # Nothing was written by this attempt.  An earlier one whose answer
+            # was lost may have been: "not accepted" would then be a lie.
+            elif result.reason is not Reason.CONFLICT and doubt is None:
+                return result
+        return doubt or await self._explain(request, known_version)
+
+    async def _try_once(
+        self, request: PatchRequest, known_version: int
+    ) -> AcceptedPatch | Failure:
+        """Read and write once; a failure of step `KEY_VALUE` may be tried again."""
+        stored = await self.read()
+        if isinstance(stored, Failure):
+            return replace(stored, step=Step.KEY_VALUE)
+        if outcome := self._find(stored.document, request):
+            return outcome
+        if stored.document.version < max(known_version, request.base_version):
+            # An older read, or a number that never was.
+            return Failure(Reason.CONFLICT, Step.KEY_VALUE)
+        patched = apply_patch(stored.document, request, self._utc_now())
+        if isinstance(patched, Failure):
+            return patched
+        # Writing again after a lost answer is safe: the revision is the fence,
+        # so of all writes against it one at most takes effect.
+        revision = await self._key_value.compare_and_swap(
+            CURRENT_KEY, encode_document(patched), stored.revision
+        )
+        if isinstance(revision, Failure):
+            return replace(revision, step=Step.KEY_VALUE)
+        return AcceptedPatch(patched.version, patched)
+
+    def _find(
+        self, document: ConfigurationDocument, request: PatchRequest
+    ) -> AcceptedPatch | None:
+        for record in document.history:
+            if record.patch_id == request.patch_id:
+                return AcceptedPatch(record.version, document, was_repeated=True)
+        return None
+
+    async def _explain(
+        self, request: PatchRequest, known_version: int
+    ) -> AcceptedPatch | Failure:
+        stored = await self.read()
+        if isinstance(stored, Failure):
+            return stored
+        if outcome := self._find(stored.document, request):
+            return outcome
+        version = max(stored.document.version, known_version)
+        if request.base_version > version:
+            detail = (
+                f"the patch is against version {request.base_version}; "
+                f"the current version is {version}"
+            )
+            return Failure(Reason.CONFLICT, Step.CONFIGURE, detail=detail)
+        detail = "the key-value service kept answering with an older version"
+        return Failure(Reason.UNAVAILABLE, Step.CONFIGURE, detail=detail)
+
+
+def create_configuration_store(key_value: KeyValueStore) -> ConfigurationStore:
+    """Make a store on the platform's key-value service."""
+    return ConfigurationStore(key_value)
