--- /dev/null
+++ b/reedspar/telemetry/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of logs, metrics and invariants."""
--- /dev/null
+++ b/reedspar/timeline/__init__.py
@@ -0,0 +1,22 @@
+"""Events of all processes: recorded cheaply, merged into one order, shown."""
+
+from .events import Event, EventKind, event_from_json, event_to_json
+from .filters import EventFilter
+from .merging import merge_events
+from .picture import render_picture
+from .recorder import EventPage, EventRecorder, create_event_recorder
+from .text import render_text
+
+__all__ = [
+    "Event",
+    "EventFilter",
+    "EventKind",
+    "EventPage",
+    "EventRecorder",
+    "create_event_recorder",
+    "event_from_json",
+    "event_to_json",
+    "merge_events",
+    "render_picture",
+    "render_text",
+]
--- /dev/null
+++ b/reedspar/timeline/events.py
@@ -0,0 +1,157 @@
+"""What an event is, and its JSON form."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from enum import Enum
+from typing import Any
+
+__all__ = ["Event", "EventKind", "event_from_json", "event_to_json", "format_time"]
+
+
+class EventKind(Enum):
+    """What happened; the part before the dot is the event's group."""
+
+    DAEMON_STARTED = "daemon.started"
+    DAEMON_READY = "daemon.ready"
+    DAEMON_NOT_READY = "daemon.not_ready"
+    DAEMON_DRAINING = "daemon.draining"
+    DAEMON_STOPPED = "daemon.stopped"
+    DAEMON_PAUSED = "daemon.paused"
+
+    REQUEST_RECEIVED = "request.received"
+    REQUEST_ADMITTED = "request.admitted"
+    REQUEST_REFUSED = "request.refused"
+    REQUEST_CLAIMED = "request.claimed"
+    REQUEST_DEDUPLICATED = "request.deduplicated"
+    REQUEST_QUARANTINED = "request.quarantined"
+    REQUEST_ROUTED = "request.routed"
+    REQUEST_RETRIED = "request.retried"
+    REQUEST_ANSWERED = "request.answered"
+    REQUEST_NOT_RUN = "request.not_run"
+    REQUEST_OUTCOME_UNKNOWN = "request.outcome_unknown"
+
+    ATTEMPT_SENT = "attempt.sent"
+    ATTEMPT_ACCEPTED = "attempt.accepted"
+    ATTEMPT_REFUSED = "attempt.refused"
+    ATTEMPT_RUNNING = "attempt.running"
+    ATTEMPT_FINISHED = "attempt.finished"
+    ATTEMPT_BROKEN = "attempt.broken"
+    ATTEMPT_REVOKED = "attempt.revoked"
+    ATTEMPT_CANCELLED = "attempt.cancelled"
+    ATTEMPT_RESUMED = "attempt.resumed"
+    ATTEMPT_UNMATCHED = "attempt.unmatched"
+
+    TARGET_COLD = "target.cold"
+    TARGET_READY = "target.ready"
+    TARGET_LEAVING = "target.leaving"
+    TARGET_DOWN = "target.down"
+    TARGET_LIMIT = "target.limit"
+
+    CONFIG_PATCHED = "config.patched"
+    CONFIG_REFUSED = "config.refused"
+    CONFIG_ADOPTED = "config.adopted"
+    CONFIG_STALE = "config.stale"
+    CONFIG_FRESH = "config.fresh"
+    ZONE_OUT = "zone.out"
+    ZONE_IN = "zone.in"
+
+    MEMBER_JOINED = "member.joined"
+    MEMBER_RESTARTED = "member.restarted"
+    MEMBER_LEAVING = "member.leaving"
+    MEMBER_LOST = "member.lost"
+    LINK_UP = "link.up"
+    LINK_DOWN = "link.down"
+    LINK_SILENT = "link.silent"
+    KEY_VALUE_DOWN = "key_value.down"
+    KEY_VALUE_UP = "key_value.up"
+
+    WEIGHTS_ANNOUNCED = "weights.announced"
+    WEIGHTS_CHUNK = "weights.chunk"
+    WEIGHTS_CORRUPT = "weights.corrupt"
+    WEIGHTS_COMPLETE = "weights.complete"
+    WEIGHTS_LOAD_ORDERED = "weights.load_ordered"
+    WEIGHTS_LOAD_CONFIRMED = "weights.load_confirmed"
+    WEIGHTS_LOAD_FAILED = "weights.load_failed"
+    WEIGHTS_OFFERED = "weights.offered"
+    WEIGHTS_WITHDRAWN = "weights.withdrawn"
+
+    INVARIANT_BROKEN = "invariant.broken"
+
+    @property
+    def group(self) -> str:
+        """Return what the event is about, such as ``request``."""
+        return self.value.partition(".")[0]
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One thing that happened in one process.
+
+    `sequence` grows by one with each event of a process's incarnation, also
+    where the clock steps back.  `version` is a root digest or a configuration
+    number, as the kind says.
+    """
+
+    time_s: float
+    """Wall time, seconds since the Unix epoch."""
+    process: str
+    incarnation: int
+    sequence: int
+    kind: EventKind
+    request_id: str = ""
+    attempt: int = 0
+    target: str = ""
+    model: str = ""
+    version: str = ""
+    detail: str = ""
+
+
+def format_time(time_s: float) -> str:
+    """Return a wall time as UTC in ISO 8601, to the microsecond."""
+    moment = datetime.fromtimestamp(time_s, UTC)
+    return moment.isoformat(timespec="microseconds").replace("+00:00", "Z")
+
+
+def event_to_json(event: Event) -> dict[str, Any]:
+    """Return a JSON object without the empty fields."""
+    optional = {
+        "request_id": event.request_id,
+        "attempt": event.attempt,
+        "target": event.target,
+        "model": event.model,
+        "version": event.version,
+        "detail": event.detail,
+    }
+    return {
+        "time": format_time(event.time_s),
+        "process": event.process,
+        "incarnation": event.incarnation,
+        "sequence": event.sequence,
+        "kind": event.kind.value,
+        **{name: value for name, value in optional.items() if value},
+    }
+
+
+def event_from_json(document: Mapping[str, Any]) -> Event | None:
+    """Return the event, or None for something that this release can't read.
+
+    A daemon of a newer release may send kinds that this one does not know;
+    its other events still show.
+    """
+    try:
+        return Event(
+            time_s=datetime.fromisoformat(document["time"]).timestamp(),
+            process=str(document["process"]),
+            incarnation=int(document["incarnation"]),
+            sequence=int(document["sequence"]),
+            kind=EventKind(document["kind"]),
+            request_id=str(document.get("request_id", "")),
+            attempt=int(document.get("attempt", 0)),
+            target=str(document.get("target", "")),
+            model=str(document.get("model", "")),
+            version=str(document.get("version", "")),
+            detail=str(document.get("detail", "")),
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
--- /dev/null
+++ b/reedspar/timeline/filters.py
@@ -0,0 +1,40 @@
+"""Selection of events by request, target and version."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from .events import Event
+
+__all__ = ["EventFilter"]
+
+DIGEST_PREFIX_MIN = 6
+
+
+@dataclass(frozen=True, slots=True)
+class EventFilter:
+    """What an event must have; an empty field asks nothing."""
+
+    request_id: str = ""
+    target: str = ""
+    """A target's name, which is its agent's, too."""
+    version: str = ""
+    """A configuration number, a digest, or a digest's first six or more characters."""
+
+    def matches(self, event: Event) -> bool:
+        """Tell whether the event has all that is asked."""
+        return (
+            self.request_id in ("", event.request_id)
+            and self.target in ("", event.target, event.process)
+            and self._matches_version(event.version)
+        )
+
+    def select(self, events: Iterable[Event]) -> list[Event]:
+        """Return the matching events in their order."""
+        return [event for event in events if self.matches(event)]
+
+    def _matches_version(self, version: str) -> bool:
+        if self.version in ("", version):
+            return True
+        return len(self.version) >= DIGEST_PREFIX_MIN and version.startswith(
+            self.version
+        )
--- /dev/null
+++ b/reedspar/timeline/recorder.py
@@ -0,0 +1,118 @@
+"""A bounded ring of a process's latest events."""
+
+import logging
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .events import Event, EventKind, event_to_json
+
+__all__ = ["EventPage", "EventRecorder", "create_event_recorder"]
+
+CAPACITY = 8192
+PAGE_LIMIT = 2000
+FREQUENT_GROUPS = frozenset({"request", "attempt", "weights"})
+
+logger = logging.getLogger("reedspar.timeline")
+
+
+@dataclass(frozen=True, slots=True)
+class EventPage:
+    """Events after a sequence number, and what has to be known to read on."""
+
+    events: tuple[Event, ...]
+    next_after: int
+    """Pass this as `sequence` to read on."""
+    lost_count: int
+    """Events after the given sequence number that the ring no longer holds."""
+
+
+class EventRecorder:
+    """Keep the latest events of this process in memory.
+
+    Each event is logged, too: at INFO, or at DEBUG for those that come with
+    each request or chunk, so that a time line can be made from logs of
+    processes that are gone.
+    """
+
+    def __init__(
+        self,
+        process: str,
+        incarnation: int,
+        *,
+        capacity: int = CAPACITY,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._process = process
+        self._incarnation = incarnation
+        self._capacity = capacity
+        self._wall_clock = wall_clock
+        self._ring: list[Event] = []
+        self._last_sequence = 0
+
+    @property
+    def process(self) -> str:
+        """Return the name of the process."""
+        return self._process
+
+    @property
+    def incarnation(self) -> int:
+        """Return the incarnation of the process."""
+        return self._incarnation
+
+    @property
+    def last_sequence(self) -> int:
+        """Return the sequence number of the latest event; 0 before the first."""
+        return self._last_sequence
+
+    def record(
+        self,
+        kind: EventKind,
+        *,
+        request_id: str = "",
+        attempt: int = 0,
+        target: str = "",
+        model: str = "",
+        version: str | int = "",
+        detail: str = "",
+    ) -> None:
+        """Keep an event; once the ring is full, the oldest goes."""
+        self._last_sequence += 1
+        event = Event(
+            self._wall_clock(),
+            self._process,
+            self._incarnation,
+            self._last_sequence,
+            kind,
+            request_id,
+            attempt,
+            target,
+            model,
+            str(version),
+            detail,
+        )
+        if len(self._ring) < self._capacity:
+            self._ring.append(event)
+        else:
+            self._ring[(event.sequence - 1) % self._capacity] = event
+        level = logging.DEBUG if kind.group in FREQUENT_GROUPS else logging.INFO
+        if logger.isEnabledFor(level):
+            logger.log(level, kind.value, extra={"event": event_to_json(event)})
+
+    def after(self, sequence: int, limit: int = PAGE_LIMIT) -> EventPage:
+        """Return up to `limit` events that came after `sequence`, oldest first."""
+        oldest = self._last_sequence - len(self._ring) + 1
+        start = max(sequence + 1, oldest)
+        stop = min(self._last_sequence + 1, start + limit)
+        events = tuple(
+            self._ring[(number - 1) % self._capacity] for number in range(start, stop)
+        )
+        next_after = max(stop - 1, 0)
+        return EventPage(events, next_after, max(0, oldest - sequence - 1))
+
+
+def create_event_recorder(
+    process: str, incarnation: int, *, capacity: int = CAPACITY
+) -> EventRecorder:
+    """Make a recorder on the machine's wall clock."""
+    return EventRecorder(process, incarnation, capacity=capacity)
--- /dev/null
+++ b/reedspar/timeline/tests/test_timeline.py
@@ -0,0 +1,153 @@
+"""Tests of recording, merging, selecting and showing events."""
+
+import itertools
+import json
+import unittest
+import xml.etree.ElementTree as ET
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from reedspar.timeline import (
+    Event,
+    EventFilter,
+    EventKind,
+    EventRecorder,
+    event_from_json,
+    event_to_json,
+    merge_events,
+    render_picture,
+    render_text,
+)
+
+DIGEST = "ab" * 32
+
+
+def make_event(process: str, sequence: int, time_s: float, **fields) -> Event:
+    kind = fields.pop("kind", EventKind.ATTEMPT_SENT)
+    return Event(
+        time_s, process, fields.pop("incarnation", 1), sequence, kind, **fields
+    )
+
+
+class EventRecorderTest(unittest.TestCase):
+    def test_ring_keeps_the_latest_and_counts_the_lost(self) -> None:
+        recorder = EventRecorder("e1", 7, capacity=4, wall_clock=lambda: 1.0)
+        for i in range(10):
+            recorder.record(EventKind.CONFIG_ADOPTED, version=i)
+        page = recorder.after(0)
+        self.assertEqual([e.sequence for e in page.events], [7, 8, 9, 10])
+        self.assertEqual((page.lost_count, page.next_after), (6, 10))
+        self.assertEqual(recorder.after(10).events, ())
+
+    def test_pages_join_without_gap(self) -> None:
+        recorder = EventRecorder("e1", 7, capacity=4, wall_clock=lambda: 1.0)
+        for _ in range(3):
+            recorder.record(EventKind.LINK_UP)
+        first = recorder.after(0, limit=2)
+        second = recorder.after(first.next_after, limit=2)
+        numbers = [e.sequence for e in first.events + second.events]
+        self.assertEqual(numbers, [1, 2, 3])
+
+    def test_reader_ahead_of_a_restarted_process_is_sent_back(self) -> None:
+        # A daemon restarts and counts from one again while a reader still
+        # holds the number of its predecessor; without being sent back the
+        # reader would miss the new daemon's first events.
+        recorder = EventRecorder("e1", 8, wall_clock=lambda: 1.0)
+        recorder.record(EventKind.DAEMON_STARTED)
+        page = recorder.after(500)
+        self.assertEqual((page.events, page.next_after), ((), 1))
+
+    def test_events_reach_the_log_by_how_often_they_come(self) -> None:
+        recorder = EventRecorder("e1", 7, wall_clock=lambda: 1.0)
+        with self.assertLogs("reedspar.timeline", "INFO") as logs:
+            recorder.record(EventKind.REQUEST_RECEIVED, request_id="r1")
+            recorder.record(EventKind.ZONE_OUT, detail="kingston-a")
+        self.assertEqual(len(logs.records), 1)
+        self.assertEqual(logs.records[0].event["kind"], "zone.out")
+
+
+class MergeEventsTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=200)
+    @given(st.data())
+    def test_process_order_holds_under_any_clocks(self, data) -> None:
+        # A daemon's clock is stepped while it runs, so that its later events
+        # bear earlier times; the operator must still read them in the order
+        # in which they happened.
+        events = []
+        for process in ("a", "b", "c"):
+            for incarnation in (1, 2):
+                times = data.draw(st.lists(st.integers(0, 50), max_size=6))
+                events += [
+                    make_event(process, n, float(t), incarnation=incarnation)
+                    for n, t in enumerate(times, 1)
+                ]
+        mixed = data.draw(st.permutations(events))
+        merged = merge_events(mixed + mixed[:3])
+        self.assertEqual(len(merged), len(events))
+        for process in ("a", "b", "c"):
+            own = [(e.incarnation, e.sequence) for e in merged if e.process == process]
+            self.assertEqual(own, sorted(own))
+
+    def test_steady_clocks_give_wall_time_order(self) -> None:
+        events = [
+            make_event("b", 1, 2.0),
+            make_event("a", 1, 1.0),
+            make_event("a", 2, 3.0),
+        ]
+        self.assertEqual([e.time_s for e in merge_events(events)], [1.0, 2.0, 3.0])
+
+
+class EventFilterTest(unittest.TestCase):
+    def test_each_field_selects(self) -> None:
+        events = [
+            make_event("entry-1", 1, 1.0, request_id="r1", target="agent-1"),
+            make_event("agent-1", 1, 2.0, version=DIGEST),
+            make_event("entry-1", 2, 3.0, version="12"),
+        ]
+        selected = EventFilter(target="agent-1").select(events)
+        self.assertEqual(selected, events[:2])
+        self.assertEqual(EventFilter(request_id="r1").select(events), events[:1])
+        self.assertEqual(EventFilter(version="ababab").select(events), events[1:2])
+        self.assertEqual(EventFilter(version="1").select(events), [])
+
+
+class RenderTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.events = [
+            make_event("entry-1", 1, 1.0, request_id="r<1>", attempt=1, target="a-2"),
+            make_event("a-2", 1, 1.001, request_id="r<1>", attempt=1, version=DIGEST),
+            make_event("a-2", 2, 600.0, kind=EventKind.INVARIANT_BROKEN, detail="x&y"),
+        ]
+
+    def test_json_goes_there_and_back(self) -> None:
+        for event in self.events:
+            document = json.loads(json.dumps(event_to_json(event)))
+            self.assertEqual(event_from_json(document), event)
+        self.assertIsNone(event_from_json({"kind": "of.tomorrow"}))
+
+    def test_text_columns_line_up(self) -> None:
+        heading, *lines = render_text(self.events)
+        self.assertEqual(heading, "-- 1970-01-01 UTC")
+        self.assertEqual({line.index("a") for line in lines[1:]}, {14})
+        self.assertIn("request=r<1>#1 target=a-2", lines[0])
+        self.assertIn("version=abababababab", lines[1])
+
+    def test_picture_is_well_formed_and_self_contained(self) -> None:
+        page = render_picture(self.events, "A <title>")
+        body = page[page.index("<body>") : page.index("</html>")]
+        tree = ET.fromstring(body)
+        circles = list(tree.iter("circle"))
+        self.assertEqual(len(circles), 3)
+        self.assertEqual(len({circle.get("cy") for circle in circles}), 2)
+        xs = [float(circle.get("cx")) for circle in circles]
+        self.assertGreaterEqual(min(b - a for a, b in itertools.pairwise(xs)), 16)
+        for outside in ("http:", "https:", "src=", "<script"):
+            self.assertNotIn(outside, page)
+
+    def test_picture_of_nothing(self) -> None:
+        self.assertIn("0 events", render_picture([]))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/reedspar/timeline/text.py
@@ -0,0 +1,50 @@
+"""A time line for a terminal: one event a line, columns aligned."""
+
+from collections.abc import Iterator, Sequence
+
+from .events import Event, format_time
+
+__all__ = ["describe_event", "render_text"]
+
+DIGEST_SHOWN = 12
+DIGEST_LENGTH = 64
+TIME_SLICE = slice(11, 23)
+
+
+def describe_event(event: Event) -> str:
+    """Return the event's fields beyond time, process and kind."""
+    parts = []
+    if event.request_id:
+        attempt = f"#{event.attempt}" if event.attempt else ""
+        parts.append(f"request={event.request_id}{attempt}")
+    if event.target and event.target != event.process:
+        parts.append(f"target={event.target}")
+    if event.model:
+        parts.append(f"model={event.model}")
+    if event.version:
+        parts.append(f"version={shorten_digest(event.version)}")
+    if event.detail:
+        parts.append(event.detail)
+    return " ".join(parts)
+
+
+def shorten_digest(version: str) -> str:
+    """Return the start of a digest; anything else whole."""
+    return version[:DIGEST_SHOWN] if len(version) == DIGEST_LENGTH else version
+
+
+def render_text(events: Sequence[Event]) -> Iterator[str]:
+    """Yield a line for each event, with a heading where the day changes."""
+    process_width = max((len(event.process) for event in events), default=0)
+    kind_width = max((len(event.kind.value) for event in events), default=0)
+    day = ""
+    for event in events:
+        moment = format_time(event.time_s)
+        if moment[:10] != day:
+            day = moment[:10]
+            yield f"-- {day} UTC"
+        line = (
+            f"{moment[TIME_SLICE]}  {event.process:<{process_width}}  "
+            f"{event.kind.value:<{kind_width}}  {describe_event(event)}"
+        )
+        yield line.rstrip()
--- a/tests/run.py
+++ b/tests/run.py
@@ -2,13 +2,15 @@
 
 Prints ``N passed, N failed, N skipped`` last.  A failure passes only if its
 test is listed in KNOWN-RED.txt; a listed test that passes again is an error,
-so that the list cannot rot.
+so that the list cannot rot.  Broken invariants are fatal in tests.
 """
 
 import sys
 import unittest
 from pathlib import Path
 
+from reedspar.telemetry import create_invariant_reporter, install_invariant_reporter
+
 __all__ = ["main"]
 
 TOP = Path(__file__).resolve().parent.parent
@@ -39,6 +41,7 @@
 
 def main() -> int:
     """Run the tests named on the command line, or all, and return the exit code."""
+    install_invariant_reporter(create_invariant_reporter(is_fatal=True))
     result = unittest.TextTestRunner(verbosity=1).run(load_tests(sys.argv[1:]))
     red = {test.id() for test, _ in [*result.failures, *result.errors]}
     red |= {test.id() for test in result.unexpectedSuccesses}
