--- /dev/null
+++ b/reedspar/admin/app.py
@@ -0,0 +1,191 @@
+"""The starlette application that serves ``/admin`` and ``/metrics``."""
+
+import json
+from typing import Any
+
+from pydantic import BaseModel, ValidationError
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from reedspar.errors import Failure, Reason, Step
+from reedspar.timeline import EventFilter, event_to_json
+
+from .models import (
+    ErrorBody,
+    EventsPage,
+    MemberList,
+    PatchAccepted,
+    PatchError,
+    PatchRefused,
+    PatchRequest,
+)
+from .sources import AdminSources
+
+__all__ = ["create_admin_app"]
+
+BODY_LIMIT_BYTES = 1024 * 1024
+EVENTS_LIMIT = 2000
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+STATUS_BY_REASON = {
+    Reason.CONFLICT: 409,
+    Reason.INVALID: 422,
+    Reason.UNAVAILABLE: 503,
+    Reason.NOT_READY: 503,
+    Reason.STALE: 503,
+    Reason.NOT_FOUND: 404,
+    Reason.OUTCOME_UNKNOWN: 504,
+    Reason.TIMEOUT: 504,
+}
+
+
+def _respond(body: BaseModel, status: int = 200) -> Response:
+    return Response(
+        body.model_dump_json(), status_code=status, media_type="application/json"
+    )
+
+
+def _respond_failure(failure: Failure) -> Response:
+    status = STATUS_BY_REASON.get(failure.reason, 500)
+    return _respond(ErrorBody.from_failure(failure), status)
+
+
+def _respond_refused(refused: PatchRefused) -> Response:
+    return _respond(refused, STATUS_BY_REASON.get(refused.reason, 500))
+
+
+def _read_number(request: Request, name: str, default: int) -> int | Failure:
+    text = request.query_params.get(name, str(default))
+    if text.isascii() and text.isdigit():
+        return int(text)
+    detail = f"{name} must be a whole number, not {text[:40]!r}"
+    return Failure(Reason.INVALID, Step.BOUND, detail=detail)
+
+
+async def _read_patch(request: Request) -> PatchRequest | PatchRefused:
+    body = bytearray()
+    async for part in request.stream():
+        body += part
+        if len(body) > BODY_LIMIT_BYTES:
+            detail = f"the body is larger than {BODY_LIMIT_BYTES} bytes"
+            return PatchRefused(reason=Reason.INVALID, step=Step.BOUND, detail=detail)
+    try:
+        return PatchRequest.model_validate(json.loads(bytes(body)))
+    except ValidationError as error:
+        errors = tuple(
+            PatchError(path=".".join(map(str, item["loc"])), message=item["msg"])
+            for item in error.errors()
+        )
+        return PatchRefused(
+            reason=Reason.INVALID, detail="not a patch request", errors=errors
+        )
+    except ValueError as error:
+        return PatchRefused(reason=Reason.INVALID, detail=f"not JSON: {error}")
+
+
+class AdminEndpoints:
+    """The endpoints of one daemon."""
+
+    def __init__(self, sources: AdminSources) -> None:
+        self._sources = sources
+
+    async def get_status(self, request: Request) -> Response:
+        """Answer with the daemon's own state."""
+        return _respond(self._sources.status.read_status())
+
+    async def get_members(self, request: Request) -> Response:
+        """Answer with the daemons that this one knows of."""
+        return _respond(MemberList(members=self._sources.members.list_members()))
+
+    async def get_configuration(self, request: Request) -> Response:
+        """Answer with the document in force here."""
+        document = self._sources.configuration.read_document()
+        if document is None:
+            return _respond_failure(
+                Failure(
+                    Reason.NOT_READY,
+                    Step.CONFIGURE,
+                    detail="no configuration was learned yet",
+                )
+            )
+        return _respond(document)
+
+    async def get_version(self, request: Request) -> Response:
+        """Answer with an earlier version, if it is still kept."""
+        version: int = request.path_params["version"]
+        found = await self._sources.configuration.read_version(version)
+        if isinstance(found, Failure):
+            return _respond_failure(found)
+        if found is None:
+            detail = f"version {version} is not kept"
+            return _respond_failure(
+                Failure(Reason.NOT_FOUND, Step.CONFIGURE, detail=detail)
+            )
+        return _respond(found)
+
+    async def post_patch(self, request: Request) -> Response:
+        """Hand a patch on, and tell its ending."""
+        patch = await _read_patch(request)
+        if isinstance(patch, PatchRefused):
+            return _respond_refused(patch)
+        result = await self._sources.configuration.apply_patch(patch)
+        if isinstance(result, PatchRefused):
+            return _respond_refused(result)
+        return _respond(PatchAccepted(version=result))
+
+    async def get_events(self, request: Request) -> Response:
+        """Answer with events after a sequence number that match the filters."""
+        after = _read_number(request, "after", 0)
+        limit = _read_number(request, "limit", EVENTS_LIMIT)
+        if isinstance(after, Failure):
+            return _respond_failure(after)
+        if isinstance(limit, Failure):
+            return _respond_failure(limit)
+        recorder = self._sources.recorder
+        page = recorder.after(after, max(1, min(limit, EVENTS_LIMIT)))
+        parameters = request.query_params
+        wanted = EventFilter(
+            parameters.get("request", ""),
+            parameters.get("target", ""),
+            parameters.get("version", ""),
+        )
+        events = tuple(event_to_json(event) for event in wanted.select(page.events))
+        return _respond(
+            EventsPage(
+                process=recorder.process,
+                incarnation=recorder.incarnation,
+                next_after=page.next_after,
+                lost_count=page.lost_count,
+                events=events,
+            )
+        )
+
+    async def get_metrics(self, request: Request) -> Response:
+        """Answer with the metrics in the Prometheus text format."""
+        return Response(self._sources.metrics.render(), media_type=METRICS_TYPE)
+
+
+async def _respond_exception(request: Request, error: Exception) -> Response:
+    """Answer a bad path or method with the same shape of error."""
+    status = getattr(error, "status_code", 500)
+    reason = Reason.NOT_FOUND if status == 404 else Reason.INVALID
+    failure = Failure(reason, Step.BOUND, detail=getattr(error, "detail", ""))
+    body: dict[str, Any] = ErrorBody.from_failure(failure).model_dump(mode="json")
+    return JSONResponse(body, status)
+
+
+def create_admin_app(sources: AdminSources) -> Starlette:
+    """Make the application; its paths begin with ``/admin`` and ``/metrics``."""
+    ends = AdminEndpoints(sources)
+    routes = [
+        Route("/admin/status", ends.get_status),
+        Route("/admin/members", ends.get_members),
+        Route("/admin/configuration", ends.get_configuration),
+        Route("/admin/configuration/versions/{version:int}", ends.get_version),
+        Route("/admin/configuration/patches", ends.post_patch, methods=["POST"]),
+        Route("/admin/events", ends.get_events),
+        Route("/metrics", ends.get_metrics),
+    ]
+    handlers: dict[Any, Any] = {404: _respond_exception, 405: _respond_exception}
+    return Starlette(routes=routes, exception_handlers=handlers)
--- /dev/null
+++ b/reedspar/admin/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the operators' HTTP interface."""
--- /dev/null
+++ b/reedspar/admin/tests/fakes.py
@@ -0,0 +1,148 @@
+"""A daemon's sources in memory, for tests of the interface and of the tool."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from pydantic import ValidationError
+
+from reedspar.admin import (
+    AdminSources,
+    DaemonStatus,
+    MemberStatus,
+    PatchError,
+    PatchRefused,
+    PatchRequest,
+)
+from reedspar.configuration import ConfigurationDocument, PatchRecord
+from reedspar.errors import Reason, Step
+from reedspar.links.messages import Role
+from reedspar.telemetry import create_metrics
+from reedspar.timeline import EventRecorder
+
+
+def merge(document: Any, patch: Any) -> Any:
+    """Apply a merge patch as RFC 7386 has it."""
+    if not isinstance(patch, dict):
+        return patch
+    merged = dict(document) if isinstance(document, dict) else {}
+    for key, value in patch.items():
+        if value is None:
+            merged.pop(key, None)
+        else:
+            merged[key] = merge(merged.get(key), value)
+    return merged
+
+
+@dataclass
+class FakeConfiguration:
+    """A store that applies patches, and can be told to fail."""
+
+    documents: list[ConfigurationDocument] = field(
+        default_factory=lambda: [ConfigurationDocument(version=1)]
+    )
+    is_down: bool = False
+    lost_answers: int = 0
+    """So many of the next answers are lost after the patch took effect."""
+    calls: list[PatchRequest] = field(default_factory=list)
+
+    def read_document(self):
+        return self.documents[-1]
+
+    async def read_version(self, version):
+        found = [d for d in self.documents if d.version == version]
+        return found[0] if found else None
+
+    async def apply_patch(self, request):
+        self.calls.append(request)
+        current = self.documents[-1]
+        if self.is_down:
+            return PatchRefused(
+                reason=Reason.UNAVAILABLE, step=Step.KEY_VALUE, peer="10.0.0.9:2379"
+            )
+        for record in current.history:
+            if record.patch_id == request.patch_id:
+                return record.version
+        if request.base_version != current.version:
+            return PatchRefused(reason=Reason.CONFLICT, current_version=current.version)
+        return self._accept(current, request)
+
+    def _accept(self, current, request):
+        version = current.version + 1
+        record = PatchRecord(
+            patch_id=request.patch_id,
+            version=version,
+            author=request.author,
+            summary=request.summary,
+            accepted_at="2026-12-02T23:00:00Z",
+        )
+        document = merge(current.model_dump(mode="json"), request.patch)
+        document["version"] = version
+        document["history"] = [*document["history"], record.model_dump()]
+        try:
+            self.documents.append(ConfigurationDocument.model_validate(document))
+        except ValidationError as error:
+            errors = tuple(
+                PatchError(path=".".join(map(str, e["loc"])), message=e["msg"])
+                for e in error.errors()
+            )
+            return PatchRefused(reason=Reason.INVALID, errors=errors)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            return PatchRefused(
+                reason=Reason.OUTCOME_UNKNOWN, step=Step.KEY_VALUE, peer="10.0.0.9:2379"
+            )
+        return version
+
+
+@dataclass
+class FakeDaemon:
+    """One daemon with all sources."""
+
+    name: str = "entry-1"
+    role: Role = Role.ENTRY
+    zone: str = "kingston-a"
+    http_port: int = 8001
+    configuration: FakeConfiguration = field(default_factory=FakeConfiguration)
+    config_version: int | None = None
+    members: tuple[MemberStatus, ...] = ()
+    details: dict[str, Any] = field(default_factory=dict)
+    freshness_age_s: float | None = 0.2
+
+    def __post_init__(self):
+        self.recorder = EventRecorder(self.name, 3, wall_clock=lambda: 1_000_000.5)
+        self.metrics = create_metrics(self.name)
+
+    def as_member(self) -> MemberStatus:
+        return MemberStatus(
+            name=self.name,
+            role=self.role,
+            zone=self.zone,
+            region="kingston",
+            host="127.0.0.1",
+            port=self.http_port + 1000,
+            http_port=self.http_port,
+            state="live",
+        )
+
+    def list_members(self):
+        return self.members or (self.as_member(),)
+
+    def read_status(self):
+        version = self.config_version
+        if version is None:
+            version = self.configuration.read_document().version
+        return DaemonStatus(
+            name=self.name,
+            role=self.role,
+            zone=self.zone,
+            region="kingston",
+            incarnation=3,
+            config_version=version,
+            freshness_age_s=self.freshness_age_s,
+            is_ready=True,
+            is_draining=False,
+            details=self.details,
+        )
+
+    def sources(self) -> AdminSources:
+        return AdminSources(self, self, self.configuration, self.recorder, self.metrics)
