--- a/reedspar/requests/attempt_client.py
+++ b/reedspar/requests/attempt_client.py
@@ -137,7 +137,9 @@
         """Ask the agent to revoke or cancel; its word is awaited as before."""
         start = attempt.assembly.start
         attempt.assembly.is_cancelled = True
-        message = AttemptCancel(start.request_id, start.attempt)
+        message = AttemptCancel(
+            start.request_id, start.attempt, start.agent_incarnation
+        )
         self._network.send(attempt.target, message)
 
     def take(self, attempt: OpenAttempt) -> bytes:
@@ -186,7 +188,12 @@
         attempt.asked_s = self._timers.now_s()
         self.counts.resumed += 1
         start = assembly.start
-        message = AttemptResume(start.request_id, start.attempt, assembly.size_bytes)
+        message = AttemptResume(
+            start.request_id,
+            start.attempt,
+            assembly.size_bytes,
+            start.agent_incarnation,
+        )
         self._network.send(attempt.target, message)
 
     def _ack(self, attempt: OpenAttempt, *, is_complete: bool) -> None:
