Learn, spread and confirm the configuration; keep a view of daemons

A fixed number of daemons per zone watch the key-value service; the rest learn by pushes to three random peers. Evidence of freshness is dated by the peer's clock, tied by a round trip: an age in a frame proves nothing once the frame has waited in a socket of a stopped process. Not yet measured.

--- a/reedspar/configuration/__init__.py
+++ b/reedspar/configuration/__init__.py
@@ -1,5 +1,10 @@
 """The one numbered configuration document, its patches, and how it spreads."""
 
+from .controller import (
+    ConfigurationController,
+    ConfigurationCounters,
+    create_configuration_controller,
+)
 from .document import (
     ConfigurationDocument,
     ModelVersion,
@@ -9,13 +14,31 @@
     WorkspaceConfiguration,
     ZoneState,
 )
+from .messages import register_messages
+from .patching import PatchRequest, parse_patch
+from .store import (
+    AcceptedPatch,
+    ConfigurationStore,
+    StoredConfiguration,
+    create_configuration_store,
+)
 
 __all__ = [
+    "AcceptedPatch",
+    "ConfigurationController",
+    "ConfigurationCounters",
     "ConfigurationDocument",
+    "ConfigurationStore",
     "ModelVersion",
     "PatchRecord",
+    "PatchRequest",
     "PoolConfiguration",
     "PoolKind",
+    "StoredConfiguration",
     "WorkspaceConfiguration",
     "ZoneState",
+    "create_configuration_controller",
+    "create_configuration_store",
+    "parse_patch",
+    "register_messages",
 ]
--- /dev/null
+++ b/reedspar/configuration/controller.py
@@ -0,0 +1,379 @@
+"""Hold the configuration in force: learn it, pass it on, and know how fresh it is."""
+
+import random
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from reedspar.errors import Failure, InvariantError, Reason, Step
+from reedspar.links import Network
+from reedspar.messages import Sender
+from reedspar.platform import KeyValueStore
+from reedspar.settings import DaemonSettings
+from reedspar.timers import TimerService
+
+from .document import ConfigurationDocument
+from .exchange import FreshnessExchange
+from .fetching import DocumentFetch
+from .freshness import age_to_ms
+from .messages import ConfigurationOffer, ConfigurationRequest
+from .patching import DOCUMENT_LIMIT_BYTES, PatchRequest, encode_document
+from .store import (
+    AcceptedPatch,
+    ConfigurationStore,
+    create_configuration_store,
+    decode_document,
+    decode_entry,
+)
+from .view import DaemonView
+from .watching import (
+    KeyValueWatch,
+    Spawn,
+    WatcherRole,
+    WatchResult,
+    create_key_value_watch,
+)
+
+__all__ = [
+    "ConfigurationController",
+    "ConfigurationCounters",
+    "create_configuration_controller",
+]
+
+TICK_S = 0.25
+WATCH_S = 0.5
+"""Short, since an answer proves only what was newest when the call began."""
+WATCH_RETRY_S = 0.5
+READ_LAG_S = 0.5
+"""An older read of the key-value service is at most this old (an assumption)."""
+TELL_INTERVAL_S = 1.0
+TOLD_LIMIT = 1024
+ATTEST_HOLD_S = 1.5
+"""After a start or a pause, time to hear what the zone learned meanwhile."""
+LONE_READ_FIRST_S = 4.0
+LONE_READ_LIMIT_S = 60.0
+
+ChangeListener = Callable[[ConfigurationDocument], None]
+
+
+@dataclass(slots=True)
+class ConfigurationCounters:
+    """Counts for telemetry."""
+
+    adopted: int = 0
+    requests: int = 0
+    offers: int = 0
+    bad_offers: int = 0
+    watch_calls: int = 0
+    watch_failures: int = 0
+    old_reads: int = 0
+
+
+class ConfigurationController:
+    """Adopts newer documents only, and tells whether work may start."""
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        network: Network,
+        timers: TimerService,
+        watch: KeyValueWatch,
+        store: ConfigurationStore,
+        view: DaemonView,
+        rng: random.Random,
+    ) -> None:
+        self._name = settings.name
+        self._zone = settings.zone
+        self._freshness_s = settings.requests.freshness_s
+        self._network = network
+        self._timers = timers
+        self._watch = watch
+        self._store = store
+        self._view = view
+        self._rng = rng
+        self._document: ConfigurationDocument | None = None
+        self._offer: ConfigurationOffer | None = None
+        self._is_ready = False
+        self._revision = 0
+        self._revision_version = 0
+        self._attest_after_s = float("inf")
+        self._watch_after_s = 0.0
+        self._lone_read_wait_s = LONE_READ_FIRST_S
+        self._lone_read_s = timers.now_s() + LONE_READ_FIRST_S * (0.5 + rng.random())
+        self._told_s: dict[str, float] = {}
+        self._listeners: list[ChangeListener] = []
+        self._role = WatcherRole(settings.name, settings.zone)
+        self._fetch = DocumentFetch()
+        self._exchange = FreshnessExchange(
+            network, timers, view, rng, lambda: self.version, self.note_sender
+        )
+        self.counters = ConfigurationCounters()
+
+    @property
+    def version(self) -> int:
+        """Return the number in force; 0 before any is known."""
+        return 0 if self._document is None else self._document.version
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the version was ever known to be the newest."""
+        return self._is_ready
+
+    @property
+    def age_s(self) -> float:
+        """Return how long ago the version was surely the newest."""
+        return self._exchange.age_s()
+
+    @property
+    def fresh_age_ms(self) -> int:
+        """Return that age for `Sender`; it informs people and proves nothing."""
+        age_s = self._exchange.age_s()
+        return age_to_ms(None if age_s == float("inf") else age_s)
+
+    @property
+    def is_watching(self) -> bool:
+        """Tell whether this daemon watches the key-value service now."""
+        age_s = self._exchange.zone_age_s(self._zone)
+        return self._role.is_active(self._timers.now_s(), age_s)
+
+    def current(self) -> ConfigurationDocument | None:
+        """Return the document in force."""
+        return self._document
+
+    def on_change(self, listener: ChangeListener) -> None:
+        """Call `listener` with each document that comes into force."""
+        self._listeners.append(listener)
+
+    def start(self) -> None:
+        """Subscribe to messages and timers."""
+        self._network.subscribe(ConfigurationRequest, self._on_request)
+        self._network.subscribe(ConfigurationOffer, self._on_offer)
+        self._view.on_change(self._on_view_change)
+        self._timers.on_pause(self._on_pause)
+        self._on_view_change()
+        self._timers.call_after(self._rng.random() * TICK_S, self._start_ticks)
+
+    def may_start_work(self, zone: str) -> Failure | None:
+        """Return why no work may start in `zone` now, or None if it may.
+
+        Call it before each start, at the entry and at the agent: it notices a
+        pause that no timer has noticed yet.
+        """
+        self._timers.check_pause()
+        if self._document is None or not self._is_ready:
+            return Failure(Reason.NOT_READY, Step.CONFIGURE, retry_after_s=1.0)
+        age_s = self._exchange.age_s()
+        if age_s > self._freshness_s:
+            detail = f"version {self.version} was last known to be the newest "
+            detail += "never" if age_s == float("inf") else f"{age_s:.1f} s ago"
+            return Failure(
+                Reason.STALE, Step.CONFIGURE, detail=detail, retry_after_s=1.0
+            )
+        if not self._document.is_zone_in(zone):
+            return Failure(Reason.ZONE_OUT, Step.CONFIGURE, detail=zone)
+        return None
+
+    def adopt(self, document: ConfigurationDocument) -> None:
+        """Bring a newer document into force; the same number does nothing."""
+        if document.version < self.version:
+            raise InvariantError(
+                f"configuration would revert from {self.version} to {document.version}"
+            )
+        if document.version == self.version:
+            return
+        self._document = document
+        self._offer = None
+        self._fetch.note_adopted(document.version)
+        self.counters.adopted += 1
+        for listener in self._listeners:
+            listener(document)
+        self._exchange.push()
+
+    async def accept(self, request: PatchRequest) -> AcceptedPatch | Failure:
+        """Accept an operator's patch; see `ConfigurationStore.accept`."""
+        others = len(self._view.zone_members(self._zone)) > 1
+        if others and not self._network.peers():
+            # The promise that an accepted version is in force within seconds
+            # rests on the accepting daemon telling others.
+            detail = "this daemon is cut off from the others; ask another one"
+            return Failure(Reason.UNAVAILABLE, Step.CONFIGURE, detail=detail)
+        result = await self._store.accept(request, self.version)
+        if isinstance(result, AcceptedPatch) and result.document.version > self.version:
+            self.adopt(result.document)
+        return result
+
+    def note_sender(self, sender: Sender) -> None:
+        """Take in the version that a frame, whatever its payload, has shown."""
+        if sender.config_version > self.version:
+            self._fetch.note_version(sender.name, sender.config_version, self.version)
+            self._request_document()
+        elif sender.config_version < self.version:
+            now_s = self._timers.now_s()
+            told_s = self._told_s.get(sender.name, float("-inf"))
+            if now_s - told_s >= TELL_INTERVAL_S:
+                self._told_s[sender.name] = now_s
+                self._exchange.tell(sender.name)
+
+    def _start_ticks(self) -> None:
+        self._timers.call_every(TICK_S, self._run_tick)
+
+    def _run_tick(self) -> None:
+        now_s = self._timers.now_s()
+        if len(self._told_s) > TOLD_LIMIT:
+            self._told_s.clear()
+        self._note_ready()
+        if self.is_watching and self._view.is_seeded:
+            if self._may_attest(now_s):
+                self._exchange.table.note_attested(self._zone, now_s)
+            self._start_watch()
+        elif not self._is_ready and now_s >= self._lone_read_s:
+            self._read_alone(now_s)
+        self._request_document()
+        self._exchange.run_tick()
+
+    def _note_ready(self) -> None:
+        if self._is_ready or self._document is None:
+            return
+        if self._exchange.age_s() <= self._freshness_s:
+            self._is_ready = True
+            self._attest_after_s = self._timers.now_s() + ATTEST_HOLD_S
+
+    def _may_attest(self, now_s: float) -> bool:
+        """Tell whether this daemon would know what its zone has learned.
+
+        A watcher that was stopped, or that no other daemon of its zone can
+        reach, would vouch for a version that its zone has left behind, and a
+        zone that was taken out would go on getting work.
+        """
+        others = set(self._view.zone_members(self._zone)) - {self._name}
+        is_in_touch = not others or not others.isdisjoint(self._network.peers())
+        return self._is_ready and is_in_touch and now_s >= self._attest_after_s
+
+    def _start_watch(self) -> None:
+        started_s = self._timers.now_s()
+        if self._watch.is_waiting or started_s < self._watch_after_s:
+            return
+        pause_count = self._timers.pause_count
+        self.counters.watch_calls += 1
+        self._watch.start(
+            self._revision,
+            WATCH_S,
+            lambda result: self._on_watch_result(started_s, pause_count, result),
+        )
+
+    def _read_alone(self, now_s: float) -> None:
+        """Read the service though not a watcher: nobody has told the version yet.
+
+        Waits ever longer and at random, so that a fleet which starts all at once
+        without an instance list does not overload the service.
+        """
+        self._lone_read_wait_s = min(self._lone_read_wait_s * 2, LONE_READ_LIMIT_S)
+        self._lone_read_s = now_s + self._lone_read_wait_s * (0.5 + self._rng.random())
+        self._start_watch()
+
+    def _on_watch_result(
+        self, started_s: float, pause_count: int, result: WatchResult
+    ) -> None:
+        if isinstance(result, Failure):
+            self._note_watch_failure()
+            return
+        if result is not None:
+            stored = decode_entry(result)
+            if isinstance(stored, Failure):
+                self._note_watch_failure()
+                return
+            if result.revision < self._revision or stored.document.version < (
+                self.version
+            ):
+                self.counters.old_reads += 1
+                self._watch_after_s = self._timers.now_s() + WATCH_RETRY_S
+                return
+            self._revision = result.revision
+            self._revision_version = stored.document.version
+            self.adopt(stored.document)
+        # Without an answer newer than the revision that was asked about, the
+        # version is the newest, but only if the revision is this version's.
+        is_current = 0 < self._revision_version == self.version
+        if is_current and pause_count == self._timers.pause_count:
+            self._exchange.table.note_confirmed(started_s - READ_LAG_S)
+            self._note_ready()
+        if self.is_watching:
+            self._start_watch()
+
+    def _note_watch_failure(self) -> None:
+        self.counters.watch_failures += 1
+        self._watch_after_s = self._timers.now_s() + WATCH_RETRY_S
+
+    def _request_document(self) -> None:
+        peer = self._fetch.next_peer(self._timers.now_s())
+        if peer is not None:
+            self.counters.requests += 1
+            self._network.send(peer, ConfigurationRequest(self.version))
+
+    def _on_request(self, sender: Sender, message: ConfigurationRequest) -> None:
+        if self._document is None or self._document.version <= message.held_version:
+            return
+        if self._offer is None:
+            data = zlib.compress(encode_document(self._document))
+            self._offer = ConfigurationOffer(self._document.version, data)
+        self.counters.offers += 1
+        self._network.send(sender.name, self._offer)
+
+    def _on_offer(self, sender: Sender, message: ConfigurationOffer) -> None:
+        if message.version <= self.version:
+            return
+        document = _decode_offer(message)
+        if document is None:
+            self.counters.bad_offers += 1
+            self._fetch.note_bad_offer(sender.name)
+            self._request_document()
+            return
+        self.adopt(document)
+
+    def _on_view_change(self) -> None:
+        self._role.note_members(self._view.zone_members(self._zone))
+        self._exchange.table.retain_zones(self._view.zones())
+
+    def _on_pause(self, gap_s: float) -> None:
+        self._exchange.lapse()
+        if self._is_ready:
+            self._attest_after_s = self._timers.now_s() + ATTEST_HOLD_S
+
+
+def _decode_offer(offer: ConfigurationOffer) -> ConfigurationDocument | None:
+    """Return the document, or None if it is damaged or has another number."""
+    inflater = zlib.decompressobj()
+    try:
+        data = inflater.decompress(offer.document, DOCUMENT_LIMIT_BYTES + 1)
+    except zlib.error:
+        return None
+    if len(data) > DOCUMENT_LIMIT_BYTES or not inflater.eof:
+        return None
+    document = decode_document(data)
+    if isinstance(document, Failure) or document.version != offer.version:
+        return None
+    return document
+
+
+def create_configuration_controller(
+    settings: DaemonSettings,
+    network: Network,
+    timers: TimerService,
+    key_value: KeyValueStore,
+    view: DaemonView,
+    spawn: Spawn,
+    rng: random.Random | None = None,
+) -> ConfigurationController:
+    """Make a controller; `spawn` is a task group's `start_soon`.
+
+    Call `start` once, and `note_sender` with every frame's sender.
+    """
+    return ConfigurationController(
+        settings,
+        network,
+        timers,
+        create_key_value_watch(key_value, spawn),
+        create_configuration_store(key_value),
+        view,
+        rng or random.Random(),
+    )
--- /dev/null
+++ b/reedspar/configuration/exchange.py
@@ -0,0 +1,143 @@
+"""Pass evidence of freshness between daemons: beacons, and ties of clocks."""
+
+import random
+from collections.abc import Callable
+
+from reedspar.links import Network
+from reedspar.messages import Sender
+from reedspar.timers import TimerService
+
+from .freshness import FreshnessTable, PeerClocks
+from .messages import ClockProbe, ClockReply, FreshnessBeacon
+from .view import DaemonView
+
+__all__ = ["FreshnessExchange"]
+
+FANOUT = 3
+"""Peers that each push goes to; random, so that no stopped peer cuts others off."""
+PUSH_GAIN_S = 0.5
+"""Evidence that is newer by less is not worth a push while all is well."""
+DOUBT_AGE_S = 1.5
+"""Evidence older than this is passed on, and asked for, at every tick."""
+DOUBT_GAIN_S = 0.1
+
+
+class FreshnessExchange:
+    """Spreads evidence by pushes to a few random peers, and asks when it gets old."""
+
+    def __init__(
+        self,
+        network: Network,
+        timers: TimerService,
+        view: DaemonView,
+        rng: random.Random,
+        held_version: Callable[[], int],
+        note_sender: Callable[[Sender], None],
+    ) -> None:
+        self._network = network
+        self._timers = timers
+        self._view = view
+        self._rng = rng
+        self._held_version = held_version
+        self._note_sender = note_sender
+        self._clocks = PeerClocks()
+        self._table = FreshnessTable()
+        self._pushed_s = float("-inf")
+        network.subscribe(ClockProbe, self._on_probe)
+        network.subscribe(ClockReply, self._on_reply)
+        network.subscribe(FreshnessBeacon, self._on_beacon)
+
+    @property
+    def table(self) -> FreshnessTable:
+        """Return the evidence at hand."""
+        return self._table
+
+    def age_s(self) -> float:
+        """Return the age of the evidence in seconds; infinite without any."""
+        as_of_s = self._table.as_of_s(self._view.zones())
+        return float("inf") if as_of_s is None else self._timers.now_s() - as_of_s
+
+    def zone_age_s(self, zone: str) -> float:
+        """Return the age of a zone's newest word."""
+        attested_s = self._table.attested_s(zone)
+        return float("inf") if attested_s is None else self._timers.now_s() - attested_s
+
+    def lapse(self) -> None:
+        """Drop all evidence and all ties of clocks."""
+        self._table.lapse()
+        self._clocks.lapse()
+        self._pushed_s = float("-inf")
+
+    def run_tick(self) -> None:
+        """Push what is newer; ask a few peers when the evidence gets old."""
+        as_of_s = self._table.as_of_s(self._view.zones())
+        now_s = self._timers.now_s()
+        is_doubtful = as_of_s is None or now_s - as_of_s > DOUBT_AGE_S
+        newest_s = self._newest_s()
+        gain_s = DOUBT_GAIN_S if is_doubtful else PUSH_GAIN_S
+        if newest_s - self._pushed_s >= gain_s:
+            self._pushed_s = newest_s
+            self.push()
+        if is_doubtful:
+            for peer in self._choose_peers():
+                self._probe(peer)
+
+    def push(self) -> None:
+        """Send a beacon, and with it the own version, to a few peers."""
+        beacon = self._make_beacon()
+        for peer in self._choose_peers():
+            self._network.send(peer, beacon)
+
+    def tell(self, peer: str) -> None:
+        """Send a beacon to one peer."""
+        self._network.send(peer, self._make_beacon())
+
+    def _newest_s(self) -> float:
+        """Return a time that grows whenever some evidence got newer."""
+        times = [self._table.confirmed_s]
+        times += [self._table.attested_s(zone) for zone in self._view.zones()]
+        known = [time_s for time_s in times if time_s is not None]
+        return max(known, default=float("-inf"))
+
+    def _choose_peers(self) -> list[str]:
+        peers = self._network.peers()
+        return self._rng.sample(peers, min(FANOUT, len(peers)))
+
+    def _make_beacon(self) -> FreshnessBeacon:
+        zones = self._view.zones()
+        return self._table.make_beacon(self._timers.now_s(), self._clock_ms(), zones)
+
+    def _clock_ms(self) -> int:
+        return int(self._timers.now_s() * 1000)
+
+    def _probe(self, peer: str) -> None:
+        nonce = self._clocks.begin_probe(peer, self._timers.now_s())
+        if nonce is not None:
+            self._network.send(peer, ClockProbe(nonce))
+
+    def _on_probe(self, sender: Sender, message: ClockProbe) -> None:
+        self._note_sender(sender)
+        reply = ClockReply(message.nonce, self._clock_ms())
+        self._network.send(sender.name, reply)
+        self.tell(sender.name)
+
+    def _on_reply(self, sender: Sender, message: ClockReply) -> None:
+        self._note_sender(sender)
+        self._clocks.note_reply(
+            sender.name, sender.incarnation, message.nonce, message.clock_ms
+        )
+
+    def _on_beacon(self, sender: Sender, message: FreshnessBeacon) -> None:
+        self._note_sender(sender)
+        # Evidence about an older version stays true for a newer one.  The other
+        # way round it would hide the newer version from this daemon.
+        if sender.config_version == 0 or sender.config_version > self._held_version():
+            return
+        now_s = self._timers.now_s()
+        if self._clocks.needs_probe(sender.name, sender.incarnation, now_s):
+            self._probe(sender.name)
+        written_s = self._clocks.earliest_s(
+            sender.name, sender.incarnation, message.clock_ms, now_s
+        )
+        if written_s is not None:
+            self._table.note_beacon(message, written_s)
--- /dev/null
+++ b/reedspar/membership/membership.capnp
@@ -0,0 +1,22 @@
+@0xe2b7409d5c61fa38;
+# News of daemons, passed on by whoever it was news to.
+
+struct MemberNotice {
+  kind @0 :Text;
+  name @1 :Text;
+  incarnation @2 :UInt64;
+  # 0: seen in the instance list, which knows no incarnations.
+  observedMs @3 :UInt64;
+  # Wall clock of the observer; the later one of two notices wins.
+  role @4 :Text;
+  zone @5 :Text;
+  region @6 :Text;
+  host @7 :Text;
+  port @8 :UInt16;
+  httpPort @9 :UInt16;
+  pool @10 :Text;
+}
+
+struct MemberNews {
+  notices @0 :List(MemberNotice);
+}
--- /dev/null
+++ b/reedspar/membership/polling.py
@@ -0,0 +1,71 @@
+"""How often to read the instance list, and what changed between two reads."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from reedspar.platform import InstanceRecord, InstanceState
+from reedspar.utils import rank_by_rendezvous
+
+from .messages import MemberNotice, NoticeKind, make_notice
+
+__all__ = ["ListDifferences", "is_poller", "poll_interval_s"]
+
+RECORD_SIZE_BYTES = 200
+POLLERS_PER_ZONE = 2
+POLLER_BYTES_PER_S = 4000
+"""What reading the list may cost a poller; it tells the others what changed."""
+OTHER_BYTES_PER_S = 1000
+"""What it may cost anybody else, to heal what news has missed."""
+
+
+def is_poller(own: InstanceRecord, zone_members: Iterable[str]) -> bool:
+    """Tell whether this daemon is one of its zone's pollers."""
+    ranked = rank_by_rendezvous(f"membership/poll/{own.zone}", zone_members)
+    return own.name in ranked[:POLLERS_PER_ZONE]
+
+
+def poll_interval_s(least_s: float, record_count: int, is_polling: bool) -> float:
+    """Return the time between two reads, so that their bytes stay bounded.
+
+    The whole list comes with each read, so its cost grows with the fleet while
+    a daemon's allowance does not.
+    """
+    budget = POLLER_BYTES_PER_S if is_polling else OTHER_BYTES_PER_S
+    return max(least_s, record_count * RECORD_SIZE_BYTES / budget)
+
+
+@dataclass(slots=True)
+class ListDifferences:
+    """Compares each read with the one before, not with the view.
+
+    Pollers' lists lag differently.  Against the view, a poller with an older
+    list would bring back what another has seen removed, and the view would flap.
+    """
+
+    _previous: dict[str, InstanceRecord] = field(default_factory=dict)
+    _has_read: bool = False
+
+    def note_list(
+        self, records: Iterable[InstanceRecord], observed_ms: int
+    ) -> list[MemberNotice]:
+        """Return news of what changed since the last read; none on the first."""
+        listed = {record.name: record for record in records}
+        previous, self._previous = self._previous, listed
+        if not self._has_read:
+            self._has_read = True
+            return []
+        notices = []
+        for name, record in listed.items():
+            old = previous.get(name)
+            if old is None:
+                kind = NoticeKind.JOINED
+            elif old.state is not record.state:
+                is_leaving = record.state is InstanceState.LEAVING
+                kind = NoticeKind.LEAVING if is_leaving else NoticeKind.JOINED
+            else:
+                continue
+            notices.append(make_notice(kind, record, 0, observed_ms))
+        for name in previous.keys() - listed.keys():
+            kind = NoticeKind.REMOVED
+            notices.append(make_notice(kind, previous[name], 0, observed_ms))
+        return notices
--- /dev/null
+++ b/reedspar/membership/subsets.py
@@ -0,0 +1,64 @@
+"""Which links a daemon opens, so that load is even and every zone is covered.
+
+An agent dials a few entries of its own zone: so each agent has equally many
+links, whatever the sizes of the fleets.  An entry dials a few agents of each
+pool in each other zone: so no zone is out of its reach.  Both choose by
+rendezvous hashing, so one daemon that comes or goes moves only its own links.
+Costs and the ways ruled out are in docs/design/membership.md.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+from reedspar.platform import InstanceRecord
+from reedspar.utils import rank_by_rendezvous
+
+__all__ = ["choose_agents", "choose_entries", "choose_neighbours"]
+
+ENTRIES_PER_AGENT = 4
+AGENTS_PER_POOL = 8
+"""Agents that an entry dials in each pool, spread over the zones."""
+NEIGHBOURS = 2
+
+
+def choose_entries(
+    own: InstanceRecord, entries: Iterable[InstanceRecord]
+) -> list[InstanceRecord]:
+    """Return the entries that an agent dials: of its zone, or else of any."""
+    records = list(entries)
+    near = [record for record in records if record.zone == own.zone]
+    chosen = _rank(own, near)[:ENTRIES_PER_AGENT]
+    if len(chosen) < ENTRIES_PER_AGENT:
+        far = [record for record in records if record.zone != own.zone]
+        chosen += _rank(own, far)[: ENTRIES_PER_AGENT - len(chosen)]
+    return chosen
+
+
+def choose_agents(
+    own: InstanceRecord, agents: Iterable[InstanceRecord]
+) -> list[InstanceRecord]:
+    """Return the agents that an entry dials, for each pool a few in each zone."""
+    by_place: dict[str, dict[str, list[InstanceRecord]]] = defaultdict(dict)
+    for record in agents:
+        by_place[record.pool].setdefault(record.zone, []).append(record)
+    chosen = []
+    for zones in by_place.values():
+        per_zone = max(1, -(-AGENTS_PER_POOL // len(zones)))
+        for records in zones.values():
+            chosen += _rank(own, records)[:per_zone]
+    return chosen
+
+
+def choose_neighbours(
+    own: InstanceRecord, entries: Iterable[InstanceRecord]
+) -> list[InstanceRecord]:
+    """Return the other entries that an entry dials, so that news gets around."""
+    others = [record for record in entries if record.name != own.name]
+    return _rank(own, others)[:NEIGHBOURS]
+
+
+def _rank(
+    own: InstanceRecord, records: Iterable[InstanceRecord]
+) -> list[InstanceRecord]:
+    by_name = {record.name: record for record in records}
+    return [by_name[name] for name in rank_by_rendezvous(own.name, by_name)]
