--- a/reedspar/admin/models.py
+++ b/reedspar/admin/models.py
@@ -8,7 +8,9 @@
 from reedspar.links.messages import Role
 
 __all__ = [
+    "AgentStatus",
     "DaemonStatus",
+    "EntryStatus",
     "ErrorBody",
     "EventsPage",
     "LinkStatus",
@@ -18,9 +20,10 @@
     "PatchError",
     "PatchRefused",
     "PatchRequest",
+    "TransferStatus",
 ]
 
-PATCH_ID_PATTERN = r"^[A-Za-z0-9._-]{8,64}$"
+PATCH_ID_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{7,63}$"
 
 
 class Body(BaseModel):
@@ -37,6 +40,40 @@
     silence_s: float = 0.0
 
 
+class TransferStatus(Body):
+    """How far a version of a model has come at one target."""
+
+    model: str
+    root_digest: str
+    phase: str = Field(
+        description="waiting, fetching, staged, loading, offered or failed."
+    )
+    bytes_held: int = 0
+    bytes_total: int = 0
+    detail: str = ""
+
+
+class AgentStatus(Body):
+    """What a target agent says of its target."""
+
+    pool: str
+    target_status: str = Field(description="cold, ready, leaving or down.")
+    in_flight: int = 0
+    queued: int = 0
+    limit: int = 0
+    offered: dict[str, str] = Field(
+        default_factory=dict, description="Root digest offered, by model."
+    )
+    transfers: tuple[TransferStatus, ...] = ()
+
+
+class EntryStatus(Body):
+    """What an entry says of its work."""
+
+    in_flight: int = 0
+    target_count: int = Field(0, description="Targets that it may choose now.")
+
+
 class DaemonStatus(Body):
     """What a daemon says of itself."""
 
@@ -53,13 +90,8 @@
     is_draining: bool
     uptime_s: float = 0.0
     links: tuple[LinkStatus, ...] = ()
-    details: dict[str, Any] = Field(
-        default_factory=dict,
-        description="By role.  An agent: pool, target_status, in_flight, queued, "
-        "limit, offered (model: digest), transfers (model: {version, root_digest, "
-        "chunks_held, chunks_total, bytes_held, bytes_total, phase}).  "
-        "An entry: in_flight, targets.",
-    )
+    agent: AgentStatus | None = None
+    entry: EntryStatus | None = None
 
 
 class MemberStatus(Body):
@@ -92,7 +124,7 @@
     base_version: int = Field(ge=0)
     patch_id: Annotated[str, Field(pattern=PATCH_ID_PATTERN)]
     author: str = Field("", max_length=100)
-    summary: str = Field("", max_length=500)
+    summary: str = Field("", max_length=200)
     patch: dict[str, Any] = Field(description="JSON merge patch (RFC 7386).")
 
 
--- a/reedspar/admin/tests/fakes.py
+++ b/reedspar/admin/tests/fakes.py
@@ -1,12 +1,12 @@
 """A daemon's sources in memory, for tests of the interface and of the tool."""
 
 from dataclasses import dataclass, field
-from typing import Any
 
 from pydantic import ValidationError
 
 from reedspar.admin import (
     AdminSources,
+    AgentStatus,
     DaemonStatus,
     MemberStatus,
     PatchError,
@@ -14,25 +14,13 @@
     PatchRequest,
 )
 from reedspar.configuration import ConfigurationDocument, PatchRecord
+from reedspar.configuration.patching import merge_patch
 from reedspar.errors import Reason, Step
 from reedspar.links.messages import Role
 from reedspar.telemetry import create_metrics
 from reedspar.timeline import EventRecorder
 
 
-def merge(document: Any, patch: Any) -> Any:
-    """Apply a merge patch as RFC 7386 has it."""
-    if not isinstance(patch, dict):
-        return patch
-    merged = dict(document) if isinstance(document, dict) else {}
-    for key, value in patch.items():
-        if value is None:
-            merged.pop(key, None)
-        else:
-            merged[key] = merge(merged.get(key), value)
-    return merged
-
-
 @dataclass
 class FakeConfiguration:
     """A store that applies patches, and can be told to fail."""
@@ -75,7 +63,7 @@
             summary=request.summary,
             accepted_at="2026-12-02T23:00:00Z",
         )
-        document = merge(current.model_dump(mode="json"), request.patch)
+        document = merge_patch(current.model_dump(mode="json"), request.patch)
         document["version"] = version
         document["history"] = [*document["history"], record.model_dump()]
         try:
@@ -105,7 +93,7 @@
     configuration: FakeConfiguration = field(default_factory=FakeConfiguration)
     config_version: int | None = None
     members: tuple[MemberStatus, ...] = ()
-    details: dict[str, Any] = field(default_factory=dict)
+    agent: AgentStatus | None = None
     freshness_age_s: float | None = 0.2
 
     def __post_init__(self):
@@ -122,6 +110,7 @@
             port=self.http_port + 1000,
             http_port=self.http_port,
             state="live",
+            pool=self.agent.pool if self.agent else "",
         )
 
     def list_members(self):
@@ -141,7 +130,7 @@
             freshness_age_s=self.freshness_age_s,
             is_ready=True,
             is_draining=False,
-            details=self.details,
+            agent=self.agent,
         )
 
     def sources(self) -> AdminSources:
--- /dev/null
+++ b/reedspar/tool/config_commands.py
@@ -0,0 +1,25 @@
+"""``reedspar config`` and the commands below it."""
+
+from dataclasses import dataclass
+
+import cappa
+
+from .config_reading import Diff, History, Show
+from .confirmation import Confirmed
+from .exit_codes import ExitCode
+from .patching import Patch
+from .session import Session
+
+__all__ = ["Config"]
+
+
+@cappa.command(name="config")
+@dataclass
+class Config:
+    """Read and change the numbered configuration."""
+
+    command: cappa.Subcommands[Show | Patch | History | Diff | Confirmed]
+
+    async def run(self, session: Session) -> ExitCode:
+        """Run the command below."""
+        return await self.command.run(session)
--- /dev/null
+++ b/reedspar/tool/differences.py
@@ -0,0 +1,70 @@
+"""The difference between two documents, by path."""
+
+import json
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from reedspar.configuration import ConfigurationDocument
+
+__all__ = ["Change", "compare_documents", "format_change", "to_plain_document"]
+
+SYSTEM_KEYS = {"version", "history"}
+
+
+class _Absent:
+    """Stands for a value that is not there."""
+
+
+ABSENT = _Absent()
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One path whose value differs; `ABSENT` where there is none."""
+
+    path: str
+    before: Any
+    after: Any
+
+
+def to_plain_document(document: ConfigurationDocument) -> dict[str, Any]:
+    """Return the part of the document that operators change."""
+    return document.model_dump(mode="json", exclude=SYSTEM_KEYS)
+
+
+def compare_documents(before: Any, after: Any, path: str = "") -> Iterator[Change]:
+    """Yield the changed paths in order; names with dots are quoted."""
+    if isinstance(before, dict) and isinstance(after, dict):
+        for key in sorted(before.keys() | after.keys()):
+            below = f"{path}.{quote_key(key)}" if path else quote_key(key)
+            yield from compare_documents(
+                before.get(key, ABSENT), after.get(key, ABSENT), below
+            )
+    elif before != after:
+        yield Change(path, before, after)
+
+
+def quote_key(key: str) -> str:
+    """Return the key as a path names it."""
+    return f'"{key}"' if "." in key else key
+
+
+def format_change(change: Change) -> str:
+    """Return a line that begins with +, - or ~ for added, removed and changed."""
+    if change.before is ABSENT:
+        return f"+ {change.path}: {_show(change.after)}"
+    if change.after is ABSENT:
+        return f"- {change.path}: {_show(change.before)}"
+    return f"~ {change.path}: {_show(change.before)} -> {_show(change.after)}"
+
+
+def change_to_json(change: Change) -> dict[str, Any]:
+    """Return a JSON object; a side that is absent is left out."""
+    sides = {"before": change.before, "after": change.after}
+    present = {name: value for name, value in sides.items() if value is not ABSENT}
+    return {"path": change.path, **present}
+
+
+def _show(value: Any) -> str:
+    return json.dumps(value, ensure_ascii=False, sort_keys=True)
--- /dev/null
+++ b/reedspar/tool/fleet_commands.py
@@ -0,0 +1,147 @@
+"""``reedspar targets`` and ``reedspar entries``."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import cappa
+
+from reedspar.admin import DaemonStatus, MemberStatus
+from reedspar.configuration import ConfigurationDocument
+from reedspar.errors import Failure
+from reedspar.links.messages import Role
+
+from .exit_codes import ExitCode
+from .fleet import Answer, read_fleet
+from .session import Session
+
+__all__ = ["Entries", "Targets", "name_version"]
+
+DIGEST_SHOWN = 12
+
+RowMaker = Callable[[MemberStatus, DaemonStatus], list[str]]
+
+
+def name_version(
+    document: ConfigurationDocument | None, model: str, root_digest: str
+) -> str:
+    """Return the operator's label for a digest, or the digest's start."""
+    known = document.models.get(model) if document else None
+    if known is not None and known.root_digest == root_digest:
+        return known.label
+    return root_digest[:DIGEST_SHOWN]
+
+
+def describe_state(status: DaemonStatus) -> str:
+    """Return a daemon's state in a word."""
+    if status.is_draining:
+        return "draining"
+    if not status.is_ready:
+        return "not ready"
+    return status.agent.target_status if status.agent else "ready"
+
+
+def format_age(age_s: float | None) -> str:
+    """Return the age in seconds, or that there was no confirmation yet."""
+    return "never" if age_s is None else f"{age_s:.1f} s"
+
+
+def show_fleet(
+    session: Session,
+    answers: list[Answer[DaemonStatus]],
+    columns: list[str],
+    make_row: RowMaker,
+) -> ExitCode:
+    """Write a row for each process; those that did not answer say so."""
+    lost = [answer for answer in answers if isinstance(answer.value, Failure)]
+    if session.is_json:
+        session.show_json([_to_json(answer) for answer in answers])
+    else:
+        rows = []
+        for answer in answers:
+            member, value = answer.member, answer.value
+            if isinstance(value, Failure):
+                blank = [""] * (len(columns) - 3)
+                rows.append([member.name, member.zone, "unreachable", *blank])
+            else:
+                rows.append(make_row(member, value))
+        session.show_table(columns, rows)
+        for answer in lost:
+            session.warn(f"reedspar: {answer.value}")
+    return ExitCode.INCOMPLETE if lost else ExitCode.OK
+
+
+def _to_json(answer: Answer[DaemonStatus]) -> dict[str, object]:
+    document: dict[str, object] = {"member": answer.member.model_dump(mode="json")}
+    if isinstance(answer.value, Failure):
+        document["error"] = str(answer.value)
+    else:
+        document["status"] = answer.value.model_dump(mode="json")
+    return document
+
+
+@cappa.command(name="targets")
+@dataclass
+class Targets:
+    """List the targets with their state and the versions that they offer."""
+
+    async def run(self, session: Session) -> ExitCode:
+        """Ask each agent."""
+        answers = await read_fleet(session.client, Role.AGENT)
+        if isinstance(answers, Failure):
+            return session.fail(answers)
+        found = await session.client.read_configuration()
+        document = None if isinstance(found, Failure) else found
+
+        def make_row(member: MemberStatus, status: DaemonStatus) -> list[str]:
+            agent = status.agent
+            if agent is None:
+                return [member.name, member.zone, describe_state(status), *[""] * 6]
+            offered = [
+                f"{model}={name_version(document, model, digest)}"
+                for model, digest in sorted(agent.offered.items())
+            ]
+            return [
+                member.name,
+                member.zone,
+                describe_state(status),
+                agent.pool,
+                " ".join(offered),
+                str(agent.in_flight),
+                str(agent.limit),
+                str(agent.queued),
+                str(status.config_version),
+            ]
+
+        columns = ["target", "zone", "state", "pool", "offered"]
+        columns += ["#in flight", "#limit", "#queued", "#config"]
+        return show_fleet(session, answers, columns, make_row)
+
+
+@cappa.command(name="entries")
+@dataclass
+class Entries:
+    """List the entries with their state and configuration."""
+
+    async def run(self, session: Session) -> ExitCode:
+        """Ask each entry."""
+        answers = await read_fleet(session.client, Role.ENTRY)
+        if isinstance(answers, Failure):
+            return session.fail(answers)
+        columns = ["entry", "zone", "state", "#config", "#confirmed"]
+        columns += ["#links", "#targets", "#in flight"]
+        return show_fleet(session, answers, columns, _make_entry_row)
+
+
+def _make_entry_row(member: MemberStatus, status: DaemonStatus) -> list[str]:
+    entry = status.entry
+    open_links = sum(link.is_open for link in status.links)
+    return [
+        member.name,
+        member.zone,
+        describe_state(status),
+        str(status.config_version),
+        format_age(status.freshness_age_s),
+        f"{open_links}/{len(status.links)}",
+        str(entry.target_count) if entry else "",
+        str(entry.in_flight) if entry else "",
+    ]
--- /dev/null
+++ b/reedspar/tool/patch_input.py
@@ -0,0 +1,89 @@
+"""Patches as operators write them: a file, or assignments to paths."""
+
+import json
+import re
+import tomllib
+import uuid
+from pathlib import Path
+from typing import Any
+
+from reedspar.errors import Failure, Reason, Step
+
+__all__ = ["create_patch_id", "parse_assignment", "read_patch"]
+
+KEY = re.compile(r'"([^"]+)"|([^".]+)')
+
+
+def create_patch_id() -> str:
+    """Return an id that no other patch has."""
+    return uuid.uuid4().hex
+
+
+def read_patch(file: Path | None, assignments: list[str]) -> dict[str, Any] | Failure:
+    """Return the merge patch (RFC 7386) of a file and assignments, in this order."""
+    patch: dict[str, Any] = {}
+    if file is not None:
+        loaded = _load_file(file)
+        if isinstance(loaded, Failure):
+            return loaded
+        patch = loaded
+    for assignment in assignments:
+        parsed = parse_assignment(assignment)
+        if isinstance(parsed, Failure):
+            return parsed
+        keys, value = parsed
+        below = patch
+        for key in keys[:-1]:
+            step = below.setdefault(key, {})
+            if not isinstance(step, dict):
+                return _invalid(f"{assignment}: {key} has a value already")
+            below = step
+        below[keys[-1]] = value
+    return patch or _invalid("the patch changes nothing; give --file or --set")
+
+
+def parse_assignment(text: str) -> tuple[list[str], Any] | Failure:
+    """Return the keys and the value of ``path=value``.
+
+    Keys are separated by dots; one with a dot in it stands in double quotes.
+    The value is JSON, or else a string as it stands; ``null`` removes.
+    """
+    path, sign, value_text = text.partition("=")
+    keys = []
+    position = 0
+    while position < len(path):
+        match = KEY.match(path, position)
+        if match is None:
+            break
+        keys.append(match[1] or match[2])
+        position = match.end()
+        if position < len(path) and path[position] == ".":
+            position += 1
+            if position == len(path):
+                return _invalid(f"{text}: a key is missing after the last dot")
+        elif position < len(path):
+            break
+    if not sign or not keys or position < len(path):
+        return _invalid(f"{text}: not of the form path=value")
+    try:
+        return keys, json.loads(value_text)
+    except ValueError:
+        return keys, value_text
+
+
+def _load_file(file: Path) -> dict[str, Any] | Failure:
+    try:
+        text = file.read_text()
+        is_toml = file.suffix == ".toml"
+        loaded = tomllib.loads(text) if is_toml else json.loads(text)
+    except OSError as error:
+        return _invalid(f"{file}: {error.strerror}")
+    except ValueError as error:
+        return _invalid(f"{file}: {error}")
+    if not isinstance(loaded, dict):
+        return _invalid(f"{file}: not an object")
+    return loaded
+
+
+def _invalid(detail: str) -> Failure:
+    return Failure(Reason.INVALID, Step.CONFIGURE, detail=detail)
--- /dev/null
+++ b/reedspar/tool/session.py
@@ -0,0 +1,119 @@
+"""What every command works with: the client, and where its output goes."""
+
+import json
+import sys
+from dataclasses import dataclass
+from typing import Any, Protocol, TextIO
+
+from pydantic import BaseModel
+from rich.console import Console
+from rich.table import Table
+from rich.text import Text
+
+from reedspar.admin import AdminClient, PatchRefused
+from reedspar.errors import Failure
+
+from .exit_codes import ExitCode, exit_code_for
+
+__all__ = ["Command", "Session", "create_session", "plain"]
+
+FILE_WIDTH = 1000
+"""Columns of a pipe or file: wide enough that no row is broken or cut."""
+
+
+def plain(value: Any) -> Any:
+    """Return what `json` can write."""
+    return value.model_dump(mode="json") if isinstance(value, BaseModel) else value
+
+
+@dataclass(frozen=True, slots=True)
+class Session:
+    """One run of the tool."""
+
+    client: AdminClient
+    is_json: bool
+    output: Console
+    errors: Console
+
+    def show_json(self, document: Any) -> None:
+        """Write one JSON document."""
+        text = json.dumps(plain(document), indent=2, default=plain)
+        self.output.file.write(text + "\n")
+
+    def show_line(self, text: str) -> None:
+        """Write a line as it is, however long."""
+        self.output.file.write(text + "\n")
+
+    def show_table(self, columns: list[str], rows: list[list[str]]) -> None:
+        """Write aligned columns; those named with a leading ``#`` hold numbers."""
+        table = Table(box=None, pad_edge=False, padding=(0, 2, 0, 0))
+        for column in columns:
+            name = column.removeprefix("#")
+            justify: Any = "right" if column.startswith("#") else "left"
+            table.add_column(
+                name.upper(), justify=justify, overflow="fold", header_style="bold"
+            )
+        for row in rows:
+            table.add_row(*[Text(cell) for cell in row])
+        self.output.print(table)
+
+    def warn(self, text: str) -> None:
+        """Write a line to standard error."""
+        self.errors.file.write(text + "\n")
+
+    def fail(self, failure: Failure) -> ExitCode:
+        """Tell what failed, with step and peer, and return its exit code."""
+        if self.is_json:
+            document = {
+                "reason": failure.reason.value,
+                "step": failure.step.value,
+                "peer": failure.peer,
+                "detail": failure.detail,
+            }
+            self.warn(json.dumps({"error": document}))
+        else:
+            self.warn(f"reedspar: {failure}")
+        return exit_code_for(failure.reason)
+
+    def fail_patch(self, refused: PatchRefused) -> ExitCode:
+        """Tell why a patch was not accepted, and return its exit code."""
+        if self.is_json:
+            self.warn(json.dumps({"error": refused.model_dump(mode="json")}))
+            return exit_code_for(refused.reason)
+        failure = Failure(refused.reason, refused.step, refused.peer, refused.detail)
+        self.fail(failure)
+        for error in refused.errors:
+            self.warn(f"  {error.path}: {error.message}")
+        if refused.current_version is not None:
+            self.warn(f"  the current version is {refused.current_version}")
+        return exit_code_for(refused.reason)
+
+
+class Command(Protocol):
+    """A command of the tool, already parsed."""
+
+    async def run(self, session: Session) -> ExitCode:
+        """Carry it out."""
+        ...
+
+
+def create_console(file: TextIO) -> Console:
+    """Make a console that colours terminals only and never breaks a pipe's rows."""
+    width = None if file.isatty() else FILE_WIDTH
+    return Console(file=file, width=width, highlight=False, markup=False)
+
+
+def create_session(
+    client: AdminClient,
+    *,
+    is_json: bool = False,
+    output: TextIO | None = None,
+    errors: TextIO | None = None,
+) -> Session:
+    """Make a session that writes to the given streams, or the standard ones."""
+    return Session(
+        client,
+        is_json,
+        create_console(output or sys.stdout),
+        create_console(errors or sys.stderr),
+    )
--- /dev/null
+++ b/reedspar/tool/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the operators' command line."""
--- /dev/null
+++ b/reedspar/tool/tests/test_fleet.py
@@ -0,0 +1,169 @@
+"""Tests of what is shown of the fleet: targets, entries, progress, time line."""
+
+import contextlib
+import io
+import json
+import os
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from rich.console import Console
+
+from reedspar.admin import AgentStatus, TransferStatus
+from reedspar.configuration import ConfigurationDocument
+from reedspar.timeline import EventKind, event_to_json
+from reedspar.tool.exit_codes import ExitCode
+from reedspar.tool.main import main
+from reedspar.tool.watch_command import TargetProgress, render_progress
+
+from .fleet import POOLS, FleetTest
+
+NEW, OLD = "ab" * 32, "cd" * 32
+
+
+class FleetCommandsTest(FleetTest):
+    def setUp(self) -> None:
+        super().setUp()
+        model = {
+            "label": "march",
+            "sequence": 2,
+            "manifest_digest": "ef" * 32,
+            "root_digest": NEW,
+            "size_bytes": 1000,
+        }
+        document = {"version": 5, "pools": POOLS, "models": {"drafter": model}}
+        self.configuration.documents.append(
+            ConfigurationDocument.model_validate(document)
+        )
+
+    def set_agent(self, index: int, offered: str, *transfers: TransferStatus) -> None:
+        self.daemons[index].agent = AgentStatus(
+            pool="quotes",
+            target_status="ready",
+            limit=4,
+            offered={"drafter": offered},
+            transfers=transfers,
+        )
+
+    def test_targets_show_versions_and_who_is_unreachable(self) -> None:
+        self.set_agent(2, OLD)
+        self.cut_off("http://127.0.0.1:8004")
+        run = self.run_tool("targets")
+        self.assertEqual(run.code, ExitCode.INCOMPLETE)
+        header, first, second = run.output.splitlines()
+        self.assertIn("drafter=cdcdcdcdcdcd", first)
+        self.assertEqual(header.index("STATE"), first.index("ready"))
+        self.assertEqual(header.index("STATE"), second.index("unreachable"))
+        self.assertIn("link failed at http://127.0.0.1:8004", run.errors)
+        found = self.run_tool("targets", "--json").json
+        self.assertEqual(found[0]["status"]["agent"]["offered"], {"drafter": OLD})
+        self.assertIn("error", found[1])
+
+    def test_entries(self) -> None:
+        run = self.run_tool("entries")
+        self.assertEqual(run.code, ExitCode.OK)
+        self.assertIn("0.2 s", run.output.splitlines()[1])
+
+    def test_watch_ends_when_all_targets_offer(self) -> None:
+        moving = TransferStatus(
+            model="drafter",
+            root_digest=NEW,
+            phase="fetching",
+            bytes_held=250,
+            bytes_total=1000,
+        )
+        self.set_agent(2, NEW)
+        self.set_agent(3, OLD, moving)
+        run = self.run_tool("watch", "drafter", "--until", "0", "--json")
+        self.assertEqual(run.code, ExitCode.INCOMPLETE)
+        shares = {t["target"]: t["share"] for t in run.json["targets"]}
+        self.assertEqual(shares, {"agent-1": 1.0, "agent-2": 0.25})
+        self.set_agent(3, NEW)
+        done = self.run_tool("watch", "drafter")
+        self.assertEqual(done.code, ExitCode.OK)
+        self.assertIn("2 of 2 targets offer drafter", done.output)
+        unknown = self.run_tool("watch", "nothing")
+        self.assertEqual(unknown.code, ExitCode.NOT_FOUND)
+
+    def test_timeline_joins_processes_and_tells_gaps(self) -> None:
+        for index in (0, 2):
+            self.daemons[index].recorder.record(
+                EventKind.ATTEMPT_SENT, request_id="r1", attempt=1
+            )
+            self.daemons[index].recorder.record(EventKind.LINK_UP)
+        self.cut_off("http://127.0.0.1:8004")
+        run = self.run_tool("timeline", "--request", "r1")
+        self.assertEqual(run.code, ExitCode.INCOMPLETE)
+        self.assertEqual(len(run.output.splitlines()), 3)
+        self.assertIn("missing from the time line: agent-2", run.errors)
+
+    def test_timeline_from_logs_needs_no_process(self) -> None:
+        recorder = self.daemons[0].recorder
+        recorder.record(EventKind.ZONE_OUT, detail="kingston-a")
+        (event,) = recorder.after(0).events
+        with tempfile.TemporaryDirectory() as folder:
+            log, picture = Path(folder) / "a.log", Path(folder) / "a.html"
+            line = json.dumps({"message": "x", "event": event_to_json(event)})
+            log.write_text(f"not json\n[]\n{line}\n{line[:40]}")
+            run = self.run_tool("timeline", "--from-logs", str(log), "--json")
+            self.assertEqual(run.json, [event_to_json(event)])
+            self.run_tool(
+                "timeline", "--from-logs", str(log), "--picture", str(picture)
+            )
+            self.assertIn("zone.out", picture.read_text())
+
+
+class DisplayTest(unittest.TestCase):
+    def render(self, progress: list[TargetProgress]) -> list[str]:
+        file = io.StringIO()
+        Console(file=file, width=90).print(render_progress(progress, "drafter"))
+        return file.getvalue().splitlines()
+
+    def test_many_targets_are_shown_by_zone(self) -> None:
+        progress = [
+            TargetProgress(f"agent-{i}", f"zone-{i % 3}", "fetching", i, 100)
+            for i in range(90)
+        ]
+        lines = self.render(progress)
+        self.assertEqual(len(lines), 5)
+        self.assertIn("0/30 offered", lines[2])
+        self.assertTrue(all(len(line) <= 90 for line in lines))
+
+    def test_phase_stands_beside_the_bar(self) -> None:
+        lines = self.render(
+            [TargetProgress("agent-1", "a", "failed", 50, 100, "no memory")]
+        )
+        self.assertIn("failed no memory", lines[2])
+        self.assertIn("50", lines[2])
+
+
+class UsageTest(unittest.TestCase):
+    def run_main(self, *arguments: str) -> tuple[int, str]:
+        errors = io.StringIO()
+        with (
+            mock.patch.dict(os.environ, clear=False),
+            contextlib.redirect_stderr(errors),
+        ):
+            os.environ.pop("REEDSPAR_ENTRY", None)
+            try:
+                code = main(list(arguments))
+            except SystemExit as error:
+                code = error.code
+        return code, errors.getvalue()
+
+    def test_no_entry_or_a_bad_one(self) -> None:
+        code, errors = self.run_main("targets")
+        self.assertEqual(code, ExitCode.USAGE)
+        self.assertIn("REEDSPAR_ENTRY", errors)
+        self.assertEqual(
+            self.run_main("targets", "--entry", "10.0.0.1")[0], ExitCode.USAGE
+        )
+
+    def test_unknown_command(self) -> None:
+        self.assertEqual(self.run_main("nothing")[0], ExitCode.USAGE)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/reedspar/tool/timeline_command.py
@@ -0,0 +1,167 @@
+"""``reedspar timeline``: the events of all processes in one order."""
+
+import json
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from reedspar.admin import AdminClient
+from reedspar.errors import Failure, Reason, Step
+from reedspar.timeline import (
+    Event,
+    EventFilter,
+    event_from_json,
+    event_to_json,
+    merge_events,
+    render_picture,
+    render_text,
+)
+
+from .exit_codes import ExitCode
+from .fleet import ask_members
+from .session import Session
+
+__all__ = ["Timeline", "read_logs"]
+
+
+@dataclass(frozen=True, slots=True)
+class Collected:
+    """Events, and what is missing from them."""
+
+    events: tuple[Event, ...]
+    gaps: tuple[str, ...] = ()
+
+
+def read_logs(files: Iterable[Path]) -> Collected | Failure:
+    """Return the events in JSON-line logs; other lines are passed over."""
+    events = []
+    for file in files:
+        try:
+            lines = file.read_text(errors="replace").splitlines()
+        except OSError as error:
+            detail = f"{file}: {error.strerror}"
+            return Failure(Reason.NOT_FOUND, Step.SETTINGS, detail=detail)
+        events += [event for line in lines if (event := _parse_line(line))]
+    return Collected(tuple(events))
+
+
+def _parse_line(line: str) -> Event | None:
+    try:
+        document = json.loads(line)
+    except ValueError:
+        return None
+    found = document.get("event") if isinstance(document, dict) else None
+    return event_from_json(found) if isinstance(found, dict) else None
+
+
+async def read_process(
+    client: AdminClient, url: str, parameters: dict[str, str]
+) -> Collected | Failure:
+    """Return all events that a daemon still holds, page by page."""
+    events: list[Event] = []
+    gaps: list[str] = []
+    after = 0
+    while True:
+        page = await client.read_events(url, after, parameters)
+        if isinstance(page, Failure):
+            return page
+        if page.lost_count:
+            gaps.append(f"{page.process}: its {page.lost_count} oldest are gone")
+        parsed = [event_from_json(document) for document in page.events]
+        events += [event for event in parsed if event]
+        if parsed.count(None):
+            gaps.append(f"{page.process}: {parsed.count(None)} of an unknown kind")
+        if page.next_after <= after:
+            return Collected(tuple(events), tuple(gaps))
+        after = page.next_after
+
+
+async def collect_events(
+    client: AdminClient, wanted: EventFilter
+) -> Collected | Failure:
+    """Return the wanted events of all processes that answer."""
+    members = await client.list_members()
+    if isinstance(members, Failure):
+        return members
+    asked = {
+        "request": wanted.request_id,
+        "target": wanted.target,
+        "version": wanted.version,
+    }
+    parameters = {name: value for name, value in asked.items() if value}
+    answers = await ask_members(
+        members, lambda url: read_process(client, url, parameters)
+    )
+    events: list[Event] = []
+    gaps: list[str] = []
+    for answer in answers:
+        if isinstance(answer.value, Failure):
+            gaps.append(f"{answer.member.name}: {answer.value}")
+        else:
+            events += answer.value.events
+            gaps += answer.value.gaps
+    return Collected(tuple(events), tuple(gaps))
+
+
+def show_events(session: Session, events: Sequence[Event]) -> None:
+    """Write the events as JSON or as text."""
+    if session.is_json:
+        session.show_json([event_to_json(event) for event in events])
+        return
+    for line in render_text(events):
+        session.show_line(line)
+
+
+@cappa.command(name="timeline")
+@dataclass
+class Timeline:
+    """Show the events of all processes in one order."""
+
+    request: Annotated[str, cappa.Arg(long=True, help="Only this request.")] = ""
+    target: Annotated[str, cappa.Arg(long=True, help="Only this target.")] = ""
+    version: Annotated[
+        str, cappa.Arg(long=True, help="Only this number or digest (or its start).")
+    ] = ""
+    from_logs: Annotated[
+        list[Path],
+        cappa.Arg(
+            long=True, num_args=-1, help="Read log files instead of asking processes."
+        ),
+    ] = field(default_factory=list)
+    picture: Annotated[
+        Path | None, cappa.Arg(long=True, help="Write an HTML file with a picture.")
+    ] = None
+
+    async def run(self, session: Session) -> ExitCode:
+        """Collect, merge and show."""
+        wanted = EventFilter(self.request, self.target, self.version)
+        if self.from_logs:
+            collected = read_logs(self.from_logs)
+        else:
+            collected = await collect_events(session.client, wanted)
+        if isinstance(collected, Failure):
+            return session.fail(collected)
+        events = wanted.select(merge_events(collected.events))
+        if self.picture is None:
+            show_events(session, events)
+        else:
+            failure = self._write_picture(self.picture, events)
+            if failure:
+                return session.fail(failure)
+            session.warn(f"{len(events)} events drawn in {self.picture}")
+        for gap in collected.gaps:
+            session.warn(f"reedspar: missing from the time line: {gap}")
+        return ExitCode.INCOMPLETE if collected.gaps else ExitCode.OK
+
+    def _write_picture(self, file: Path, events: Sequence[Event]) -> Failure | None:
+        subjects = [self.request, self.target, self.version]
+        title = " ".join(["Time line", *filter(None, subjects)])
+        try:
+            file.write_text(render_picture(events, title), encoding="utf-8")
+        except OSError as error:
+            detail = f"{file}: {error.strerror}"
+            return Failure(Reason.INVALID, Step.SETTINGS, detail=detail)
+        return None
