--- a/reedspar/tool/main.py
+++ b/reedspar/tool/main.py
@@ -13,6 +13,7 @@
 from .config_commands import Config
 from .exit_codes import ExitCode
 from .fleet_commands import Entries, Targets
+from .publish_command import Publish
 from .session import Command, Session, create_session
 from .timeline_command import Timeline
 from .watch_command import Watch
@@ -32,7 +33,9 @@
     unknown, 7 not found, 8 incomplete.
     """
 
-    command: cappa.Subcommands[Config | Zone | Watch | Targets | Entries | Timeline]
+    command: cappa.Subcommands[
+        Config | Zone | Publish | Watch | Targets | Entries | Timeline
+    ]
     entry: Annotated[
         str,
         cappa.Arg(
--- /dev/null
+++ b/reedspar/tool/publish_command.py
@@ -0,0 +1,154 @@
+"""``reedspar publish``: upload a version of a model, then put it in force."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Protocol
+
+import cappa
+from rich.progress import BarColumn, DownloadColumn, Progress, TextColumn
+
+from reedspar.configuration import ConfigurationDocument, ModelVersion
+from reedspar.errors import Failure, Reason, Step
+from reedspar.platform import create_http_weight_source
+from reedspar.weights import Publication, publish_weights
+
+from .exit_codes import ExitCode
+from .patching import build_request, send_patch
+from .session import Session
+
+__all__ = ["Publish", "UploadSink", "upload"]
+
+UPLOAD_TIMEOUT_S = 60.0
+
+
+class WeightStore(Protocol):
+    """An origin that objects can be put to."""
+
+    async def read(self, name: str, offset: int, size_bytes: int) -> bytes | Failure:
+        """Return a range of an object."""
+        ...
+
+    async def publish(self, name: str, data: bytes) -> Failure | None:
+        """Put an object."""
+        ...
+
+
+class UploadSink:
+    """What `publish_weights` uploads to, with a progress display."""
+
+    def __init__(self, store: WeightStore, progress: Progress, size_bytes: int) -> None:
+        self._store = store
+        self._progress = progress
+        self._task = progress.add_task("uploading", total=size_bytes)
+
+    async def has(self, name: str) -> bool | Failure:
+        """Tell whether the origin has the object; one byte is read of it."""
+        found = await self._store.read(name, 0, 1)
+        if not isinstance(found, Failure):
+            return True
+        return False if found.reason is Reason.NOT_FOUND else found
+
+    async def put(self, name: str, data: bytes) -> Failure | None:
+        """Store an object; storing the same one again changes nothing."""
+        failure = await self._store.publish(name, data)
+        if failure is None:
+            self._progress.advance(self._task, len(data))
+        return failure
+
+
+async def upload(
+    session: Session,
+    store: WeightStore,
+    model: str,
+    label: str,
+    sequence: int,
+    file: Path,
+) -> Publication | Failure:
+    """Upload what the origin lacks, with a progress bar on a terminal."""
+    try:
+        size_bytes = file.stat().st_size
+    except OSError as error:
+        detail = f"{file}: {error.strerror}"
+        return Failure(Reason.INVALID, Step.MANIFEST, detail=detail)
+    progress = Progress(
+        TextColumn("{task.description}"),
+        BarColumn(),
+        DownloadColumn(),
+        console=session.errors,
+        disable=not session.errors.is_terminal,
+        transient=True,
+    )
+    with progress:
+        sink = UploadSink(store, progress, size_bytes)
+        return await publish_weights(sink, model, label, sequence, file)
+
+
+def find_published(
+    document: ConfigurationDocument, model: str, published: ModelVersion
+) -> bool:
+    """Tell whether the same weights under the same label are in force already."""
+    current = document.models.get(model)
+    return (
+        current is not None
+        and current.root_digest == published.root_digest
+        and current.label == published.label
+    )
+
+
+@cappa.command(name="publish")
+@dataclass
+class Publish:
+    """Upload a version of a model to the origin and put it in force."""
+
+    model: Annotated[str, cappa.Arg(help="The model's name.")]
+    file: Annotated[Path, cappa.Arg(long=True, help="The file with the weights.")]
+    label: Annotated[str, cappa.Arg(long=True, help="Your name for the version.")]
+    origin: Annotated[str, cappa.Arg(long=True, help="Address of the origin.")]
+
+    async def run(self, session: Session) -> ExitCode:
+        """Upload, then patch the configuration."""
+        document = await session.client.read_configuration()
+        if isinstance(document, Failure):
+            return session.fail(document)
+        if not any(self.model in pool.models for pool in document.pools.values()):
+            session.warn(f"reedspar: note: no pool serves {self.model} yet")
+        current = document.models.get(self.model)
+        sequence = current.sequence + 1 if current else 1
+        store = create_http_weight_source(self.origin, timeout_s=UPLOAD_TIMEOUT_S)
+        published = await upload(
+            session, store, self.model, self.label, sequence, self.file
+        )
+        if isinstance(published, Failure):
+            return session.fail(published)
+        if find_published(document, self.model, published.version):
+            return self._show_unchanged(session, document)
+        if not session.is_json:
+            _show_publication(session, published)
+        request = build_request(
+            document.version,
+            {"models": {self.model: published.version.model_dump(mode="json")}},
+            "",
+            f"publish {self.model} {self.label}",
+        )
+        if isinstance(request, Failure):
+            return session.fail(request)
+        return await send_patch(session, request)
+
+    def _show_unchanged(
+        self, session: Session, document: ConfigurationDocument
+    ) -> ExitCode:
+        if session.is_json:
+            session.show_json({"version": document.version, "patch_id": None})
+        else:
+            session.show_line(f"{self.model} {self.label} is in force already")
+        return ExitCode.OK
+
+
+def _show_publication(session: Session, published: Publication) -> None:
+    version = published.version
+    session.show_line(
+        f"{published.model} {version.label} (sequence {version.sequence}): "
+        f"{version.size_bytes} bytes in {published.chunk_count} chunks, "
+        f"{published.uploaded_chunks} uploaded"
+    )
+    session.show_line(f"root digest {version.root_digest}")
--- /dev/null
+++ b/reedspar/tool/tests/test_publish.py
@@ -0,0 +1,92 @@
+"""Tests of publishing a version."""
+
+import random
+import tempfile
+from pathlib import Path
+from unittest import mock
+
+from reedspar.errors import Failure, Reason, Step
+from reedspar.tool import publish_command
+from reedspar.tool.exit_codes import ExitCode
+from reedspar.weights import decode_manifest
+
+from .fleet import FleetTest
+
+
+class FakeOrigin:
+    """Objects in memory; can stop taking more."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, bytes] = {}
+        self.puts_left = 1000
+
+    async def read(self, name, offset, size_bytes):
+        if name not in self.objects:
+            return Failure(Reason.NOT_FOUND, Step.ORIGIN_DRAW, "origin:1")
+        return self.objects[name][offset : offset + size_bytes]
+
+    async def publish(self, name, data):
+        if not self.puts_left:
+            return Failure(Reason.UNAVAILABLE, Step.ORIGIN_DRAW, "origin:1")
+        self.puts_left -= 1
+        self.objects[name] = data
+        return None
+
+
+class PublishTest(FleetTest):
+    def setUp(self) -> None:
+        super().setUp()
+        self.origin = FakeOrigin()
+        patch = mock.patch.object(
+            publish_command, "create_http_weight_source", lambda *a, **k: self.origin
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.file = Path(folder.name) / "weights.bin"
+        self.file.write_bytes(random.Random(1).randbytes(640_000))
+
+    def publish(self, label: str, *more: str):
+        arguments = ["--file", str(self.file), "--label", label]
+        return self.run_tool(
+            "publish", "drafter", *arguments, "--origin", "http://origin:1", *more
+        )
+
+    def test_version_is_whole_at_the_origin_before_it_is_in_force(self) -> None:
+        run = self.publish("march")
+        self.assertEqual(run.code, ExitCode.OK)
+        version = self.configuration.read_document().models["drafter"]
+        manifest = decode_manifest(
+            self.origin.objects[version.manifest_digest], version.manifest_digest
+        )
+        self.assertTrue(set(manifest.chunk_digests) <= self.origin.objects.keys())
+        self.assertEqual((version.label, version.sequence), ("march", 1))
+
+    def test_broken_upload_changes_nothing_and_is_taken_up_again(self) -> None:
+        # The origin goes away in the middle of an upload.  A version put in
+        # force with chunks missing could never be loaded by any target.
+        self.origin.puts_left = 2
+        broken = self.publish("march")
+        self.assertEqual(broken.code, ExitCode.UNREACHABLE)
+        self.assertIn("origin_draw failed at origin:1", broken.errors)
+        self.assertEqual(self.configuration.read_document().models, {})
+        self.origin.puts_left = 2
+        again = self.publish("march")
+        self.assertEqual(again.code, ExitCode.OK)
+        self.assertIn("3 chunks, 1 uploaded", again.output)
+
+    def test_same_version_again_is_no_change(self) -> None:
+        self.publish("march")
+        again = self.publish("march")
+        self.assertEqual(again.code, ExitCode.OK)
+        self.assertIn("in force already", again.output)
+        self.assertEqual(self.configuration.read_document().version, 5)
+        self.file.write_bytes(b"other")
+        self.publish("april", "--json")
+        version = self.configuration.read_document().models["drafter"]
+        self.assertEqual((version.label, version.sequence), ("april", 2))
+
+    def test_missing_file(self) -> None:
+        self.file.unlink()
+        self.assertEqual(self.publish("march").code, ExitCode.REFUSED)
