--- a/reedspar/platform/http_weight_source.py
+++ b/reedspar/platform/http_weight_source.py
@@ -21,7 +21,7 @@
 
 
 class HttpWeightSource(HttpAdapter):
-    """Read ranges of objects (see `WeightSource`), and publish objects."""
+    """Read ranges of objects (see `WeightSource`), and store them (`WeightSink`)."""
 
     async def read(self, name: str, offset: int, size_bytes: int) -> bytes | Failure:
         """Return a range of the object; size 0 means to its end."""
@@ -40,8 +40,20 @@
             return failure_of_status(response, STEP, self._peer)
         return self._check_range(response, offset, size_bytes)
 
-    async def publish(self, name: str, data: bytes) -> Failure | None:
-        """Put an object; writing the same one again changes nothing."""
+    async def has(self, name: str) -> bool | Failure:
+        """Tell whether the object is there; the origin stores it whole or not."""
+        try:
+            response = await self._client.head(f"/objects/{name}")
+        except httpx.HTTPError as error:
+            return failure_of_read(error, STEP, self._peer)
+        if response.status_code == httpx.codes.NOT_FOUND:
+            return False
+        if response.status_code == httpx.codes.OK:
+            return True
+        return failure_of_status(response, STEP, self._peer)
+
+    async def put(self, name: str, data: bytes) -> Failure | None:
+        """Store an object; storing the same one again changes nothing."""
         try:
             response = await self._client.put(f"/objects/{name}", content=data)
         except httpx.HTTPError as error:
--- a/reedspar/platform/tests/test_http_reads.py
+++ b/reedspar/platform/tests/test_http_reads.py
@@ -44,7 +44,9 @@
     async def test_reads_ranges(self) -> None:
         async with open_server(origin.create_app()) as url:
             source = create_http_weight_source(url)
-            self.assertIsNone(await source.publish("m/1", b"0123456789"))
+            self.assertFalse(await source.has("m/1"))
+            self.assertIsNone(await source.put("m/1", b"0123456789"))
+            self.assertTrue(await source.has("m/1"))
             self.assertEqual(await source.read("m/1", 0, 0), b"0123456789")
             self.assertEqual(await source.read("m/1", 2, 3), b"234")
             self.assertEqual(await source.read("m/1", 8, 9), b"89")
@@ -70,7 +72,7 @@
     async def test_bytes_are_counted_by_object(self) -> None:
         async with open_server(origin.create_app(bytes_per_s=1e9)) as url:
             source = create_http_weight_source(url)
-            await source.publish("m", bytes(200_000))
+            await source.put("m", bytes(200_000))
             for _ in range(2):
                 await source.read("m", 0, 100_000)
             async with httpx.AsyncClient(trust_env=False) as client:
--- a/stand_ins/origin.py
+++ b/stand_ins/origin.py
@@ -34,7 +34,7 @@
     def make_routes(self) -> list[Route]:
         """Return the routes of the origin and of its control."""
         return [
-            Route("/objects/{name:path}", self._read, methods=["GET"]),
+            Route("/objects/{name:path}", self._read, methods=["GET", "HEAD"]),
             Route("/objects/{name:path}", self._publish, methods=["PUT"]),
             Route("/control/counts", self._counts, methods=["GET"]),
             Route("/control/ready", self._counts, methods=["GET"]),
@@ -52,6 +52,8 @@
         data = self._objects.get(name)
         if data is None:
             return JSONResponse({"error": f"no object {name}"}, status_code=404)
+        if request.method == "HEAD":
+            return Response(headers={"content-length": str(len(data))})
         bounds = parse_range(request.headers.get("range", ""), len(data))
         if bounds is None:
             headers = {"content-range": f"bytes */{len(data)}"}
