--- /dev/null
+++ b/stand_ins/operations.py
@@ -0,0 +1,143 @@
+"""What an operator does in a trial, over the daemons' HTTP interface."""
+
+import time
+import uuid
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+import httpx
+
+from reedspar.platform import create_http_weight_source
+from reedspar.settings import TargetKind
+from reedspar.weights import Publication, publish_weights
+
+from .launcher import Daemon, Launcher
+
+__all__ = ["Operator", "OperatorError"]
+
+POLL_S = 0.05
+PATCH_ATTEMPTS = 20
+
+
+class OperatorError(Exception):
+    """A step of the operator's was refused; the text says which and why."""
+
+
+@dataclass
+class Accepted:
+    """An accepted patch."""
+
+    version: int
+    at: float
+
+
+class Operator:
+    """Patches the configuration, publishes versions, watches replicas."""
+
+    def __init__(self, launcher: Launcher) -> None:
+        self._launcher = launcher
+        self._client = httpx.AsyncClient(trust_env=False, verify=False, timeout=10.0)
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+    async def read_configuration(self) -> dict[str, Any]:
+        """Return the newest document that an entry knows."""
+        newest: dict[str, Any] = {"version": 0}
+        for daemon in self._launcher.entries:
+            try:
+                answer = await self._client.get(
+                    f"{daemon.http_url}/admin/configuration", timeout=2.0
+                )
+            except httpx.HTTPError:
+                continue
+            if answer.is_success and answer.json()["version"] >= newest["version"]:
+                newest = answer.json()
+        return newest
+
+    async def patch(self, changes: dict[str, Any], summary: str) -> Accepted:
+        """Patch against the current version; on a race, read it again."""
+        detail = ""
+        patch_id = uuid.uuid4().hex
+        for attempt in range(PATCH_ATTEMPTS):
+            document = await self.read_configuration()
+            body = {
+                "base_version": document["version"],
+                "patch_id": patch_id,
+                "author": "trial",
+                "summary": summary,
+                "patch": changes,
+            }
+            entries = self._launcher.entries
+            url = entries[attempt % len(entries)].http_url
+            try:
+                answer = await self._client.post(
+                    f"{url}/admin/configuration/patches", json=body
+                )
+            except httpx.HTTPError as error:
+                detail = repr(error)
+                continue
+            if answer.is_success:
+                return Accepted(answer.json()["version"], time.time())
+            detail = answer.text
+            await anyio.sleep(POLL_S * (attempt + 1))
+        raise OperatorError(f"patch {summary!r}: {detail}")
+
+    async def configure(self) -> Accepted:
+        """Write the first configuration: pools and workspaces."""
+        deployment = self._launcher.deployment
+        pools = {}
+        for pool in deployment.pools:
+            is_model = pool.kind is TargetKind.MODEL_ENGINE
+            pools[pool.name] = {
+                "kind": "model" if is_model else "plain",
+                "models": list(pool.models),
+                "idempotent_paths": list(pool.idempotent_paths),
+            }
+        workspaces = {name: {"share": 1.0} for name in deployment.workspaces}
+        changes = {"pools": pools, "workspaces": workspaces}
+        return await self.patch(changes, "pools and workspaces")
+
+    async def publish(
+        self, model: str, label: str, sequence: int, weights: bytes, chunk_size: int
+    ) -> Publication:
+        """Bring a version to the origin and into the configuration."""
+        origin = create_http_weight_source(self._launcher.origin_url)
+        publication = await publish_weights(
+            origin, model, label, sequence, weights, chunk_size
+        )
+        await origin.aclose()
+        if not isinstance(publication, Publication):
+            raise OperatorError(f"publish {label}: {publication}")
+        version = publication.version.model_dump()
+        await self.patch({"models": {model: version}}, f"publish {model} {label}")
+        return publication
+
+    async def set_zone(self, zone: str, state: str) -> Accepted:
+        """Take a zone out or in."""
+        return await self.patch({"zones": {zone: state}}, f"zone {zone} {state}")
+
+    async def wait_for_offers(
+        self, agents: list[Daemon], model: str, root_digest: str, timeout_s: float
+    ) -> dict[str, float]:
+        """Return when each agent offered the version, as seconds from now on."""
+        start_s = time.monotonic()
+        offered: dict[str, float] = {}
+        while len(offered) < len(agents) and time.monotonic() - start_s < timeout_s:
+            for agent in agents:
+                if agent.name in offered:
+                    continue
+                if await self._read_offer(agent, model) == root_digest:
+                    offered[agent.name] = time.monotonic() - start_s
+            await anyio.sleep(POLL_S)
+        return offered
+
+    async def _read_offer(self, agent: Daemon, model: str) -> str:
+        try:
+            answer = await self._client.get(f"{agent.http_url}/admin/status")
+            offered = answer.json()["details"]["offered"]
+        except (httpx.HTTPError, ValueError, KeyError):
+            return ""
+        return str(offered.get(model, ""))
--- a/stand_ins/plain_service.py
+++ b/stand_ins/plain_service.py
@@ -144,10 +144,11 @@
 
 
 def find_order_key(request: Request) -> str:
-    """Return what names the order: the caller's key, or else the request's id."""
-    headers = request.headers
-    key = headers.get("idempotency-key") or headers.get("x-request-id")
-    return key or f"anonymous-{uuid.uuid4().hex}"
+    """Return what names the order: the caller's key or name, or the request's id."""
+    for name in ("idempotency-key", "x-order-id", "x-request-id"):
+        if name in request.headers:
+            return request.headers[name]
+    return f"anonymous-{uuid.uuid4().hex}"
 
 
 def make_answer(
--- /dev/null
+++ b/stand_ins/promises.py
@@ -0,0 +1,182 @@
+"""The brief's promises, checked against what callers saw and targets did."""
+
+import math
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+import httpx
+
+from reedspar.settings import TargetKind
+
+from .caller import Call, CallKind, Ending
+from .launcher import Daemon, Launcher
+
+__all__ = ["Ledger", "TargetRun", "Violation", "ZoneOutage", "read_percentile"]
+
+ZONE_OUT_LIMIT_S = 3.0
+"""Time after which a zone that was taken out gets no new work."""
+
+
+@dataclass(frozen=True)
+class Violation:
+    """A broken promise."""
+
+    at: float
+    promise: str
+    detail: str
+
+
+@dataclass
+class ZoneOutage:
+    """A time in which a zone was out; `ended_at` is that of the order to return."""
+
+    zone: str
+    accepted_at: float
+    ended_at: float = math.inf
+
+
+@dataclass(frozen=True)
+class TargetRun:
+    """One run at a target, as the target itself counted it."""
+
+    target: str
+    zone: str
+    kind: TargetKind
+    key: str
+    started_at: float
+    method: str = ""
+
+
+@dataclass
+class Ledger:
+    """What callers saw, and how it fits what the targets did."""
+
+    calls: list[Call] = field(default_factory=list)
+    outages: list[ZoneOutage] = field(default_factory=list)
+    runs: list[TargetRun] = field(default_factory=list)
+    engine_counts: Counter[str] = field(default_factory=Counter)
+
+    def add(self, call: Call) -> None:
+        """Take a call that has ended."""
+        self.calls.append(call)
+
+    def count_endings(self) -> dict[str, int]:
+        """Return the number of calls by their ending."""
+        return dict(Counter(call.ending.value for call in self.calls))
+
+    async def read_targets(self, launcher: Launcher) -> None:
+        """Read every target's own records."""
+        self.runs.clear()
+        self.engine_counts.clear()
+        kinds = {pool.name: pool.kind for pool in launcher.deployment.pools}
+        async with httpx.AsyncClient(
+            trust_env=False, verify=False, timeout=20.0
+        ) as client:
+            for agent in launcher.agents:
+                if kinds[agent.record.pool] is TargetKind.MODEL_ENGINE:
+                    await self._read_engine(client, agent)
+                else:
+                    await self._read_plain_service(client, agent)
+
+    def check(self) -> list[Violation]:
+        """Return every broken promise, the first one first."""
+        found = [
+            *self._check_answers(),
+            *self._check_orders(),
+            *self._check_zones(),
+            *self._check_engines(),
+        ]
+        return sorted(found, key=lambda violation: violation.at)
+
+    async def _read_engine(self, client: httpx.AsyncClient, agent: Daemon) -> None:
+        trace = (await client.get(f"{agent.target_url}/control/trace")).json()
+        for job in trace:
+            self._add_run(
+                agent, TargetKind.MODEL_ENGINE, job["prompt"], job["started_at"]
+            )
+        answer = (await client.get(f"{agent.target_url}/control/counts")).json()
+        self.engine_counts.update(answer["counts"])
+
+    async def _read_plain_service(
+        self, client: httpx.AsyncClient, agent: Daemon
+    ) -> None:
+        answer: dict[str, Any] = (
+            await client.get(f"{agent.target_url}/control/runs")
+        ).json()
+        for key, run in answer.items():
+            for at in run["started_at"]:
+                kind = TargetKind.PLAIN_SERVICE
+                self._add_run(agent, kind, key, at, run["method"])
+
+    def _add_run(
+        self, agent: Daemon, kind: TargetKind, key: str, at: float, method: str = ""
+    ) -> None:
+        zone = agent.record.zone
+        self.runs.append(TargetRun(agent.name, zone, kind, key, at, method))
+
+    def _check_answers(self) -> Iterable[Violation]:
+        for call in self.calls:
+            if call.problem:
+                promise = "every caller receives the whole answer to its own request"
+                yield Violation(call.ended_at, promise, call.describe())
+
+    def _check_orders(self) -> Iterable[Violation]:
+        runs: dict[str, list[TargetRun]] = defaultdict(list)
+        for run in self.runs:
+            if run.method == "POST":
+                runs[run.key].append(run)
+        for key, times in runs.items():
+            if len(times) > 1:
+                text = ", ".join(f"{r.target} at {r.started_at:.3f}" for r in times)
+                promise = "a non-idempotent order runs at most once"
+                at = times[1].started_at
+                yield Violation(at, promise, f"{key} ran {len(times)} times: {text}")
+        yield from self._check_endings(runs)
+
+    def _check_endings(self, runs: dict[str, list[TargetRun]]) -> Iterable[Violation]:
+        calls: dict[str, list[Call]] = defaultdict(list)
+        for call in self.calls:
+            if call.kind is CallKind.ORDER:
+                calls[call.key].append(call)
+        for key, sends in calls.items():
+            endings = {call.ending for call in sends}
+            is_refused = endings <= {Ending.NOT_RUN, Ending.NO_ENTRY}
+            last = sends[-1]
+            if is_refused and runs.get(key):
+                promise = "what is told not to have run was not run"
+                detail = f"{runs[key]}; {last.describe()}"
+                yield Violation(last.ended_at, promise, detail)
+            is_confirmed = any(
+                call.ending is Ending.ANSWERED and call.status == httpx.codes.OK
+                for call in sends
+            )
+            if is_confirmed and not runs.get(key):
+                promise = "an answered order has run"
+                yield Violation(last.ended_at, promise, last.describe())
+
+    def _check_zones(self) -> Iterable[Violation]:
+        for outage in self.outages:
+            limit = outage.accepted_at + ZONE_OUT_LIMIT_S
+            for run in self.runs:
+                is_inside = limit < run.started_at < outage.ended_at
+                if run.zone == outage.zone and is_inside:
+                    late_s = run.started_at - outage.accepted_at
+                    promise = "a zone that was taken out gets no new work"
+                    detail = f"{run.target} ran {run.key} {late_s:.3f} s after"
+                    yield Violation(run.started_at, promise, detail)
+
+    def _check_engines(self) -> Iterable[Violation]:
+        if self.engine_counts["cold_excess"]:
+            promise = "a target in cold start never receives more than it can bear"
+            detail = f"{self.engine_counts['cold_excess']} requests over the limit"
+            yield Violation(math.inf, promise, detail)
+
+
+def read_percentile(values: list[float], share: float) -> float:
+    """Return the value at a share of the sorted ones; 0 if there are none."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
--- /dev/null
+++ b/stand_ins/relay.py
@@ -0,0 +1,233 @@
+"""A TCP relay that spoils connections on command: cut, delay, corrupt, silence.
+
+Put it between two processes, and set over HTTP what happens to the bytes of
+either direction, for all connections or for new ones only.
+"""
+
+import argparse
+import random
+import socket
+from enum import Enum
+
+import anyio
+from anyio.abc import SocketStream, TaskGroup
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from .serving import HOST, serve_app
+
+__all__ = ["Direction", "Relay", "RelayRule", "create_control_app"]
+
+PIECE_BYTES = 64 * 1024
+BLOCKED_POLL_S = 0.05
+
+
+class Direction(Enum):
+    """Which way bytes go."""
+
+    TO_SERVER = "to_server"
+    TO_CLIENT = "to_client"
+
+
+class RelayRule(BaseModel):
+    """What happens to the bytes of one direction."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    delay_s: float = Field(0.0, ge=0, description="Wait before each piece.")
+    corrupt_share: float = Field(0.0, ge=0, le=1, description="Pieces damaged.")
+    silent: bool = Field(False, description="Take bytes and pass none on, for good.")
+
+
+class RelayRules(BaseModel):
+    """The rules of both directions."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    to_server: RelayRule = RelayRule.model_validate({})
+    to_client: RelayRule = RelayRule.model_validate({})
+    only_open: bool = Field(
+        False, description="Hold for connections open now; new ones work."
+    )
+    refuse: bool = Field(False, description="Close new connections at once.")
+
+
+class Connection:
+    """One relayed connection, under rules of its own."""
+
+    def __init__(self, rules: RelayRules) -> None:
+        self.rules = rules
+        self.cut = anyio.Event()
+        self.bytes_passed = dict.fromkeys(Direction, 0)
+
+    def rule(self, direction: Direction) -> RelayRule:
+        """Return the rule of a direction."""
+        to_server = direction is Direction.TO_SERVER
+        return self.rules.to_server if to_server else self.rules.to_client
+
+
+class Relay:
+    """Accepts connections on its port and passes them on to the server's."""
+
+    def __init__(self, port: int, server_port: int, seed: int = 0) -> None:
+        self._port = port
+        self._server_port = server_port
+        self._rng = random.Random(seed)
+        self._next_rules = RelayRules()
+        self._connections: set[Connection] = set()
+        self._accepted = 0
+
+    def set_rules(self, rules: RelayRules) -> None:
+        """Put rules in force for open connections, and, if so said, new ones."""
+        for connection in self._connections:
+            connection.rules = rules
+        self._next_rules = RelayRules() if rules.only_open else rules
+
+    def cut_all(self) -> int:
+        """Cut the open connections and return their number."""
+        for connection in self._connections:
+            connection.cut.set()
+        return len(self._connections)
+
+    def describe(self) -> dict[str, object]:
+        """Return counts."""
+        return {
+            "accepted": self._accepted,
+            "open": len(self._connections),
+            "rules": self._next_rules.model_dump(),
+        }
+
+    async def run(self) -> None:
+        """Relay until cancelled."""
+        listener = await anyio.create_tcp_listener(
+            local_host=HOST, local_port=self._port
+        )
+        async with listener:
+            await listener.serve(self._relay)
+
+    async def _relay(self, client: SocketStream) -> None:
+        self._accepted += 1
+        async with client:
+            if self._next_rules.refuse:
+                abort(client)
+                return
+            try:
+                server = await anyio.connect_tcp(HOST, self._server_port)
+            except OSError:
+                abort(client)
+                return
+            async with server:
+                await self._relay_both(client, server)
+
+    async def _relay_both(self, client: SocketStream, server: SocketStream) -> None:
+        connection = Connection(self._next_rules)
+        self._connections.add(connection)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(
+                    self._pass, connection, Direction.TO_SERVER, client, server, tasks
+                )
+                tasks.start_soon(
+                    self._pass, connection, Direction.TO_CLIENT, server, client, tasks
+                )
+                await connection.cut.wait()
+                abort(client)
+                abort(server)
+                tasks.cancel_scope.cancel()
+        finally:
+            self._connections.discard(connection)
+
+    async def _pass(
+        self,
+        connection: Connection,
+        direction: Direction,
+        source: SocketStream,
+        sink: SocketStream,
+        tasks: TaskGroup,
+    ) -> None:
+        """Pass bytes on until an end closes; then close the other one, too."""
+        try:
+            while True:
+                piece = await source.receive(PIECE_BYTES)
+                rule = connection.rule(direction)
+                if rule.delay_s:
+                    await anyio.sleep(rule.delay_s)
+                while connection.rule(direction).silent:
+                    await anyio.sleep(BLOCKED_POLL_S)
+                await sink.send(self._spoil(piece, rule))
+                connection.bytes_passed[direction] += len(piece)
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            # A silent path passes on no end of a connection either.
+            while connection.rule(direction).silent:
+                await anyio.sleep(BLOCKED_POLL_S)
+            tasks.cancel_scope.cancel()
+
+    def _spoil(self, piece: bytes, rule: RelayRule) -> bytes:
+        if self._rng.random() >= rule.corrupt_share:
+            return piece
+        damaged = bytearray(piece)
+        damaged[self._rng.randrange(len(damaged))] ^= 0xFF
+        return bytes(damaged)
+
+
+def abort(stream: SocketStream) -> None:
+    """Have the close reset the connection instead of ending it in order."""
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    reset = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+
+
+def create_control_app(relay: Relay) -> Starlette:
+    """Make the app by which the relay is controlled."""
+
+    async def set_rules(request: Request) -> Response:
+        try:
+            rules = RelayRules.model_validate_json(await request.body())
+        except ValidationError as error:
+            return JSONResponse({"error": str(error)}, status_code=422)
+        relay.set_rules(rules)
+        return Response(status_code=204)
+
+    async def cut(request: Request) -> Response:
+        return JSONResponse({"cut": relay.cut_all()})
+
+    async def describe(request: Request) -> Response:
+        return JSONResponse(relay.describe())
+
+    return Starlette(
+        routes=[
+            Route("/control/rules", set_rules, methods=["PUT"]),
+            Route("/control/cut", cut, methods=["POST"]),
+            Route("/control/counts", describe, methods=["GET"]),
+            Route("/control/ready", describe, methods=["GET"]),
+        ]
+    )
+
+
+async def run_relay(relay: Relay, control_port: int) -> None:
+    """Relay, and serve the control port, until told to stop."""
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(relay.run)
+        app = create_control_app(relay)
+        await serve_app(app, control_port, stop)
+        tasks.cancel_scope.cancel()
+
+
+def main() -> None:
+    """Run the relay."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True, help="Relayed.")
+    parser.add_argument("--server-port", type=int, required=True)
+    parser.add_argument("--control-port", type=int, required=True)
+    parser.add_argument("--seed", type=int, default=0)
+    arguments = parser.parse_args()
+    relay = Relay(arguments.port, arguments.server_port, arguments.seed)
+    anyio.run(run_relay, relay, arguments.control_port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/stand_ins/tests/test_promises.py
@@ -0,0 +1,86 @@
+"""Tests that the checks of promises find what is broken."""
+
+import json
+import unittest
+
+from reedspar.settings import TargetKind
+from stand_ins.caller import Call, CallKind, Ending, check_text
+from stand_ins.generation import expect_text, make_token
+from stand_ins.promises import Ledger, TargetRun, ZoneOutage
+
+PLAIN = TargetKind.PLAIN_SERVICE
+
+
+def make_order(key: str, ending: Ending, status: int = 200) -> Call:
+    return Call(CallKind.ORDER, key, ended_at=1.0, status=status, ending=ending)
+
+
+def make_run(key: str, at: float = 0.5, zone: str = "a") -> TargetRun:
+    return TargetRun("t", zone, PLAIN, key, at, "POST")
+
+
+class LedgerTest(unittest.TestCase):
+    def find(self, ledger: Ledger) -> list[str]:
+        return [violation.promise for violation in ledger.check()]
+
+    def test_kept_promises_are_not_reported(self) -> None:
+        ledger = Ledger(
+            [
+                make_order("ran", Ending.ANSWERED),
+                make_order("lost", Ending.UNKNOWN, 504),
+                make_order("refused", Ending.NOT_RUN, 503),
+                make_order("again", Ending.NOT_RUN, 409),
+                make_order("again", Ending.ANSWERED),
+            ],
+            runs=[make_run("ran"), make_run("lost"), make_run("again")],
+        )
+        self.assertEqual(self.find(ledger), [])
+
+    def test_doubled_order_is_found(self) -> None:
+        # Two targets book the same deposit, though the shop sees one answer.
+        ledger = Ledger([make_order("k", Ending.ANSWERED)])
+        ledger.runs = [make_run("k", 1.0), make_run("k", 2.0)]
+        self.assertEqual(
+            self.find(ledger), ["a non-idempotent order runs at most once"]
+        )
+
+    def test_order_that_ran_though_refused_is_found(self) -> None:
+        # The shop is told that nothing was booked, sells the frame elsewhere,
+        # and finds the deposit taken.
+        ledger = Ledger([make_order("k", Ending.NOT_RUN, 503)], runs=[make_run("k")])
+        self.assertEqual(
+            self.find(ledger), ["what is told not to have run was not run"]
+        )
+
+    def test_confirmation_without_a_run_is_found(self) -> None:
+        ledger = Ledger([make_order("k", Ending.ANSWERED)])
+        self.assertEqual(self.find(ledger), ["an answered order has run"])
+
+    def test_late_work_in_a_zone_taken_out_is_found(self) -> None:
+        # Operators take a zone out to work on it, and it still gets requests.
+        ledger = Ledger(outages=[ZoneOutage("a", 10.0, 20.0)])
+        ledger.runs = [make_run("1", 12.9), make_run("2", 14.0, "b")]
+        self.assertEqual(self.find(ledger), [])
+        ledger.runs = [make_run("3", 13.1)]
+        self.assertEqual(
+            self.find(ledger), ["a zone that was taken out gets no new work"]
+        )
+
+
+class TextTest(unittest.TestCase):
+    def check(self, text: str, digest: str = "old") -> str:
+        call = Call(CallKind.QUOTE, "oak", digest=digest)
+        answer = json.dumps({"choices": [{"text": text}]}).encode()
+        return check_text(call, answer, "oak", 3, stream=False)
+
+    def test_whole_answer_passes(self) -> None:
+        self.assertEqual(self.check(expect_text("oak", "old", 3)), "")
+
+    def test_partial_and_mixed_answers_are_found(self) -> None:
+        # The engine changes its weights in the middle of an answer, or the
+        # answer lacks its end: the customer reads a quote that nobody made.
+        mixed = expect_text("oak", "old", 2) + make_token("oak", "new", 2)
+        self.assertIn("not the whole text", self.check(mixed))
+        self.assertIn("not the whole text", self.check(expect_text("oak", "old", 2)))
+        whole = expect_text("oak", "old", 3)
+        self.assertIn("does not name", self.check(whole, digest=""))
--- /dev/null
+++ b/stand_ins/try_it.py
@@ -0,0 +1,176 @@
+"""Run a small deployment for less than a minute, and show what it does.
+
+Nine entries, eighteen daemons in all, over three zones.  Exits with 1 if a
+promise was broken, and leaves nothing behind.
+"""
+
+import argparse
+import logging
+import random
+import sys
+import time
+
+import anyio
+import httpx
+
+from reedspar.settings import TargetKind
+
+from .caller import Call, CallKind, Ending
+from .deployments import MARCOS_CENTRAL
+from .launcher import Launcher, LauncherOptions, launch
+from .load import Load, LoadPlan
+from .operations import Operator, OperatorError
+from .processes import StartError, exit_on_signals
+from .promises import Ledger, ZoneOutage, read_percentile
+
+__all__ = ["main"]
+
+VERSION_BYTES = 2 * 1024 * 1024
+CHUNK_BYTES = 256 * 1024
+ORIGIN_BYTES_PER_S = 8_000_000
+OFFER_TIMEOUT_S = 15.0
+WARM_S = 2.0
+OUT_S = 6.0
+IN_S = 3.0
+LAST_CALLS_S = 12.0
+SEED = 1
+
+
+class Trial:
+    """One run of the demonstration."""
+
+    def __init__(self, launcher: Launcher) -> None:
+        self._launcher = launcher
+        self._operator = Operator(launcher)
+        self._ledger = Ledger()
+        self._start_s = time.monotonic()
+        pools = launcher.deployment.pools
+        self._pool = next(p for p in pools if p.kind is TargetKind.MODEL_ENGINE)
+        self._model = self._pool.models[0]
+        self._is_complete = True
+
+    async def run(self) -> int:
+        """Run every step and return the exit code."""
+        try:
+            with anyio.fail_after(OFFER_TIMEOUT_S):
+                accepted = await self._operator.configure()
+            self._tell(f"configuration {accepted.version} accepted")
+            await self._publish("v1", 1)
+            await self._serve()
+        finally:
+            await self._operator.aclose()
+        await self._ledger.read_targets(self._launcher)
+        return self._conclude()
+
+    async def _serve(self) -> None:
+        """Keep a load up while a zone leaves and returns and a version comes."""
+        load = Load(self._launcher, self._ledger, LoadPlan(), SEED)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(load.run)
+            try:
+                await anyio.sleep(WARM_S)
+                await self._take_zone_out_and_in()
+                await self._publish("v2", 2)
+                await anyio.sleep(IN_S)
+            finally:
+                load.stop()
+                tasks.cancel_scope.deadline = anyio.current_time() + LAST_CALLS_S
+        await load.aclose()
+
+    async def _take_zone_out_and_in(self) -> None:
+        zone = self._launcher.deployment.zones[1].name
+        accepted = await self._operator.set_zone(zone, "out")
+        outage = ZoneOutage(zone, accepted.at)
+        self._ledger.outages.append(outage)
+        self._tell(f"zone {zone} taken out by configuration {accepted.version}")
+        await anyio.sleep(OUT_S)
+        outage.ended_at = time.time()
+        accepted = await self._operator.set_zone(zone, "in")
+        self._tell(f"zone {zone} back in by configuration {accepted.version}")
+
+    async def _publish(self, label: str, sequence: int) -> None:
+        weights = random.Random(f"{SEED}/{label}").randbytes(VERSION_BYTES)
+        before = await self._read_origin_bytes()
+        publication = await self._operator.publish(
+            self._model, label, sequence, weights, CHUNK_BYTES
+        )
+        agents = self._launcher.agents_of(self._pool.name)
+        offered = await self._operator.wait_for_offers(
+            agents, self._model, publication.version.root_digest, OFFER_TIMEOUT_S
+        )
+        drawn = await self._read_origin_bytes() - before
+        times = sorted(offered.values())
+        shown = ", ".join(f"{t:.2f}" for t in times)
+        self._tell(
+            f"version {label} ({VERSION_BYTES} bytes) offered by {len(times)} of "
+            f"{len(agents)} targets after [{shown}] s; origin bytes {drawn} "
+            f"({drawn / VERSION_BYTES:.2f} copies)"
+        )
+        self._is_complete &= len(times) == len(agents)
+
+    async def _read_origin_bytes(self) -> int:
+        url = f"{self._launcher.origin_url}/control/counts"
+        async with httpx.AsyncClient(trust_env=False, verify=False) as client:
+            return int((await client.get(url)).json()["bytes_served"])
+
+    def _conclude(self) -> int:
+        calls = self._ledger.calls
+        for kind in CallKind:
+            self._tell(describe_calls(kind, [c for c in calls if c.kind is kind]))
+        violations = self._ledger.check()
+        doubled = sum("at most once" in v.promise for v in violations)
+        self._tell(f"orders that ran twice: {doubled}")
+        for violation in violations[:10]:
+            self._tell(f"BROKEN {violation.promise}: {violation.detail}")
+        for process in self._launcher.processes.find_dead():
+            self._tell(f"DIED {process.name}:\n{process.read_log_tail()}")
+            self._is_complete = False
+        is_kept = not violations and self._is_complete and bool(calls)
+        verdict = "every promise kept" if is_kept else "NOT every promise kept"
+        self._tell(f"{verdict}; {len(violations)} broken")
+        return 0 if is_kept else 1
+
+    def _tell(self, text: str) -> None:
+        print(f"{time.monotonic() - self._start_s:6.2f} s  {text}", flush=True)
+
+
+def describe_calls(kind: CallKind, calls: list[Call]) -> str:
+    """Return counts by ending, and the latency of what was answered."""
+    answered = [call for call in calls if call.ending is Ending.ANSWERED]
+    endings = ", ".join(
+        f"{ending.value} {sum(call.ending is ending for call in calls)}"
+        for ending in Ending
+    )
+    latencies = [1000 * call.latency_s for call in answered]
+    middle = read_percentile(latencies, 0.5)
+    late = read_percentile(latencies, 0.99)
+    return f"{kind.value}: {endings}; p50 {middle:.1f} ms, p99 {late:.1f} ms"
+
+
+def main() -> int:
+    """Run the demonstration and return the exit code."""
+    argparse.ArgumentParser(description=__doc__).parse_args()
+    exit_on_signals()
+    logging.basicConfig(level=logging.WARNING)
+    options = LauncherOptions(
+        targets_per_process=5,
+        origin_arguments=("--bytes-per-s", str(ORIGIN_BYTES_PER_S)),
+        engine_arguments=("--cold-s", "2.0"),
+    )
+    start_s = time.monotonic()
+    print(f"starting {MARCOS_CENTRAL.name}", flush=True)
+    try:
+        with launch(MARCOS_CENTRAL, options) as launcher:
+            count = len(launcher.processes.names)
+            took_s = time.monotonic() - start_s
+            print(f"{count} processes ready after {took_s:.2f} s", flush=True)
+            code = anyio.run(Trial(launcher).run)
+    except (StartError, OperatorError, TimeoutError) as error:
+        print(f"failed: {error}", flush=True)
+        code = 1
+    print(f"all stopped after {time.monotonic() - start_s:.2f} s", flush=True)
+    return code
+
+
+if __name__ == "__main__":
+    sys.exit(main())
