--- a/stand_ins/launcher.py
+++ b/stand_ins/launcher.py
@@ -122,9 +122,12 @@
         self._http.put(url, json=body).raise_for_status()
 
     def close(self) -> list[str]:
-        """Stop everything; return the names that had to be killed."""
+        """Stop the daemons, then the rest; return the names that had to be killed."""
         self._http.close()
-        return self.processes.stop_all()
+        started = self.processes.names
+        daemons = [d.name for d in self.daemons if d.name in started]
+        killed = self.processes.stop_all(daemons) if daemons else []
+        return killed + self.processes.stop_all()
 
     def _wait(self, names: tuple[str, ...]) -> None:
         self.processes.wait_ready(list(names), READY_TIMEOUT_S)
--- a/stand_ins/operations.py
+++ b/stand_ins/operations.py
@@ -119,25 +119,27 @@
         """Take a zone out or in."""
         return await self.patch({"zones": {zone: state}}, f"zone {zone} {state}")
 
-    async def wait_for_offers(
+    async def wait_for_replicas(
         self, agents: list[Daemon], model: str, root_digest: str, timeout_s: float
     ) -> dict[str, float]:
-        """Return when each agent offered the version, as seconds from now on."""
+        """Return when each engine had loaded the version, in seconds from now on.
+
+        The engines' own word is taken, not that of the daemons on trial.
+        """
         start_s = time.monotonic()
-        offered: dict[str, float] = {}
-        while len(offered) < len(agents) and time.monotonic() - start_s < timeout_s:
+        loaded: dict[str, float] = {}
+        while len(loaded) < len(agents) and time.monotonic() - start_s < timeout_s:
             for agent in agents:
-                if agent.name in offered:
+                if agent.name in loaded:
                     continue
-                if await self._read_offer(agent, model) == root_digest:
-                    offered[agent.name] = time.monotonic() - start_s
+                if await self._read_loaded(agent, model) == root_digest:
+                    loaded[agent.name] = time.monotonic() - start_s
             await anyio.sleep(POLL_S)
-        return offered
+        return loaded
 
-    async def _read_offer(self, agent: Daemon, model: str) -> str:
+    async def _read_loaded(self, agent: Daemon, model: str) -> str:
         try:
-            answer = await self._client.get(f"{agent.http_url}/admin/status")
-            offered = answer.json()["details"]["offered"]
-        except (httpx.HTTPError, ValueError, KeyError):
+            answer = await self._client.get(f"{agent.target_url}/control/counts")
+        except httpx.HTTPError:
             return ""
-        return str(offered.get(model, ""))
+        return str(answer.json()["loaded"].get(model, ""))
--- a/stand_ins/processes.py
+++ b/stand_ins/processes.py
@@ -5,7 +5,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 from types import FrameType
@@ -16,6 +16,8 @@
 
 TOP = Path(__file__).resolve().parent.parent
 POLL_S = 0.02
+STOP_TIMEOUT_S = 10.0
+"""Longer than an entry waits for the last caller that was told its address."""
 STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
 
 
@@ -110,9 +112,12 @@
         """Return those that ended though nobody asked them to."""
         return [p for p in self._processes.values() if p.is_wanted and not p.is_running]
 
-    def stop_all(self, timeout_s: float = 3.0) -> list[str]:
-        """Stop all, the last first; return the names that had to be killed."""
-        running = [p for p in reversed(self._processes.values()) if p.is_running]
+    def stop_all(
+        self, names: Iterable[str] = (), timeout_s: float = STOP_TIMEOUT_S
+    ) -> list[str]:
+        """Stop those named, or all; return the names that had to be killed."""
+        chosen = [self._processes[name] for name in names or self.names]
+        running = [process for process in chosen if process.is_running]
         for process in running:
             process.is_wanted = False
             process.popen.send_signal(signal.SIGCONT)
--- a/stand_ins/try_it.py
+++ b/stand_ins/try_it.py
@@ -5,10 +5,12 @@
 """
 
 import argparse
+import json
 import logging
 import random
 import sys
 import time
+from collections import Counter
 
 import anyio
 import httpx
@@ -28,7 +30,7 @@
 VERSION_BYTES = 2 * 1024 * 1024
 CHUNK_BYTES = 256 * 1024
 ORIGIN_BYTES_PER_S = 8_000_000
-OFFER_TIMEOUT_S = 15.0
+LOAD_TIMEOUT_S = 15.0
 WARM_S = 2.0
 OUT_S = 6.0
 IN_S = 3.0
@@ -52,7 +54,7 @@
     async def run(self) -> int:
         """Run every step and return the exit code."""
         try:
-            with anyio.fail_after(OFFER_TIMEOUT_S):
+            with anyio.fail_after(LOAD_TIMEOUT_S):
                 accepted = await self._operator.configure()
             self._tell(f"configuration {accepted.version} accepted")
             await self._publish("v1", 1)
@@ -95,14 +97,14 @@
             self._model, label, sequence, weights, CHUNK_BYTES
         )
         agents = self._launcher.agents_of(self._pool.name)
-        offered = await self._operator.wait_for_offers(
-            agents, self._model, publication.version.root_digest, OFFER_TIMEOUT_S
+        loaded = await self._operator.wait_for_replicas(
+            agents, self._model, publication.version.root_digest, LOAD_TIMEOUT_S
         )
         drawn = await self._read_origin_bytes() - before
-        times = sorted(offered.values())
+        times = sorted(loaded.values())
         shown = ", ".join(f"{t:.2f}" for t in times)
         self._tell(
-            f"version {label} ({VERSION_BYTES} bytes) offered by {len(times)} of "
+            f"version {label} ({VERSION_BYTES} bytes) loaded by {len(times)} of "
             f"{len(agents)} targets after [{shown}] s; origin bytes {drawn} "
             f"({drawn / VERSION_BYTES:.2f} copies)"
         )
@@ -117,6 +119,8 @@
         calls = self._ledger.calls
         for kind in CallKind:
             self._tell(describe_calls(kind, [c for c in calls if c.kind is kind]))
+        for line in describe_reasons(calls):
+            self._tell(f"  {line}")
         violations = self._ledger.check()
         doubled = sum("at most once" in v.promise for v in violations)
         self._tell(f"orders that ran twice: {doubled}")
@@ -147,6 +151,25 @@
     return f"{kind.value}: {endings}; p50 {middle:.1f} ms, p99 {late:.1f} ms"
 
 
+def describe_reasons(calls: list[Call]) -> list[str]:
+    """Return the reasons of what was not answered, the most frequent first."""
+    reasons = Counter(
+        f"{call.kind.value} {call.ending.value}: {read_reason(call)}"
+        for call in calls
+        if call.ending is not Ending.ANSWERED
+    )
+    return [f"{count} x {reason}" for reason, count in reasons.most_common(8)]
+
+
+def read_reason(call: Call) -> str:
+    """Return step, reason and detail of a refusal."""
+    try:
+        refusal = json.loads(call.detail)
+    except ValueError:
+        return call.detail
+    return f"{refusal['step']} {refusal['reason']} {refusal['detail']}"
+
+
 def main() -> int:
     """Run the demonstration and return the exit code."""
     argparse.ArgumentParser(description=__doc__).parse_args()
@@ -165,6 +188,8 @@
             took_s = time.monotonic() - start_s
             print(f"{count} processes ready after {took_s:.2f} s", flush=True)
             code = anyio.run(Trial(launcher).run)
+            killed = launcher.close()
+            print(f"stopped gracefully, but for {killed or 'none'}", flush=True)
     except (StartError, OperatorError, TimeoutError) as error:
         print(f"failed: {error}", flush=True)
         code = 1
