--- /dev/null
+++ b/reedspar/daemon/agent.py
@@ -0,0 +1,172 @@
+"""The agent role: stand before one target, with its weights if it is an engine."""
+
+from typing import Any
+
+from starlette.applications import Starlette
+from starlette.routing import BaseRoute
+
+from reedspar.admin import AgentStatus
+from reedspar.links import PeerAddress
+from reedspar.platform import (
+    HttpModelEngine,
+    HttpPlainService,
+    HttpWeightSource,
+    create_http_model_engine,
+    create_http_plain_service,
+    create_http_weight_source,
+)
+from reedspar.settings import TargetKind
+from reedspar.targets import OfferSource, TargetController, create_target_controller
+from reedspar.utils import rank_by_rendezvous
+from reedspar.weights import WeightController, create_weight_controller
+
+from .fencing import create_fencing_numbers
+from .node import Node
+from .offers import PlainOffers, WeightOffers
+from .views import WeightConfiguration, WeightPeers
+
+__all__ = ["AgentRole", "create_agent_role"]
+
+WEIGHT_LINKS_INTERVAL_S = 1.0
+WEIGHT_LINKS_MAX = 16
+
+
+class _LateGate:
+    """The switch gate of a controller that is built after the weights."""
+
+    def __init__(self) -> None:
+        self.controller: TargetController | None = None
+
+    async def begin_switch(self, model: str) -> None:
+        """Admit no more, and return once none in flight uses the model."""
+        if self.controller is not None:
+            await self.controller.begin_switch(model)
+
+    def end_switch(self, model: str) -> None:
+        """Admit again whatever is offered."""
+        if self.controller is not None:
+            self.controller.end_switch(model)
+
+
+class AgentRole:
+    """An agent's part of the node."""
+
+    def __init__(
+        self,
+        node: Node,
+        controller: TargetController,
+        weights: WeightController | None,
+        target: HttpPlainService,
+        origin: HttpWeightSource,
+        routes: list[BaseRoute],
+    ) -> None:
+        self._node = node
+        self._controller = controller
+        self._weights = weights
+        self._target = target
+        self._origin = origin
+        self._application = Starlette(routes=routes)
+        node.describe_role = self.describe
+
+    @property
+    def application(self) -> Any:
+        """Return the ASGI application for operators."""
+        return self._application
+
+    def start(self) -> None:
+        """Start on the weights, if the target needs any."""
+        if self._weights is None:
+            return
+        self._weights.on_offer_change(self._controller.note_offers_changed)
+        self._weights.start()
+        self._node.timers.call_every(WEIGHT_LINKS_INTERVAL_S, self._want_links)
+
+    def describe(self) -> AgentStatus:
+        """Return the role's part of the status."""
+        target = self._node.settings.target
+        offered = self._weights.offered() if self._weights else ()
+        return AgentStatus(
+            pool=target.pool if target else "",
+            target_status=self._controller.status.value,
+            in_flight=self._controller.gate.in_flight,
+            queued=self._controller.queued_count,
+            limit=self._controller.gate.limit,
+            offered={item.model: item.root_digest for item in offered},
+        )
+
+    async def drain(self) -> None:
+        """Leave: refuse new work, finish what runs, hand over every answer."""
+        self._node.membership.announce_leaving()
+        await self._controller.drain(self._node.settings.requests.drain_timeout_s)
+
+    async def close(self) -> None:
+        """Let go of target and origin."""
+        await self._target.aclose()
+        await self._origin.aclose()
+
+    def _want_links(self) -> None:
+        node = self._node
+        document = node.configuration.current()
+        target = node.settings.target
+        if document is None or target is None or target.pool not in document.pools:
+            return
+        peers = WeightPeers(node.settings.name, node.membership, node.configuration)
+        names = {
+            peer.name
+            for model in document.pools[target.pool].models
+            for peer in peers.agents_of(model)
+        }
+        chosen = rank_by_rendezvous(node.settings.name, names)[:WEIGHT_LINKS_MAX]
+        members = (node.membership.member(name) for name in chosen)
+        records = [member.record for member in members if member is not None]
+        node.network.want(
+            "weights",
+            [PeerAddress(record.name, record.host, record.port) for record in records],
+        )
+
+
+def create_agent_role(node: Node, admin_routes: list[BaseRoute]) -> AgentRole:
+    """Build the agent role on the node."""
+    settings = node.settings
+    assert settings.target is not None
+    gate = _LateGate()
+    origin = create_http_weight_source(settings.platform.origin_url)
+    weights: WeightController | None = None
+    offers: OfferSource = PlainOffers()
+    target: HttpPlainService
+    if settings.target.kind is TargetKind.MODEL_ENGINE:
+        target = create_http_model_engine(settings.target.url)
+        weights = _create_weights(node, target, origin, gate)
+        offers = WeightOffers(settings.target.pool, weights, node.configuration)
+    else:
+        target = create_http_plain_service(settings.target.url)
+    controller = create_target_controller(
+        settings,
+        node.incarnation,
+        node.network,
+        node.timers,
+        target,
+        offers,
+        lambda: node.configuration.may_start_work(settings.zone),
+        node.tasks.start_soon,
+    )
+    gate.controller = controller
+    return AgentRole(node, controller, weights, target, origin, admin_routes)
+
+
+def _create_weights(
+    node: Node, engine: HttpModelEngine, origin: HttpWeightSource, gate: _LateGate
+) -> WeightController:
+    name = node.settings.name
+    return create_weight_controller(
+        node.settings,
+        network=node.network,
+        timers=node.timers,
+        tasks=node.tasks,
+        origin=origin,
+        engine=engine,
+        peers=WeightPeers(name, node.membership, node.configuration),
+        configuration=WeightConfiguration(node.configuration),
+        fencing=create_fencing_numbers(node.incarnation, node.key_value),
+        gate=gate,
+    )
--- /dev/null
+++ b/reedspar/daemon/entry.py
@@ -0,0 +1,80 @@
+"""The entry role: answer callers, and leave without cutting one off."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+from starlette.routing import BaseRoute
+
+from reedspar.admin import EntryStatus
+from reedspar.links import LinkChange, LinkEvent
+from reedspar.requests import RequestService, create_request_service
+
+from .node import Node
+from .views import EntryView, RequestConfiguration
+
+__all__ = ["EntryRole", "create_entry_role"]
+
+DRAIN_POLL_S = 0.05
+
+
+class EntryRole:
+    """An entry daemon's part of the node."""
+
+    def __init__(self, node: Node, service: RequestService) -> None:
+        self._node = node
+        self._service = service
+        node.network.on_link_event(self._note_link)
+        node.describe_role = self.describe
+
+    @property
+    def application(self) -> Any:
+        """Return the ASGI application for callers and operators."""
+        return self._service.application
+
+    def start(self) -> None:
+        """Start the service's own tasks."""
+        return
+
+    def describe(self) -> EntryStatus:
+        """Return the role's part of the status."""
+        return EntryStatus(
+            in_flight=self._service.application.in_flight,
+            target_count=self._service.directory.usable_count(),
+        )
+
+    async def drain(self) -> None:
+        """Leave: be named no more, outlast kept addresses, finish, stop."""
+        settings = self._node.settings.requests
+        self._node.membership.announce_leaving()
+        await anyio.sleep(settings.address_ttl_s)
+        with anyio.move_on_after(settings.drain_timeout_s):
+            while self._service.application.in_flight:
+                await anyio.sleep(DRAIN_POLL_S)
+
+    def _note_link(self, event: LinkEvent) -> None:
+        if event.change is LinkChange.REPLACED:
+            self._service.client.on_link_replaced(event.peer)
+
+
+def create_entry_role(
+    node: Node,
+    admin_routes: list[BaseRoute],
+    unix_time: Callable[[], float],
+) -> EntryRole:
+    """Build the entry role on the node."""
+    settings = node.settings
+    service = create_request_service(
+        name=settings.name,
+        incarnation=node.incarnation,
+        zone=settings.zone,
+        network=node.network,
+        timers=node.timers,
+        configuration=RequestConfiguration(node.configuration, settings.zone),
+        entries=EntryView(node.membership),
+        settings=settings.requests,
+        rng=random.Random(),
+        extra_routes=admin_routes,
+    )
+    return EntryRole(node, service)
--- /dev/null
+++ b/reedspar/daemon/run.py
@@ -0,0 +1,90 @@
+"""Run a daemon from its settings until it is told to stop."""
+
+import logging
+import signal
+import time
+from typing import Any
+
+import anyio
+from anyio.abc import TaskStatus
+
+from reedspar.admin import (
+    AdminSources,
+    create_admin_app,
+    create_configuration_source,
+)
+from reedspar.configuration.store import create_configuration_store
+from reedspar.links import Role
+from reedspar.settings import DaemonSettings
+from reedspar.timeline import EventKind
+
+from .agent import AgentRole, create_agent_role
+from .entry import EntryRole, create_entry_role
+from .incarnation import choose_incarnation
+from .node import Node, create_node
+from .serving import serve_http
+from .views import MemberReader, StatusReader
+
+__all__ = ["run_daemon"]
+
+LOGGER = logging.getLogger(__name__)
+
+
+def _create_admin_routes(node: Node) -> list[Any]:
+    source = create_configuration_source(
+        create_configuration_store(node.key_value),
+        node.history,
+        node.configuration.current,
+        node.configuration.adopt,
+    )
+    sources = AdminSources(
+        StatusReader(node), MemberReader(node), source, node.recorder, node.metrics
+    )
+    return create_admin_app(sources).routes
+
+
+def _create_role(node: Node) -> EntryRole | AgentRole:
+    routes = _create_admin_routes(node)
+    if node.settings.role is Role.ENTRY:
+        return create_entry_role(node, routes, time.time)
+    return create_agent_role(node, routes)
+
+
+async def _wait_for_signal(stop: anyio.Event, *, task_status: TaskStatus) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        task_status.started()
+        async for number in signals:
+            LOGGER.info("stopping", extra={"signal": number.name})
+            stop.set()
+            return
+
+
+async def run_daemon(settings: DaemonSettings) -> None:
+    """Run until SIGTERM or SIGINT, then leave gracefully."""
+    stop = anyio.Event()
+    stop_serving = anyio.Event()
+    served = anyio.Event()
+
+    async def serve(application: Any) -> None:
+        await serve_http(application, settings.host, settings.http_port, stop_serving)
+        served.set()
+
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(_wait_for_signal, stop)
+        node = create_node(settings, choose_incarnation(), tasks)
+        role = _create_role(node)
+        await node.start()
+        role.start()
+        tasks.start_soon(serve, role.application)
+        LOGGER.info("started", extra={"incarnation": node.incarnation})
+        await stop.wait()
+        node.is_draining = True
+        node.recorder.record(EventKind.DAEMON_DRAINING)
+        await role.drain()
+        stop_serving.set()
+        await served.wait()
+        if isinstance(role, AgentRole):
+            await role.close()
+        await node.close()
+        LOGGER.info("stopped")
+        tasks.cancel_scope.cancel()
--- a/reedspar/links/monitor.py
+++ b/reedspar/links/monitor.py
@@ -52,6 +52,8 @@
     REPLACED = "replaced"
     """Frames may have been lost; the peer is the same incarnation."""
     DOWN = "down"
+    REFUSED = "refused"
+    """The peer's machine refused a dial while no link was up."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,9 +161,11 @@
         self.is_dialling = False
         self._next_dial_s = now_s + self._backoff_s * self.rng.uniform(0.5, 1.5)
         self._backoff_s = min(2 * self._backoff_s, self.timings.backoff_max_s)
-        if reason is Reason.UNAVAILABLE:
+        if reason is not Reason.UNAVAILABLE:
+            return []
+        if self.is_up:
             return self._go_down(reason)
-        return []
+        return [Notify(LinkChange.REFUSED, reason)]
 
     def tick(self, now_s: float) -> list[LinkAction]:
         """Return what is due."""
--- a/reedspar/requests/target_directory.py
+++ b/reedspar/requests/target_directory.py
@@ -84,6 +84,10 @@
         """Return how many targets of `pool` are known, usable or not."""
         return len(self._by_pool.get(pool, {}))
 
+    def usable_count(self) -> int:
+        """Return how many targets of all pools may be given work now."""
+        return sum(1 for pool in self._by_pool for _ in self.usable(pool))
+
     def forget(self, target: str) -> None:
         """Drop what is known, since its agent left or the link is gone."""
         view = self._views.pop(target, None)
--- a/reedspar/targets/controller.py
+++ b/reedspar/targets/controller.py
@@ -64,7 +64,7 @@
         target: Target,
         offers: OfferSource,
         may_start_work: Callable[[], Failure | None],
-        spawn: Callable[..., None],
+        spawn: Callable[..., object],
     ) -> None:
         self._settings = settings
         self._target_settings = target_settings
@@ -291,7 +291,7 @@
     target: Target,
     offers: OfferSource,
     may_start_work: Callable[[], Failure | None],
-    spawn: Callable[..., None],
+    spawn: Callable[..., object],
 ) -> TargetController:
     """Make the controller of the target that the settings describe."""
     if settings.target is None:
--- a/reedspar/targets/desk.py
+++ b/reedspar/targets/desk.py
@@ -55,7 +55,7 @@
         network: Network,
         timers: TimerService,
         policy: DeskPolicy,
-        spawn: Callable[..., None],
+        spawn: Callable[..., object],
     ) -> None:
         self._table = table
         self._gate = gate
--- a/reedspar/targets/runner.py
+++ b/reedspar/targets/runner.py
@@ -22,10 +22,19 @@
 
 WINDOW_BYTES = 1024 * 1024
 """Unacknowledged body at which the target is no longer read from."""
-HOP_BY_HOP = frozenset(
-    ("connection", "content-length", "keep-alive", "transfer-encoding", "upgrade")
+OMITTED_HEADERS = frozenset(
+    (
+        "connection",
+        "content-length",
+        "date",
+        "keep-alive",
+        "server",
+        "transfer-encoding",
+        "upgrade",
+    )
 )
-"""Header fields that end at each connection (RFC 9110, section 7.6.1)."""
+"""Fields that end at each connection (RFC 9110, section 7.6.1), or that the
+entry's own server sets."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,7 +123,7 @@
         headers = tuple(
             Header(name, value)
             for name, value in response.headers
-            if name.lower() not in HOP_BY_HOP
+            if name.lower() not in OMITTED_HEADERS
         )
         record.head = AttemptHead(
             key.request_id,
