--- /dev/null
+++ b/reedspar/requests/admission.py
@@ -0,0 +1,178 @@
+"""Decision: whether a pool takes one more request of a workspace from this entry.
+
+Each entry keeps a window per pool: how many requests it may have in flight
+there.  The window grows by completions and shrinks by refusals for load
+(additive increase, multiplicative decrease: Chiu and Jain, "Analysis of the
+increase and decrease algorithms for congestion avoidance in computer
+networks", 1989), so all entries together settle at what the targets bear
+without talking to each other.  Within the window, low priority is refused
+first, and under shortage each workspace keeps its max-min fair part.
+"""
+
+from dataclasses import dataclass, field
+
+from reedspar.errors import Failure, Reason, Step
+
+__all__ = ["AdmissionControl", "WorkspaceTerms"]
+
+FIRST_WINDOW = 16.0
+WINDOW_MIN = 1.0
+WINDOW_MAX = 4096.0
+DECREASE = 0.9
+PRIORITY_MAX = 9
+PRIORITY_SPAN = 0.25
+"""The lowest priority is refused from this share below the window's end."""
+ACTIVE_S = 2.0
+"""A workspace counts as active this long after its last request."""
+FIRST_LATENCY_S = 0.5
+LATENCY_WEIGHT = 0.1
+DECREASE_MIN_S = 0.05
+DECREASE_MAX_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class WorkspaceTerms:
+    """What the configuration grants a workspace."""
+
+    share: float = 1.0
+    priority: int = 1
+    max_in_flight: int = 256
+
+
+@dataclass(slots=True)
+class _Workspace:
+    terms: WorkspaceTerms
+    in_flight: int = 0
+    seen_s: float = 0.0
+    refused_s: float = -ACTIVE_S
+    """When it last wanted more than it got."""
+    peak: float = 0.0
+    peak_s: float = 0.0
+
+    def demand(self, now_s: float) -> float:
+        """Return how many places it would use, as far as is known."""
+        if now_s - self.refused_s < ACTIVE_S:
+            return WINDOW_MAX
+        return max(self.in_flight, self.peak) + 1
+
+    def note_peak(self, now_s: float) -> None:
+        """Remember the most places that it used lately."""
+        if self.in_flight >= self.peak or now_s - self.peak_s > ACTIVE_S:
+            self.peak = self.in_flight
+            self.peak_s = now_s
+
+
+@dataclass(slots=True)
+class AdmissionControl:
+    """The window of one pool at one entry."""
+
+    window: float = FIRST_WINDOW
+    in_flight: int = 0
+    latency_s: float = FIRST_LATENCY_S
+    refused: int = 0
+    _is_starting: bool = True
+    _limited_s: float = -ACTIVE_S
+    _decreased_s: float = -ACTIVE_S
+    _workspaces: dict[str, _Workspace] = field(default_factory=dict)
+
+    def try_admit(
+        self, workspace: str, terms: WorkspaceTerms, now_s: float
+    ) -> Failure | None:
+        """Take a place, or return why not and when to come back."""
+        state = self._workspaces.get(workspace)
+        if state is None:
+            state = self._workspaces[workspace] = _Workspace(terms)
+        state.terms = terms
+        state.seen_s = now_s
+        if state.in_flight >= terms.max_in_flight:
+            return self._refuse(f"{workspace} has {state.in_flight} in flight")
+        top = max(WINDOW_MIN, self.window * _priority_part(terms.priority))
+        if self.in_flight + 1 > top:
+            self._limited_s = now_s
+            state.refused_s = now_s
+            return self._refuse("capacity is short", overload=self.in_flight / top)
+        if self._is_short() and state.in_flight + 1 > self._fair_part(state, now_s):
+            state.refused_s = now_s
+            return self._refuse(f"{workspace} uses its share", overload=1.0)
+        state.in_flight += 1
+        state.note_peak(now_s)
+        self.in_flight += 1
+        return None
+
+    def on_answered(self, workspace: str, latency_s: float, now_s: float) -> None:
+        """Give the place back after an answer, and grow if places are short."""
+        self._release(workspace)
+        self.latency_s += LATENCY_WEIGHT * (latency_s - self.latency_s)
+        if now_s - self._limited_s > ACTIVE_S and self.in_flight < self.window / 2:
+            return
+        step = 1.0 if self._is_starting else 1.0 / self.window
+        self.window = min(WINDOW_MAX, self.window + step)
+
+    def on_refused(self, workspace: str, now_s: float) -> None:
+        """Give the place back after a refusal for load, and shrink.
+
+        All refusals of one round trip are one sign of overload, so the window
+        shrinks once for them.
+        """
+        self._release(workspace)
+        round_trip_s = min(DECREASE_MAX_S, max(DECREASE_MIN_S, self.latency_s))
+        if now_s - self._decreased_s < round_trip_s:
+            return
+        self._is_starting = False
+        self._decreased_s = now_s
+        self.window = max(WINDOW_MIN, min(self.window, self.in_flight + 1) * DECREASE)
+
+    def on_other(self, workspace: str) -> None:
+        """Give the place back after an ending that tells nothing of the load."""
+        self._release(workspace)
+
+    def forget_idle(self, now_s: float) -> None:
+        """Drop the workspaces that were not seen for a while."""
+        idle = [
+            name
+            for name, state in self._workspaces.items()
+            if not state.in_flight and now_s - state.seen_s > ACTIVE_S
+        ]
+        for name in idle:
+            del self._workspaces[name]
+
+    def _release(self, workspace: str) -> None:
+        self._workspaces[workspace].in_flight -= 1
+        self.in_flight -= 1
+
+    def _is_short(self) -> bool:
+        return self.in_flight + 1 > self.window * (1 - PRIORITY_SPAN) / 2
+
+    def _fair_part(self, state: _Workspace, now_s: float) -> float:
+        """Return the places of `state` under max-min fairness by share.
+
+        Those that want less than their part leave the rest to the others.
+        """
+        active = [
+            item
+            for item in self._workspaces.values()
+            if item.in_flight or now_s - item.seen_s < ACTIVE_S
+        ]
+        left = self.window
+        shares = sum(item.terms.share for item in active)
+        for item in sorted(active, key=lambda i: i.demand(now_s) / i.terms.share):
+            part = left * item.terms.share / shares
+            got = min(part, item.demand(now_s))
+            if item is state:
+                rest = left - got if len(active) == 1 else 0.0
+                return max(WINDOW_MIN, part + rest)
+            left -= got
+            shares -= item.terms.share
+        return max(WINDOW_MIN, left)
+
+    def _refuse(self, detail: str, overload: float = 1.0) -> Failure:
+        self.refused += 1
+        after_s = self.latency_s * max(1.0, overload)
+        return Failure(
+            Reason.OVERLOADED, Step.ADMIT, detail=detail, retry_after_s=after_s
+        )
+
+
+def _priority_part(priority: int) -> float:
+    """Return the share of the window that requests of `priority` may fill."""
+    return 1.0 - PRIORITY_SPAN * (PRIORITY_MAX - priority) / PRIORITY_MAX
--- /dev/null
+++ b/reedspar/requests/claim_client.py
@@ -0,0 +1,163 @@
+"""Claims as the filter asks for them: by the owner of the partition, or directly.
+
+The owner is the first entry by rendezvous hashing.  An owner that does not
+answer is passed by: the claim is then written by this entry under the same
+token, which is safe whether or not the owner wrote it before.
+"""
+
+from dataclasses import dataclass, field
+
+import anyio
+
+from reedspar.links import Network
+from reedspar.messages import Sender
+from reedspar.timers import TimerService
+from reedspar.utils import rank_by_rendezvous
+
+from .claim_ledger import ClaimLedger
+from .claim_places import ClaimPlace, partition_of
+from .claim_table import make_reply
+from .messages import (
+    ClaimReply,
+    ClaimRequest,
+    ClaimUpdate,
+    ClaimUpdated,
+    ClaimVerdict,
+)
+from .views import EntryDirectory
+
+__all__ = ["ClaimClient"]
+
+OWNER_TIMEOUT_S = 1.0
+DIRECT_TIMEOUT_S = 2.5
+PASSED_BY_S = 5.0
+UPDATE_AGAIN_S = 1.0
+UPDATE_DIRECT_S = 3.0
+"""An outcome that the owner did not confirm for so long is written directly."""
+UPDATES_MAX = 10_000
+"""Outcomes that wait for the key-value service; older ones end as unknown."""
+
+
+@dataclass(slots=True)
+class _Waiting:
+    event: anyio.Event = field(default_factory=anyio.Event)
+    reply: ClaimReply | None = None
+
+
+class ClaimClient:
+    """Claims of this entry, and those that others forward to it as the owner."""
+
+    def __init__(
+        self,
+        name: str,
+        network: Network,
+        timers: TimerService,
+        ledger: ClaimLedger,
+        entries: EntryDirectory,
+    ) -> None:
+        self._name = name
+        self._network = network
+        self._timers = timers
+        self._ledger = ledger
+        self._entries = entries
+        self._waiting: dict[str, _Waiting] = {}
+        self._updates: dict[str, tuple[ClaimUpdate, float]] = {}
+        self._passed_by_s: dict[str, float] = {}
+        self._heard_s: dict[str, float] = {}
+        network.subscribe(ClaimRequest, self._on_request)
+        network.subscribe(ClaimReply, self._on_owner_reply)
+        network.subscribe(ClaimUpdate, self._on_update)
+        network.subscribe(ClaimUpdated, self._on_updated)
+        timers.call_every(UPDATE_AGAIN_S, self._send_updates)
+
+    async def claim(self, place: ClaimPlace, token: str, payload: str) -> ClaimReply:
+        """Return what became of the claim; ``GRANTED`` lets the order run."""
+        request = ClaimRequest(place.claim_key, token, payload, place.location)
+        waiting = self._waiting[token] = _Waiting()
+        try:
+            owner = self._owner_of(place.location)
+            if owner != self._name and self._network.send(owner, request) is None:
+                with anyio.move_on_after(OWNER_TIMEOUT_S):
+                    await waiting.event.wait()
+                if waiting.reply is not None:
+                    return waiting.reply
+                self._pass_by(owner)
+            self._ledger.submit_claim(request, self._on_reply)
+            with anyio.move_on_after(DIRECT_TIMEOUT_S):
+                await waiting.event.wait()
+            detail = "no answer from the claims"
+            return waiting.reply or make_reply(token, ClaimVerdict.UNAVAILABLE, detail)
+        finally:
+            del self._waiting[token]
+
+    def update(self, update: ClaimUpdate) -> None:
+        """Record how the order ended; sent again until it is written."""
+        if len(self._updates) >= UPDATES_MAX:
+            del self._updates[next(iter(self._updates))]
+        now_s = self._timers.now_s()
+        self._updates[update.token] = (update, now_s)
+        self._send_update(update, now_s)
+
+    def _owner_of(self, location: str) -> str:
+        partition = partition_of(location)
+        if partition == "undated":
+            return self._name
+        horizon_s = self._timers.now_s() - PASSED_BY_S
+        names = {
+            entry.name
+            for entry in self._entries.entries()
+            if not entry.is_leaving
+            and self._passed_by_s.get(entry.name, horizon_s) <= horizon_s
+        }
+        return rank_by_rendezvous(f"claims/{partition}", names | {self._name})[0]
+
+    def _pass_by(self, owner: str) -> None:
+        """Leave an owner out for a while, unless it answered others meanwhile.
+
+        A slow key-value service makes every owner late; were all entries then
+        to write by themselves, their conflicts would make it slower still.
+        """
+        now_s = self._timers.now_s()
+        if now_s - self._heard_s.get(owner, -PASSED_BY_S) > OWNER_TIMEOUT_S:
+            self._passed_by_s[owner] = now_s
+
+    def _send_updates(self) -> None:
+        for update, since_s in list(self._updates.values()):
+            self._send_update(update, since_s)
+
+    def _send_update(self, update: ClaimUpdate, since_s: float) -> None:
+        owner = self._owner_of(update.location)
+        is_late = self._timers.now_s() - since_s > UPDATE_DIRECT_S
+        is_own = owner == self._name or is_late
+        if not is_own and self._network.send(owner, update) is None:
+            return
+        token = update.token
+        self._ledger.submit_update(update, lambda: self._forget_update(token))
+
+    def _forget_update(self, token: str) -> None:
+        self._updates.pop(token, None)
+
+    def _on_request(self, sender: Sender, request: ClaimRequest) -> None:
+        def reply_to_sender(reply: ClaimReply) -> None:
+            self._network.send(sender.name, reply)
+
+        self._ledger.submit_claim(request, reply_to_sender)
+
+    def _on_owner_reply(self, sender: Sender, reply: ClaimReply) -> None:
+        self._heard_s[sender.name] = self._timers.now_s()
+        self._on_reply(reply)
+
+    def _on_reply(self, reply: ClaimReply) -> None:
+        waiting = self._waiting.get(reply.token)
+        if waiting is not None and waiting.reply is None:
+            waiting.reply = reply
+            waiting.event.set()
+
+    def _on_update(self, sender: Sender, update: ClaimUpdate) -> None:
+        def confirm() -> None:
+            self._network.send(sender.name, ClaimUpdated(update.token))
+
+        self._ledger.submit_update(update, confirm)
+
+    def _on_updated(self, sender: Sender, message: ClaimUpdated) -> None:
+        self._forget_update(message.token)
--- /dev/null
+++ b/reedspar/requests/claim_table.py
@@ -0,0 +1,180 @@
+"""Decision: what a claim or its outcome changes in the records of one location.
+
+Applying the same claim or update again changes nothing, so a batch whose
+write's answer was lost may be applied to whatever is read back.
+"""
+
+from dataclasses import dataclass, field, replace
+
+from .messages import (
+    ClaimRecord,
+    ClaimReply,
+    ClaimRequest,
+    ClaimSlice,
+    ClaimState,
+    ClaimUpdate,
+    ClaimVerdict,
+)
+
+__all__ = ["ClaimTable", "make_reply"]
+
+SLICE_SIZE_MAX = 900_000
+"""Values of the key-value service hold 1 MiB; the rest is encoding."""
+RECORD_SIZE = 260
+"""What a record takes beside its answer's body."""
+VERDICT_BY_STATE = {
+    ClaimState.ANSWERED: ClaimVerdict.ANSWERED,
+    ClaimState.NOT_KEPT: ClaimVerdict.UNKNOWN,
+    ClaimState.UNKNOWN: ClaimVerdict.UNKNOWN,
+    ClaimState.RELEASED: ClaimVerdict.UNAVAILABLE,
+}
+
+
+def make_reply(
+    token: str,
+    verdict: ClaimVerdict,
+    detail: str = "",
+    record: ClaimRecord | None = None,
+) -> ClaimReply:
+    """Return a reply, with the answer of `record` if one is to be repeated."""
+    if record is None:
+        return ClaimReply(token, verdict, 0, (), b"", "", detail)
+    return ClaimReply(
+        token,
+        verdict,
+        record.status,
+        record.headers,
+        record.body,
+        record.weights_digest,
+        detail,
+    )
+
+
+@dataclass(slots=True)
+class ClaimTable:
+    """The records of one location."""
+
+    ttl_s: float
+    running_s: float
+    """Age up to which a claimed order may be running still."""
+    records: dict[str, ClaimRecord] = field(default_factory=dict)
+    size_bytes: int = 0
+
+    def copy(self) -> "ClaimTable":
+        """Return a table that can be changed by itself."""
+        records = dict(self.records)
+        return ClaimTable(self.ttl_s, self.running_s, records, self.size_bytes)
+
+    def load(self, value: ClaimSlice) -> None:
+        """Take the records of a value that was read."""
+        for record in value.records:
+            self._put(record)
+
+    def to_slice(self) -> ClaimSlice:
+        """Return the value to write."""
+        return ClaimSlice(tuple(self.records.values()))
+
+    def claim(self, request: ClaimRequest, now_s: float) -> tuple[ClaimReply, bool]:
+        """Return the reply, and whether the table changed; unix time."""
+        record = self.records.get(request.claim_key)
+        if record is None:
+            return self._grant(request, now_s)
+        if record.token == request.token:
+            return self._repeat_own(request, record), False
+        if record.claimed_at_s + self.ttl_s < now_s:
+            return make_reply(request.token, ClaimVerdict.EXPIRED), False
+        if record.state is ClaimState.RELEASED:
+            return self._grant(request, now_s)
+        if record.payload != request.payload:
+            return make_reply(request.token, ClaimVerdict.MISMATCH), False
+        return self._refer(request, record, now_s), False
+
+    def update(self, update: ClaimUpdate, now_s: float) -> bool:
+        """Record how a claimed order ended; return whether the table changed.
+
+        Only the claim that holds the record may end it, and only once: an
+        update that comes late or crossed must not end another one's claim.
+        """
+        record = self.records.get(update.claim_key)
+        if record is None and update.state is ClaimState.RELEASED:
+            return self._put_released(update, now_s)
+        if record is None or record.token != update.token:
+            return False
+        if record.state is not ClaimState.CLAIMED:
+            return False
+        ended = replace(
+            record,
+            state=update.state,
+            status=update.status,
+            headers=update.headers,
+            body=update.body,
+            weights_digest=update.weights_digest,
+        )
+        if self.size_bytes + _size_of(ended) > SLICE_SIZE_MAX:
+            is_answered = update.state is ClaimState.ANSWERED
+            state = ClaimState.NOT_KEPT if is_answered else update.state
+            ended = replace(record, state=state)
+        self._put(ended)
+        return True
+
+    def _grant(self, request: ClaimRequest, now_s: float) -> tuple[ClaimReply, bool]:
+        if self.size_bytes + RECORD_SIZE > SLICE_SIZE_MAX:
+            detail = "too many orders at once"
+            reply = make_reply(request.token, ClaimVerdict.UNAVAILABLE, detail)
+            return reply, False
+        self._put(
+            ClaimRecord(
+                request.claim_key,
+                request.token,
+                request.payload,
+                ClaimState.CLAIMED,
+                now_s,
+            )
+        )
+        return make_reply(request.token, ClaimVerdict.GRANTED), True
+
+    def _repeat_own(self, request: ClaimRequest, record: ClaimRecord) -> ClaimReply:
+        """Answer the claim's own token again.
+
+        A request that was delayed past its own release must not be granted:
+        its entry has told the caller that the order was not run.
+        """
+        if record.state is ClaimState.CLAIMED:
+            return make_reply(request.token, ClaimVerdict.GRANTED)
+        return make_reply(request.token, VERDICT_BY_STATE[record.state], record=record)
+
+    def _refer(
+        self, request: ClaimRequest, record: ClaimRecord, now_s: float
+    ) -> ClaimReply:
+        if record.state is ClaimState.CLAIMED:
+            is_running = now_s - record.claimed_at_s < self.running_s
+            verdict = ClaimVerdict.RUNNING if is_running else ClaimVerdict.UNKNOWN
+            return make_reply(request.token, verdict)
+        verdict = VERDICT_BY_STATE[record.state]
+        detail = "answered, but the answer was too large to keep"
+        is_kept = record.state is not ClaimState.NOT_KEPT
+        return make_reply(request.token, verdict, "" if is_kept else detail, record)
+
+    def _put_released(self, update: ClaimUpdate, now_s: float) -> bool:
+        """Release a claim that is not written yet.
+
+        Its write may still be on its way after its answer was lost, and would
+        block the key for good.  This one moves the revision that it names.
+        """
+        released = ClaimRecord(
+            update.claim_key, update.token, "", ClaimState.RELEASED, now_s
+        )
+        self._put(released)
+        return True
+
+    def _put(self, record: ClaimRecord) -> None:
+        old = self.records.get(record.claim_key)
+        if old is not None:
+            self.size_bytes -= _size_of(old)
+        self.records[record.claim_key] = record
+        self.size_bytes += _size_of(record)
+
+
+def _size_of(record: ClaimRecord) -> int:
+    headers = sum(len(item.name) + len(item.value) + 32 for item in record.headers)
+    return RECORD_SIZE + headers + len(record.body)
--- /dev/null
+++ b/reedspar/requests/deduplicate.py
@@ -0,0 +1,129 @@
+"""The filter that runs an order with an idempotency key at most once."""
+
+from collections.abc import Callable
+
+from reedspar.attempts import Header
+from reedspar.errors import Failure, Reason, Step
+
+from .claim_client import ClaimClient
+from .claim_places import ClaimPlace, make_expired, place_claim
+from .endings import make_not_run, make_unknown
+from .messages import ClaimReply, ClaimState, ClaimUpdate, ClaimVerdict
+from .request import Answer, Outcome, Proceed, Request
+
+__all__ = ["Deduplicate"]
+
+KEPT_ANSWER_BYTES = 8 * 1024
+REPLAYED_HEADER = Header("x-reedspar-replayed", "true")
+RUNNING_RETRY_S = 1.0
+UNAVAILABLE_RETRY_S = 2.0
+
+
+class Deduplicate:
+    """Claim the key before the rest runs; answer a repeat from its record."""
+
+    def __init__(
+        self, claims: ClaimClient, unix_time: Callable[[], float], ttl_s: float
+    ) -> None:
+        self._claims = claims
+        self._unix_time = unix_time
+        self._ttl_s = ttl_s
+
+    async def apply(self, request: Request, proceed: Proceed) -> Answer:
+        """Let the first with its key proceed; requests without a key always do."""
+        if not request.idempotency_key:
+            return await proceed(request)
+        place = place_claim(
+            request.workspace,
+            request.pool,
+            request.idempotency_key,
+            self._unix_time(),
+            self._ttl_s,
+        )
+        if isinstance(place, Failure):
+            return make_not_run(place)
+        reply = await self._claims.claim(place, request.request_id, request.fingerprint)
+        if reply.verdict is ClaimVerdict.GRANTED:
+            return await self._run(request, place, proceed)
+        if reply.verdict is ClaimVerdict.UNAVAILABLE:
+            # The write may have taken effect although nobody confirmed it.
+            # The order was not handed over, so its key is given back.
+            self._end(request, place, ClaimState.RELEASED)
+        return self._answer(reply)
+
+    async def _run(
+        self, request: Request, place: ClaimPlace, proceed: Proceed
+    ) -> Answer:
+        state = ClaimState.UNKNOWN
+        answer: Answer | None = None
+        try:
+            answer = await proceed(request)
+            state = _state_of(answer)
+        finally:
+            self._end(request, place, state, answer)
+        return answer
+
+    def _end(
+        self,
+        request: Request,
+        place: ClaimPlace,
+        state: ClaimState,
+        answer: Answer | None = None,
+    ) -> None:
+        kept = answer if state is ClaimState.ANSWERED else None
+        self._claims.update(
+            ClaimUpdate(
+                place.claim_key,
+                request.request_id,
+                place.location,
+                state,
+                kept.status if kept is not None else 0,
+                kept.headers if kept is not None else (),
+                kept.body if kept is not None else b"",
+                kept.weights_digest if kept is not None else "",
+            )
+        )
+
+    def _answer(self, reply: ClaimReply) -> Answer:
+        if reply.verdict is ClaimVerdict.ANSWERED:
+            return Answer(
+                Outcome.ANSWERED,
+                reply.status,
+                (*reply.headers, REPLAYED_HEADER),
+                reply.body,
+                reply.weights_digest,
+            )
+        if reply.verdict is ClaimVerdict.RUNNING:
+            detail = "an earlier one with this key is running"
+            failure = _fail(Reason.DUPLICATE, detail, RUNNING_RETRY_S)
+            return make_unknown(failure)
+        if reply.verdict is ClaimVerdict.UNKNOWN:
+            detail = reply.detail or "an earlier one with this key may have run"
+            return make_unknown(_fail(Reason.OUTCOME_UNKNOWN, detail))
+        if reply.verdict is ClaimVerdict.MISMATCH:
+            detail = "the key was used for another request"
+            return make_not_run(_fail(Reason.CONFLICT, detail))
+        if reply.verdict is ClaimVerdict.EXPIRED:
+            return make_not_run(make_expired(self._ttl_s))
+        detail = f"this sending was not run; {reply.detail}"
+        failure = Failure(
+            Reason.UNAVAILABLE,
+            Step.CLAIM,
+            detail=detail,
+            retry_after_s=UNAVAILABLE_RETRY_S,
+        )
+        return make_not_run(failure)
+
+
+def _fail(reason: Reason, detail: str, after_s: float | None = None) -> Failure:
+    return Failure(reason, Step.DEDUPLICATE, detail=detail, retry_after_s=after_s)
+
+
+def _state_of(answer: Answer) -> ClaimState:
+    if answer.outcome is Outcome.NOT_RUN:
+        return ClaimState.RELEASED
+    if answer.outcome is Outcome.UNKNOWN:
+        return ClaimState.UNKNOWN
+    if answer.is_sent or len(answer.body) > KEPT_ANSWER_BYTES:
+        return ClaimState.NOT_KEPT
+    return ClaimState.ANSWERED
--- a/reedspar/requests/endings.py
+++ b/reedspar/requests/endings.py
@@ -86,7 +86,8 @@
     """Return status, headers and body that tell an ending that is no answer."""
     status = status_of_failure(outcome, failure)
     headers = [Header("content-type", "application/json")]
-    if status not in PERMANENT_STATUSES and outcome is Outcome.NOT_RUN:
+    is_open = outcome is Outcome.NOT_RUN or failure.retry_after_s is not None
+    if status not in PERMANENT_STATUSES and is_open:
         after_s = failure.retry_after_s or DEFAULT_RETRY_AFTER_S
         headers.append(Header("retry-after", str(max(1, math.ceil(after_s)))))
     document = {
--- /dev/null
+++ b/reedspar/requests/quarantine.py
@@ -0,0 +1,115 @@
+"""Decision: which fingerprints crash targets, and which merely ran beside them.
+
+A fingerprint that was in flight at two crashes is a suspect.  It is blamed if
+it was the only suspect at one of them; an answer clears it, because a request
+that crashes every target never gets one.  Suspects that cannot be told apart
+yet run one at a time, so the next crash or answer decides.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+__all__ = ["Crash", "Quarantine", "Standing"]
+
+QUARANTINE_S = 300.0
+"""How long a blamed fingerprint is refused, from its last crash on."""
+CRASHES_MAX = 256
+CRASHES_TO_BLAME = 2
+
+
+class Standing(Enum):
+    """What a fingerprint may do."""
+
+    CLEAR = auto()
+    SUSPECT = auto()
+    BLAMED = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """One crash of a target, and what was in flight at it."""
+
+    crash_id: str
+    at_s: float
+    fingerprints: frozenset[str]
+
+
+@dataclass(slots=True)
+class Quarantine:
+    """What this entry knows of crashes."""
+
+    quarantine_s: float = QUARANTINE_S
+    _crashes: OrderedDict[str, Crash] = field(default_factory=OrderedDict)
+    _cleared_s: dict[str, float] = field(default_factory=dict)
+    _blamed_s: dict[str, float] = field(default_factory=dict)
+
+    def on_crash(
+        self, crash_id: str, fingerprints: Iterable[str], at_s: float, now_s: float
+    ) -> bool:
+        """Take the news of a crash; return whether it was news."""
+        self._forget_old(now_s)
+        if crash_id in self._crashes or now_s - at_s > self.quarantine_s:
+            return False
+        self._crashes[crash_id] = Crash(crash_id, at_s, frozenset(fingerprints))
+        while len(self._crashes) > CRASHES_MAX:
+            self._crashes.popitem(last=False)
+        self._blame()
+        return True
+
+    def on_answered(self, fingerprint: str, now_s: float) -> None:
+        """Clear a fingerprint that a target lived through."""
+        if any(fingerprint in crash.fingerprints for crash in self._crashes.values()):
+            self._cleared_s[fingerprint] = now_s
+            self._blame()
+
+    def standing(self, fingerprint: str, now_s: float) -> tuple[Standing, float]:
+        """Return what the fingerprint may do, and for how long if it is refused."""
+        self._forget_old(now_s)
+        blamed_s = self._blamed_s.get(fingerprint)
+        if blamed_s is not None:
+            return Standing.BLAMED, blamed_s + self.quarantine_s - now_s
+        if fingerprint in self._suspects():
+            return Standing.SUSPECT, 0.0
+        return Standing.CLEAR, 0.0
+
+    def recent(self, now_s: float) -> list[Crash]:
+        """Return the crashes that still count, newest first."""
+        self._forget_old(now_s)
+        return list(reversed(self._crashes.values()))
+
+    def _suspects(self) -> set[str]:
+        counts: dict[str, int] = {}
+        for crash in self._crashes.values():
+            for fingerprint in crash.fingerprints:
+                if self._cleared_s.get(fingerprint, -1.0) < crash.at_s:
+                    counts[fingerprint] = counts.get(fingerprint, 0) + 1
+        return {name for name, count in counts.items() if count >= CRASHES_TO_BLAME}
+
+    def _blame(self) -> None:
+        suspects = self._suspects()
+        for crash in self._crashes.values():
+            alone = crash.fingerprints & suspects
+            if len(alone) == 1:
+                (fingerprint,) = alone
+                last_s = max(
+                    other.at_s
+                    for other in self._crashes.values()
+                    if fingerprint in other.fingerprints
+                )
+                self._blamed_s[fingerprint] = last_s
+        for fingerprint in list(self._blamed_s):
+            if fingerprint not in suspects:
+                del self._blamed_s[fingerprint]
+
+    def _forget_old(self, now_s: float) -> None:
+        if not self._crashes:
+            return
+        horizon_s = now_s - self.quarantine_s
+        for crash_id, crash in list(self._crashes.items()):
+            if crash.at_s < horizon_s:
+                del self._crashes[crash_id]
+        for times in (self._cleared_s, self._blamed_s):
+            for name in [name for name, at_s in times.items() if at_s < horizon_s]:
+                del times[name]
--- a/reedspar/requests/relay.py
+++ b/reedspar/requests/relay.py
@@ -14,6 +14,7 @@
 from .assembly import Verdict
 from .attempt_client import AttemptClient, OpenAttempt
 from .endings import make_not_run, make_unknown
+from .quarantine import Quarantine, Standing
 from .request import Answer, Outcome, Proceed, Request
 from .retries import RetryBudget
 from .routing import Router
@@ -27,6 +28,8 @@
 """A larger answer is passed on while it arrives."""
 STREAM_ROOM_BYTES = 1024 * 1024
 ATTEMPTS_MAX = 4
+UNKNOWNS_MAX = 2
+"""Broken attempts of one request; it may be what breaks its targets."""
 VERDICT_MARGIN_S = 0.25
 """What the agent's word at its deadline gets to reach us before ours."""
 RESTED_REASONS = frozenset(
@@ -47,18 +50,21 @@
         router: Router,
         budget: RetryBudget,
         configuration: ConfigurationView,
+        quarantine: Quarantine,
         timers: TimerService,
     ) -> None:
         self._client = client
         self._router = router
         self._budget = budget
         self._configuration = configuration
+        self._quarantine = quarantine
         self._timers = timers
 
     async def apply(self, request: Request, proceed: Proceed) -> Answer:
         """Return the answer; `proceed` is not called, for this filter is the last."""
         tried: set[str] = set()
         last: Answer | None = None
+        unknowns = 0
         for number in range(ATTEMPTS_MAX):
             view = self._choose(request, tried)
             if isinstance(view, Failure):
@@ -68,8 +74,10 @@
             elif not self._budget.try_spend():
                 return last
             tried.add(view.name)
-            last = _join(last, await self._attempt(request, view, number))
-            if not _may_retry(request, last):
+            latest = await self._attempt(request, view, number)
+            unknowns += latest.outcome is Outcome.UNKNOWN
+            last = _join(last, latest)
+            if unknowns >= UNKNOWNS_MAX or not self._may_retry(request, last):
                 return last
         return last or make_not_run(Failure(Reason.NO_TARGET, Step.ROUTE))
 
@@ -152,6 +160,17 @@
         await responder.send(self._client.take(attempt), is_last=True)
         return Answer(Outcome.ANSWERED, head.status, is_sent=True)
 
+    def _may_retry(self, request: Request, answer: Answer) -> bool:
+        failure = answer.failure
+        if answer.is_sent or failure is None or failure.reason in FINAL_REASONS:
+            return False
+        if answer.outcome is Outcome.NOT_RUN:
+            return True
+        # A request that crashes its target would crash one target per retry.
+        now_s = self._timers.now_s()
+        standing, _ = self._quarantine.standing(request.fingerprint, now_s)
+        return request.is_idempotent and standing is not Standing.BLAMED
+
     def _note_refusal(self, view: TargetView, answer: Answer) -> None:
         failure = answer.failure
         if answer.outcome is not Outcome.NOT_RUN or failure is None:
@@ -208,10 +227,3 @@
     if earlier is None or latest.outcome is not Outcome.NOT_RUN:
         return latest
     return earlier if earlier.outcome is Outcome.UNKNOWN else latest
-
-
-def _may_retry(request: Request, answer: Answer) -> bool:
-    failure = answer.failure
-    if answer.is_sent or failure is None or failure.reason in FINAL_REASONS:
-        return False
-    return answer.outcome is Outcome.NOT_RUN or request.is_idempotent
--- /dev/null
+++ b/reedspar/requests/requests.capnp
@@ -0,0 +1,64 @@
+@0xe7b2640f91ac38d5;
+# What entries tell each other about requests, and agents about crashes.
+
+struct CrashNotice {
+  crashId @0 :Text;
+  target @1 :Text;
+  fingerprints @2 :List(Text);
+  ageMs @3 :UInt64;
+  # Time since the crash, so that clocks need not agree.
+}
+
+struct ClaimRequest {
+  claimKey @0 :Text;
+  token @1 :Text;
+  # The request id that will run the order if it is granted.
+  payload @2 :Text;
+  location @3 :Text;
+}
+
+struct ClaimReply {
+  token @0 :Text;
+  verdict @1 :Text;
+  status @2 :UInt16;
+  headers @3 :List(Header);
+  body @4 :Data;
+  weightsDigest @5 :Text;
+  detail @6 :Text;
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct ClaimUpdate {
+  claimKey @0 :Text;
+  token @1 :Text;
+  location @2 :Text;
+  state @3 :Text;
+  status @4 :UInt16;
+  headers @5 :List(Header);
+  body @6 :Data;
+  weightsDigest @7 :Text;
+}
+
+struct ClaimUpdated {
+  token @0 :Text;
+}
+
+struct ClaimRecord {
+  claimKey @0 :Text;
+  token @1 :Text;
+  payload @2 :Text;
+  state @3 :Text;
+  claimedAtS @4 :Float64;
+  status @5 :UInt16;
+  headers @6 :List(Header);
+  body @7 :Data;
+  weightsDigest @8 :Text;
+}
+
+struct ClaimSlice {
+  records @0 :List(ClaimRecord);
+}
--- a/reedspar/requests/service.py
+++ b/reedspar/requests/service.py
@@ -1,18 +1,26 @@
 """Composition of the entry side: the filters, their state and the application."""
 
 import random
-from collections.abc import Sequence
+import time
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from starlette.routing import BaseRoute
 
 from reedspar.links import Network
+from reedspar.platform import KeyValueStore
 from reedspar.settings import RequestSettings
 from reedspar.timers import TimerService
 
 from .application import RequestApplication, RequestIds
 from .attempt_client import AttemptClient, create_attempt_client
+from .claim_client import ClaimClient
+from .claim_ledger import ClaimLedger, LedgerTerms
+from .crash_gossip import create_crash_gossip
+from .deduplicate import Deduplicate
 from .filters import Bound, Classify, Identify, chain_filters
+from .guards import Admit, Guard
+from .quarantine import Quarantine
 from .relay import Relay
 from .request import Filter
 from .retries import RetryBudget
@@ -22,6 +30,9 @@
 
 __all__ = ["RequestService", "create_request_service"]
 
+RUNNING_MARGIN_S = 5.0
+"""After its deadline and this, an order without an outcome counts as unknown."""
+
 
 @dataclass(frozen=True, slots=True)
 class RequestService:
@@ -30,6 +41,11 @@
     application: RequestApplication
     client: AttemptClient
     directory: TargetDirectory
+    ledger: ClaimLedger
+
+    async def run(self) -> None:
+        """Write claims until cancelled; start it in the daemon's task group."""
+        await self.ledger.run()
 
 
 def create_request_service(
@@ -42,24 +58,39 @@
     configuration: ConfigurationView,
     entries: EntryDirectory,
     settings: RequestSettings,
+    key_value: KeyValueStore,
     rng: random.Random,
+    unix_time: Callable[[], float] = time.time,
     extra_routes: Sequence[BaseRoute] = (),
 ) -> RequestService:
     """Build the entry side on the daemon's network, timers and configuration."""
     client = create_attempt_client(network, timers)
     directory = create_target_directory(network, timers)
     directory.on_incarnation(client.on_incarnation)
+    quarantine = Quarantine()
+    create_crash_gossip(name, quarantine, network, timers, entries, rng)
+    ledger = ClaimLedger(
+        key_value,
+        timers,
+        unix_time,
+        LedgerTerms(settings.claim_ttl_s, settings.deadline_s + RUNNING_MARGIN_S),
+    )
+    claims = ClaimClient(name, network, timers, ledger, entries)
     relay = Relay(
         client,
         Router(directory, zone, rng),
         RetryBudget(settings.retry_share),
         configuration,
+        quarantine,
         timers,
     )
     filters: list[Filter] = [
         Identify(configuration),
         Bound(timers, settings.deadline_s, settings.body_limit_bytes),
         Classify(configuration),
+        Deduplicate(claims, unix_time, settings.claim_ttl_s),
+        Guard(quarantine, timers),
+        Admit(configuration, timers),
         relay,
     ]
     application = RequestApplication(
@@ -72,4 +103,4 @@
         zone,
         extra_routes,
     )
-    return RequestService(application, client, directory)
+    return RequestService(application, client, directory, ledger)
