--- a/reedspar/requests/assembly.py
+++ b/reedspar/requests/assembly.py
@@ -25,6 +25,10 @@
 __all__ = ["AnswerAssembly", "Progress", "Verdict"]
 
 
+PROOF_AGE_S = 30.0
+"""Half of the least time that an agent remembers an ended attempt."""
+
+
 class Verdict(Enum):
     """What is known of an attempt."""
 
@@ -41,6 +45,8 @@
     NOTHING = auto()
     GAP = auto()
     """Something before it is missing: ask for it again."""
+    MISSING = auto()
+    """The agent never got it: revoke it, to have proof."""
     FULL = auto()
     """The caller reads too slowly: ask for it again once it has read on."""
 
@@ -103,17 +109,20 @@
             return self._finish(Verdict.UNKNOWN, message.reason, message.detail)
         return self._check_end() or Progress.GAP
 
-    def on_refused(self, message: AttemptRefused, incarnation: int) -> Progress:
+    def on_refused(
+        self, message: AttemptRefused, incarnation: int, age_s: float
+    ) -> Progress:
         """Take a refusal, if it proves that the attempt never ran."""
         if not self.is_open:
             return Progress.NOTHING
-        # A restarted agent refuses what was meant for its predecessor.  If we
-        # only handed over once, the one copy came to the refuser, and nobody
-        # ran it.  After a cancel the refusal may answer that instead, while
-        # the predecessor had got (and run) the hand-over: no proof.
+        # A refusal of the one copy that was handed over is proof from any
+        # incarnation.  After a cancel it may answer that instead: from another
+        # incarnation, or once the agent may have forgotten that the attempt
+        # ran (an entry that was frozen asks so late), it proves nothing, and
+        # an order that ran would be called not run.
         is_other = incarnation != self.start.agent_incarnation
-        if is_other and self.start.agent_incarnation and self.is_cancelled:
-            return self.on_lost("the agent was restarted")
+        if self.is_cancelled and (is_other or age_s > PROOF_AGE_S):
+            return self.on_lost("revoked too late for proof")
         after_s = message.retry_after_s or None
         return self._finish(
             Verdict.NOT_RUN, message.reason, message.detail, after_s, Step.AGENT_ADMIT
@@ -126,6 +135,10 @@
         expected = self.start.agent_incarnation
         if expected and incarnation != expected:
             return self.on_lost("the agent was restarted")
+        if message.phase is AttemptPhase.UNKNOWN:
+            if self.head is None and self.phase is AttemptPhase.UNKNOWN:
+                return Progress.MISSING
+            return self.on_lost("the agent has let go of it")
         self.phase = message.phase
         if message.phase is AttemptPhase.REVOKED:
             return self._finish(Verdict.NOT_RUN, Reason.CANCELLED, "revoked")
--- a/reedspar/requests/attempt_client.py
+++ b/reedspar/requests/attempt_client.py
@@ -22,8 +22,8 @@
     AttemptStart,
     AttemptStatus,
 )
-from reedspar.errors import Failure
-from reedspar.links import Network
+from reedspar.errors import Failure, Reason
+from reedspar.links import LinkChange, LinkEvent, Network
 from reedspar.messages import Sender
 from reedspar.timers import TimerService
 
@@ -59,6 +59,7 @@
 
     def __init__(self, assembly: AnswerAssembly, now_s: float) -> None:
         self.assembly = assembly
+        self.started_s = now_s
         self.heard_s = now_s
         self.asked_s = now_s
         self.acked_bytes = 0
@@ -105,6 +106,7 @@
         network.subscribe(AttemptEnd, self._on_end)
         network.subscribe(AttemptRefused, self._on_refused)
         network.subscribe(AttemptStatus, self._on_status)
+        network.on_link_event(self._on_link_event)
         timers.call_every(SWEEP_S, self.sweep)
 
     @property
@@ -152,17 +154,10 @@
             self._resume(attempt)
         return data
 
-    def on_link_replaced(self, target: str) -> None:
-        """Resume every attempt at an agent whose link was replaced."""
-        for attempt in self._open.values():
-            if attempt.target == target and attempt.assembly.is_open:
-                self._resume(attempt)
-
     def on_incarnation(self, target: str, incarnation: int) -> None:
         """Give up the attempts at predecessors of a restarted agent."""
-        for attempt in list(self._open.values()):
-            expected = attempt.assembly.start.agent_incarnation
-            if attempt.target == target and 0 < expected < incarnation:
+        for attempt in self._open_at(target):
+            if 0 < attempt.assembly.start.agent_incarnation < incarnation:
                 self._give_up(attempt, "the agent was restarted")
 
     def sweep(self) -> None:
@@ -177,6 +172,25 @@
             elif now_s - max(attempt.heard_s, attempt.asked_s) >= self._resume_after_s:
                 self._resume(attempt)
 
+    def _on_link_event(self, event: LinkEvent) -> None:
+        """Resume on a new link; give up where no process is left to ask."""
+        if event.change is LinkChange.DOWN:
+            is_gone = event.reason is Reason.UNAVAILABLE
+            for attempt in self._open_at(event.peer):
+                if is_gone or attempt.assembly.start.is_idempotent:
+                    self._give_up(attempt, "the link to its agent is down")
+            return
+        self.on_incarnation(event.peer, event.incarnation)
+        for attempt in self._open_at(event.peer):
+            self._resume(attempt)
+
+    def _open_at(self, target: str) -> list[OpenAttempt]:
+        return [
+            attempt
+            for attempt in self._open.values()
+            if attempt.target == target and attempt.assembly.is_open
+        ]
+
     def _give_up(self, attempt: OpenAttempt, detail: str) -> None:
         if attempt.assembly.on_lost(detail) is Progress.NEWS:
             self.counts.lost += 1
@@ -218,11 +232,11 @@
         self._feed(sender, message, lambda assembly: assembly.on_end(message))
 
     def _on_refused(self, sender: Sender, message: AttemptRefused) -> None:
-        self._feed(
-            sender,
-            message,
-            lambda assembly: assembly.on_refused(message, sender.incarnation),
-        )
+        attempt = self._find(sender, message)
+        if attempt is not None:
+            age_s = attempt.heard_s - attempt.started_s
+            progress = attempt.assembly.on_refused(message, sender.incarnation, age_s)
+            self._react(attempt, progress)
 
     def _on_status(self, sender: Sender, message: AttemptStatus) -> None:
         self._feed(
@@ -249,6 +263,8 @@
     def _react(self, attempt: OpenAttempt, progress: Progress) -> None:
         if progress is Progress.NEWS:
             attempt.wake()
+        elif progress is Progress.MISSING:
+            self.cancel(attempt)
         elif progress is Progress.FULL:
             attempt.is_full = True
         elif progress is Progress.GAP and not attempt.is_full:
--- a/reedspar/requests/claim_leases.py
+++ b/reedspar/requests/claim_leases.py
@@ -28,6 +28,10 @@
         self._ttl_s = ttl_s
         self._held: dict[bool, tuple[str, float]] = {}
 
+    def drop(self) -> None:
+        """Ask for new leases; the service may have lost the ones held."""
+        self._held.clear()
+
     async def get(self, location: str) -> str | Failure:
         """Return a lease that outlives a claim written at `location` now."""
         is_undated = partition_of(location) == "undated"
--- a/reedspar/requests/claim_ledger.py
+++ b/reedspar/requests/claim_ledger.py
@@ -249,6 +249,7 @@
                 self.counts.conflicts += 1
                 return 0
             if result.reason is not Reason.OUTCOME_UNKNOWN:
+                self._leases.drop()
                 return result
             self.counts.unknown += 1
             await anyio.sleep(READ_AGAIN_S)
--- a/reedspar/requests/crash_gossip.py
+++ b/reedspar/requests/crash_gossip.py
@@ -6,13 +6,13 @@
 
 import random
 
-from reedspar.links import Network
+from reedspar.attempts import CrashNotice
+from reedspar.links import Network, Role
 from reedspar.messages import Sender
 from reedspar.timers import TimerService
 
-from .messages import CrashNotice
+from .messages import CrashNews
 from .quarantine import Crash, Quarantine
-from .views import EntryDirectory
 
 __all__ = ["CrashGossip", "create_crash_gossip"]
 
@@ -30,27 +30,33 @@
         quarantine: Quarantine,
         network: Network,
         timers: TimerService,
-        entries: EntryDirectory,
         rng: random.Random,
     ) -> None:
         self._name = name
         self._quarantine = quarantine
         self._network = network
         self._timers = timers
-        self._entries = entries
         self._rng = rng
         network.subscribe(CrashNotice, self._on_notice)
+        network.subscribe(CrashNews, self._on_news)
         timers.call_every(REPEAT_S, self._repeat)
 
     def _on_notice(self, sender: Sender, notice: CrashNotice) -> None:
+        crash_id = f"{notice.target}/{notice.boot_id}"
+        self._take(CrashNews(crash_id, notice.fingerprints, 0))
+
+    def _on_news(self, sender: Sender, news: CrashNews) -> None:
+        self._take(news)
+
+    def _take(self, news: CrashNews) -> None:
         now_s = self._timers.now_s()
-        at_s = now_s - notice.age_ms / 1000
-        is_news = self._quarantine.on_crash(
-            notice.crash_id, notice.fingerprints, at_s, now_s
+        at_s = now_s - news.age_ms / 1000
+        is_new = self._quarantine.on_crash(
+            news.crash_id, news.fingerprints, at_s, now_s
         )
-        if is_news:
+        if is_new:
             for peer in self._pick_entries(FANOUT):
-                self._network.send(peer, notice)
+                self._network.send(peer, news)
 
     def _repeat(self) -> None:
         now_s = self._timers.now_s()
@@ -59,19 +65,18 @@
             return
         for peer in self._pick_entries(1):
             for crash in crashes:
-                self._network.send(peer, _make_notice(crash, now_s))
+                self._network.send(peer, _make_news(crash, now_s))
 
     def _pick_entries(self, count: int) -> list[str]:
-        linked = set(self._network.peers())
-        names = [entry.name for entry in self._entries.entries()]
-        peers = [name for name in names if name in linked and name != self._name]
+        linked = self._network.peers(Role.ENTRY)
+        peers = [name for name in linked if name != self._name]
         return self._rng.sample(peers, min(count, len(peers)))
 
 
-def _make_notice(crash: Crash, now_s: float) -> CrashNotice:
+def _make_news(crash: Crash, now_s: float) -> CrashNews:
     age_ms = max(0, round((now_s - crash.at_s) * 1000))
     fingerprints = tuple(sorted(crash.fingerprints))
-    return CrashNotice(crash.crash_id, "", fingerprints, age_ms)
+    return CrashNews(crash.crash_id, fingerprints, age_ms)
 
 
 def create_crash_gossip(
@@ -79,8 +84,7 @@
     quarantine: Quarantine,
     network: Network,
     timers: TimerService,
-    entries: EntryDirectory,
     rng: random.Random,
 ) -> CrashGossip:
     """Make the gossip of entry `name` and subscribe it to notices."""
-    return CrashGossip(name, quarantine, network, timers, entries, rng)
+    return CrashGossip(name, quarantine, network, timers, rng)
--- a/reedspar/requests/messages.py
+++ b/reedspar/requests/messages.py
@@ -15,24 +15,20 @@
     "ClaimUpdate",
     "ClaimUpdated",
     "ClaimVerdict",
-    "CrashNotice",
+    "CrashNews",
     "register_messages",
 ]
 
 
 @dataclass(frozen=True, slots=True)
-class CrashNotice:
-    """Tells that a target crashed, and the fingerprints in flight at it.
-
-    The agent sends it to the entries that it has links to before it ends the
-    attempts as broken; entries pass it on.  `crash_id` is unique: the agent's
-    name, its incarnation and a count.
-    """
+class CrashNews:
+    """Passes on, from entry to entry, what an agent told of a crash."""
 
     crash_id: str
-    target: str
+    """The target's name and the boot that crashed: a crash counts once."""
     fingerprints: tuple[str, ...]
     age_ms: int
+    """Time since the crash, so that clocks need not agree."""
 
 
 class ClaimVerdict(Enum):
@@ -138,7 +134,7 @@
     schema = load_schema(__file__, "requests.capnp")
     registry.add_all(
         schema,
-        CrashNotice,
+        CrashNews,
         ClaimRequest,
         ClaimReply,
         ClaimUpdate,
--- a/reedspar/requests/requests.capnp
+++ b/reedspar/requests/requests.capnp
@@ -1,12 +1,10 @@
 @0xe7b2640f91ac38d5;
-# What entries tell each other about requests, and agents about crashes.
+# What entries tell each other about requests and crashes.
 
-struct CrashNotice {
+struct CrashNews {
   crashId @0 :Text;
-  target @1 :Text;
-  fingerprints @2 :List(Text);
-  ageMs @3 :UInt64;
-  # Time since the crash, so that clocks need not agree.
+  fingerprints @1 :List(Text);
+  ageMs @2 :UInt64;
 }
 
 struct ClaimRequest {
--- a/reedspar/requests/service.py
+++ b/reedspar/requests/service.py
@@ -68,7 +68,7 @@
     directory = create_target_directory(network, timers)
     directory.on_incarnation(client.on_incarnation)
     quarantine = Quarantine()
-    create_crash_gossip(name, quarantine, network, timers, entries, rng)
+    create_crash_gossip(name, quarantine, network, timers, rng)
     ledger = ClaimLedger(
         key_value,
         timers,
--- a/reedspar/requests/target_directory.py
+++ b/reedspar/requests/target_directory.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from reedspar.attempts import TargetReport, TargetStatus
-from reedspar.links import Network
+from reedspar.links import LinkChange, LinkEvent, Network
 from reedspar.messages import Sender
 from reedspar.timers import TimerService
 
@@ -59,6 +59,7 @@
         self._listeners: list[IncarnationListener] = []
         self.stale_reports = 0
         network.subscribe(TargetReport, self._on_report)
+        network.on_link_event(self._on_link_event)
         timers.call_every(FORGET_AFTER_S, self._forget_old)
 
     def on_incarnation(self, listener: IncarnationListener) -> None:
@@ -90,6 +91,10 @@
         if view is not None:
             self._by_pool[view.report.pool].pop(target, None)
 
+    def _on_link_event(self, event: LinkEvent) -> None:
+        if event.change is LinkChange.DOWN:
+            self.forget(event.peer)
+
     def _on_report(self, sender: Sender, report: TargetReport) -> None:
         now_s = self._timers.now_s()
         view = self._views.get(report.target)
--- a/reedspar/requests/tests/fakes.py
+++ b/reedspar/requests/tests/fakes.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import anyio
+
 from reedspar.attempts import (
     AttemptData,
     AttemptEnd,
@@ -21,6 +23,7 @@
 from reedspar.configuration import ConfigurationDocument
 from reedspar.errors import Failure, Reason, Step
 from reedspar.messages import Sender
+from reedspar.platform import KeyValueEntry
 from reedspar.requests import EntryAddress, RequestService, create_request_service
 from reedspar.settings import RequestSettings
 from reedspar.timers import TimerService
@@ -41,6 +44,7 @@
 
     def __init__(self) -> None:
         self.sent: list[tuple[str, Any]] = []
+        self.link_listeners: list[Callable] = []
         self.down: set[str] = set()
         self.handlers: dict[type, list[Callable]] = {}
         self.on_send: Callable[[str, Any], None] = lambda peer, message: None
@@ -55,9 +59,12 @@
     def subscribe(self, message_class: type, handler: Callable) -> None:
         self.handlers.setdefault(message_class, []).append(handler)
 
-    def peers(self) -> tuple[str, ...]:
+    def peers(self, role: object = None) -> tuple[str, ...]:
         return ()
 
+    def on_link_event(self, listener: Callable) -> None:
+        self.link_listeners.append(listener)
+
     def deliver(self, sender: str, *messages: Any, incarnation: int = 1) -> None:
         for message in messages:
             for handler in self.handlers.get(type(message), []):
@@ -67,6 +74,54 @@
         return [item for _, item in self.sent if isinstance(item, message_class)]
 
 
+class FakeKeyValue:
+    """Keeps entries in memory; a fault may meet each write before or after it."""
+
+    def __init__(self) -> None:
+        self.entries: dict[str, KeyValueEntry] = {}
+        self.older: dict[str, KeyValueEntry] = {}
+        self.revision = 0
+        self.writes = 0
+        self.before_write: Callable[[str], Failure | None] = lambda key: None
+        self.after_write: Callable[[str], Failure | None] = lambda key: None
+        self.is_stale: Callable[[], bool] = lambda: False
+        self.delay_s = 0.0
+
+    async def get(self, key: str) -> KeyValueEntry | Failure | None:
+        await anyio.sleep(self.delay_s)
+        if self.is_stale() and key in self.older:
+            return self.older[key]
+        return self.entries.get(key)
+
+    async def compare_and_swap(
+        self, key: str, value: bytes, expected_revision: int, lease_id: str = ""
+    ) -> int | Failure:
+        await anyio.sleep(self.delay_s)
+        failure = self.before_write(key)
+        if failure is not None:
+            return failure
+        current = self.entries.get(key)
+        if expected_revision != (current.revision if current else 0):
+            return Failure(Reason.CONFLICT, Step.KEY_VALUE)
+        if current is not None:
+            self.older[key] = current
+        self.revision += 1
+        self.writes += 1
+        self.entries[key] = KeyValueEntry(key, value, self.revision)
+        return self.after_write(key) or self.revision
+
+    async def grant_lease(self, ttl_s: float) -> str | Failure:
+        return "lease"
+
+    async def renew_lease(self, lease_id: str) -> Failure | None:
+        return None
+
+    async def watch(
+        self, key: str, after_revision: int, timeout_s: float
+    ) -> KeyValueEntry | Failure | None:
+        return None
+
+
 @dataclass
 class FakeConfiguration:
     document: ConfigurationDocument | None = DOCUMENT
@@ -133,6 +188,7 @@
         "configuration": FakeConfiguration(),
         "entries": FakeEntries(),
         "settings": RequestSettings(),
+        "key_value": FakeKeyValue(),
         "rng": random.Random(1),
     }
     return create_request_service(**{**values, **changes})
