--- a/reedspar/admin/app.py
+++ b/reedspar/admin/app.py
@@ -10,7 +10,7 @@
 from starlette.routing import Route
 
 from reedspar.errors import Failure, Reason, Step
-from reedspar.timeline import EventFilter, event_to_json
+from reedspar.timeline import EventFilter, EventKind, event_to_json
 
 from .models import (
     ErrorBody,
@@ -130,8 +130,15 @@
         if isinstance(patch, PatchRefused):
             return _respond_refused(patch)
         result = await self._sources.configuration.apply_patch(patch)
+        recorder = self._sources.recorder
+        what = f"patch {patch.patch_id} by {patch.author or '?'}: {patch.summary}"
         if isinstance(result, PatchRefused):
+            detail = f"{what}: {result.reason.value}"
+            recorder.record(
+                EventKind.CONFIG_REFUSED, version=patch.base_version, detail=detail
+            )
             return _respond_refused(result)
+        recorder.record(EventKind.CONFIG_PATCHED, version=result, detail=what)
         return _respond(PatchAccepted(version=result))
 
     async def get_events(self, request: Request) -> Response:
--- a/reedspar/admin/tests/test_app.py
+++ b/reedspar/admin/tests/test_app.py
@@ -53,6 +53,10 @@
         again = self.patch()
         self.assertEqual((again.status_code, again.json()), (200, {"version": 2}))
         self.assertEqual(len(self.daemon.configuration.documents), 2)
+        self.patch(patch_id="patch-0002")
+        events = self.daemon.recorder.after(0).events
+        kinds = [event.kind.value for event in events]
+        self.assertEqual(kinds, ["config.patched"] * 2 + ["config.refused"])
 
     def test_each_refusal_has_its_status(self) -> None:
         stale = self.patch(base_version=9)
--- /dev/null
+++ b/reedspar/observation/network.py
@@ -0,0 +1,115 @@
+"""A network that counts messages and lets observers see those that are sent."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from reedspar.errors import Failure
+from reedspar.links import (
+    Handler,
+    LinkChange,
+    LinkEvent,
+    LinkListener,
+    Network,
+    PeerAddress,
+    Priority,
+    Role,
+)
+from reedspar.messages import Sender
+from reedspar.telemetry import Metrics
+from reedspar.timeline import EventKind, EventRecorder
+
+__all__ = ["ObservedNetwork"]
+
+SentHandler = Callable[[str, Any], None]
+LINK_EVENTS = {
+    LinkChange.UP: EventKind.LINK_UP,
+    LinkChange.REPLACED: EventKind.LINK_REPLACED,
+    LinkChange.DOWN: EventKind.LINK_DOWN,
+}
+
+
+class ObservedNetwork:
+    """Pass everything on to the real network; keep plain counts by message type."""
+
+    def __init__(
+        self, network: Network, metrics: Metrics, recorder: EventRecorder
+    ) -> None:
+        self._network = network
+        self._metrics = metrics
+        self._recorder = recorder
+        self._sent: Counter[type] = Counter()
+        self._received: Counter[type] = Counter()
+        self._counted: set[type] = set()
+        self._sent_handlers: dict[type, SentHandler] = {}
+        network.on_link_event(self._note_link)
+        metrics.messages.observe(self._read_counts)
+        metrics.links_up.observe(lambda: len(network.peers()))
+
+    def on_sent(self, message_class: type, handler: SentHandler) -> None:
+        """Call `handler` with the peer and each such message that was queued."""
+        self._sent_handlers[message_class] = handler
+
+    def send(
+        self, peer: str, message: Any, priority: Priority = Priority.LIVE
+    ) -> Failure | None:
+        """Queue a message; a failure means that nothing was sent."""
+        failure = self._network.send(peer, message, priority)
+        if failure is not None:
+            return failure
+        message_class = type(message)
+        self._sent[message_class] += 1
+        handler = self._sent_handlers.get(message_class)
+        if handler is not None:
+            handler(peer, message)
+        return None
+
+    def subscribe(self, message_class: type, handler: Handler) -> None:
+        """Call `handler` with each such message; it must not block."""
+        if message_class not in self._counted:
+            self._counted.add(message_class)
+            self._network.subscribe(message_class, self._count_received)
+        self._network.subscribe(message_class, handler)
+
+    def on_link_event(self, listener: LinkListener) -> None:
+        """Call `listener` when a link comes up, is replaced or goes down."""
+        self._network.on_link_event(listener)
+
+    def on_sender(self, listener: Callable[[Sender], None]) -> None:
+        """Call `listener` with what each received frame says of its sender."""
+        self._network.on_sender(listener)
+
+    def want(self, owner: str, peers: Iterable[PeerAddress]) -> None:
+        """Keep links to these peers, until the same owner wants others."""
+        self._network.want(owner, peers)
+
+    def peers(self, role: Role | None = None) -> tuple[str, ...]:
+        """Return the names of the peers (of a role) that a link is open to."""
+        return self._network.peers(role)
+
+    def incarnation_of(self, peer: str) -> int:
+        """Return the incarnation heard last of a peer; 0 if none."""
+        return self._network.incarnation_of(peer)
+
+    def bulk_backlog_bytes(self, peer: str) -> int:
+        """Return how much bulk waits to be sent to a peer."""
+        return self._network.bulk_backlog_bytes(peer)
+
+    def _count_received(self, sender: Sender, message: Any) -> None:
+        self._received[type(message)] += 1
+
+    def _note_link(self, event: LinkEvent) -> None:
+        kind = LINK_EVENTS.get(event.change)
+        if kind is None:
+            return
+        self._metrics.link_changes.add(1, {"change": event.change.value})
+        detail = event.reason.value if event.reason else ""
+        self._recorder.record(kind, target=event.peer, detail=detail)
+
+    def _read_counts(self) -> list[tuple[float, dict[str, str]]]:
+        readings = []
+        for direction, counts in (("sent", self._sent), ("received", self._received)):
+            for message_class, count in counts.items():
+                labels = {"kind": message_class.__name__, "direction": direction}
+                readings.append((float(count), labels))
+        return readings
--- /dev/null
+++ b/reedspar/observation/reports.py
@@ -0,0 +1,72 @@
+"""Events and metrics of a target, seen in the reports that its agent sends."""
+
+from reedspar.attempts import TargetReport, TargetStatus
+from reedspar.telemetry import Metrics
+from reedspar.timeline import EventKind, EventRecorder
+
+from .network import ObservedNetwork
+
+__all__ = ["ReportObserver"]
+
+STATUS_EVENTS = {
+    TargetStatus.COLD: EventKind.TARGET_COLD,
+    TargetStatus.READY: EventKind.TARGET_READY,
+    TargetStatus.LEAVING: EventKind.TARGET_LEAVING,
+    TargetStatus.DOWN: EventKind.TARGET_DOWN,
+}
+
+
+class ReportObserver:
+    """Record changes from one report to the next; each goes to many entries."""
+
+    def __init__(
+        self, network: ObservedNetwork, metrics: Metrics, recorder: EventRecorder
+    ) -> None:
+        self._metrics = metrics
+        self._recorder = recorder
+        self._last: TargetReport | None = None
+        network.on_sent(TargetReport, self._on_report)
+
+    def _on_report(self, peer: str, report: TargetReport) -> None:
+        last = self._last
+        if last is not None and report.sequence <= last.sequence:
+            return
+        if last is None:
+            self._metrics.gate_limit.observe(self._read_limit)
+            self._metrics.gate_queued.observe(self._read_queued)
+        self._last = report
+        self._note_boot(last, report)
+        if last is None or last.status is not report.status:
+            kind = STATUS_EVENTS[report.status]
+            self._recorder.record(
+                kind, target=report.target, detail=f"limit {report.limit}"
+            )
+        self._note_offers(last, report)
+
+    def _note_boot(self, last: TargetReport | None, report: TargetReport) -> None:
+        if last is not None and last.boot_id and last.boot_id != report.boot_id:
+            self._recorder.record(EventKind.TARGET_RESTARTED, target=report.target)
+
+    def _note_offers(self, last: TargetReport | None, report: TargetReport) -> None:
+        before = set(last.offered) if last else set()
+        now = set(report.offered)
+        changes = (
+            (EventKind.WEIGHTS_WITHDRAWN, "withdrawn", before - now),
+            (EventKind.WEIGHTS_OFFERED, "offered", now - before),
+        )
+        for kind, change, weights in changes:
+            for item in sorted(weights, key=lambda item: item.model):
+                labels = {"model": item.model, "change": change}
+                self._metrics.offers.add(1, labels)
+                self._recorder.record(
+                    kind,
+                    target=report.target,
+                    model=item.model,
+                    version=item.root_digest,
+                )
+
+    def _read_limit(self) -> float:
+        return self._last.limit if self._last else 0
+
+    def _read_queued(self) -> float:
+        return self._last.queued if self._last else 0
--- /dev/null
+++ b/reedspar/observation/weights.py
@@ -0,0 +1,67 @@
+"""Bytes of chunks between daemons, by how far they came."""
+
+from collections import Counter
+from collections.abc import Callable
+from enum import Enum
+
+from reedspar.messages import Sender
+from reedspar.telemetry import Metrics
+from reedspar.weights.messages import ChunkPiece
+
+from .network import ObservedNetwork
+
+__all__ = ["ChunkObserver", "ChunkSource", "Place"]
+
+Place = tuple[str, str]
+"""A daemon's region and zone."""
+
+
+class ChunkSource(Enum):
+    """Where a chunk came from, as seen from the receiver."""
+
+    ORIGIN = "origin"
+    REGION = "region"
+    ZONE = "zone"
+    LOCAL = "local"
+
+
+class ChunkObserver:
+    """Count chunk bytes; `locate` tells the place of a daemon, if it is known."""
+
+    def __init__(
+        self,
+        network: ObservedNetwork,
+        metrics: Metrics,
+        own: Place,
+        locate: Callable[[str], Place | None],
+    ) -> None:
+        self._own = own
+        self._locate = locate
+        self._received: Counter[ChunkSource] = Counter()
+        self._sent_bytes = 0
+        metrics.chunk_bytes.observe(self._read_received)
+        metrics.chunk_bytes_sent.observe(lambda: self._sent_bytes)
+        network.subscribe(ChunkPiece, self._on_received)
+        network.on_sent(ChunkPiece, self._on_sent)
+
+    def note_origin(self, size_bytes: int) -> None:
+        """Count bytes that came from the origin."""
+        self._received[ChunkSource.ORIGIN] += size_bytes
+
+    def _on_received(self, sender: Sender, message: ChunkPiece) -> None:
+        self._received[self._classify(sender.name)] += len(message.data)
+
+    def _on_sent(self, peer: str, message: ChunkPiece) -> None:
+        self._sent_bytes += len(message.data)
+
+    def _classify(self, peer: str) -> ChunkSource:
+        place = self._locate(peer)
+        if place is None or place[0] != self._own[0]:
+            return ChunkSource.REGION
+        return ChunkSource.LOCAL if place == self._own else ChunkSource.ZONE
+
+    def _read_received(self) -> list[tuple[float, dict[str, str]]]:
+        return [
+            (float(count), {"source": source.value})
+            for source, count in self._received.items()
+        ]
--- a/reedspar/telemetry/instruments.py
+++ b/reedspar/telemetry/instruments.py
@@ -10,14 +10,15 @@
 __all__ = [
     "InstrumentKind",
     "InstrumentSpec",
-    "ObservedGauge",
+    "Observed",
     "build_instrument",
     "counter",
-    "gauge",
     "histogram",
-    "up_down_counter",
+    "observed_counter",
+    "observed_gauge",
 ]
 
+Reading = tuple[float, dict[str, str]]
 PREFIX = "reedspar."
 SECONDS_BUCKETS = (
     *(0.001, 0.0025, 0.005, 0.01, 0.025, 0.05),
@@ -27,12 +28,15 @@
 
 
 class InstrumentKind(Enum):
-    """How a metric behaves."""
+    """How a metric behaves, and whether it is counted or read."""
 
     COUNTER = "counter"
-    UP_DOWN_COUNTER = "up-down counter"
-    GAUGE = "gauge"
     HISTOGRAM = "histogram"
+    OBSERVED_COUNTER = "observed counter"
+    OBSERVED_GAUGE = "observed gauge"
+
+
+COUNTERS = (InstrumentKind.COUNTER, InstrumentKind.OBSERVED_COUNTER)
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,56 +58,61 @@
     def prometheus_name(self) -> str:
         """Return the name of the family that ``/metrics`` shows."""
         base = self.full_name.replace(".", "_") + PROMETHEUS_UNITS.get(self.unit, "")
-        return base + "_total" if self.kind is InstrumentKind.COUNTER else base
+        return base + "_total" if self.kind in COUNTERS else base
 
 
-class ObservedGauge:
-    """A value that is read when the metrics are.
+class Observed:
+    """A value, or one for each set of attributes, that is read with the metrics.
 
-    `set` keeps a number until the next one; `observe` reads it anew each time,
-    as an age needs.
+    Adding to a counter takes about ten microseconds, too much for each message
+    of a relay.  There a plain number is kept, and read when an operator asks.
     """
 
     def __init__(self) -> None:
-        self._read: Callable[[], float] | None = None
-
-    def set(self, value: float) -> None:
-        """Report this value from now on."""
-        self._read = lambda: value
+        self._read: Callable[[], float | Iterable[Reading]] | None = None
 
-    def observe(self, read: Callable[[], float]) -> None:
+    def observe(self, read: Callable[[], float | Iterable[Reading]]) -> None:
         """Report what `read` returns from now on."""
         self._read = read
 
     def collect(self, options: CallbackOptions) -> Iterable[Observation]:
-        """Return the observation, or none before the first value."""
-        return [Observation(self._read())] if self._read else []
+        """Return the observations, or none before `observe`."""
+        if self._read is None:
+            return []
+        found = self._read()
+        if isinstance(found, int | float):
+            return [Observation(found)]
+        return [Observation(value, attributes) for value, attributes in found]
 
 
 def counter(name: str, unit: str, description: str, *attributes: str) -> InstrumentSpec:
-    """Declare a count that only grows."""
+    """Declare a count that is added to."""
     return InstrumentSpec(InstrumentKind.COUNTER, name, unit, description, attributes)
 
 
-def up_down_counter(
+def histogram(
     name: str, unit: str, description: str, *attributes: str
 ) -> InstrumentSpec:
-    """Declare a count that grows and falls."""
-    return InstrumentSpec(
-        InstrumentKind.UP_DOWN_COUNTER, name, unit, description, attributes
-    )
+    """Declare a distribution of durations."""
+    return InstrumentSpec(InstrumentKind.HISTOGRAM, name, unit, description, attributes)
 
 
-def gauge(name: str, unit: str, description: str) -> InstrumentSpec:
-    """Declare a value that is read when the metrics are."""
-    return InstrumentSpec(InstrumentKind.GAUGE, name, unit, description, ())
+def observed_counter(
+    name: str, unit: str, description: str, *attributes: str
+) -> InstrumentSpec:
+    """Declare a count that is kept elsewhere and read."""
+    return InstrumentSpec(
+        InstrumentKind.OBSERVED_COUNTER, name, unit, description, attributes
+    )
 
 
-def histogram(
+def observed_gauge(
     name: str, unit: str, description: str, *attributes: str
 ) -> InstrumentSpec:
-    """Declare a distribution of durations."""
-    return InstrumentSpec(InstrumentKind.HISTOGRAM, name, unit, description, attributes)
+    """Declare a value that rises and falls, and is read."""
+    return InstrumentSpec(
+        InstrumentKind.OBSERVED_GAUGE, name, unit, description, attributes
+    )
 
 
 def build_instrument(meter: Meter, spec: InstrumentSpec) -> Any:
@@ -111,8 +120,6 @@
     name, unit, description = spec.full_name, spec.unit, spec.description
     if spec.kind is InstrumentKind.COUNTER:
         return meter.create_counter(name, unit, description)
-    if spec.kind is InstrumentKind.UP_DOWN_COUNTER:
-        return meter.create_up_down_counter(name, unit, description)
     if spec.kind is InstrumentKind.HISTOGRAM:
         return meter.create_histogram(
             name,
@@ -120,6 +127,9 @@
             description,
             explicit_bucket_boundaries_advisory=SECONDS_BUCKETS,
         )
-    observed = ObservedGauge()
-    meter.create_observable_gauge(name, [observed.collect], unit, description)
+    observed = Observed()
+    if spec.kind is InstrumentKind.OBSERVED_COUNTER:
+        meter.create_observable_counter(name, [observed.collect], unit, description)
+    else:
+        meter.create_observable_gauge(name, [observed.collect], unit, description)
     return observed
--- a/reedspar/telemetry/metrics.py
+++ b/reedspar/telemetry/metrics.py
@@ -9,19 +9,19 @@
 from typing import Annotated, Any, get_args, get_type_hints
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import Counter, Histogram, UpDownCounter
+from opentelemetry.metrics import Counter, Histogram
 from opentelemetry.sdk.metrics import AlwaysOffExemplarFilter, MeterProvider
 from opentelemetry.sdk.resources import Resource
-from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client import CollectorRegistry, ProcessCollector, generate_latest
 
 from .instruments import (
     InstrumentSpec,
-    ObservedGauge,
+    Observed,
     build_instrument,
     counter,
-    gauge,
     histogram,
-    up_down_counter,
+    observed_counter,
+    observed_gauge,
 )
 
 __all__ = ["Metrics", "create_metrics", "list_instruments"]
@@ -37,7 +37,7 @@
         counter(
             "requests",
             "{request}",
-            "Requests of callers that ended, by outcome: answered, not_run, unknown.",
+            "Requests of callers that ended, by outcome: answered, not-run, unknown.",
             "outcome",
             "pool",
         ),
@@ -56,7 +56,7 @@
         histogram(
             "request.first_byte",
             "s",
-            "Time from a request to the first byte of its answer.",
+            "Time from a request to the head of its answer.",
             "pool",
         ),
     ]
@@ -65,132 +65,152 @@
         counter(
             "refusals",
             "{request}",
-            "Requests refused as not run, by reason and step.",
+            "Requests that were not run or are unknown, by reason and step.",
             "reason",
             "step",
         ),
     ]
+    in_flight: Annotated[
+        Observed,
+        observed_gauge(
+            "in_flight", "{request}", "Requests of callers in progress in this process."
+        ),
+    ]
     attempts: Annotated[
         Counter,
         counter(
             "attempts",
             "{attempt}",
-            "Attempts that ended, by outcome.",
+            "Attempts that ended, by outcome: complete, not_run, broken, refused.",
             "outcome",
-            "pool",
         ),
     ]
-    in_flight: Annotated[
-        UpDownCounter,
-        up_down_counter(
-            "in_flight", "{request}", "Requests in progress in this process.", "pool"
+    attempt_faults: Annotated[
+        Observed,
+        observed_counter(
+            "attempts.faults",
+            "{fault}",
+            "What went wrong on the way: dropped (messages that no open attempt "
+            "matched), gaps, resumed, corrupt, lost.",
+            "fault",
         ),
     ]
     relayed_bytes: Annotated[
-        Counter, counter("relayed", "By", "Bytes of answers passed on.", "pool")
+        Observed, observed_counter("relayed", "By", "Bytes of answers passed on.")
     ]
-    unmatched: Annotated[
-        Counter,
-        counter(
-            "messages.unmatched",
+    messages: Annotated[
+        Observed,
+        observed_counter(
+            "messages",
             "{message}",
-            "Messages dropped since no open attempt matched them.",
+            "Messages between daemons, by kind and direction.",
             "kind",
+            "direction",
+        ),
+    ]
+    unreadable_frames: Annotated[
+        Observed,
+        observed_counter(
+            "frames.unreadable", "{frame}", "Frames that could not be read."
+        ),
+    ]
+    link_bytes: Annotated[
+        Observed,
+        observed_counter(
+            "links.traffic", "By", "Bytes between daemons, by direction.", "direction"
         ),
     ]
     links_up: Annotated[
-        ObservedGauge,
-        gauge("links.up", "{link}", "Links to other daemons that are open."),
+        Observed,
+        observed_gauge("links.up", "{link}", "Links to other daemons that are open."),
     ]
-    heartbeats_missed: Annotated[
+    link_changes: Annotated[
         Counter,
         counter(
-            "heartbeats.missed", "{heartbeat}", "Heartbeats without a reply in time."
+            "links.changes",
+            "{change}",
+            "Links that came up, were replaced for silence, or went down.",
+            "change",
         ),
     ]
     config_version: Annotated[
-        ObservedGauge,
-        gauge(
+        Observed,
+        observed_gauge(
             "config.version", "{version}", "Number of the configuration in force here."
         ),
     ]
     freshness_age: Annotated[
-        ObservedGauge,
-        gauge(
+        Observed,
+        observed_gauge(
             "config.freshness_age", "s", "Time since the configuration was confirmed."
         ),
     ]
-    gossip_messages: Annotated[
-        Counter,
-        counter(
-            "gossip.messages",
-            "{message}",
-            "Gossip messages, by direction.",
-            "direction",
-        ),
-    ]
-    gossip_bytes: Annotated[
-        Counter,
-        counter("gossip.size", "By", "Bytes of gossip, by direction.", "direction"),
-    ]
     chunk_bytes: Annotated[
-        Counter,
-        counter(
+        Observed,
+        observed_counter(
             "chunks.received",
             "By",
-            "Bytes of chunks received, by source: origin, region (another one), "
-            "zone (another one of this region), local (this zone).",
+            "Bytes of chunks received, by source: origin, region (another region), "
+            "zone (another zone of this region), local (this zone).",
             "source",
         ),
     ]
     chunk_bytes_sent: Annotated[
-        Counter, counter("chunks.sent", "By", "Bytes of chunks sent to other daemons.")
+        Observed,
+        observed_counter("chunks.sent", "By", "Bytes of chunks sent to other daemons."),
+    ]
+    staged_bytes: Annotated[
+        Observed,
+        observed_counter(
+            "chunks.staged", "By", "Bytes of checked chunks handed to the engine."
+        ),
     ]
-    corrupt_chunks: Annotated[
+    corrupt_draws: Annotated[
         Counter,
         counter(
             "chunks.corrupt",
             "{chunk}",
-            "Chunks whose digest did not match, by source.",
-            "source",
+            "Reads of the origin that came damaged or short.",
         ),
     ]
-    chunk_memory: Annotated[
-        ObservedGauge, gauge("chunks.memory", "By", "Memory that held chunks take up.")
+    loads: Annotated[
+        Counter,
+        counter(
+            "weights.loads",
+            "{order}",
+            "Orders to load that ended, by outcome: ok or the reason.",
+            "outcome",
+        ),
     ]
     offers: Annotated[
         Counter,
         counter(
             "weights.offers",
             "{change}",
-            "Versions offered (change: offered) and taken back (withdrawn).",
+            "Versions offered (offered) and taken back (withdrawn).",
             "model",
             "change",
         ),
     ]
-    loads: Annotated[
-        Counter,
-        counter(
-            "weights.loads",
-            "{order}",
-            "Orders to load that ended, by outcome.",
-            "outcome",
-        ),
-    ]
     gate_limit: Annotated[
-        ObservedGauge,
-        gauge(
+        Observed,
+        observed_gauge(
             "gate.limit",
             "{request}",
             "Requests that the agent lets to its target at once.",
         ),
     ]
+    gate_queued: Annotated[
+        Observed,
+        observed_gauge("gate.queued", "{request}", "Requests that wait at the agent."),
+    ]
     key_value_calls: Annotated[
         Counter,
         counter(
             "key_value.calls",
             "{call}",
-            "Calls of the key-value service, by operation and outcome.",
+            "Calls of the key-value service, by operation and outcome "
+            "(ok or the reason).",
             "operation",
             "outcome",
         ),
@@ -225,6 +245,7 @@
 def create_metrics(name: str = "", zone: str = "", role: str = "") -> Metrics:
     """Make a daemon's instruments in a registry of their own."""
     registry = CollectorRegistry()
+    ProcessCollector(registry=registry)
     # Scope information would add a label to every line of every daemon.
     reader = PrometheusMetricReader(registry=registry, scope_info_enabled=False)
     resource = Resource(
--- a/reedspar/telemetry/tests/test_metrics.py
+++ b/reedspar/telemetry/tests/test_metrics.py
@@ -9,7 +9,7 @@
     create_metrics,
     install_invariant_reporter,
 )
-from reedspar.telemetry.instruments import InstrumentKind
+from reedspar.telemetry.instruments import InstrumentKind, Observed
 from reedspar.telemetry.metrics import list_instruments
 from reedspar.timeline import EventKind, create_event_recorder
 
@@ -20,8 +20,8 @@
         for attribute, spec in list_instruments().items():
             instrument = getattr(metrics, attribute)
             labels = dict.fromkeys(spec.attributes, "x")
-            if spec.kind is InstrumentKind.GAUGE:
-                instrument.set(3.5)
+            if isinstance(instrument, Observed):
+                instrument.observe(lambda labels=labels: [(3.5, labels)])
             elif spec.kind is InstrumentKind.HISTOGRAM:
                 instrument.record(0.2, labels)
             else:
--- a/reedspar/timeline/recorder.py
+++ b/reedspar/timeline/recorder.py
@@ -11,7 +11,7 @@
 
 CAPACITY = 8192
 PAGE_LIMIT = 2000
-FREQUENT_GROUPS = frozenset({"request", "attempt", "weights"})
+FREQUENT_GROUPS = frozenset({"request", "attempt"})
 
 logger = logging.getLogger("reedspar.timeline")
 
--- a/reedspar/tool/publish_command.py
+++ b/reedspar/tool/publish_command.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated, Protocol
+from typing import Annotated
 
 import cappa
 from rich.progress import BarColumn, DownloadColumn, Progress, TextColumn
@@ -10,7 +10,7 @@
 from reedspar.configuration import ConfigurationDocument, ModelVersion
 from reedspar.errors import Failure, Reason, Step
 from reedspar.platform import create_http_weight_source
-from reedspar.weights import Publication, publish_weights
+from reedspar.weights import Publication, WeightSink, publish_weights
 
 from .exit_codes import ExitCode
 from .patching import build_request, send_patch
@@ -21,36 +21,21 @@
 UPLOAD_TIMEOUT_S = 60.0
 
 
-class WeightStore(Protocol):
-    """An origin that objects can be put to."""
-
-    async def read(self, name: str, offset: int, size_bytes: int) -> bytes | Failure:
-        """Return a range of an object."""
-        ...
-
-    async def publish(self, name: str, data: bytes) -> Failure | None:
-        """Put an object."""
-        ...
-
-
 class UploadSink:
     """What `publish_weights` uploads to, with a progress display."""
 
-    def __init__(self, store: WeightStore, progress: Progress, size_bytes: int) -> None:
+    def __init__(self, store: WeightSink, progress: Progress, size_bytes: int) -> None:
         self._store = store
         self._progress = progress
         self._task = progress.add_task("uploading", total=size_bytes)
 
     async def has(self, name: str) -> bool | Failure:
-        """Tell whether the origin has the object; one byte is read of it."""
-        found = await self._store.read(name, 0, 1)
-        if not isinstance(found, Failure):
-            return True
-        return False if found.reason is Reason.NOT_FOUND else found
+        """Tell whether the origin has the object."""
+        return await self._store.has(name)
 
     async def put(self, name: str, data: bytes) -> Failure | None:
         """Store an object; storing the same one again changes nothing."""
-        failure = await self._store.publish(name, data)
+        failure = await self._store.put(name, data)
         if failure is None:
             self._progress.advance(self._task, len(data))
         return failure
@@ -58,7 +43,7 @@
 
 async def upload(
     session: Session,
-    store: WeightStore,
+    store: WeightSink,
     model: str,
     label: str,
     sequence: int,
--- a/reedspar/tool/tests/test_publish.py
+++ b/reedspar/tool/tests/test_publish.py
@@ -20,12 +20,10 @@
         self.objects: dict[str, bytes] = {}
         self.puts_left = 1000
 
-    async def read(self, name, offset, size_bytes):
-        if name not in self.objects:
-            return Failure(Reason.NOT_FOUND, Step.ORIGIN_DRAW, "origin:1")
-        return self.objects[name][offset : offset + size_bytes]
+    async def has(self, name):
+        return name in self.objects
 
-    async def publish(self, name, data):
+    async def put(self, name, data):
         if not self.puts_left:
             return Failure(Reason.UNAVAILABLE, Step.ORIGIN_DRAW, "origin:1")
         self.puts_left -= 1
