--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, each one command, with one JSON object as its last line."""
--- /dev/null
+++ b/bench/latency.py
@@ -0,0 +1,295 @@
+"""Measure what entry and agent add to a call, and what one daemon relays.
+
+Every figure stands beside its baseline, the same call straight to the target's
+stand-in, taken in the same run: calls at 50 a second in turn with direct ones,
+calls as fast as a few clients can, streams, and an idle daemon's memory.
+"""
+
+import argparse
+import json
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import httpx
+
+from reedspar.settings import TargetKind
+from stand_ins.deployments import Deployment, Pool, Zone
+from stand_ins.launcher import Daemon, Launcher, LauncherOptions, launch
+from stand_ins.operations import Operator
+from stand_ins.processes import TOP, exit_on_signals
+from stand_ins.promises import read_percentile
+
+from .measuring import print_result, read_cpu_s, read_resident_bytes
+
+__all__ = ["main"]
+
+ENGINES = 4
+DEPLOYMENT = Deployment(
+    "bench",
+    (Zone("zone-a", "region-a"),),
+    (
+        Pool("quotes", TargetKind.MODEL_ENGINE, ENGINES, ("m",), ("/v1/completions",)),
+        Pool("deposits", TargetKind.PLAIN_SERVICE, 1),
+    ),
+    entry_count=1,
+)
+ENGINE_ARGUMENTS = (
+    *("--token-s", "0.02"),
+    *("--sequence-s", "0"),
+    *("--max-batch", "512"),
+    *("--cold-completions", "0"),
+)
+PLAIN_LATENCY_S = 0.005
+RATE_PER_S = 50.0
+WARM_SHARE = 0.1
+IDLE_S = 5.0
+CLIENTS = 32
+WEIGHTS_BYTES = 256 * 1024
+LOAD_TIMEOUT_S = 30.0
+
+
+@dataclass
+class Sample:
+    """Latencies of one way to call."""
+
+    latencies_ms: list[float] = field(default_factory=list)
+    failures: list[str] = field(default_factory=list)
+
+    def describe(self) -> dict[str, Any]:
+        """Return the figures."""
+        skipped = int(len(self.latencies_ms) * WARM_SHARE)
+        counted = self.latencies_ms[skipped:]
+        return {
+            "count": len(counted),
+            "failures": len(self.failures),
+            "p50_ms": round(read_percentile(counted, 0.5), 3),
+            "p99_ms": round(read_percentile(counted, 0.99), 3),
+        }
+
+
+Call = Callable[[Sample], Coroutine[Any, Any, None]]
+
+
+class Caller:
+    """The same calls through the entry and straight to the targets."""
+
+    def __init__(self, launcher: Launcher) -> None:
+        self.entry_url = launcher.entries[0].http_url
+        self.engine_urls = [a.target_url for a in launcher.agents_of("quotes")]
+        self.service_url = launcher.agents_of("deposits")[0].target_url
+        self._count = 0
+        self._client = httpx.AsyncClient(
+            trust_env=False,
+            verify=False,
+            timeout=30.0,
+            limits=httpx.Limits(max_connections=None),
+        )
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+    async def quote_direct(self, sample: Sample) -> None:
+        """Ask an engine in turn."""
+        self._count += 1
+        url = self.engine_urls[self._count % len(self.engine_urls)]
+        await self._quote(f"{url}/v1/completions", sample)
+
+    async def quote_through(self, sample: Sample) -> None:
+        """Ask the entry."""
+        await self._quote(f"{self.entry_url}/v1/pools/quotes/v1/completions", sample)
+
+    async def order_direct(self, sample: Sample) -> None:
+        """Order at the service."""
+        await self._order(f"{self.service_url}/orders", sample)
+
+    async def order_through(self, sample: Sample) -> None:
+        """Order at the entry."""
+        await self._order(f"{self.entry_url}/v1/pools/deposits/orders", sample)
+
+    async def _quote(self, url: str, sample: Sample) -> None:
+        self._count += 1
+        body = {"model": "m", "prompt": f"quote {self._count}", "max_tokens": 1}
+        await self._post(url, body, {}, sample)
+
+    async def _order(self, url: str, sample: Sample) -> None:
+        self._count += 1
+        key = f"order-{time.monotonic_ns()}-{self._count}"
+        await self._post(url, {"deposit": 1}, {"idempotency-key": key}, sample)
+
+    async def _post(
+        self, url: str, body: dict[str, Any], headers: dict[str, str], sample: Sample
+    ) -> None:
+        sent = {"x-workspace": f"workspace-{self._count % 10}", **headers}
+        start_s = time.perf_counter()
+        try:
+            response = await self._client.post(url, json=body, headers=sent)
+        except httpx.HTTPError as error:
+            sample.failures.append(repr(error))
+            return
+        if response.status_code != httpx.codes.OK:
+            sample.failures.append(response.text[:200])
+            return
+        sample.latencies_ms.append(1000 * (time.perf_counter() - start_s))
+
+
+async def run_at_rate(calls: dict[str, Call], seconds: float) -> dict[str, Any]:
+    """Start each call at the rate, in turn, so that all see the same machine."""
+    samples = {name: Sample() for name in calls}
+    start_s = anyio.current_time()
+    async with anyio.create_task_group() as tasks:
+        for i in range(int(seconds * RATE_PER_S)):
+            for position, (name, call) in enumerate(calls.items()):
+                due_s = start_s + (i + position / len(calls)) / RATE_PER_S
+                await anyio.sleep_until(due_s)
+                tasks.start_soon(call, samples[name])
+    figures = {name: sample.describe() for name, sample in samples.items()}
+    for name, sample in samples.items():
+        for failure in sample.failures[:2]:
+            print(f"{name} failed: {failure}", flush=True)
+    return figures
+
+
+async def run_flat_out(call: Call, seconds: float) -> dict[str, Any]:
+    """Call from a few clients as fast as answers come."""
+    sample = Sample()
+    until_s = time.monotonic() + seconds
+
+    async def repeat() -> None:
+        while time.monotonic() < until_s:
+            await call(sample)
+
+    async with anyio.create_task_group() as tasks:
+        for _ in range(CLIENTS):
+            tasks.start_soon(repeat)
+    rate = len(sample.latencies_ms) / seconds
+    return {**sample.describe(), "requests_per_s": round(rate, 1)}
+
+
+def measure_streams(
+    urls: list[str], streams: int, seconds: float, pids: list[int]
+) -> dict[str, Any]:
+    """Return tokens a second over all workers, and the daemons' processor time."""
+    command = [sys.executable, "-m", "bench.stream_worker", "--model", "m"]
+    command += ["--streams", str(streams // len(urls)), "--seconds", str(seconds)]
+    before = [read_cpu_s(pid) for pid in pids]
+    start_s = time.monotonic()
+    workers = [
+        subprocess.Popen([*command, "--url", url], cwd=TOP, stdout=subprocess.PIPE)
+        for url in urls
+    ]
+    answers = [json.loads(worker.communicate()[0]) for worker in workers]
+    took_s = time.monotonic() - start_s
+    used = [read_cpu_s(pid) - b for pid, b in zip(pids, before, strict=True)]
+    for answer in answers:
+        for failure in answer["first_failures"][:1]:
+            print(f"stream failed: {failure}", flush=True)
+    return {
+        "tokens_per_s": round(sum(a["tokens"] for a in answers) / seconds),
+        "failures": sum(a["failures"] for a in answers),
+        "streams": streams,
+        "cores_used": [round(cpu_s / took_s, 2) for cpu_s in used],
+    }
+
+
+async def measure_idle(launcher: Launcher) -> dict[str, Any]:
+    """Return resident memory and share of a core of daemons without requests."""
+    figures = {}
+    daemons: list[Daemon] = [launcher.entries[0], launcher.agents[0]]
+    pids = [launcher.processes[d.name].popen.pid for d in daemons]
+    before = [read_cpu_s(pid) for pid in pids]
+    await anyio.sleep(IDLE_S)
+    for daemon, pid, cpu_s in zip(daemons, pids, before, strict=True):
+        figures[daemon.record.role] = {
+            "resident_mb": round(read_resident_bytes(pid) / 1e6, 1),
+            "core_share": round((read_cpu_s(pid) - cpu_s) / IDLE_S, 4),
+        }
+    return figures
+
+
+async def prepare(launcher: Launcher) -> None:
+    """Configure the deployment and bring a small version into every engine."""
+    operator = Operator(launcher)
+    await operator.configure()
+    publication = await operator.publish(
+        "m", "v1", 1, bytes(WEIGHTS_BYTES), WEIGHTS_BYTES
+    )
+    agents = launcher.agents_of("quotes")
+    loaded = await operator.wait_for_replicas(
+        agents, "m", publication.version.root_digest, LOAD_TIMEOUT_S
+    )
+    await operator.aclose()
+    if len(loaded) < len(agents):
+        raise TimeoutError(f"only {sorted(loaded)} loaded the version")
+    await anyio.sleep(2.0)
+
+
+async def measure(launcher: Launcher, arguments: argparse.Namespace) -> dict[str, Any]:
+    """Take all figures."""
+    result: dict[str, Any] = {"bench": "latency", "rate_per_s": RATE_PER_S}
+    await prepare(launcher)
+    result["idle"] = await measure_idle(launcher)
+    caller = Caller(launcher)
+    result["quotes"] = await run_at_rate(
+        {"direct": caller.quote_direct, "through": caller.quote_through},
+        arguments.seconds,
+    )
+    result["keyed_orders"] = await run_at_rate(
+        {"direct": caller.order_direct, "through": caller.order_through},
+        arguments.seconds,
+    )
+    for name in ("quotes", "keyed_orders"):
+        figures = result[name]
+        for key in ("p50_ms", "p99_ms"):
+            added = figures["through"][key] - figures["direct"][key]
+            figures[f"added_{key}"] = round(added, 3)
+        print(f"{name}: {figures}", flush=True)
+    result["flat_out"] = {
+        "direct": await run_flat_out(caller.quote_direct, arguments.seconds / 2),
+        "through": await run_flat_out(caller.quote_through, arguments.seconds / 2),
+    }
+    print(f"flat out: {result['flat_out']}", flush=True)
+    await caller.aclose()
+    return result
+
+
+def measure_all_streams(
+    launcher: Launcher, arguments: argparse.Namespace
+) -> dict[str, Any]:
+    """Return the streams straight from the engines, and through one entry."""
+    entry = launcher.entries[0]
+    names = [entry.name, *(agent.name for agent in launcher.agents_of("quotes"))]
+    pids = [launcher.processes[name].popen.pid for name in names]
+    direct = [f"{a.target_url}/v1/completions" for a in launcher.agents_of("quotes")]
+    through = [f"{entry.http_url}/v1/pools/quotes/v1/completions"] * ENGINES
+    seconds = arguments.seconds / 2
+    return {
+        "direct": measure_streams(direct, arguments.streams, seconds, pids),
+        "through": measure_streams(through, arguments.streams, seconds, pids),
+    }
+
+
+def main() -> None:
+    """Run the measurement."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--streams", type=int, default=400)
+    arguments = parser.parse_args()
+    exit_on_signals()
+    options = LauncherOptions(
+        engine_arguments=ENGINE_ARGUMENTS,
+        daemon_settings={"target": {"concurrency_limit": 512}},
+    )
+    with launch(DEPLOYMENT, options) as launcher:
+        result = anyio.run(measure, launcher, arguments)
+        result["streams"] = measure_all_streams(launcher, arguments)
+    print_result(result)
+
+
+if __name__ == "__main__":
+    main()
