--- a/reedspar/daemon/agent.py
+++ b/reedspar/daemon/agent.py
@@ -7,10 +7,20 @@
 
 from reedspar.admin import AgentStatus
 from reedspar.links import PeerAddress
+from reedspar.observation import (
+    ChunkObserver,
+    ObservedEngine,
+    ObservedTarget,
+    ObservedWeightSource,
+    ReportObserver,
+    TransferLedger,
+)
 from reedspar.platform import (
-    HttpModelEngine,
     HttpPlainService,
     HttpWeightSource,
+    ModelEngine,
+    Target,
+    WeightSource,
     create_http_model_engine,
     create_http_plain_service,
     create_http_weight_source,
@@ -58,6 +68,7 @@
         weights: WeightController | None,
         target: HttpPlainService,
         origin: HttpWeightSource,
+        ledger: TransferLedger,
         routes: list[BaseRoute],
     ) -> None:
         self._node = node
@@ -65,6 +76,7 @@
         self._weights = weights
         self._target = target
         self._origin = origin
+        self._ledger = ledger
         self._application = Starlette(routes=routes)
         node.describe_role = self.describe
 
@@ -92,6 +104,7 @@
             queued=self._controller.queued_count,
             limit=self._controller.gate.limit,
             offered={item.model: item.root_digest for item in offered},
+            transfers=self._ledger.list_transfers(self._node.configuration.current()),
         )
 
     async def drain(self) -> None:
@@ -133,13 +146,18 @@
     origin = create_http_weight_source(settings.platform.origin_url)
     weights: WeightController | None = None
     offers: OfferSource = PlainOffers()
-    target: HttpPlainService
+    ledger = TransferLedger()
+    client: HttpPlainService
+    target: Target
     if settings.target.kind is TargetKind.MODEL_ENGINE:
-        target = create_http_model_engine(settings.target.url)
+        client = engine = create_http_model_engine(settings.target.url)
+        target = ObservedEngine(engine, node.metrics, node.recorder, ledger)
         weights = _create_weights(node, target, origin, gate)
         offers = WeightOffers(settings.target.pool, weights, node.configuration)
     else:
-        target = create_http_plain_service(settings.target.url)
+        client = create_http_plain_service(settings.target.url)
+        target = ObservedTarget(client, node.recorder)
+    ReportObserver(node.network, node.metrics, node.recorder)
     controller = create_target_controller(
         settings,
         node.incarnation,
@@ -151,21 +169,31 @@
         node.tasks.start_soon,
     )
     gate.controller = controller
-    return AgentRole(node, controller, weights, target, origin, admin_routes)
+    return AgentRole(node, controller, weights, client, origin, ledger, admin_routes)
 
 
 def _create_weights(
-    node: Node, engine: HttpModelEngine, origin: HttpWeightSource, gate: _LateGate
+    node: Node, engine: ModelEngine, origin: WeightSource, gate: _LateGate
 ) -> WeightController:
-    name = node.settings.name
+    settings = node.settings
+
+    def locate(name: str) -> tuple[str, str] | None:
+        member = node.membership.member(name)
+        return (member.record.region, member.record.zone) if member else None
+
+    chunks = ChunkObserver(
+        node.network, node.metrics, (settings.region, settings.zone), locate
+    )
     return create_weight_controller(
-        node.settings,
+        settings,
         network=node.network,
         timers=node.timers,
         tasks=node.tasks,
-        origin=origin,
+        origin=ObservedWeightSource(
+            origin, node.metrics, node.recorder, chunks.note_origin
+        ),
         engine=engine,
-        peers=WeightPeers(name, node.membership, node.configuration),
+        peers=WeightPeers(settings.name, node.membership, node.configuration),
         configuration=WeightConfiguration(node.configuration),
         fencing=create_fencing_numbers(node.incarnation, node.key_value),
         gate=gate,
--- a/reedspar/daemon/entry.py
+++ b/reedspar/daemon/entry.py
@@ -8,7 +8,7 @@
 from starlette.routing import BaseRoute
 
 from reedspar.admin import EntryStatus
-from reedspar.links import LinkChange, LinkEvent
+from reedspar.observation import RequestObserver
 from reedspar.requests import RequestService, create_request_service
 
 from .node import Node
@@ -25,7 +25,6 @@
     def __init__(self, node: Node, service: RequestService) -> None:
         self._node = node
         self._service = service
-        node.network.on_link_event(self._note_link)
         node.describe_role = self.describe
 
     @property
@@ -35,7 +34,7 @@
 
     def start(self) -> None:
         """Start the service's own tasks."""
-        return
+        self._node.tasks.start_soon(self._service.run)
 
     def describe(self) -> EntryStatus:
         """Return the role's part of the status."""
@@ -53,10 +52,6 @@
             while self._service.application.in_flight:
                 await anyio.sleep(DRAIN_POLL_S)
 
-    def _note_link(self, event: LinkEvent) -> None:
-        if event.change is LinkChange.REPLACED:
-            self._service.client.on_link_replaced(event.peer)
-
 
 def create_entry_role(
     node: Node,
@@ -65,16 +60,23 @@
 ) -> EntryRole:
     """Build the entry role on the node."""
     settings = node.settings
+    configuration = RequestConfiguration(node.configuration, settings.zone)
+    observer = RequestObserver(
+        node.network, node.metrics, node.recorder, configuration.has_pool
+    )
     service = create_request_service(
         name=settings.name,
         incarnation=node.incarnation,
         zone=settings.zone,
         network=node.network,
         timers=node.timers,
-        configuration=RequestConfiguration(node.configuration, settings.zone),
+        configuration=configuration,
         entries=EntryView(node.membership),
         settings=settings.requests,
+        key_value=node.key_value,
+        unix_time=unix_time,
         rng=random.Random(),
+        first_filter=observer,
         extra_routes=admin_routes,
     )
     return EntryRole(node, service)
--- a/reedspar/daemon/node.py
+++ b/reedspar/daemon/node.py
@@ -6,7 +6,7 @@
 
 from anyio.abc import TaskGroup
 
-from reedspar import attempts, configuration, links, membership, weights
+from reedspar import attempts, configuration, links, membership, requests, weights
 from reedspar.admin import AgentStatus, DocumentHistory, EntryStatus
 from reedspar.configuration import (
     ConfigurationController,
@@ -17,9 +17,17 @@
 from reedspar.links.tcp_network import TcpNetwork, create_tcp_network
 from reedspar.membership import Membership, create_membership
 from reedspar.messages import MessageRegistry, Sender
+from reedspar.observation import (
+    AttemptObserver,
+    ConfigurationObserver,
+    MemberObserver,
+    ObservedKeyValueStore,
+    ObservedNetwork,
+)
 from reedspar.platform import (
     HttpInstanceList,
     HttpKeyValueStore,
+    KeyValueStore,
     create_http_instance_list,
     create_http_key_value_store,
 )
@@ -36,6 +44,7 @@
 __all__ = ["Node", "create_node"]
 
 WANT_INTERVAL_S = 0.5
+FRESHNESS_INTERVAL_S = 0.25
 
 
 @dataclass
@@ -46,8 +55,10 @@
     incarnation: int
     tasks: TaskGroup
     timers: TimerService
-    network: TcpNetwork
-    key_value: HttpKeyValueStore
+    transport: TcpNetwork
+    network: ObservedNetwork
+    key_value: KeyValueStore
+    key_value_client: HttpKeyValueStore
     instance_list: HttpInstanceList
     membership: Membership
     configuration: ConfigurationController
@@ -61,18 +72,14 @@
     async def start(self) -> None:
         """Listen for peers, and begin to learn members and configuration."""
         self.tasks.start_soon(self.timers.run)
-        await self.tasks.start(self.network.run)
+        await self.tasks.start(self.transport.run)
         self.network.on_link_event(self._note_link)
         self.network.on_sender(self.membership.note_sender)
         self.network.on_sender(self.configuration.note_sender)
         self.timers.on_pause(self._note_pause)
         self.timers.call_every(WANT_INTERVAL_S, self._want_links)
         self.configuration.on_change(self.history.add)
-        self.configuration.on_change(
-            lambda document: self.recorder.record(
-                EventKind.CONFIG_ADOPTED, version=document.version
-            )
-        )
+        self._observe()
         self.membership.start()
         self.configuration.start()
         self.recorder.record(EventKind.DAEMON_STARTED)
@@ -80,21 +87,32 @@
     async def close(self) -> None:
         """Let go of the platform's services."""
         self.recorder.record(EventKind.DAEMON_STOPPED)
-        await self.key_value.aclose()
+        await self.key_value_client.aclose()
         await self.instance_list.aclose()
 
     def _note_link(self, event: LinkEvent) -> None:
         if event.change is LinkChange.DOWN:
-            self.recorder.record(EventKind.LINK_DOWN, target=event.peer)
             self.membership.note_link_down(event.peer)
         if event.reason is Reason.UNAVAILABLE:
             self.membership.note_refused_dial(event.peer)
         if event.change in (LinkChange.DOWN, LinkChange.REFUSED):
             return
-        if event.change is LinkChange.UP:
-            self.recorder.record(EventKind.LINK_UP, target=event.peer)
         self.membership.note_link_up(event.peer, event.incarnation)
 
+    def _observe(self) -> None:
+        """Turn what the node learns into events and metrics."""
+        zone = self.settings.zone
+        documents = ConfigurationObserver(
+            self.recorder, lambda: self.configuration.may_start_work(zone)
+        )
+        self.configuration.on_change(documents.note_document)
+        self.timers.call_every(FRESHNESS_INTERVAL_S, documents.check_freshness)
+        members = MemberObserver(self.recorder, self.membership.members)
+        self.membership.on_change(members.note_change)
+        AttemptObserver(self.network, self.metrics, self.recorder)
+        self.metrics.config_version.observe(lambda: self.configuration.version)
+        self.metrics.freshness_age.observe(lambda: self.configuration.age_s)
+
     def _note_pause(self, gap_s: float) -> None:
         self.metrics.pauses.add(1)
         self.recorder.record(EventKind.DAEMON_PAUSED, detail=f"{gap_s:.1f} s")
@@ -115,6 +133,7 @@
         attempts,
         configuration,
         membership,
+        requests,
         weights,
     ):
         package.register_messages(registry)
@@ -144,13 +163,15 @@
             node.configuration.fresh_age_ms,
         )
 
-    network = create_tcp_network(
+    transport = create_tcp_network(
         hello, create_registry(), timers, settings.links, describe_sender
     )
+    network = ObservedNetwork(transport, metrics, recorder)
     platform = settings.platform
-    key_value = create_http_key_value_store(
+    key_value_client = create_http_key_value_store(
         platform.key_value_url, timeout_s=platform.call_timeout_s
     )
+    key_value = ObservedKeyValueStore(key_value_client, metrics, recorder)
     instance_list = create_http_instance_list(
         platform.instance_list_url, timeout_s=platform.call_timeout_s
     )
@@ -162,8 +183,10 @@
         incarnation,
         tasks,
         timers,
+        transport,
         network,
         key_value,
+        key_value_client,
         instance_list,
         members,
         create_configuration_controller(
--- a/reedspar/daemon/views.py
+++ b/reedspar/daemon/views.py
@@ -40,6 +40,11 @@
         """Return the document in force."""
         return self._controller.current()
 
+    def has_pool(self, name: str) -> bool:
+        """Tell whether the document in force has a pool of that name."""
+        document = self.document
+        return document is not None and name in document.pools
+
     def is_fresh(self) -> bool:
         """Tell whether a recent confirmation allows new work to start."""
         failure = self._controller.may_start_work(self._zone)
--- a/reedspar/requests/service.py
+++ b/reedspar/requests/service.py
@@ -61,6 +61,7 @@
     key_value: KeyValueStore,
     rng: random.Random,
     unix_time: Callable[[], float] = time.time,
+    first_filter: Filter | None = None,
     extra_routes: Sequence[BaseRoute] = (),
 ) -> RequestService:
     """Build the entry side on the daemon's network, timers and configuration."""
@@ -93,6 +94,8 @@
         Admit(configuration, timers),
         relay,
     ]
+    if first_filter is not None:
+        filters.insert(0, first_filter)
     application = RequestApplication(
         chain_filters(filters),
         RequestIds(name, incarnation),
