--- a/reedspar/platform/tests/test_http_reads.py
+++ b/reedspar/platform/tests/test_http_reads.py
@@ -32,20 +32,21 @@
             await stream.receive()
             await stream.send(answer)
 
-    async with anyio.create_task_group() as tasks:
-        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    async with listener, anyio.create_task_group() as tasks:
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         tasks.start_soon(listener.serve, handle)
         yield f"http://127.0.0.1:{port}"
         tasks.cancel_scope.cancel()
-        await listener.aclose()
 
 
 class WeightSourceTest(unittest.IsolatedAsyncioTestCase):
     async def test_reads_ranges(self) -> None:
         async with open_server(origin.create_app()) as url:
             source = create_http_weight_source(url)
-            self.assertIsNone(await source.publish("m/1", b"0123456789"))
+            self.assertFalse(await source.has("m/1"))
+            self.assertIsNone(await source.put("m/1", b"0123456789"))
+            self.assertTrue(await source.has("m/1"))
             self.assertEqual(await source.read("m/1", 0, 0), b"0123456789")
             self.assertEqual(await source.read("m/1", 2, 3), b"234")
             self.assertEqual(await source.read("m/1", 8, 9), b"89")
@@ -71,7 +72,7 @@
     async def test_bytes_are_counted_by_object(self) -> None:
         async with open_server(origin.create_app(bytes_per_s=1e9)) as url:
             source = create_http_weight_source(url)
-            await source.publish("m", bytes(200_000))
+            await source.put("m", bytes(200_000))
             for _ in range(2):
                 await source.read("m", 0, 100_000)
             async with httpx.AsyncClient(trust_env=False) as client:
