Acknowledge answers as they arrive; retry through a moment without targets

The agent stops reading an answer with 1 MiB unacknowledged, and the entry acknowledged a buffered answer only at its end: 3 MiB ended as 504 (test seen failing). An answer that nobody waits for is now acknowledged, too, else a stopping agent waits for it. Retries wait up to 1.5 s for a target; only targets that broke count against a request, not links that were lost.

--- a/reedspar/requests/__init__.py
+++ b/reedspar/requests/__init__.py
@@ -2,6 +2,7 @@
 
 from .application import RequestApplication
 from .attempt_client import AttemptClient
+from .messages import register_messages
 from .request import Answer, Filter, Outcome, Request
 from .service import RequestService, create_request_service
 from .target_directory import TargetDirectory
@@ -20,4 +21,5 @@
     "RequestService",
     "TargetDirectory",
     "create_request_service",
+    "register_messages",
 ]
--- a/reedspar/requests/admission.py
+++ b/reedspar/requests/admission.py
@@ -28,6 +28,8 @@
 LATENCY_WEIGHT = 0.1
 DECREASE_MIN_S = 0.05
 DECREASE_MAX_S = 1.0
+FORGIVE_S = 5.0
+"""Without a refusal for so long, capacity has come back: grow fast again."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +107,8 @@
         self.latency_s += LATENCY_WEIGHT * (latency_s - self.latency_s)
         if now_s - self._limited_s > ACTIVE_S and self.in_flight < self.window / 2:
             return
+        if now_s - self._decreased_s > FORGIVE_S:
+            self._is_starting = True
         step = 1.0 if self._is_starting else 1.0 / self.window
         self.window = min(WINDOW_MAX, self.window + step)
 
--- a/reedspar/requests/assembly.py
+++ b/reedspar/requests/assembly.py
@@ -148,7 +148,9 @@
         """Give up: nothing more will be learned from the agent."""
         if not self.is_open:
             return Progress.NOTHING
-        return self._finish(Verdict.UNKNOWN, Reason.OUTCOME_UNKNOWN, detail)
+        return self._finish(
+            Verdict.UNKNOWN, Reason.OUTCOME_UNKNOWN, detail, step=Step.LINK
+        )
 
     def take(self) -> bytes:
         """Return the bytes that arrived since the last call."""
--- a/reedspar/requests/attempt_client.py
+++ b/reedspar/requests/attempt_client.py
@@ -27,7 +27,7 @@
 from reedspar.messages import Sender
 from reedspar.timers import TimerService
 
-from .assembly import AnswerAssembly, Progress, Verdict
+from .assembly import AnswerAssembly, Progress
 
 __all__ = ["AttemptClient", "ClientCounts", "OpenAttempt", "create_attempt_client"]
 
@@ -64,6 +64,7 @@
         self.asked_s = now_s
         self.acked_bytes = 0
         self.room_bytes = ROOM_BYTES
+        self.is_streamed = False
         self.is_full = False
         self._event: anyio.Event | None = None
 
@@ -72,6 +73,13 @@
         """Return the name of the agent that it was handed to."""
         return self.assembly.target
 
+    @property
+    def safe_bytes(self) -> int:
+        """Return how much of the answer the agent need not keep any longer."""
+        assembly = self.assembly
+        waiting = assembly.pending_bytes if self.is_streamed else 0
+        return assembly.size_bytes - waiting
+
     def wake(self) -> None:
         """Wake the waiting task, if there is one."""
         if self._event is not None:
@@ -130,7 +138,7 @@
         start = attempt.assembly.start
         if self._open.pop((start.request_id, start.attempt), None) is None:
             return
-        if attempt.assembly.verdict is Verdict.WHOLE:
+        if attempt.assembly.end is not None:
             self._ack(attempt, is_complete=True)
         elif attempt.assembly.is_open:
             self.cancel(attempt)
@@ -147,8 +155,7 @@
     def take(self, attempt: OpenAttempt) -> bytes:
         """Return the bytes that arrived, and tell the agent now and then."""
         data = attempt.assembly.take()
-        if attempt.assembly.size_bytes - attempt.acked_bytes >= ACK_EVERY_BYTES:
-            self._ack(attempt, is_complete=False)
+        self._ack_progress(attempt)
         if attempt.is_full:
             attempt.is_full = False
             self._resume(attempt)
@@ -174,7 +181,7 @@
 
     def _on_link_event(self, event: LinkEvent) -> None:
         """Resume on a new link; give up where no process is left to ask."""
-        if event.change is LinkChange.DOWN:
+        if event.change in (LinkChange.DOWN, LinkChange.REFUSED):
             is_gone = event.reason is Reason.UNAVAILABLE
             for attempt in self._open_at(event.peer):
                 if is_gone or attempt.assembly.start.is_idempotent:
@@ -210,12 +217,19 @@
         )
         self._network.send(attempt.target, message)
 
+    def _ack_progress(self, attempt: OpenAttempt) -> None:
+        """Open the agent's window as far as a stream's caller has read on.
+
+        An answer that is passed on as a whole is acknowledged as it arrives.
+        """
+        if attempt.safe_bytes - attempt.acked_bytes >= ACK_EVERY_BYTES:
+            self._ack(attempt, is_complete=False)
+
     def _ack(self, attempt: OpenAttempt, *, is_complete: bool) -> None:
-        assembly = attempt.assembly
-        attempt.acked_bytes = assembly.size_bytes
-        start = assembly.start
+        start = attempt.assembly.start
+        attempt.acked_bytes = attempt.safe_bytes
         message = AttemptAck(
-            start.request_id, start.attempt, assembly.size_bytes, is_complete
+            start.request_id, start.attempt, attempt.acked_bytes, is_complete
         )
         self._network.send(attempt.target, message)
 
@@ -227,6 +241,8 @@
         if attempt is not None:
             progress = attempt.assembly.on_data(message, attempt.room_bytes)
             self._react(attempt, progress)
+            if not attempt.is_streamed:
+                self._ack_progress(attempt)
 
     def _on_end(self, sender: Sender, message: AttemptEnd) -> None:
         self._feed(sender, message, lambda assembly: assembly.on_end(message))
@@ -256,10 +272,21 @@
         attempt = self._open.get((message.request_id, message.attempt))
         if attempt is None or attempt.target != sender.name:
             self.counts.dropped += 1
+            self._let_go(sender, message)
             return None
         attempt.heard_s = self._timers.now_s()
         return attempt
 
+    def _let_go(self, sender: Sender, message: Any) -> None:
+        """Tell the agent that nobody waits for this answer any more.
+
+        Else it would keep the answer, and its graceful stop would wait for it.
+        """
+        if isinstance(message, AttemptEnd):
+            key = (message.request_id, message.attempt)
+            ack = AttemptAck(*key, message.length_bytes, is_complete=True)
+            self._network.send(sender.name, ack)
+
     def _react(self, attempt: OpenAttempt, progress: Progress) -> None:
         if progress is Progress.NEWS:
             attempt.wake()
--- a/reedspar/requests/guards.py
+++ b/reedspar/requests/guards.py
@@ -14,7 +14,7 @@
 
 __all__ = ["Admit", "Guard"]
 
-LOAD_REASONS = frozenset({Reason.OVERLOADED, Reason.COLD, Reason.NO_TARGET})
+LOAD_REASONS = frozenset({Reason.OVERLOADED, Reason.COLD})
 FORGET_S = 10.0
 DEFAULT_WORKSPACE = WorkspaceConfiguration()
 
--- a/reedspar/requests/relay.py
+++ b/reedspar/requests/relay.py
@@ -28,8 +28,11 @@
 """A larger answer is passed on while it arrives."""
 STREAM_ROOM_BYTES = 1024 * 1024
 ATTEMPTS_MAX = 4
-UNKNOWNS_MAX = 2
-"""Broken attempts of one request; it may be what breaks its targets."""
+BREAKS_MAX = 2
+"""Targets that may break under one request; it may be what breaks them."""
+RETRY_WAIT_S = 1.5
+"""How long a retry waits for a target while links and reports recover."""
+RETRY_POLL_S = 0.1
 VERDICT_MARGIN_S = 0.25
 """What the agent's word at its deadline gets to reach us before ours."""
 RESTED_REASONS = frozenset(
@@ -64,9 +67,9 @@
         """Return the answer; `proceed` is not called, for this filter is the last."""
         tried: set[str] = set()
         last: Answer | None = None
-        unknowns = 0
+        breaks = 0
         for number in range(ATTEMPTS_MAX):
-            view = self._choose(request, tried)
+            view = await self._choose_soon(request, tried)
             if isinstance(view, Failure):
                 return last or make_not_run(view)
             if last is None:
@@ -75,12 +78,25 @@
                 return last
             tried.add(view.name)
             latest = await self._attempt(request, view, number)
-            unknowns += latest.outcome is Outcome.UNKNOWN
+            breaks += _is_broken(latest)
             last = _join(last, latest)
-            if unknowns >= UNKNOWNS_MAX or not self._may_retry(request, last):
+            if breaks >= BREAKS_MAX or not self._may_retry(request, last):
                 return last
         return last or make_not_run(Failure(Reason.NO_TARGET, Step.ROUTE))
 
+    async def _choose_soon(
+        self, request: Request, tried: set[str]
+    ) -> TargetView | Failure:
+        """Choose a target; a retry may wait a moment for one."""
+        view = self._choose(request, tried)
+        polls = round(RETRY_WAIT_S / RETRY_POLL_S) if tried else 0
+        for _ in range(polls):
+            if not isinstance(view, Failure) or view.reason is Reason.EXPIRED:
+                break
+            await anyio.sleep(RETRY_POLL_S)
+            view = self._choose(request, tried)
+        return view
+
     def _choose(self, request: Request, tried: set[str]) -> TargetView | Failure:
         document = self._configuration.document
         # Without a fresh confirmation a zone may have been taken out without
@@ -147,6 +163,7 @@
         assembly = attempt.assembly
         responder = request.responder
         attempt.room_bytes = STREAM_ROOM_BYTES
+        attempt.is_streamed = True
         await responder.start(head.status, head.headers, head.weights_digest)
         while assembly.is_open:
             if assembly.pieces:
@@ -188,6 +205,13 @@
         )
 
 
+def _is_broken(answer: Answer) -> bool:
+    failure = answer.failure
+    if answer.outcome is not Outcome.UNKNOWN or failure is None:
+        return False
+    return failure.step is Step.TARGET_CALL
+
+
 def _is_streamed(request: Request, head: AttemptHead, size_bytes: int) -> bool:
     if size_bytes > WHOLE_ANSWER_BYTES:
         return True
--- a/reedspar/requests/routing.py
+++ b/reedspar/requests/routing.py
@@ -50,7 +50,7 @@
         ]
         if not views:
             return self._explain(request)
-        fresh = [view for view in views if view.name not in tried]
+        fresh = [view for view in views if view.name not in tried] or views
         open_views = [view for view in fresh if view.load < QUEUE_LOAD]
         if not open_views:
             return Failure(
--- a/reedspar/requests/target_directory.py
+++ b/reedspar/requests/target_directory.py
@@ -96,7 +96,7 @@
             self._by_pool[view.report.pool].pop(target, None)
 
     def _on_link_event(self, event: LinkEvent) -> None:
-        if event.change is LinkChange.DOWN:
+        if event.change in (LinkChange.DOWN, LinkChange.REFUSED):
             self.forget(event.peer)
 
     def _on_report(self, sender: Sender, report: TargetReport) -> None:
--- /dev/null
+++ b/reedspar/requests/tests/test_histories.py
@@ -0,0 +1,294 @@
+"""Tests of entries and real agents together, over random histories of faults."""
+
+import asyncio
+import random
+import unittest
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+from typing import Any
+
+import anyio
+import httpx
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from reedspar.errors import Failure, Reason, Step
+from reedspar.links import LinkChange, LinkEvent, Role
+from reedspar.messages import Sender
+from reedspar.platform import EngineState, TargetRequest
+from reedspar.requests import RequestService
+from reedspar.requests.tests.fakes import FakeNetwork, make_service
+from reedspar.requests.tests.virtual import create_loop_timers, run_virtual
+from reedspar.settings import DaemonSettings
+from reedspar.targets import create_target_controller
+
+AGENTS = ("t1", "t2", "t3")
+LARGE_BYTES = 3 * 1024 * 1024
+URL = "http://127.0.0.1:9"
+
+
+def make_settings(name: str) -> DaemonSettings:
+    platform = {"key_value_url": URL, "instance_list_url": URL, "origin_url": URL}
+    target = {"kind": "plain_service", "pool": "orders", "url": URL}
+    return DaemonSettings.model_validate(
+        {
+            "name": name,
+            "role": "agent",
+            "zone": "a",
+            "region": "r",
+            "port": 7001,
+            "http_port": 7002,
+            "platform": platform,
+            "target": {**target, "concurrency_limit": 4, "cold_concurrency": 2},
+        }
+    )
+
+
+class PlainOffers:
+    """A plain service needs no weights."""
+
+    def offered(self) -> tuple:
+        return ()
+
+    def is_offering(self) -> bool:
+        return True
+
+    def note_engine_state(self, state: EngineState | None) -> None:
+        pass
+
+
+@dataclass
+class Answering:
+    """One answer of the plain service, in pieces that take time."""
+
+    body: bytes
+    rng: random.Random
+    is_broken: bool
+    status: int = 200
+    headers: tuple = (("content-type", "text/plain"),)
+    weights_digest: str = ""
+
+    async def iterate(self) -> AsyncIterator[bytes | Failure]:
+        for offset in range(0, len(self.body), 1 + len(self.body) // 4):
+            await anyio.sleep(self.rng.uniform(0, 0.6))
+            yield self.body[offset : offset + 1 + len(self.body) // 4]
+        if self.is_broken:
+            yield Failure(Reason.OUTCOME_UNKNOWN, Step.TARGET_CALL, detail="reset")
+
+
+class CountingService:
+    """Counts the runs of each order."""
+
+    def __init__(self, rng: random.Random, breaks: float) -> None:
+        self.rng = rng
+        self.breaks = breaks
+        self.runs: Counter[str] = Counter()
+        self.body_size = 1
+
+    def body_of(self, order: str) -> bytes:
+        return f"answer to {order};".encode() * self.body_size
+
+    async def read_state(self) -> EngineState:
+        return EngineState("boot-1")
+
+    @asynccontextmanager
+    async def send(self, request: TargetRequest) -> AsyncIterator[Answering]:
+        order = dict(request.headers)["x-order"]
+        self.runs[order] += 1
+        await anyio.sleep(self.rng.uniform(0, 2))
+        is_broken = self.rng.random() < self.breaks
+        yield Answering(self.body_of(order), self.rng, is_broken)
+
+    async def cancel(self, request_id: str) -> None:
+        return None
+
+
+class Links(FakeNetwork):
+    """One daemon's links in a mesh."""
+
+    def __init__(self, mesh: "Mesh", name: str, incarnation: int) -> None:
+        super().__init__()
+        self.mesh = mesh
+        self.name = name
+        self.incarnation = incarnation
+
+    def send(self, peer: str, message: Any, priority: int = 0) -> Failure | None:
+        return self.mesh.carry(self, peer, message)
+
+    def peers(self, role: Role | None = None) -> tuple[str, ...]:
+        if role is Role.ENTRY:
+            return ("entry-1",)
+        return AGENTS
+
+
+@dataclass
+class Mesh:
+    """Carries messages; links go silent, are replaced, and lose or cross some."""
+
+    rng: random.Random
+    loss: float
+    daemons: dict[str, Links] = field(default_factory=dict)
+    silent_until_s: dict[frozenset[str], float] = field(default_factory=dict)
+
+    def add(self, name: str, incarnation: int = 1) -> Links:
+        self.daemons[name] = Links(self, name, incarnation)
+        return self.daemons[name]
+
+    def carry(self, sender: Links, peer: str, message: Any) -> Failure | None:
+        if self.daemons.get(sender.name) is not sender or peer not in self.daemons:
+            return Failure(Reason.UNAVAILABLE, Step.LINK, peer)
+        pair = frozenset((sender.name, peer))
+        is_silent = self.silent_until_s.get(pair, 0.0) > anyio.current_time()
+        if is_silent or self.rng.random() < self.loss:
+            return None
+        is_crossed = self.rng.random() < self.loss
+        delay_s = self.rng.uniform(0, 3.0) if is_crossed else 0.002
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self._deliver, sender, peer, message)
+        return None
+
+    def _deliver(self, sender: Links, peer: str, message: Any) -> None:
+        receiver = self.daemons.get(peer)
+        if receiver is not None:
+            for handler in receiver.handlers.get(type(message), []):
+                handler(Sender(sender.name, sender.incarnation, 1), message)
+
+    async def silence(self, one: str, two: str, for_s: float) -> None:
+        """Let a link go silent, then tell both ends that it was replaced."""
+        self.silent_until_s[frozenset((one, two))] = anyio.current_time() + for_s
+        await anyio.sleep(for_s)
+        self.tell(one, two, LinkChange.REPLACED)
+        self.tell(two, one, LinkChange.REPLACED)
+
+    def tell(self, listener: str, peer: str, change: LinkChange) -> None:
+        reason = Reason.UNAVAILABLE if change is LinkChange.DOWN else None
+        incarnation = self.daemons[peer].incarnation if peer in self.daemons else 0
+        event = LinkEvent(peer, incarnation, change, reason)
+        if listener in self.daemons:
+            for listen in self.daemons[listener].link_listeners:
+                listen(event)
+
+
+class History:
+    """One entry, three agents, and a plain service that counts."""
+
+    def __init__(self, seed: int, loss: float, breaks: float = 0.05) -> None:
+        self.rng = random.Random(seed)
+        self.mesh = Mesh(self.rng, loss)
+        self.backend = CountingService(self.rng, breaks)
+        self.told: dict[str, httpx.Response] = {}
+        self.scopes: dict[str, anyio.CancelScope] = {}
+        self.service: RequestService | None = None
+
+    async def run(self, orders: list[tuple[float, str, str]], faults: int) -> None:
+        """Send (when, method, order), bring faults about, wait for every end."""
+        timers = create_loop_timers()
+        network = self.mesh.add("entry-1")
+        self.service = make_service(network, timers)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(timers.run)
+            for name in AGENTS:
+                tasks.start_soon(self._run_agent, name, 1)
+            await anyio.sleep(3)
+            async with anyio.create_task_group() as calls:
+                for order in orders:
+                    calls.start_soon(self._call, *order)
+                for _ in range(faults):
+                    calls.start_soon(self._bring_about_fault, tasks)
+            tasks.cancel_scope.cancel()
+
+    async def _run_agent(self, name: str, incarnation: int) -> None:
+        with anyio.CancelScope() as self.scopes[name]:
+            async with anyio.create_task_group() as tasks:
+                timers = create_loop_timers()
+                create_target_controller(
+                    make_settings(name),
+                    incarnation,
+                    self.mesh.add(name, incarnation),
+                    timers,
+                    self.backend,
+                    PlainOffers(),
+                    lambda: None,
+                    tasks.start_soon,
+                )
+                await timers.run()
+
+    async def _bring_about_fault(self, tasks: Any) -> None:
+        await anyio.sleep(self.rng.uniform(0, 20))
+        name = self.rng.choice(AGENTS)
+        if self.rng.random() < 0.6:
+            await self.mesh.silence("entry-1", name, self.rng.uniform(0.5, 6))
+            return
+        incarnation = self.mesh.daemons.pop(name, SimpleNamespace(incarnation=0))
+        self.scopes[name].cancel()
+        if not incarnation.incarnation:
+            return
+        if self.rng.random() < 0.5:
+            self.mesh.tell("entry-1", name, LinkChange.DOWN)
+        await anyio.sleep(self.rng.uniform(0.1, 3))
+        tasks.start_soon(self._run_agent, name, incarnation.incarnation + 1)
+
+    async def _call(self, at_s: float, method: str, order: str) -> None:
+        await anyio.sleep(at_s)
+        assert self.service is not None
+        transport = httpx.ASGITransport(app=self.service.application)
+        async with httpx.AsyncClient(transport=transport, base_url="http://e") as http:
+            self.told[order] = await http.request(
+                method,
+                "/v1/pools/orders/o",
+                headers={"x-workspace": "shop", "x-order": order},
+            )
+
+
+class HistoryTest(unittest.TestCase):
+    # Links between an entry and its agents lose, delay and cross messages and
+    # go silent; agents are killed and come back.  A shop must get the whole
+    # answer to its own request or the truth: an order never runs twice, nor
+    # once it was called not run.
+    @settings(max_examples=40, deadline=None, derandomize=True)
+    @given(st.integers(0, 2**32), st.sampled_from([0.0, 0.02, 0.1]))
+    def test_every_end_is_true(self, seed: int, loss: float) -> None:
+        history = History(seed, loss)
+        rng = history.rng
+        orders = [
+            (rng.uniform(0, 20), rng.choice(["GET", "POST"]), f"{number}")
+            for number in range(30)
+        ]
+        run_virtual(history.run, orders, 6)
+        self.assertEqual(len(history.told), len(orders))
+        for _, method, order in orders:
+            self.check(history, method, order)
+
+    def check(self, history: History, method: str, order: str) -> None:
+        response = history.told[order]
+        outcome = response.headers["x-reedspar-outcome"]
+        runs = history.backend.runs[order]
+        if outcome == "answered":
+            self.assertEqual(response.content, history.backend.body_of(order))
+        if outcome == "not-run":
+            self.assertEqual(runs, 0, f"{order} was called not run")
+        if method == "POST":
+            self.assertLessEqual(runs, 1, f"{order} ran twice")
+
+    def test_without_faults_all_are_answered(self) -> None:
+        history = History(1, loss=0.0, breaks=0.0)
+        orders = [(number * 0.5, "POST", str(number)) for number in range(40)]
+        run_virtual(history.run, orders, 0)
+        statuses = Counter(item.status_code for item in history.told.values())
+        self.assertEqual(statuses, {200: 40})
+
+    def test_answer_larger_than_the_window_arrives(self) -> None:
+        # The agent stops reading an answer once too much of it is not
+        # acknowledged.  An entry that buffers the whole and acknowledges only
+        # at the end would wait for the rest until the deadline.
+        history = History(1, loss=0.0, breaks=0.0)
+        history.backend.body_size = LARGE_BYTES // len(history.backend.body_of("1"))
+        run_virtual(history.run, [(0.0, "GET", "1")], 0)
+        self.assertEqual(history.told["1"].status_code, 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
