--- a/reedspar/observation/requests.py
+++ b/reedspar/observation/requests.py
@@ -10,7 +10,7 @@
 from reedspar.requests import Answer, Outcome, Request
 from reedspar.requests.request import Proceed
 from reedspar.telemetry import Metrics
-from reedspar.timeline import EventKind, EventRecorder
+from reedspar.timeline import EventKind, EventRecorder, format_caller_id
 
 from .network import ObservedNetwork
 
@@ -51,10 +51,11 @@
         pool = request.pool if self._is_pool(request.pool) else UNKNOWN_POOL
         started_s = self._clock()
         request_id = request.request_id
+        detail = f"{request.method} pool {pool}"
+        if request.caller_request_id not in ("", request_id):
+            detail += " " + format_caller_id(request.caller_request_id)
         self._recorder.record(
-            EventKind.REQUEST_RECEIVED,
-            request_id=request_id,
-            detail=f"{request.method} pool {pool}",
+            EventKind.REQUEST_RECEIVED, request_id=request_id, detail=detail
         )
         self._waiting[request_id] = (started_s, pool)
         self._in_flight += 1
--- a/reedspar/observation/tests/test_observers.py
+++ b/reedspar/observation/tests/test_observers.py
@@ -35,7 +35,7 @@
 from reedspar.platform import EngineState, LoadOrder, TargetRequest
 from reedspar.requests import Answer, Outcome, Request
 from reedspar.telemetry import create_metrics
-from reedspar.timeline import EventRecorder
+from reedspar.timeline import EventFilter, EventRecorder
 from reedspar.weights.messages import ChunkPiece
 
 DIGEST = "ab" * 32
@@ -226,7 +226,7 @@
         observer = RequestObserver(
             self.network, self.metrics, self.recorder, lambda name: name == "quotes"
         )
-        request = Request("e:1:7", "", "POST", pool, "/", (), b"", None, 0.0)
+        request = Request("e:1:7", "shop-9", "POST", pool, "/", (), b"", None, 0.0)
         return anyio.run(observer.apply, request, proceed)
 
     def test_ending_and_reason(self) -> None:
@@ -241,6 +241,8 @@
             'reedspar_refusals_total{reason="overloaded",step="admit"} 1.0'
         )
         self.assert_metric("reedspar_in_flight 0.0")
+        (event,) = EventFilter("shop-9").select(self.recorder.after(0).events)
+        self.assertEqual(event.request_id, "e:1:7")
 
     def test_callers_can_not_grow_the_metrics(self) -> None:
         # A caller tries one misspelt pool after the other.  Each would stay
--- a/reedspar/timeline/__init__.py
+++ b/reedspar/timeline/__init__.py
@@ -1,7 +1,7 @@
 """Events of all processes: recorded cheaply, merged into one order, shown."""
 
 from .events import Event, EventKind, event_from_json, event_to_json
-from .filters import EventFilter
+from .filters import EventFilter, format_caller_id
 from .merging import merge_events
 from .picture import render_picture
 from .recorder import EventPage, EventRecorder, create_event_recorder
@@ -16,6 +16,7 @@
     "create_event_recorder",
     "event_from_json",
     "event_to_json",
+    "format_caller_id",
     "merge_events",
     "render_picture",
     "render_text",
--- a/reedspar/timeline/tests/test_timeline.py
+++ b/reedspar/timeline/tests/test_timeline.py
@@ -133,6 +133,14 @@
         self.assertIn("request=r<1>#1 target=a-2", lines[0])
         self.assertIn("version=abababababab", lines[1])
 
+    def test_callers_can_not_write_to_the_terminal(self) -> None:
+        # A caller's id carries an escape sequence that clears the screen of
+        # the operator who looks at the time line.
+        event = make_event("e", 1, 1.0, detail="caller-id=\x1b[2J\n12:00:00 faked")
+        lines = list(render_text([event]))
+        self.assertEqual(len(lines), 2)
+        self.assertTrue(lines[1].isprintable())
+
     def test_picture_is_well_formed_and_self_contained(self) -> None:
         page = render_picture(self.events, "A <title>")
         body = page[page.index("<body>") : page.index("</html>")]
--- a/reedspar/timeline/text.py
+++ b/reedspar/timeline/text.py
@@ -25,7 +25,16 @@
         parts.append(f"version={shorten_digest(event.version)}")
     if event.detail:
         parts.append(event.detail)
-    return " ".join(parts)
+    return make_printable(" ".join(parts))
+
+
+def make_printable(text: str) -> str:
+    """Return the text without control characters.
+
+    Ids and details may come from callers.  An escape sequence in one would
+    reach the operator's terminal and could hide or rewrite what it shows.
+    """
+    return "".join(c if c.isprintable() else "\N{REPLACEMENT CHARACTER}" for c in text)
 
 
 def shorten_digest(version: str) -> str:
--- a/reedspar/tool/tests/test_fleet.py
+++ b/reedspar/tool/tests/test_fleet.py
@@ -13,7 +13,7 @@
 
 from reedspar.admin import AgentStatus, TransferStatus
 from reedspar.configuration import ConfigurationDocument
-from reedspar.timeline import EventKind, event_to_json
+from reedspar.timeline import EventKind, event_to_json, format_caller_id
 from reedspar.tool.exit_codes import ExitCode
 from reedspar.tool.main import main
 from reedspar.tool.watch_command import TargetProgress, render_progress
@@ -99,6 +99,25 @@
         self.assertEqual(len(run.output.splitlines()), 3)
         self.assertIn("missing from the time line: agent-2", run.errors)
 
+    def test_callers_own_id_finds_every_request_that_bears_it(self) -> None:
+        # A shop sends its order twice under one id and asks what became of
+        # it: both requests have to show, with what the agents did.
+        for number, index in ((1, 2), (2, 3)):
+            own_id = f"entry-1:3:{number}"
+            self.daemons[0].recorder.record(
+                EventKind.REQUEST_RECEIVED,
+                request_id=own_id,
+                detail="POST pool quotes " + format_caller_id("order-88"),
+            )
+            self.daemons[index].recorder.record(
+                EventKind.ATTEMPT_RUNNING, request_id=own_id, attempt=1
+            )
+        run = self.run_tool("timeline", "--request", "order-88", "--json")
+        self.assertEqual(run.code, ExitCode.OK)
+        self.assertEqual(len(run.json), 4)
+        other = self.run_tool("timeline", "--request", "order-8", "--json")
+        self.assertEqual(other.json, [])
+
     def test_timeline_from_logs_needs_no_process(self) -> None:
         recorder = self.daemons[0].recorder
         recorder.record(EventKind.ZONE_OUT, detail="kingston-a")
--- a/reedspar/tool/timeline_command.py
+++ b/reedspar/tool/timeline_command.py
@@ -2,7 +2,7 @@
 
 import json
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Annotated
 
@@ -106,6 +106,41 @@
     return Collected(tuple(events), tuple(gaps))
 
 
+def find_own_ids(events: Iterable[Event], wanted: EventFilter) -> set[str]:
+    """Return the system's ids of the requests that bear the wanted caller's id."""
+    if not wanted.request_id:
+        return set()
+    matching = EventFilter(request_id=wanted.request_id).select(events)
+    return {event.request_id for event in matching} - {wanted.request_id}
+
+
+async def collect_all(client: AdminClient, wanted: EventFilter) -> Collected | Failure:
+    """Return the wanted events; a caller's own id stands for all that bear it.
+
+    Only the entry's first event of a request names the caller's id, so the
+    rest is asked for by the ids that this event gives.
+    """
+    collected = await collect_events(client, wanted)
+    if isinstance(collected, Failure):
+        return collected
+    events, gaps = list(collected.events), list(collected.gaps)
+    for own_id in sorted(find_own_ids(events, wanted)):
+        more = await collect_events(client, replace(wanted, request_id=own_id))
+        if isinstance(more, Failure):
+            return more
+        events += more.events
+        gaps += [gap for gap in more.gaps if gap not in gaps]
+    return Collected(tuple(events), tuple(gaps))
+
+
+def select_events(events: Sequence[Event], wanted: EventFilter) -> list[Event]:
+    """Return the wanted events, with those of requests that bear a caller's id."""
+    filters = [wanted]
+    for own_id in find_own_ids(events, wanted):
+        filters.append(replace(wanted, request_id=own_id))
+    return [e for e in events if any(chosen.matches(e) for chosen in filters)]
+
+
 def show_events(session: Session, events: Sequence[Event]) -> None:
     """Write the events as JSON or as text."""
     if session.is_json:
@@ -141,10 +176,10 @@
         if self.from_logs:
             collected = read_logs(self.from_logs)
         else:
-            collected = await collect_events(session.client, wanted)
+            collected = await collect_all(session.client, wanted)
         if isinstance(collected, Failure):
             return session.fail(collected)
-        events = wanted.select(merge_events(collected.events))
+        events = select_events(merge_events(collected.events), wanted)
         if self.picture is None:
             show_events(session, events)
         else:
