Divide the writes of undated idempotency keys by the entries; refuse the rest at once

All undated keys shared the pace of one partition (25 writes/s, two writes an order), so claims queued up to the time-out of 2.5 s, nearly all in vain. Ruled out: the key-value stand-in (9 ms a call) and the links (the same entry owns the claim). Undated keys have a value each, which no other order can share; the writes that the service bears (200/s of them) are now divided by the number of entries, and a claim that would wait more than 0.5 s is refused at once, as not run, with nothing written. Keys that are UUIDs of version 7 share writes and are not concerned.

--- a/reedspar/requests/claim_client.py
+++ b/reedspar/requests/claim_client.py
@@ -15,7 +15,7 @@
 from reedspar.utils import rank_by_rendezvous
 
 from .claim_ledger import ClaimLedger
-from .claim_places import ClaimPlace, partition_of
+from .claim_places import UNDATED, ClaimPlace, partition_of
 from .claim_table import make_reply
 from .messages import (
     ClaimReply,
@@ -100,7 +100,7 @@
 
     def _owner_of(self, location: str) -> str:
         partition = partition_of(location)
-        if partition == "undated":
+        if partition == UNDATED:
             return self._name
         horizon_s = self._timers.now_s() - PASSED_BY_S
         names = {
--- a/reedspar/requests/claim_leases.py
+++ b/reedspar/requests/claim_leases.py
@@ -8,7 +8,7 @@
 from reedspar.platform import KeyValueStore
 from reedspar.timers import TimerService
 
-from .claim_places import FUTURE_SKEW_S, UNDATED_TTL_S, partition_of
+from .claim_places import FUTURE_SKEW_S, UNDATED, UNDATED_TTL_S, partition_of
 
 __all__ = ["ClaimLeases"]
 
@@ -34,7 +34,7 @@
 
     async def get(self, location: str) -> str | Failure:
         """Return a lease that outlives a claim written at `location` now."""
-        is_undated = partition_of(location) == "undated"
+        is_undated = partition_of(location) == UNDATED
         held = self._held.get(is_undated)
         now_s = self._timers.now_s()
         if held is not None and now_s - held[1] < SHARED_S:
--- a/reedspar/requests/claim_ledger.py
+++ b/reedspar/requests/claim_ledger.py
@@ -18,7 +18,7 @@
 from reedspar.timers import TimerService
 
 from .claim_leases import ClaimLeases
-from .claim_places import is_location_expired, partition_of
+from .claim_places import UNDATED, is_location_expired, partition_of
 from .claim_table import ClaimTable, make_reply
 from .messages import (
     ClaimReply,
@@ -51,6 +51,10 @@
     running_s: float
     write_interval_s: float = 0.04
     """Least time between two writes of one partition."""
+    undated_writes_per_s: float = 200.0
+    """Writes of undated keys that all entries together may make."""
+    undated_wait_s: float = 0.5
+    """Wait for such a write beyond which the claim is refused at once."""
     update_delay_s: float = 0.25
     """How long an outcome waits for a claim to share its write with."""
     cache_s: float = 1.0
@@ -92,7 +96,9 @@
         timers: TimerService,
         unix_time: Callable[[], float],
         terms: LedgerTerms,
+        count_entries: Callable[[], int] = lambda: 1,
     ) -> None:
+        self._count_entries = count_entries
         self._key_value = key_value
         self._timers = timers
         self._unix_time = unix_time
@@ -105,6 +111,7 @@
         self._cache: OrderedDict[str, _Cached] = OrderedDict()
         self._next_write_s: dict[str, float] = {}
         self._tasks: TaskGroup | None = None
+        self._undated_waiting: set[str] = set()
         self._slots = anyio.Semaphore(PARALLEL_MAX)
         self.counts = LedgerCounts()
 
@@ -122,6 +129,14 @@
     def submit_claim(self, request: ClaimRequest, on_reply: OnReply) -> None:
         """Claim; `on_reply` is called once the record is written or refused."""
         self.counts.claims += 1
+        is_undated = partition_of(request.location) == UNDATED
+        if is_undated and self._is_crowded():
+            detail = "more undated idempotency keys than can be written; "
+            detail += "a UUID of version 7 shares its write with others"
+            on_reply(make_reply(request.token, ClaimVerdict.CROWDED, detail))
+            return
+        if is_undated:
+            self._undated_waiting.add(request.location)
         batch = self._batch_of(request.location)
         batch.claims.append((request, on_reply))
         batch.wake.set()
@@ -150,6 +165,7 @@
                 return
             async with self._slots:
                 await self._pace(partition_of(location))
+                self._undated_waiting.discard(location)
                 batch = self._batches[location]
                 self._batches[location] = _Batch()
                 await self._commit_bounded(location, batch)
@@ -158,10 +174,32 @@
         """Wait for the partition's next turn to write."""
         now_s = self._timers.now_s()
         turn_s = max(now_s, self._next_write_s.get(partition, 0.0))
-        self._next_write_s[partition] = turn_s + self._terms.write_interval_s
+        self._next_write_s[partition] = turn_s + self._interval_s(partition)
         if turn_s > now_s:
             await anyio.sleep(turn_s - now_s)
 
+    def _interval_s(self, partition: str) -> float:
+        """Return the least time between two writes of a partition.
+
+        Undated keys have a value each, which no other order's write can share.
+        Their owner is whichever entry has the request, so the writes that the
+        key-value service bears are divided by the number of entries.
+        """
+        if partition != UNDATED:
+            return self._terms.write_interval_s
+        return max(1, self._count_entries()) / self._terms.undated_writes_per_s
+
+    def _is_crowded(self) -> bool:
+        """Tell whether an undated claim would wait too long to be of use.
+
+        It would time out in the queue instead, after seconds in which the
+        caller hears nothing, and hold up those behind it.
+        """
+        turn_s = self._next_write_s.get(UNDATED, 0.0)
+        queued_s = len(self._undated_waiting) * self._interval_s(UNDATED)
+        wait_s = max(0.0, turn_s - self._timers.now_s()) + queued_s
+        return wait_s > self._terms.undated_wait_s
+
     async def _commit_bounded(self, location: str, batch: _Batch) -> None:
         is_done = False
         with anyio.move_on_after(self._terms.commit_timeout_s):
--- a/reedspar/requests/claim_places.py
+++ b/reedspar/requests/claim_places.py
@@ -16,6 +16,7 @@
 __all__ = [
     "PARTITIONS",
     "SLICE_S",
+    "UNDATED",
     "UNDATED_TTL_S",
     "ClaimPlace",
     "is_location_expired",
--- a/reedspar/requests/messages.py
+++ b/reedspar/requests/messages.py
@@ -47,7 +47,9 @@
     EXPIRED = "expired"
     """The record's time to live has passed."""
     UNAVAILABLE = "unavailable"
-    """The record could not be read or written."""
+    """The record could not be read or written; it may have been, unseen."""
+    CROWDED = "crowded"
+    """Refused before anything was written: the writes in turn are too many."""
 
 
 class ClaimState(Enum):
--- a/reedspar/requests/service.py
+++ b/reedspar/requests/service.py
@@ -75,6 +75,7 @@
         timers,
         unix_time,
         LedgerTerms(settings.claim_ttl_s, settings.deadline_s + RUNNING_MARGIN_S),
+        lambda: len(entries.entries()),
     )
     claims = ClaimClient(name, network, timers, ledger, entries)
     relay = Relay(
--- a/reedspar/requests/tests/test_claims.py
+++ b/reedspar/requests/tests/test_claims.py
@@ -265,6 +265,25 @@
         self.assertEqual(len(history.shop.ran), 200)
         self.assertLess(history.key_value.writes, 150)
 
+    def test_undated_keys_beyond_the_write_budget_are_refused_at_once(self) -> None:
+        # A shop's software sends plain order numbers as keys, and a busy hour
+        # brings more than the key-value service can write one by one.  Each
+        # caller used to wait for seconds, and nearly all in vain.
+        history = self.send(*[(1.0, "e1", f"order-{i}") for i in range(200)])
+        ran = len(history.shop.ran)
+        self.assertTrue(20 < ran < 150)
+        self.assertEqual(history.key_value.writes, 2 * ran)
+        refused = [
+            answer.failure
+            for answers in history.shop.told.values()
+            for answer in answers
+            if answer.outcome is Outcome.NOT_RUN
+        ]
+        self.assertEqual(len(refused), 200 - ran)
+        for failure in refused:
+            assert failure is not None
+            self.assertIn("undated", failure.detail)
+
 
 if __name__ == "__main__":
     unittest.main()
