--- a/reedspar/targets/controller.py
+++ b/reedspar/targets/controller.py
@@ -31,6 +31,9 @@
 __all__ = ["OfferSource", "TargetController", "create_target_controller"]
 
 POLL_INTERVAL_S = 0.25
+IDLE_POLL_INTERVAL_S = 1.0
+"""Without requests; a poll is most of what an idle agent spends, and the first
+request after a quiet moment has the target's state read anew."""
 MISSED_REPORTS_MAX = 3
 LOGGER = logging.getLogger(__name__)
 
@@ -83,6 +86,7 @@
         self._is_draining = False
         self._switching: set[str] = set()
         self._is_polling = False
+        self._polled_s = float("-inf")
         self._missed_reports = 0
         runner = AttemptRunner(
             target,
@@ -102,7 +106,7 @@
             spawn,
         )
         self._reports = ReportPublisher(network, timers, self._describe)
-        timers.call_every(POLL_INTERVAL_S, self._start_poll)
+        timers.call_every(POLL_INTERVAL_S, self._poll_if_due)
         timers.on_pause(self._note_pause)
 
     @property
@@ -220,9 +224,17 @@
         self._crashes.note_broken(start.fingerprint, self._timers.now_s())
         self._start_poll()
 
+    def _poll_if_due(self) -> None:
+        now_s = self._timers.now_s()
+        is_busy = self._desk.running_count > 0 or not self._offers.is_offering()
+        interval_s = POLL_INTERVAL_S if is_busy else IDLE_POLL_INTERVAL_S
+        if now_s - self._polled_s >= interval_s:
+            self._start_poll()
+
     def _start_poll(self) -> None:
         if not self._is_polling:
             self._is_polling = True
+            self._polled_s = self._timers.now_s()
             self._spawn(self._poll)
 
     async def _poll(self) -> None:
