Keep the cost of a request to a target constant in what is in flight

Cause: the pool of httpx looks at every connection at each start and end of a request and polls the idle ones. Ruled out: a lower connection limit, as streams hold theirs for long.

--- a/reedspar/platform/http_client.py
+++ b/reedspar/platform/http_client.py
@@ -4,10 +4,13 @@
 
 from reedspar.errors import Failure, Reason, Step
 
+from .http_transport import StackedTransport
+
 __all__ = [
     "HTTP_REFUSED",
     "HttpAdapter",
     "create_client",
+    "create_unbounded_client",
     "failure_of_read",
     "failure_of_status",
     "failure_of_write",
@@ -22,6 +25,7 @@
 """
 HTTP_REFUSED = 503
 MAX_CONNECTIONS = 64
+PLAIN_BODIES = {"accept-encoding": "identity"}
 NOTHING_SENT = (
     httpx.ConnectError,
     httpx.ConnectTimeout,
@@ -30,21 +34,41 @@
 )
 
 
-def create_client(
-    url: str, timeout_s: float, max_connections: int | None = MAX_CONNECTIONS
-) -> httpx.AsyncClient:
-    """Return a client of one server; `max_connections` None means no bound."""
+def create_client(url: str, timeout_s: float) -> httpx.AsyncClient:
+    """Return a client of one server with a bounded number of connections."""
     return httpx.AsyncClient(
         base_url=url,
         verify=url.startswith("https:"),
         trust_env=False,
-        headers={"accept-encoding": "identity"},
+        headers=PLAIN_BODIES,
         timeout=httpx.Timeout(timeout_s),
-        limits=httpx.Limits(
-            max_connections=max_connections,
-            max_keepalive_connections=max_connections,
-            keepalive_expiry=KEEPALIVE_EXPIRY_S,
-        ),
+        limits=make_limits(MAX_CONNECTIONS),
+    )
+
+
+def create_unbounded_client(url: str, timeout_s: float) -> httpx.AsyncClient:
+    """Return a client of one server for any number of requests at once."""
+    verify = httpx.create_ssl_context(verify=url.startswith("https:"))
+
+    def create_transport() -> httpx.AsyncHTTPTransport:
+        limits = make_limits(1)
+        return httpx.AsyncHTTPTransport(verify=verify, limits=limits)
+
+    return httpx.AsyncClient(
+        base_url=url,
+        trust_env=False,
+        headers=PLAIN_BODIES,
+        timeout=httpx.Timeout(timeout_s),
+        transport=StackedTransport(create_transport),
+    )
+
+
+def make_limits(max_connections: int) -> httpx.Limits:
+    """Return the limits of one pool."""
+    return httpx.Limits(
+        max_connections=max_connections,
+        max_keepalive_connections=max_connections,
+        keepalive_expiry=KEEPALIVE_EXPIRY_S,
     )
 
 
--- a/reedspar/platform/http_target.py
+++ b/reedspar/platform/http_target.py
@@ -16,7 +16,7 @@
 from .http_body import HOP_BY_HOP, HttpTargetResponse
 from .http_client import (
     HttpAdapter,
-    create_client,
+    create_unbounded_client,
     failure_of_read,
     failure_of_status,
     failure_of_write,
@@ -165,9 +165,9 @@
 
 def create_http_plain_service(url: str, *, timeout_s: float = 5.0) -> HttpPlainService:
     """Make an adapter; `timeout_s` bounds calls other than requests."""
-    return HttpPlainService(create_client(url, timeout_s, max_connections=None))
+    return HttpPlainService(create_unbounded_client(url, timeout_s))
 
 
 def create_http_model_engine(url: str, *, timeout_s: float = 5.0) -> HttpModelEngine:
     """Make an adapter; `timeout_s` bounds calls other than requests and loads."""
-    return HttpModelEngine(create_client(url, timeout_s, max_connections=None))
+    return HttpModelEngine(create_unbounded_client(url, timeout_s))
--- a/reedspar/platform/tests/test_http_target.py
+++ b/reedspar/platform/tests/test_http_target.py
@@ -204,6 +204,27 @@
             self.assertEqual(runs["order-7"]["answered"], 1)
             await adapter.aclose()
 
+    async def test_answer_of_an_abandoned_request_reaches_nobody_else(self) -> None:
+        # A caller gives up, and the service answers all the same, late, on a
+        # connection that was open for reuse.  The next shop must not get the
+        # first one's confirmation.
+        async with open_server(plain_service.create_app()) as url:
+            adapter = create_http_plain_service(url)
+            async with httpx.AsyncClient(trust_env=False, base_url=url) as client:
+                await client.put("/control/settings", json={"latency_s": 0.1})
+                for number in range(4):
+                    key = f"order-{number}"
+                    headers = (("idempotency-key", key),)
+                    timeout_s = 5.0 if number % 2 else 0.05
+                    request = TargetRequest(key, "POST", "/d", headers, b"", timeout_s)
+                    _, _, body, spoiled = await exchange(adapter, request)
+                    if number % 2:
+                        self.assertIsNone(spoiled)
+                        self.assertEqual(json.loads(body)["order_key"], key)
+                    else:
+                        self.assertIsInstance(spoiled, Failure)
+            await adapter.aclose()
+
     async def test_silent_service_times_out_as_unknown(self) -> None:
         async with open_server(plain_service.create_app()) as url:
             adapter = create_http_plain_service(url)
