--- a/bench/latency.py
+++ b/bench/latency.py
@@ -18,6 +18,7 @@
 import httpx
 
 from reedspar.settings import TargetKind
+from stand_ins.clients import create_trial_client
 from stand_ins.deployments import Deployment, Pool, Zone
 from stand_ins.launcher import Daemon, Launcher, LauncherOptions, launch
 from stand_ins.operations import Operator
@@ -83,12 +84,7 @@
         self.engine_urls = [a.target_url for a in launcher.agents_of("quotes")]
         self.service_url = launcher.agents_of("deposits")[0].target_url
         self._count = 0
-        self._client = httpx.AsyncClient(
-            trust_env=False,
-            verify=False,
-            timeout=30.0,
-            limits=httpx.Limits(max_connections=None),
-        )
+        self._client = create_trial_client(30.0)
 
     async def aclose(self) -> None:
         """Close the connections."""
--- a/bench/stream_worker.py
+++ b/bench/stream_worker.py
@@ -11,6 +11,8 @@
 import anyio
 import httpx
 
+from stand_ins.clients import create_trial_client
+
 __all__ = ["main"]
 
 EVENT = b"data: "
@@ -68,11 +70,8 @@
     """Run all streams and print the tally."""
     start_s = time.monotonic() + arguments.warm_s
     tally = Tally(start_s, start_s + arguments.seconds)
-    limits = httpx.Limits(max_connections=None)
     async with (
-        httpx.AsyncClient(
-            trust_env=False, verify=False, limits=limits, timeout=60.0
-        ) as client,
+        create_trial_client(60.0) as client,
         anyio.create_task_group() as tasks,
     ):
         for number in range(arguments.streams):
--- a/reedspar/platform/__init__.py
+++ b/reedspar/platform/__init__.py
@@ -8,6 +8,7 @@
     create_http_model_engine,
     create_http_plain_service,
 )
+from .http_transport import StackedTransport
 from .http_weight_source import HttpWeightSource, create_http_weight_source
 from .models import (
     EngineState,
@@ -40,6 +41,7 @@
     "KeyValueStore",
     "LoadOrder",
     "ModelEngine",
+    "StackedTransport",
     "Target",
     "TargetRequest",
     "TargetResponse",
--- a/stand_ins/caller.py
+++ b/stand_ins/caller.py
@@ -13,6 +13,7 @@
 
 import httpx
 
+from .clients import create_trial_client
 from .generation import expect_text
 
 __all__ = ["Call", "CallKind", "Caller", "Ending"]
@@ -87,11 +88,8 @@
         self._deadline_s = deadline_s
         self._addresses: list[str] = []
         self._expires_s = 0.0
-        self._client = httpx.AsyncClient(
-            trust_env=False,
-            verify=False,
-            timeout=httpx.Timeout(deadline_s + SLACK_S, connect=DIAL_TIMEOUT_S),
-            limits=httpx.Limits(max_connections=None, keepalive_expiry=2.0),
+        self._client = create_trial_client(
+            httpx.Timeout(deadline_s + SLACK_S, connect=DIAL_TIMEOUT_S)
         )
 
     async def aclose(self) -> None:
