--- /dev/null
+++ b/bench/small_deployment.py
@@ -0,0 +1,51 @@
+"""One entry before four engines and a plain service, for measurements."""
+
+import anyio
+
+from reedspar.settings import TargetKind
+from stand_ins.deployments import Deployment, Pool, Zone
+from stand_ins.launcher import Launcher, LauncherOptions
+from stand_ins.operations import Operator
+
+__all__ = ["DEPLOYMENT", "make_options", "prepare"]
+
+ENGINES = 4
+CONCURRENCY_LIMIT = 512
+DEPLOYMENT = Deployment(
+    "bench",
+    (Zone("zone-a", "region-a"),),
+    (
+        Pool("quotes", TargetKind.MODEL_ENGINE, ENGINES, ("m",), ("/v1/completions",)),
+        Pool("deposits", TargetKind.PLAIN_SERVICE, 1),
+    ),
+    entry_count=1,
+)
+WARM_ENGINE = ("--max-batch", str(CONCURRENCY_LIMIT), "--cold-completions", "0")
+WEIGHTS_BYTES = 256 * 1024
+LOAD_TIMEOUT_S = 30.0
+SETTLE_S = 2.0
+
+
+def make_options(engine_arguments: tuple[str, ...]) -> LauncherOptions:
+    """Return the options of a deployment whose engines are never cold."""
+    return LauncherOptions(
+        engine_arguments=(*WARM_ENGINE, *engine_arguments),
+        daemon_settings={"target": {"concurrency_limit": CONCURRENCY_LIMIT}},
+    )
+
+
+async def prepare(launcher: Launcher) -> None:
+    """Configure the deployment and bring a small version into every engine."""
+    operator = Operator(launcher)
+    await operator.configure()
+    publication = await operator.publish(
+        "m", "v1", 1, bytes(WEIGHTS_BYTES), WEIGHTS_BYTES
+    )
+    agents = launcher.agents_of("quotes")
+    loaded = await operator.wait_for_replicas(
+        agents, "m", publication.version.root_digest, LOAD_TIMEOUT_S
+    )
+    await operator.aclose()
+    if len(loaded) < len(agents):
+        raise TimeoutError(f"only {sorted(loaded)} loaded the version")
+    await anyio.sleep(SETTLE_S)
--- a/stand_ins/load.py
+++ b/stand_ins/load.py
@@ -13,6 +13,7 @@
 
 from .caller import Call, Caller
 from .deployments import Pool
+from .keys import make_dated_key
 from .launcher import Launcher
 from .promises import Ledger
 
@@ -37,6 +38,8 @@
     """Share of keyed orders that are sent twice."""
     keyless_share: float = 0.2
     """Share of orders without an idempotency key, never sent twice."""
+    undated_share: float = 0.1
+    """Share of orders whose key does not carry its date."""
     deadline_s: float = 10.0
 
 
@@ -140,6 +143,8 @@
     async def _order(self) -> None:
         self._order_count += 1
         order_id = f"order-{self._order_count}"
+        if self._rng.random() >= self._plan.undated_share:
+            order_id = make_dated_key(self._rng)
         body = json.dumps({"deposit": self._order_count, "shop": order_id}).encode()
         has_key = self._rng.random() >= self._plan.keyless_share
         is_repeated = has_key and self._rng.random() < self._plan.repeat_share
