--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: each command prints one JSON object in its last line."""
--- a/reedspar/weights/hashed.py
+++ b/bench/hashed.py
@@ -1,4 +1,4 @@
-"""Distribution by hashing alone: every target asks each chunk's hashed drawer.
+"""The design before: every target asks each chunk's hashed drawer.
 
 The drawer of a chunk is the first of its region's live agents by rendezvous
 hashing.  In the origin's region it draws from the origin; elsewhere it asks
@@ -11,11 +11,16 @@
 
 from reedspar.errors import Failure
 from reedspar.utils import digest_bytes, rank_by_rendezvous
-
-from .assembly import Assembly, cut_pieces
-from .distribution import Action, ObjectReady, ReadOrigin, SendMessage, WeightPeer
-from .manifest import Manifest
-from .messages import (
+from reedspar.weights.assembly import Assembly, cut_pieces
+from reedspar.weights.distribution import (
+    Action,
+    ObjectReady,
+    ReadOrigin,
+    SendMessage,
+    WeightPeer,
+)
+from reedspar.weights.manifest import Manifest
+from reedspar.weights.messages import (
     ChunkPiece,
     ChunkRefused,
     ChunkRequest,
@@ -28,6 +33,7 @@
 WINDOW = 8
 """Objects asked for at a time."""
 RETRY_S = 0.2
+TICK_S = 0.05
 
 
 @dataclass(slots=True)
@@ -76,6 +82,9 @@
         self._want(model, digest, None, digest)
         self._fill(now_s)
 
+    def know_version(self, manifest: Manifest, now_s: float) -> None:
+        """Do nothing: any object in memory is served."""
+
     def want_chunks(self, manifest: Manifest, now_s: float) -> None:
         """Get every chunk of a version."""
         for chunk in manifest.chunks:
@@ -129,6 +138,10 @@
                 self._try_later(want, now_s)
         self._fill(now_s)
 
+    def due_s(self, now_s: float) -> float:
+        """Return when `tick` should be called next."""
+        return now_s + TICK_S
+
     def take_actions(self) -> list[Action]:
         """Return and forget the actions decided since the last call."""
         actions, self._actions = self._actions, []
--- /dev/null
+++ b/bench/weights_distribution.py
@@ -0,0 +1,195 @@
+"""Time until every target has a version, and what crosses the narrow links for it.
+
+The agents are light objects in one process: the real decisions, under
+virtual time, over an event-driven fake of paced links.  Sizes and rates are
+those named, divided by 16; the times that come out are the same.  Each design
+stands beside every target from the origin, and beside the physical bound: the
+largest of copy / machine link, origin copies / origin link and copies across
+/ link between regions.
+"""
+
+import argparse
+import json
+import random
+from dataclasses import dataclass
+from typing import Any
+
+from reedspar.weights import WeightPeer
+from reedspar.weights.distribution import Distribution
+from reedspar.weights.limits import SwarmLimits
+from reedspar.weights.swarm import SwarmDistribution
+
+from .hashed import HashedDistribution
+from .origin_only import OriginOnlyDistribution
+from .paced_links import LinkRates
+from .weight_agents import Fleet, make_weights
+
+MODEL = "quotes"
+REGIONS = ("guate-centro", "occidente", "oriente")
+SCALE = 16
+CHUNK_BYTES = 256 * 1024 // SCALE
+PIECE_BYTES = 64 * 1024 // SCALE
+MACHINE = 12_500_000 / SCALE
+SETTINGS = {
+    "machine": LinkRates(MACHINE, 8 * MACHINE, 2 * MACHINE),
+    "region": LinkRates(MACHINE, MACHINE / 10, 2 * MACHINE),
+}
+TIME_LIMIT_S = 2000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """One run."""
+
+    design: str
+    links: str
+    targets: int
+    chunks: int
+    event: str = ""
+    seed: int = 1
+
+
+def create_distribution(case: Case, peer: WeightPeer) -> Distribution:
+    """Make an agent's decisions."""
+    rates = SETTINGS[case.links]
+    if case.design == "origin_only":
+        return OriginOnlyDistribution()
+    if case.design == "hashed":
+        return HashedDistribution(peer, REGIONS[0], 3.0)
+    limits = SwarmLimits(
+        origin_region=REGIONS[0],
+        machine_bytes_per_s=rates.machine,
+        region_bytes_per_s=rates.region,
+        memory_bytes=64 * 1024 * 1024 // SCALE,
+        piece_bytes=PIECE_BYTES,
+    )
+    return SwarmDistribution(peer, limits, random.Random(f"{case.seed} {peer.name}"))
+
+
+def compute_bounds(case: Case) -> dict[str, float]:
+    """Return the physical bounds, in seconds.
+
+    `star_s` is for one copy over each link from the origin's region, as in the
+    issue; `exchange_s` lets the other regions hand on parts to each other.
+    """
+    rates = SETTINGS[case.links]
+    copy = case.chunks * CHUNK_BYTES
+    common_s = max(copy / rates.machine, copy / rates.origin)
+    across_s = copy / rates.region
+    return {
+        "star_s": max(common_s, across_s),
+        "exchange_s": max(common_s, across_s / (len(REGIONS) - 1)),
+        "origin_only_s": max(common_s, case.targets * copy / rates.origin),
+    }
+
+
+def run_case(case: Case) -> dict[str, Any]:
+    """Run one case and return its figures."""
+    rng = random.Random(case.seed)
+    peers = [
+        WeightPeer(f"agent-{i}", REGIONS[i % 3], f"{REGIONS[i % 3]}-a")
+        for i in range(case.targets)
+    ]
+    fleet = Fleet(
+        peers,
+        SETTINGS[case.links],
+        PIECE_BYTES,
+        lambda peer: create_distribution(case, peer),
+        corrupt_share=0.01 if case.event == "corrupt" else 0.0,
+        seed=case.seed,
+    )
+    manifest, fleet.objects = make_weights(case.chunks, CHUNK_BYTES)
+    bounds = compute_bounds(case)
+    bound_s = bounds["exchange_s"]
+    fleet.set_views(MODEL)
+    for agent in fleet.live:
+        agent.want(manifest)
+    copy = manifest.size_bytes
+    changed_s = 0.0
+    if case.event == "kill":
+        fleet.events.run(fleet.is_finished, bound_s / 2)
+        victims = rng.sample(fleet.live, case.targets // 10)
+        fleet.kill(victims, MODEL)
+    elif case.event == "change":
+        fleet.events.run(fleet.is_finished, bound_s / 2)
+        changed_s = fleet.events.now_s
+        manifest, objects = make_weights(case.chunks, CHUNK_BYTES, 2, case.chunks // 2)
+        fleet.objects.update(objects)
+        for agent in fleet.live:
+            agent.decide.forget(fleet_root(agent, manifest), fleet.events.now_s)
+            agent.want(manifest)
+    is_done = fleet.events.run(fleet.is_finished, TIME_LIMIT_S)
+    return describe(case, fleet, bounds, copy, is_done, changed_s)
+
+
+def fleet_root(agent: Any, manifest: Any) -> str:
+    """Return the root digest of the first version."""
+    first, _ = make_weights(len(manifest.chunks), CHUNK_BYTES)
+    return first.root_digest
+
+
+def describe(
+    case: Case,
+    fleet: Fleet,
+    bounds: dict[str, float],
+    copy: int,
+    is_done: bool,
+    changed_s: float,
+) -> dict[str, Any]:
+    """Return the figures of a run."""
+    times = sorted(a.finished_s for a in fleet.live if a.finished_s is not None)
+    last_s = times[-1] - changed_s if is_done else None
+    links = {f"{a}>{b}": r.sent_bytes / copy for (a, b), r in fleet.regions.items()}
+    control = [agent.control_bytes for agent in fleet.live]
+    result = {
+        "design": case.design,
+        "links": case.links,
+        "targets": case.targets,
+        "chunks": case.chunks,
+        "event": case.event,
+        "finished": is_done,
+        "time_s": round(last_s, 3) if last_s else None,
+        "half_s": round(times[len(times) // 2] - changed_s, 3) if times else None,
+        "bound_star_s": round(bounds["star_s"], 3),
+        "bound_exchange_s": round(bounds["exchange_s"], 3),
+        "over_star": round(last_s / bounds["star_s"], 3) if last_s else None,
+        "over_exchange": round(last_s / bounds["exchange_s"], 3) if last_s else None,
+        "origin_copies": round(fleet.origin_bytes / copy, 3),
+        "region_link_copies_max": round(max(links.values(), default=0.0), 3),
+        "sent_copies_max": round(
+            max(a.up.sent_bytes for a in fleet.agents.values()) / copy, 3
+        ),
+    }
+    if last_s:
+        result["control_bytes_per_s"] = round(max(control) / (last_s + changed_s))
+    return result
+
+
+def main() -> None:
+    """Run the cases and print one line each, and all as JSON in the last line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--targets", type=int, nargs="*", default=[24, 96, 240])
+    parser.add_argument("--chunks", type=int, default=128)
+    parser.add_argument("--designs", nargs="*", default=["hashed", "swarm"])
+    parser.add_argument("--links", nargs="*", default=list(SETTINGS))
+    parser.add_argument(
+        "--events", nargs="*", default=["", "kill", "corrupt", "change"]
+    )
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    results = []
+    for links in options.links:
+        for targets in options.targets:
+            for event in options.events:
+                for design in options.designs:
+                    case = Case(
+                        design, links, targets, options.chunks, event, options.seed
+                    )
+                    result = run_case(case)
+                    results.append(result)
+                    print(json.dumps(result), flush=True)
+    print(json.dumps({"bench": "weights_distribution", "results": results}))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/reedspar/weights/announcing.py
@@ -0,0 +1,122 @@
+"""Keeping few neighbours told of what an agent holds, in batches."""
+
+from collections.abc import Iterable
+
+from .distribution import Action, SendMessage
+from .messages import HaveMap, HaveUpdate
+from .neighbours import Neighbour, choose_neighbours, decode_map, encode_map
+from .transfers import Transfer
+
+__all__ = ["Announcer"]
+
+ASK_AGAIN_S = 1.0
+
+
+class Announcer:
+    """Exchange maps of one version with its neighbours."""
+
+    def __init__(self, transfer: Transfer, me: str, actions: list[Action]) -> None:
+        self._transfer = transfer
+        self._me = me
+        self._actions = actions
+
+    def set_names(self, names: Iterable[str], now_s: float, *, is_asking: bool) -> None:
+        """Take the live agents of the region, and ask the chosen ones for maps."""
+        table = self._transfer.table
+        live = set(names)
+        for name in list(table.neighbours):
+            if name not in live:
+                table.remove(name)
+        if not is_asking:
+            return
+        for name in choose_neighbours(self._me, self._transfer.root_digest, live):
+            neighbour = table.add(name)
+            if neighbour is not None and not neighbour.asked_s:
+                self.send_map(neighbour, now_s, is_reply_wanted=True)
+
+    def send_map(
+        self, neighbour: Neighbour, now_s: float, *, is_reply_wanted: bool
+    ) -> None:
+        """Tell a neighbour everything."""
+        transfer = self._transfer
+        chunk_count = len(transfer.digests)
+        neighbour.sent_sequence += 1
+        if is_reply_wanted:
+            neighbour.asked_s = now_s
+        message = HaveMap(
+            transfer.root_digest,
+            neighbour.sent_sequence,
+            encode_map(transfer.held, chunk_count),
+            encode_map(transfer.obtained, chunk_count),
+            is_reply_wanted,
+        )
+        self._actions.append(SendMessage(neighbour.name, message))
+
+    def ask_again(self, now_s: float) -> None:
+        """Ask the neighbours that have not answered yet."""
+        for neighbour in self._transfer.table.neighbours.values():
+            is_due = now_s - neighbour.asked_s >= ASK_AGAIN_S
+            if not neighbour.has_answered and is_due:
+                self.send_map(neighbour, now_s, is_reply_wanted=True)
+
+    def take(self, peer: str, message: HaveMap | HaveUpdate, now_s: float) -> None:
+        """Take what a peer tells of itself."""
+        if isinstance(message, HaveMap):
+            self.take_map(peer, message, now_s)
+        else:
+            self.take_update(peer, message, now_s)
+
+    def take_map(self, peer: str, message: HaveMap, now_s: float) -> None:
+        """Take a peer's maps, and answer with the own ones if it asks."""
+        table = self._transfer.table
+        neighbour = table.add(peer)
+        if neighbour is None:
+            return
+        neighbour.seen_sequence = message.sequence
+        held = decode_map(message.held)
+        seen_before = table.seen_map
+        table.set_maps(neighbour, held, decode_map(message.obtained), now_s)
+        if table.seen_map != seen_before:
+            self._transfer.note_progress(now_s)
+        if message.is_reply_wanted:
+            self.send_map(neighbour, now_s, is_reply_wanted=False)
+
+    def take_update(self, peer: str, message: HaveUpdate, now_s: float) -> None:
+        """Take a peer's changes; ask for its whole maps if some were missed."""
+        table = self._transfer.table
+        neighbour = table.neighbours.get(peer)
+        if neighbour is None:
+            return
+        if message.sequence != neighbour.seen_sequence + 1:
+            # A link died with an update in it.  Chunks that the peer gained
+            # would never be asked of it again, so its maps are read anew.
+            self.send_map(neighbour, now_s, is_reply_wanted=True)
+        neighbour.seen_sequence = message.sequence
+        if table.update(neighbour, message.gained, message.dropped, now_s):
+            self._transfer.note_progress(now_s)
+
+    def flush(self, now_s: float) -> None:
+        """Tell the neighbours that still lack chunks what has changed."""
+        transfer = self._transfer
+        if now_s < transfer.flush_at_s or not (transfer.gained or transfer.dropped):
+            return
+        transfer.flush_at_s = now_s + transfer.announce_interval_s
+        gained = tuple(sorted(transfer.gained))
+        dropped = tuple(sorted(transfer.dropped))
+        transfer.gained.clear()
+        transfer.dropped.clear()
+        full_map = transfer.table.full_map
+        for neighbour in transfer.table.neighbours.values():
+            if neighbour.obtained == full_map or not neighbour.has_answered:
+                continue
+            neighbour.sent_sequence += 1
+            message = HaveUpdate(
+                transfer.root_digest, neighbour.sent_sequence, gained, dropped
+            )
+            self._actions.append(SendMessage(neighbour.name, message))
+
+    def due_s(self) -> float | None:
+        """Return when the next batch is due, or None if there is none."""
+        transfer = self._transfer
+        has_news = transfer.gained or transfer.dropped
+        return transfer.flush_at_s if has_news else None
--- a/reedspar/weights/controller.py
+++ b/reedspar/weights/controller.py
@@ -1,6 +1,7 @@
 """The agent's shell around the decisions on weights: links, origin, engine, timers."""
 
 import logging
+import random
 from collections import deque
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -26,12 +27,20 @@
     WeightPeer,
 )
 from .fencing import FencingNumbers
-from .hashed import HashedDistribution
+from .limits import create_swarm_limits
 from .loading import Loader
 from .manifest import decode_manifest
-from .messages import ChunkCancel, ChunkPiece, ChunkRefused, ChunkRequest
+from .messages import (
+    ChunkCancel,
+    ChunkPiece,
+    ChunkRefused,
+    ChunkRequest,
+    HaveMap,
+    HaveUpdate,
+)
 from .offers import OfferBook
 from .staging import StagedVersion, StagingOrder
+from .swarm import SwarmDistribution
 
 __all__ = [
     "ConfigurationView",
@@ -43,6 +52,15 @@
 TICK_S = 0.05
 STAGE_RETRY_S = 0.2
 PEER_REFRESH_S = 0.5
+PACE_MIN_S = 0.002
+DISTRIBUTION_MESSAGES = (
+    ChunkRequest,
+    ChunkPiece,
+    ChunkRefused,
+    ChunkCancel,
+    HaveMap,
+    HaveUpdate,
+)
 CHUNKS_LOST = (Reason.INVALID, Reason.NOT_FOUND, Reason.CORRUPT)
 """Refusals of a load after which the engine is given every chunk again."""
 
@@ -113,6 +131,7 @@
         self._to_stage: deque[StagingOrder] = deque()
         self._stage_wakeup = anyio.Event()
         self._listeners: list[Callable[[], None]] = []
+        self._is_pacing = False
         self._last_offered: tuple[LoadedWeights, ...] = ()
 
     def offered(self) -> tuple[LoadedWeights, ...]:
@@ -125,7 +144,7 @@
 
     def start(self) -> None:
         """Subscribe to messages, timers and the configuration, and start to work."""
-        for message_class in (ChunkRequest, ChunkPiece, ChunkRefused, ChunkCancel):
+        for message_class in DISTRIBUTION_MESSAGES:
             self._network.subscribe(message_class, self._receive)
         self._timers.call_every(TICK_S, self._tick)
         self._timers.call_every(PEER_REFRESH_S, self._refresh_peers)
@@ -222,6 +241,18 @@
                     self._tasks.start_soon(self._read_origin, action.digest)
                 elif isinstance(action, ObjectReady):
                     self._take_object(action.digest)
+        now_s = self._timers.now_s()
+        delay_s = self._distribution.due_s(now_s) - now_s
+        if delay_s < TICK_S and not self._is_pacing:
+            self._is_pacing = True
+            self._tasks.start_soon(self._pace, max(delay_s, PACE_MIN_S))
+
+    async def _pace(self, delay_s: float) -> None:
+        """Go on between two ticks of the timers, which are too far apart for links."""
+        await anyio.sleep(delay_s)
+        self._is_pacing = False
+        self._distribution.tick(self._timers.now_s())
+        self._pump()
 
     def _send(self, action: SendMessage) -> None:
         # A failure needs no answer here: the request's deadline covers a lost
@@ -257,6 +288,7 @@
         elif not staged.set_manifest(manifest):
             _logger.error("manifest is of another version: %s", digest)
         else:
+            self._distribution.know_version(manifest, self._timers.now_s())
             self._want_chunks(staged)
 
     async def _stage(self) -> None:
@@ -335,10 +367,8 @@
 ) -> WeightController:
     """Make the controller of an agent before a model engine; call `start` next."""
     me = WeightPeer(settings.name, settings.region, settings.zone)
-    distribution = HashedDistribution(
-        me,
-        settings.weights.origin_region or settings.region,
-        settings.weights.request_timeout_s,
+    distribution = SwarmDistribution(
+        me, create_swarm_limits(settings), random.Random(settings.name)
     )
     return WeightController(
         settings,
--- a/reedspar/weights/distribution.py
+++ b/reedspar/weights/distribution.py
@@ -68,6 +68,10 @@
         """Get one object, a manifest, and report it ready."""
         ...
 
+    def know_version(self, manifest: Manifest, now_s: float) -> None:
+        """Take a version whose chunks peers may ask for, without needing them."""
+        ...
+
     def want_chunks(self, manifest: Manifest, now_s: float) -> None:
         """Get every chunk of a version, and report each ready once.
 
@@ -103,6 +107,10 @@
         """Act on whatever has become due."""
         ...
 
+    def due_s(self, now_s: float) -> float:
+        """Return when `tick` should be called next."""
+        ...
+
     def take_actions(self) -> list[Action]:
         """Return and forget the actions decided since the last call."""
         ...
--- /dev/null
+++ b/reedspar/weights/drawing.py
@@ -0,0 +1,248 @@
+"""Getting what no neighbour holds: draws by duty, and fallbacks when they fail."""
+
+from collections.abc import Mapping
+
+from .fetches import ORIGIN, Fetch, FetchBook, PeerBook
+from .limits import SwarmLimits
+from .memory import ChunkMemory
+from .pacing import TokenBucket
+from .placement import Placement
+from .transfers import Transfer
+
+__all__ = ["Drawing"]
+
+REGION_BURST_PIECES = 4
+SEEK_SAMPLE = 32
+SEEK_INTERVAL_S = 0.05
+DUTY_LIMIT = 256
+
+
+class Drawing:
+    """Decide on draws from the origin and across, and on asking keepers."""
+
+    def __init__(
+        self,
+        limits: SwarmLimits,
+        fetches: FetchBook,
+        peers: PeerBook,
+        memory: ChunkMemory,
+    ) -> None:
+        self._limits = limits
+        self._fetches = fetches
+        self._peers = peers
+        self._memory = memory
+        self._regions: dict[str, TokenBucket] = {}
+        self._duties: dict[str, Transfer] = {}
+
+    def draw(self, transfer: Transfer, placement: Placement, now_s: float) -> None:
+        """Draw the next of the chunks that are this agent's to draw."""
+        if not self._knows_neighbours(transfer, now_s):
+            return
+        for place in range(len(transfer.draws) - 1, -1, -1):
+            index = transfer.draws[place]
+            digest = transfer.digests[index]
+            if not transfer.is_missing(index) or transfer.table.seen_map >> index & 1:
+                del transfer.draws[place]
+            elif not self._fetches.is_blocked(digest, now_s):
+                if index >= transfer.first_missing() + self._limits.lookahead(transfer):
+                    return
+                fetch = self._fetches.ensure(digest, transfer.sizes[digest])
+                if self._is_for_others(fetch, placement):
+                    del transfer.draws[place]
+                elif not self._start(fetch, index, placement, now_s) and self._is_full(
+                    placement, now_s
+                ):
+                    return
+
+    def seek(self, transfer: Transfer, placement: Placement, now_s: float) -> None:
+        """Ask the keepers for chunks that no neighbour holds, if nothing moves."""
+        if now_s < transfer.seek_at_s or not self._knows_neighbours(transfer, now_s):
+            return
+        transfer.seek_at_s = now_s + SEEK_INTERVAL_S
+        is_stuck = now_s - transfer.progress_s >= self._limits.seek_s
+        limit = transfer.first_missing() + self._limits.lookahead(transfer)
+        for index in transfer.missing[:SEEK_SAMPLE]:
+            if self._fetches.near_open >= self._limits.window:
+                return
+            digest = transfer.digests[index]
+            if index >= limit or self._fetches.is_blocked(digest, now_s):
+                continue
+            if transfer.table.count(index) and not is_stuck:
+                continue
+            fetch = self._fetches.get(digest)
+            has_failed = fetch is not None and fetch.attempts > 0
+            was_seen = transfer.table.seen_map >> index & 1
+            if is_stuck or was_seen or has_failed:
+                fetch = self._fetches.ensure(digest, transfer.sizes[digest])
+                self._ask_keeper(fetch, index, placement, now_s)
+
+    def note_asked(
+        self, transfer: Transfer, placement: Placement, digest: str, now_s: float
+    ) -> None:
+        """Take up a chunk that a peer asks this agent to get, unless it is coming."""
+        index = transfer.index_of.get(digest)
+        if index is None or len(self._duties) >= DUTY_LIMIT:
+            return
+        is_moving = now_s - transfer.progress_s < self._limits.seek_s
+        is_coming = transfer.is_missing(index) and is_moving
+        if is_coming and placement.drawer(index) != placement.me:
+            fetch = self._fetches.get(digest)
+            is_coming = fetch is None or not fetch.attempts
+        if not is_coming:
+            self._duties[digest] = transfer
+
+    def do_duties(self, placements: Mapping[str, Placement], now_s: float) -> None:
+        """Get the chunks that peers have asked this agent to get."""
+        for digest, transfer in list(self._duties.items()):
+            if digest in self._memory:
+                del self._duties[digest]
+            elif not self._fetches.is_blocked(digest, now_s):
+                placement = placements[transfer.model]
+                self._do_duty(transfer, placement, digest, now_s)
+
+    def end_duty(self, digest: str) -> None:
+        """Note that a chunk is there."""
+        self._duties.pop(digest, None)
+
+    def forget(self, transfer: Transfer) -> None:
+        """Drop the duties of a version."""
+        for digest, owner in list(self._duties.items()):
+            if owner is transfer:
+                del self._duties[digest]
+
+    def get_objects(
+        self,
+        objects: Mapping[str, str],
+        placements: Mapping[str, Placement],
+        now_s: float,
+    ) -> None:
+        """Ask for single objects, up the tree of the region's agents."""
+        for digest, model in objects.items():
+            if not self._fetches.is_blocked(digest, now_s) and model in placements:
+                fetch = self._fetches.ensure(digest, None)
+                self._ask_object(fetch, placements[model], now_s)
+
+    def _ask_object(self, fetch: Fetch, placement: Placement, now_s: float) -> None:
+        timeout_s = self._limits.request_timeout_s
+        names = placement.ancestors(fetch.digest)
+        if fetch.attempts < len(names):
+            peer = names[fetch.attempts]
+            if self._peers.is_avoided(peer, now_s):
+                fetch.attempts += 1
+                return
+            self._fetches.ask(fetch, peer, now_s, timeout_s, may_draw=True)
+            return
+        turn = fetch.attempts - len(names)
+        roots = placement.roots(fetch.digest)
+        if placement.is_in_origin_region or not roots:
+            self._ask_origin(fetch, now_s)
+            return
+        peer = roots[turn % len(roots)]
+        region = placement.region_of(peer)
+        self._fetches.ask(fetch, peer, now_s, timeout_s, region=region, may_draw=True)
+
+    def _ask_origin(self, fetch: Fetch, now_s: float) -> bool:
+        if self._peers.is_avoided(ORIGIN, now_s):
+            return False
+        if self._fetches.far_open(ORIGIN) >= self._limits.origin_window:
+            return False
+        timeout_s = 2 * self._limits.request_timeout_s
+        return self._fetches.ask(fetch, ORIGIN, now_s, timeout_s, region=ORIGIN)
+
+    def _start(
+        self, fetch: Fetch, index: int, placement: Placement, now_s: float
+    ) -> bool:
+        if placement.is_in_origin_region:
+            return self._ask_origin(fetch, now_s)
+        sources = placement.sources(index, fetch.digest)
+        if not sources:
+            return self._ask_origin(fetch, now_s)
+        peer = sources[fetch.attempts % len(sources)]
+        region = placement.region_of(peer)
+        if self._peers.is_avoided(peer, now_s):
+            fetch.attempts += 1
+            return False
+        bucket = self._bucket_of(region, placement, now_s)
+        is_open = self._fetches.far_open(region) < self._limits.far_window
+        if not is_open or not bucket.is_ready(now_s):
+            return False
+        size_bytes = fetch.size_bytes or 0
+        per_request_s = size_bytes / bucket.rate_bytes_per_s
+        timeout_s = self._limits.request_timeout_s
+        timeout_s += 2 * self._limits.far_window * per_request_s
+        is_asked = self._fetches.ask(
+            fetch, peer, now_s, timeout_s, region=region, may_draw=True
+        )
+        if is_asked:
+            bucket.take(size_bytes, now_s)
+        return is_asked
+
+    def _is_full(self, placement: Placement, now_s: float) -> bool:
+        """Tell whether nothing more can be asked of the origin or any region now."""
+        if placement.is_in_origin_region:
+            return True
+        return all(
+            self._fetches.far_open(region) >= self._limits.far_window
+            or not self._bucket_of(region, placement, now_s).is_ready(now_s)
+            for region in placement.other_regions
+        )
+
+    def _is_for_others(self, fetch: Fetch, placement: Placement) -> bool:
+        """Tell whether the origin has failed here, so that others are asked."""
+        return placement.is_in_origin_region and fetch.attempts > 0
+
+    def _ask_keeper(
+        self, fetch: Fetch, index: int, placement: Placement, now_s: float
+    ) -> None:
+        keepers = placement.keepers(fetch.digest)
+        peer = keepers[fetch.attempts % len(keepers)]
+        if peer == placement.me:
+            if not self._start(fetch, index, placement, now_s):
+                fetch.attempts += 1
+                fetch.not_before_s = now_s + self._limits.busy_s
+            return
+        if self._peers.is_avoided(peer, now_s):
+            fetch.attempts += 1
+            return
+        timeout_s = 2 * self._limits.request_timeout_s
+        self._fetches.ask(fetch, peer, now_s, timeout_s, may_draw=True)
+
+    def _do_duty(
+        self, transfer: Transfer, placement: Placement, digest: str, now_s: float
+    ) -> None:
+        index = transfer.index_of[digest]
+        fetch = self._fetches.ensure(digest, transfer.sizes[digest])
+        keepers = placement.keepers(digest)[: self._limits.copies_per_region]
+        others = [name for name in keepers if name != placement.me]
+        holders = transfer.table.holders(index)
+        names = list(dict.fromkeys([*holders, *others]))
+        if fetch.attempts < len(names):
+            timeout_s = self._limits.request_timeout_s
+            self._fetches.ask(fetch, names[fetch.attempts], now_s, timeout_s)
+        elif not self._start(fetch, index, placement, now_s):
+            fetch.not_before_s = now_s + self._limits.busy_s
+
+    def _knows_neighbours(self, transfer: Transfer, now_s: float) -> bool:
+        """Tell whether the neighbours' maps are in, or were waited for.
+
+        An agent that draws before it knows what its region holds would bring
+        over a narrow link what is next door.
+        """
+        if now_s - transfer.started_s >= self._limits.map_wait_s:
+            return True
+        return all(n.has_answered for n in transfer.table.neighbours.values())
+
+    def _bucket_of(
+        self, region: str, placement: Placement, now_s: float
+    ) -> TokenBucket:
+        """Return this agent's share of the link from a region."""
+        share = max(placement.slots_held(), 1) / self._limits.region_slots
+        rate = self._limits.region_bytes_per_s * share
+        bucket = self._regions.get(region)
+        if bucket is None:
+            bucket = self._regions[region] = TokenBucket(
+                rate, REGION_BURST_PIECES * self._limits.piece_bytes
+            )
+        elif bucket.rate_bytes_per_s != rate:
+            bucket.set_rate(rate, now_s)
+        return bucket
--- /dev/null
+++ b/reedspar/weights/limits.py
@@ -0,0 +1,81 @@
+"""Bounds and budgets of one agent's part in the distribution."""
+
+import math
+from dataclasses import dataclass
+
+from reedspar.settings import DaemonSettings
+
+from .messages import PIECE_SIZE_BYTES
+from .transfers import Transfer
+
+__all__ = ["SwarmLimits", "create_swarm_limits"]
+
+SLOTS_MIN = 2
+SLOTS_MAX = 8
+SLOT_SHARE = 0.25
+"""Share of a machine's link that one slot of a narrow link takes at most."""
+
+
+@dataclass(frozen=True, slots=True)
+class SwarmLimits:
+    """Rates in bytes a second, times in seconds, counts of open requests."""
+
+    origin_region: str
+    machine_bytes_per_s: float
+    region_bytes_per_s: float
+    memory_bytes: int
+    copies_per_region: int = 2
+    request_timeout_s: float = 3.0
+    origin_slots: int = SLOTS_MAX
+    window: int = 6
+    requests_per_peer: int = 1
+    origin_window: int = 2
+    far_window: int = 4
+    stall_s: float = 0.6
+    seek_s: float = 1.0
+    map_wait_s: float = 0.25
+    busy_s: float = 0.02
+    near_queue: int = 4
+    """Requests of the own region that wait for the link; more go elsewhere."""
+    same_chunk: int = 2
+    """Requests for one chunk that wait at a time: the first receivers hand it on."""
+    piece_bytes: int = PIECE_SIZE_BYTES
+
+    @property
+    def download_burst_bytes(self) -> int:
+        """Return how far requests may run ahead of the machine's link."""
+        return 32 * self.piece_bytes
+
+    @property
+    def patience_s(self) -> float:
+        """Return how long a request waits here for an object that is coming."""
+        return 4 * self.request_timeout_s
+
+    @property
+    def region_slots(self) -> int:
+        """Return how many agents of a region draw over each of its links."""
+        count = self.region_bytes_per_s / (self.machine_bytes_per_s * SLOT_SHARE)
+        return min(max(math.ceil(count), SLOTS_MIN), SLOTS_MAX)
+
+    def lookahead(self, transfer: Transfer) -> int:
+        """Return how far ahead of its first missing chunk a transfer may get.
+
+        Where the memory holds less than a copy, agents far apart in the
+        version would evict what the others still need.
+        """
+        size_bytes = transfer.size_bytes
+        if size_bytes <= self.memory_bytes // 2:
+            return len(transfer.digests)
+        return max(8, len(transfer.digests) * self.memory_bytes // (2 * size_bytes))
+
+
+def create_swarm_limits(settings: DaemonSettings) -> SwarmLimits:
+    """Return the limits that the settings ask for."""
+    return SwarmLimits(
+        origin_region=settings.weights.origin_region or settings.region,
+        machine_bytes_per_s=settings.links.machine_bytes_per_s,
+        region_bytes_per_s=settings.links.region_bytes_per_s,
+        memory_bytes=settings.weights.chunk_memory_bytes,
+        copies_per_region=settings.weights.copies_per_region,
+        request_timeout_s=settings.weights.request_timeout_s,
+    )
--- a/reedspar/weights/messages.py
+++ b/reedspar/weights/messages.py
@@ -44,10 +44,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ChunkRequest:
-    """Asks for an object (a chunk or a manifest) by its digest."""
+    """Asks for an object (a chunk or a manifest) by its digest.
+
+    `may_draw` asks a receiver that lacks the object to get it, and to answer
+    then; without it the receiver refuses at once.
+    """
 
     digest: str
     request_id: int
+    may_draw: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/reedspar/weights/neighbours.py
@@ -0,0 +1,178 @@
+"""What an agent and its neighbours hold of one version."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from reedspar.utils import rendezvous_score
+
+__all__ = [
+    "HaveTable",
+    "Neighbour",
+    "choose_neighbours",
+    "decode_map",
+    "encode_map",
+    "iterate_bits",
+]
+
+NEIGHBOUR_DISTANCES = 5
+NEIGHBOUR_LIMIT = 20
+"""Also those of an older view, and of a peer whose view differs."""
+
+
+@dataclass(slots=True)
+class Neighbour:
+    """A neighbour's maps, one bit per chunk, and the order of their changes."""
+
+    name: str
+    held: int = 0
+    obtained: int = 0
+    has_answered: bool = False
+    sent_sequence: int = 0
+    seen_sequence: int = 0
+    last_gain_s: float = 0.0
+    asked_s: float = 0.0
+
+
+class HaveTable:
+    """The neighbours, and how many of them hold each chunk."""
+
+    def __init__(self, chunk_count: int) -> None:
+        self._chunk_count = chunk_count
+        self._counts = [0] * chunk_count
+        self._neighbours: dict[str, Neighbour] = {}
+        self._seen = 0
+        self._available = 0
+
+    @property
+    def available_map(self) -> int:
+        """Return the chunks that some neighbour holds."""
+        return self._available
+
+    @property
+    def neighbours(self) -> dict[str, Neighbour]:
+        """Return the neighbours by name."""
+        return self._neighbours
+
+    @property
+    def full_map(self) -> int:
+        """Return the map of a whole version."""
+        return (1 << self._chunk_count) - 1
+
+    @property
+    def seen_map(self) -> int:
+        """Return the chunks that some neighbour has ever obtained or held."""
+        return self._seen
+
+    def count(self, index: int) -> int:
+        """Return how many neighbours hold a chunk."""
+        return self._counts[index]
+
+    def holders(self, index: int) -> list[str]:
+        """Return the neighbours that hold a chunk."""
+        bit = 1 << index
+        return [n.name for n in self._neighbours.values() if n.held & bit]
+
+    def is_needed(self, index: int) -> bool:
+        """Tell whether some neighbour still lacks a chunk."""
+        bit = 1 << index
+        return any(not n.obtained & bit for n in self._neighbours.values())
+
+    def add(self, name: str) -> Neighbour | None:
+        """Return a neighbour, made if there is room for it."""
+        neighbour = self._neighbours.get(name)
+        if neighbour is None and len(self._neighbours) < NEIGHBOUR_LIMIT:
+            neighbour = self._neighbours[name] = Neighbour(name)
+        return neighbour
+
+    def remove(self, name: str) -> None:
+        """Forget a neighbour that is gone."""
+        neighbour = self._neighbours.pop(name, None)
+        if neighbour is not None:
+            self._recount(neighbour.held, 0)
+
+    def set_maps(
+        self, neighbour: Neighbour, held: int, obtained: int, now_s: float
+    ) -> None:
+        """Take a neighbour's whole maps."""
+        held &= self.full_map
+        if held & ~neighbour.held:
+            neighbour.last_gain_s = now_s
+        self._recount(neighbour.held, held)
+        neighbour.held = held
+        neighbour.obtained = obtained & self.full_map
+        neighbour.has_answered = True
+        self._seen |= held | neighbour.obtained
+
+    def update(
+        self,
+        neighbour: Neighbour,
+        gained: Iterable[int],
+        dropped: Iterable[int],
+        now_s: float,
+    ) -> bool:
+        """Take changes; tell whether a chunk was seen for the first time."""
+        seen_before = self._seen
+        for index in gained:
+            if index < self._chunk_count:
+                self._gain(neighbour, index, now_s)
+        for index in dropped:
+            bit = 1 << index
+            if neighbour.held & bit:
+                neighbour.held &= ~bit
+                self._change_count(index, -1)
+        return self._seen != seen_before
+
+    def _gain(self, neighbour: Neighbour, index: int, now_s: float) -> None:
+        bit = 1 << index
+        if not neighbour.held & bit:
+            self._change_count(index, 1)
+        neighbour.held |= bit
+        neighbour.obtained |= bit
+        neighbour.last_gain_s = now_s
+        self._seen |= bit
+
+    def _recount(self, before: int, after: int) -> None:
+        for index in iterate_bits(before ^ after):
+            self._change_count(index, 1 if after >> index & 1 else -1)
+
+    def _change_count(self, index: int, change: int) -> None:
+        self._counts[index] += change
+        if self._counts[index] == 0:
+            self._available &= ~(1 << index)
+        elif change > 0:
+            self._available |= 1 << index
+
+
+def iterate_bits(value: int) -> Iterator[int]:
+    """Yield the indexes of the bits that are set."""
+    while value:
+        lowest = value & -value
+        yield lowest.bit_length() - 1
+        value ^= lowest
+
+
+def encode_map(value: int, chunk_count: int) -> bytes:
+    """Return a map as it goes over the wire."""
+    return value.to_bytes((chunk_count + 7) // 8, "little")
+
+
+def decode_map(data: bytes) -> int:
+    """Return a map as it came over the wire."""
+    return int.from_bytes(data, "little")
+
+
+def choose_neighbours(me: str, root_digest: str, names: Iterable[str]) -> list[str]:
+    """Return the agents whose maps to ask for.
+
+    The agents form a ring in the order of a hash, and each one's neighbours
+    lie at distances that grow by a constant factor.  So all have as many, any
+    two are few steps apart, and no agent is asked for more than the others.
+    """
+    ring = sorted(names, key=lambda name: (rendezvous_score(root_digest, name), name))
+    place = ring.index(me)
+    chosen = []
+    for i in range(NEIGHBOUR_DISTANCES):
+        distance = round(len(ring) ** (i / NEIGHBOUR_DISTANCES))
+        chosen.append(ring[(place + distance) % len(ring)])
+        chosen.append(ring[(place - distance) % len(ring)])
+    return [name for name in dict.fromkeys(chosen) if name != me]
--- /dev/null
+++ b/reedspar/weights/placement.py
@@ -0,0 +1,171 @@
+"""Who draws and who keeps a chunk: rendezvous hashing over the live agents.
+
+Chunks are hashed to agents in two steps, so that a change of view costs
+hashes by the number of agents and not by that times the chunks.  A chunk
+falls into one of a fixed number of buckets, whose ranking of the agents says
+who keeps it.  Draws over a narrow link go through few slots: a chunk belongs
+to a slot by its index, so that slots carry the same, and each slot goes to
+the agent that ranks first for it.
+"""
+
+import heapq
+from collections.abc import Iterable
+
+from reedspar.utils import rank_by_rendezvous, rendezvous_score
+
+from .distribution import WeightPeer
+
+__all__ = ["Placement"]
+
+RANKED_LIMIT = 8
+"""Agents told apart by rank; those behind never have a duty."""
+TREE_FANOUT = 4
+
+
+class Placement:
+    """The live agents of one model, and their duties."""
+
+    def __init__(
+        self,
+        me: WeightPeer,
+        origin_region: str,
+        origin_slots: int,
+        region_slots: int,
+    ) -> None:
+        self._me = me
+        self._origin_region = origin_region
+        self._origin_slots = origin_slots
+        self._region_slots = region_slots
+        self._agents: frozenset[WeightPeer] = frozenset([me])
+        self._names: dict[str, list[str]] = {me.region: [me.name]}
+        self._regions: dict[str, str] = {me.name: me.region}
+        self._ranked: dict[tuple[str, str], list[str]] = {}
+        self._slots: dict[str, list[str]] = {}
+
+    @property
+    def me(self) -> str:
+        """Return this agent's name."""
+        return self._me.name
+
+    @property
+    def is_in_origin_region(self) -> bool:
+        """Tell whether this agent draws from the origin, not from a region.
+
+        So does one whose origin region has no live agent to draw from.
+        """
+        is_nearest = self._me.region == self._origin_region
+        return is_nearest or not self._names.get(self._origin_region)
+
+    @property
+    def region_names(self) -> list[str]:
+        """Return the names of this region's agents, with this one."""
+        return self._names[self._me.region]
+
+    @property
+    def names(self) -> list[str]:
+        """Return the names of all live agents, with this one."""
+        return list(self._regions)
+
+    @property
+    def other_regions(self) -> list[str]:
+        """Return the other regions that have a live agent."""
+        return [region for region in self._names if region != self._me.region]
+
+    def set_peers(self, peers: Iterable[WeightPeer]) -> bool:
+        """Take the live agents; tell whether they have changed."""
+        agents = frozenset([self._me, *peers])
+        if agents == self._agents:
+            return False
+        self._agents = agents
+        self._names = {}
+        for agent in sorted(agents):
+            self._names.setdefault(agent.region, []).append(agent.name)
+        self._regions = {agent.name: agent.region for agent in agents}
+        self._ranked.clear()
+        self._slots.clear()
+        return True
+
+    def region_of(self, name: str) -> str:
+        """Return an agent's region, empty if it is not live."""
+        return self._regions.get(name, "")
+
+    def keepers(self, digest: str, region: str = "") -> list[str]:
+        """Return the first agents of a region (this one's) for an object."""
+        bucket = digest[:2]
+        region = region or self._me.region
+        key = (region, bucket)
+        if key not in self._ranked:
+            names = self._names.get(region, [])
+            self._ranked[key] = heapq.nlargest(
+                RANKED_LIMIT, names, lambda name: (rendezvous_score(bucket, name), name)
+            )
+        return self._ranked[key]
+
+    def drawer(self, index: int, region: str = "") -> str:
+        """Return who draws a chunk into a region (this one), by the chunk's index."""
+        slots = self._slots_of(region or self._me.region)
+        # The homes take turns by index, too: were the slots to take turns with
+        # them, one slot would draw all of one link, at a share of its budget.
+        turn = index // max(1, len(self._far_regions()))
+        return slots[turn % len(slots)] if slots else ""
+
+    def slots_held(self) -> int:
+        """Return how many of its region's slots this agent has."""
+        return self._slots_of(self._me.region).count(self._me.name)
+
+    def sources(self, index: int, digest: str) -> list[str]:
+        """Return whom to ask, in this order, to draw a chunk into this region.
+
+        Each chunk enters the other regions through one of them, its home,
+        which hands it on: so every link between regions carries a part.
+        """
+        home = self._home(index)
+        near = [self.drawer(index, self._origin_region)]
+        far = [self.drawer(index, home)] if home != self._me.region else []
+        names = [*far, *near, *self.keepers(digest, self._origin_region)]
+        names = [name for name in dict.fromkeys(names) if name]
+        return [name for name in names if self._regions[name] != self._me.region]
+
+    def ancestors(self, digest: str) -> list[str]:
+        """Return whom to ask for a single object, the nearest in its tree first.
+
+        The region's agents form a tree by rank, so that each one sends an
+        object a bounded number of times.  The root has none to ask.
+        """
+        ranked = rank_by_rendezvous(digest, self.region_names)
+        position = ranked.index(self._me.name)
+        names = []
+        while position > 0:
+            position = (position - 1) // TREE_FANOUT
+            names.append(ranked[position])
+        return names
+
+    def roots(self, digest: str) -> list[str]:
+        """Return the agents near the origin to ask for a single object."""
+        names = self._names.get(self._origin_region, [])
+        return rank_by_rendezvous(digest, names)[:RANKED_LIMIT]
+
+    def _home(self, index: int) -> str:
+        others = self._far_regions()
+        return others[index % len(others)] if others else self._origin_region
+
+    def _far_regions(self) -> list[str]:
+        return sorted(r for r in self._names if r != self._origin_region)
+
+    def _slots_of(self, region: str) -> list[str]:
+        if region not in self._slots:
+            count = self._region_slots
+            if region == self._origin_region:
+                count = self._origin_slots
+            self._slots[region] = self._assign_slots(self._names.get(region, []), count)
+        return self._slots[region]
+
+    def _assign_slots(self, names: list[str], count: int) -> list[str]:
+        slots: list[str] = []
+        free = set(names)
+        for i in range(count if names else 0):
+            free = free or set(names)
+            owner = rank_by_rendezvous(f"slot {i}", free)[0]
+            free.discard(owner)
+            slots.append(owner)
+        return slots
--- /dev/null
+++ b/reedspar/weights/swarm.py
@@ -0,0 +1,425 @@
+"""Distribution as a swarm: few draw over narrow links, neighbours share the rest.
+
+Each agent pulls the chunks that are rarest among a bounded set of neighbours
+of its region, as in BitTorrent (Cohen, "Incentives build robustness in
+BitTorrent", 2003).  Which agent draws a chunk from the origin, or over the
+link between two regions, follows from the live agents alone (`Placement`);
+the others step in only when nothing more shows up around them.
+"""
+
+import random
+from collections.abc import Iterable
+
+from reedspar.errors import Failure
+from reedspar.utils import digest_bytes
+
+from .announcing import Announcer
+from .distribution import Action, ObjectReady, SendMessage, WeightPeer
+from .drawing import Drawing
+from .fetches import ORIGIN, Fetch, FetchBook, PeerBook, Request
+from .limits import SwarmLimits
+from .manifest import Manifest
+from .memory import ChunkMemory
+from .messages import (
+    ChunkCancel,
+    ChunkPiece,
+    ChunkRefused,
+    ChunkRequest,
+    HaveMap,
+    HaveUpdate,
+    RefusalCause,
+    WeightMessage,
+)
+from .pacing import TokenBucket
+from .placement import Placement
+from .selection import pick_pull
+from .transfers import Transfer
+from .uploads import UploadQueue, WaitingRequests
+
+__all__ = ["SwarmDistribution"]
+
+TICK_S = 0.05
+
+
+class SwarmDistribution:
+    """One agent's part in the swarms of all its versions."""
+
+    def __init__(self, me: WeightPeer, limits: SwarmLimits, rng: random.Random) -> None:
+        self._me = me
+        self._limits = limits
+        self._rng = rng
+        self._actions: list[Action] = []
+        self._memory = ChunkMemory(
+            limits.memory_bytes, self._rank_victim, self._note_evicted
+        )
+        self._peers = PeerBook()
+        self._fetches = FetchBook(self._memory, self._peers, self._actions)
+        self._uploads = UploadQueue(self._memory, limits)
+        self._waiting = WaitingRequests(limits.patience_s, self._refuse)
+        self._downloads = TokenBucket(
+            limits.machine_bytes_per_s, limits.download_burst_bytes
+        )
+        self._placements: dict[str, Placement] = {}
+        self._transfers: dict[str, Transfer] = {}
+        self._announcers: dict[str, Announcer] = {}
+        self._objects: dict[str, str] = {}
+        self._ready: set[str] = set()
+        self._drawing = Drawing(limits, self._fetches, self._peers, self._memory)
+        self.wasted_bytes = 0
+
+    @property
+    def memory(self) -> ChunkMemory:
+        """Return the memory of objects."""
+        return self._memory
+
+    @property
+    def sent_bytes(self) -> int:
+        """Return the bytes of objects that were sent to peers."""
+        return self._uploads.sent_bytes
+
+    def set_peers(self, model: str, peers: Iterable[WeightPeer], now_s: float) -> None:
+        """Replace the live agents that need or hold a model."""
+        placement = self._placement_of(model)
+        before = set(placement.names)
+        if not placement.set_peers(peers):
+            return
+        gone = before - set(placement.names)
+        for transfer in self._transfers.values():
+            if transfer.model == model:
+                self._join(transfer, now_s)
+        for name in gone:
+            self._drop_peer(name, now_s)
+        self._settle(now_s)
+
+    def want_object(self, model: str, digest: str, now_s: float) -> None:
+        """Get one object, a manifest."""
+        if digest in self._memory:
+            self._report(digest)
+            return
+        self._objects[digest] = model
+        self._settle(now_s)
+
+    def know_version(self, manifest: Manifest, now_s: float) -> None:
+        """Take a version whose chunks peers may ask for."""
+        self._transfer_of(manifest, now_s)
+
+    def want_chunks(self, manifest: Manifest, now_s: float) -> None:
+        """Get every chunk of a version, also those that were got before."""
+        transfer = self._transfer_of(manifest, now_s)
+        transfer.want(now_s)
+        for index, digest in enumerate(transfer.digests):
+            if digest in self._memory:
+                transfer.mark_ready(index, True, now_s)
+                self._report(digest)
+        self._join(transfer, now_s)
+        announcer = self._announcers[transfer.root_digest]
+        for neighbour in transfer.table.neighbours.values():
+            announcer.send_map(neighbour, now_s, is_reply_wanted=True)
+        self._settle(now_s)
+
+    def forget(self, root_digest: str, now_s: float) -> None:
+        """Stop getting chunks that only this version needs."""
+        transfer = self._transfers.pop(root_digest, None)
+        if transfer is None:
+            return
+        del self._announcers[root_digest]
+        for index in transfer.missing:
+            digest = transfer.digests[index]
+            if not any(t.needs(digest) for t in self._transfers.values()):
+                self._fetches.finish(digest)
+        self._drawing.forget(transfer)
+        self._settle(now_s)
+
+    def receive(self, peer: str, message: WeightMessage, now_s: float) -> None:
+        """Take a message of a peer."""
+        if isinstance(message, ChunkPiece):
+            self._take_piece(peer, message, now_s)
+        elif isinstance(message, ChunkRequest):
+            self._serve(peer, message, now_s)
+        elif isinstance(message, ChunkRefused):
+            self._take_refusal(peer, message, now_s)
+        elif isinstance(message, ChunkCancel):
+            self._uploads.cancel(peer, message.request_id)
+            self._waiting.cancel(peer, message.request_id)
+        elif isinstance(message, HaveMap | HaveUpdate):
+            announcer = self._announcers.get(message.root_digest)
+            if announcer is not None:
+                announcer.take(peer, message, now_s)
+        self._settle(now_s)
+
+    def complete_read(self, digest: str, result: bytes | Failure, now_s: float) -> None:
+        """Take the outcome of a read from the origin."""
+        request = self._fetches.find_read(digest)
+        fetch = self._fetches.get(digest)
+        if fetch is not None and request is not None:
+            if isinstance(result, Failure):
+                self._peers.note_stalled(ORIGIN, now_s)
+                self._fail(fetch, request, now_s)
+            elif digest_bytes(result) != digest:
+                self._peers.note_corrupt(ORIGIN, now_s)
+                self._fail(fetch, request, now_s)
+            else:
+                self._peers.note_good(ORIGIN)
+                self._finish(digest, result, request, now_s)
+        self._settle(now_s)
+
+    def object_bytes(self, digest: str) -> bytes | None:
+        """Return an object that is in memory."""
+        return self._memory.get(digest)
+
+    def release(self, digest: str, now_s: float) -> None:
+        """Let an object that was ready be evicted."""
+        if digest in self._ready:
+            self._ready.discard(digest)
+            self._memory.unpin(digest)
+            self._settle(now_s)
+
+    def lapse(self, now_s: float) -> None:
+        """Start every deadline again, and ask for all maps, after a pause."""
+        for _, request in self._fetches.iterate():
+            request.progress_s = now_s
+        for transfer in self._transfers.values():
+            transfer.note_progress(now_s)
+            announcer = self._announcers[transfer.root_digest]
+            for neighbour in transfer.table.neighbours.values():
+                announcer.send_map(neighbour, now_s, is_reply_wanted=True)
+
+    def tick(self, now_s: float) -> None:
+        """Act on whatever has become due."""
+        self._waiting.expire(now_s)
+        for fetch, request in self._fetches.iterate():
+            waited_s = now_s - request.progress_s
+            if waited_s >= request.timeout_s:
+                self._peers.note_stalled(request.peer, now_s)
+                self._fail(fetch, request, now_s)
+            elif waited_s >= self._limits.stall_s and not request.region:
+                self._overtake(fetch, request, now_s)
+        for transfer in self._transfers.values():
+            if not transfer.is_complete:
+                self._announcers[transfer.root_digest].ask_again(now_s)
+        self._settle(now_s)
+
+    def due_s(self, now_s: float) -> float:
+        """Return when `tick` should be called next."""
+        times = [now_s + TICK_S]
+        upload_s = self._uploads.due_s(now_s)
+        if upload_s is not None:
+            times.append(upload_s)
+        for announcer in self._announcers.values():
+            flush_s = announcer.due_s()
+            if flush_s is not None:
+                times.append(flush_s)
+        return max(min(times), now_s)
+
+    def take_actions(self) -> list[Action]:
+        """Return and forget the actions decided since the last call."""
+        actions = list(self._actions)
+        self._actions.clear()
+        return actions
+
+    def _settle(self, now_s: float) -> None:
+        """Ask for what may be asked for, and send what may be sent."""
+        self._drawing.get_objects(self._objects, self._placements, now_s)
+        transfers = [t for t in self._transfers.values() if not t.is_complete]
+        for transfer in sorted(transfers, key=lambda t: len(t.missing)):
+            placement = self._placements[transfer.model]
+            self._drawing.draw(transfer, placement, now_s)
+            self._pull(transfer, now_s)
+            self._drawing.seek(transfer, placement, now_s)
+        self._drawing.do_duties(self._placements, now_s)
+        self._actions += self._uploads.take_pieces(now_s)
+        for announcer in self._announcers.values():
+            announcer.flush(now_s)
+
+    def _pull(self, transfer: Transfer, now_s: float) -> None:
+        limits = self._limits
+        lookahead = limits.lookahead(transfer)
+        while self._fetches.near_open < limits.window:
+            if not self._downloads.is_ready(now_s):
+                return
+            choice = pick_pull(
+                transfer,
+                lambda digest: not self._fetches.is_blocked(digest, now_s),
+                lambda name: self._load_of(name, now_s),
+                self._rng,
+                lookahead,
+            )
+            if choice is None:
+                return
+            index, peer = choice
+            if not self._ask_near(transfer, index, peer, now_s):
+                return
+
+    def _load_of(self, name: str, now_s: float) -> int | None:
+        if self._peers.is_avoided(name, now_s):
+            return None
+        load = self._peers.outstanding[name]
+        return load if load < self._limits.requests_per_peer else None
+
+    def _ask_near(
+        self, transfer: Transfer, index: int, peer: str, now_s: float
+    ) -> bool:
+        digest = transfer.digests[index]
+        size_bytes = transfer.sizes[digest]
+        fetch = self._fetches.ensure(digest, size_bytes)
+        timeout_s = self._limits.request_timeout_s
+        if not self._fetches.ask(fetch, peer, now_s, timeout_s):
+            return False
+        self._downloads.take(size_bytes, now_s)
+        return True
+
+    def _overtake(self, fetch: Fetch, request: Request, now_s: float) -> None:
+        """Ask a second holder for what the first is slow to send."""
+        if request.is_overtaken or len(fetch.requests) > 1:
+            return
+        for transfer in self._transfers.values():
+            index = transfer.index_of.get(fetch.digest)
+            if index is None:
+                continue
+            for name in transfer.table.holders(index):
+                if name != request.peer and self._load_of(name, now_s) is not None:
+                    request.is_overtaken = True
+                    self._ask_near(transfer, index, name, now_s)
+                    return
+
+    def _take_piece(self, peer: str, piece: ChunkPiece, now_s: float) -> None:
+        request = self._fetches.find(peer, piece.digest, piece.request_id)
+        fetch = self._fetches.get(piece.digest)
+        if request is None or fetch is None:
+            self.wasted_bytes += len(piece.data)
+            return
+        request.progress_s = now_s
+        result = request.assembly.add(piece, peer)
+        if isinstance(result, Failure):
+            self._peers.note_corrupt(peer, now_s)
+            self._fail(fetch, request, now_s)
+        elif result is not None:
+            self._peers.note_good(peer)
+            self._finish(piece.digest, result, request, now_s)
+
+    def _take_refusal(self, peer: str, message: ChunkRefused, now_s: float) -> None:
+        request = self._fetches.find(peer, message.digest, message.request_id)
+        fetch = self._fetches.get(message.digest)
+        if request is None or fetch is None:
+            return
+        self._fetches.close(fetch, request, is_cancelled=False)
+        if message.cause is RefusalCause.BUSY:
+            self._peers.note_busy(peer, now_s + self._limits.busy_s)
+            self._downloads.give_back(request.size_bytes)
+        elif message.cause is RefusalCause.LEAVING:
+            self._peers.note_busy(peer, now_s + self._limits.request_timeout_s)
+        else:
+            fetch.attempts += 1
+            fetch.not_before_s = now_s + self._limits.busy_s
+
+    def _fail(self, fetch: Fetch, request: Request, now_s: float) -> None:
+        self._fetches.close(fetch, request, is_cancelled=True)
+        fetch.attempts += 1
+        if request.peer == ORIGIN:
+            fetch.not_before_s = now_s + self._limits.busy_s
+
+    def _finish(self, digest: str, data: bytes, request: Request, now_s: float) -> None:
+        self._fetches.finish(digest, request)
+        if not self._memory.put(digest, data):
+            return
+        is_wanted = self._objects.pop(digest, None) is not None
+        for transfer in self._transfers.values():
+            index = transfer.index_of.get(digest)
+            if index is not None:
+                is_wanted = is_wanted or transfer.needs(digest)
+                transfer.mark_ready(index, True, now_s)
+        self._drawing.end_duty(digest)
+        if is_wanted:
+            self._report(digest)
+        for peer, request_id in self._waiting.take(digest):
+            self._queue_upload(peer, request_id, digest)
+
+    def _report(self, digest: str) -> None:
+        if digest not in self._ready:
+            self._ready.add(digest)
+            self._memory.pin(digest)
+        self._actions.append(ObjectReady(digest))
+
+    def _serve(self, peer: str, request: ChunkRequest, now_s: float) -> None:
+        digest = request.digest
+        if digest in self._memory:
+            self._queue_upload(peer, request.request_id, digest)
+        elif not request.may_draw:
+            self._refuse(peer, request.request_id, digest)
+        elif self._waiting.add(peer, request.request_id, digest, now_s):
+            for transfer in self._transfers.values():
+                placement = self._placements[transfer.model]
+                self._drawing.note_asked(transfer, placement, digest, now_s)
+        else:
+            self._refuse(peer, request.request_id, digest, RefusalCause.BUSY)
+
+    def _queue_upload(self, peer: str, request_id: int, digest: str) -> None:
+        region = ""
+        for placement in self._placements.values():
+            region = region or placement.region_of(peer)
+        far_region = region if region != self._me.region else ""
+        if not self._uploads.add(peer, request_id, digest, far_region):
+            self._refuse(peer, request_id, digest, RefusalCause.BUSY)
+
+    def _refuse(
+        self,
+        peer: str,
+        request_id: int,
+        digest: str,
+        cause: RefusalCause = RefusalCause.NOT_HELD,
+    ) -> None:
+        message = ChunkRefused(digest, request_id, cause)
+        self._actions.append(SendMessage(peer, message))
+
+    def _placement_of(self, model: str) -> Placement:
+        if model not in self._placements:
+            limits = self._limits
+            self._placements[model] = Placement(
+                self._me, limits.origin_region, limits.origin_slots, limits.region_slots
+            )
+        return self._placements[model]
+
+    def _transfer_of(self, manifest: Manifest, now_s: float) -> Transfer:
+        root_digest = manifest.root_digest
+        if root_digest not in self._transfers:
+            transfer = Transfer(manifest, self._limits.machine_bytes_per_s, self._rng)
+            self._transfers[root_digest] = transfer
+            self._announcers[root_digest] = Announcer(
+                transfer, self._me.name, self._actions
+            )
+            self._placement_of(manifest.model)
+            for index, digest in enumerate(transfer.digests):
+                if digest in self._memory:
+                    transfer.mark_ready(index, True, now_s)
+        return self._transfers[root_digest]
+
+    def _join(self, transfer: Transfer, now_s: float) -> None:
+        """Take the live agents into a transfer."""
+        placement = self._placements[transfer.model]
+        announcer = self._announcers[transfer.root_digest]
+        names = placement.region_names
+        announcer.set_names(names, now_s, is_asking=not transfer.is_complete)
+        transfer.assign(placement)
+
+    def _drop_peer(self, name: str, now_s: float) -> None:
+        self._uploads.drop_peer(name)
+        for fetch, request in self._fetches.iterate():
+            if request.peer == name:
+                self._fetches.close(fetch, request, is_cancelled=False)
+                fetch.attempts += 1
+        self._peers.forget(name)
+
+    def _rank_victim(self, digest: str) -> tuple[bool, bool, bool, int]:
+        """Return an object's place in the order of eviction, the lowest first."""
+        for transfer in self._transfers.values():
+            index = transfer.index_of.get(digest)
+            if index is not None:
+                keepers = self._placements[transfer.model].keepers(digest)
+                is_kept = self._me.name in keepers[: self._limits.copies_per_region]
+                is_needed = transfer.table.is_needed(index)
+                return True, is_kept, is_needed, -transfer.table.count(index)
+        return digest in self._objects, False, False, 0
+
+    def _note_evicted(self, digest: str) -> None:
+        for transfer in self._transfers.values():
+            transfer.mark_evicted(digest)
--- a/reedspar/weights/weights.capnp
+++ b/reedspar/weights/weights.capnp
@@ -4,6 +4,7 @@
 struct ChunkRequest {
   digest @0 :Text;
   requestId @1 :UInt64;
+  mayDraw @2 :Bool;
 }
 
 struct ChunkPiece {
