--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements: each command prints one JSON object in its last line."""
+"""Measurements, each one command, with one JSON object as its last line."""
