--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each command prints one JSON object as its last line."""
--- /dev/null
+++ b/bench/claims.py
@@ -0,0 +1,195 @@
+"""Claims of orders: a write per order against group commit under an owner.
+
+Nine entries in one process and in virtual time, before a key-value service
+that answers in some milliseconds and refuses writes beyond its rate.  Undated
+keys claim by a write of their own, dated ones by group commit; the code is the
+product's.  Processor time is the machine's, over all nine entries.
+
+Run ``python -m bench.claims [--seconds 5]``; the last line is one JSON object.
+"""
+
+import argparse
+import json
+import random
+import statistics
+import time
+import uuid
+from dataclasses import asdict, dataclass, field
+from functools import partial
+from typing import Any
+
+import anyio
+
+from reedspar.errors import Failure, Reason, Step
+from reedspar.requests import Answer, EntryAddress, Outcome, Request
+from reedspar.requests.claim_client import ClaimClient
+from reedspar.requests.claim_ledger import ClaimLedger, LedgerTerms
+from reedspar.requests.deduplicate import Deduplicate
+from reedspar.requests.tests.fakes import FakeEntries, FakeKeyValue, FakeNetwork
+from reedspar.requests.tests.virtual import create_loop_timers, run_virtual
+
+ENTRIES = tuple(f"entry-{number}" for number in range(1, 10))
+EPOCH_S = 1_800_000_000.0
+RUN_S = 0.2
+LINK_S = 0.001
+KEY_VALUE_S = 0.003
+ANSWER = b"x" * 300
+
+
+@dataclass
+class Figures:
+    """What one way bore at one offered load."""
+
+    way: str
+    offered_per_s: int
+    ran_per_s: float = 0.0
+    refused_share: float = 0.0
+    writes_per_s: float = 0.0
+    writes_per_order: float = 0.0
+    claim_p50_ms: float = 0.0
+    claim_p99_ms: float = 0.0
+    cpu_ms_per_order: float = 0.0
+
+
+class LimitedKeyValue(FakeKeyValue):
+    """Answers after some milliseconds; refuses writes beyond a rate."""
+
+    def __init__(self, writes_per_s: int) -> None:
+        super().__init__()
+        self.delay_s = KEY_VALUE_S
+        self.calls = 0
+        self._writes_per_s = writes_per_s
+        self._second = 0
+        self._in_second = 0
+        self.before_write = self._limit
+
+    def _limit(self, key: str) -> Failure | None:
+        self.calls += 1
+        second = int(anyio.current_time())
+        if second != self._second:
+            self._second, self._in_second = second, 0
+        self._in_second += 1
+        if self._in_second <= self._writes_per_s:
+            return None
+        return Failure(Reason.UNAVAILABLE, Step.KEY_VALUE, detail="too many writes")
+
+
+@dataclass
+class Trial:
+    """One way at one offered load."""
+
+    figures: Figures
+    seconds: float
+    key_value: LimitedKeyValue
+    rng: random.Random = field(default_factory=lambda: random.Random(1))
+    networks: dict[str, FakeNetwork] = field(default_factory=dict)
+    filters: list[Deduplicate] = field(default_factory=list)
+    claim_s: list[float] = field(default_factory=list)
+    refused: int = 0
+
+    def unix_time(self) -> float:
+        """Return the virtual unix time."""
+        return EPOCH_S + anyio.current_time()
+
+    async def run(self) -> None:
+        """Offer the load, then let what is under way end."""
+        entries = FakeEntries([EntryAddress(n, "a", "h", 1) for n in ENTRIES])
+        async with anyio.create_task_group() as tasks:
+            for name in ENTRIES:
+                timers = create_loop_timers()
+                terms = LedgerTerms(86_400.0, 35.0)
+                ledger = ClaimLedger(self.key_value, timers, self.unix_time, terms)
+                client = ClaimClient(name, self._join(name), timers, ledger, entries)
+                self.filters.append(Deduplicate(client, self.unix_time, 86_400.0))
+                tasks.start_soon(ledger.run)
+                tasks.start_soon(timers.run)
+            async with anyio.create_task_group() as orders:
+                count = round(self.figures.offered_per_s * self.seconds)
+                for number in range(count):
+                    at_s = self.rng.uniform(0, self.seconds)
+                    orders.start_soon(self._order, number, at_s)
+            await anyio.sleep(5)
+            tasks.cancel_scope.cancel()
+
+    def _join(self, name: str) -> FakeNetwork:
+        network = self.networks[name] = FakeNetwork()
+
+        def carry(peer: str, message: Any) -> None:
+            network.sent.clear()
+            deliver = partial(self.networks[peer].deliver, name, message)
+            loop.call_later(LINK_S, deliver)
+
+        import asyncio
+
+        loop = asyncio.get_running_loop()
+        network.on_send = carry
+        return network
+
+    def _make_key(self, number: int) -> str:
+        if self.figures.way == "write per order":
+            return f"order-{number}"
+        bits = int(self.unix_time() * 1000) << 80 | 7 << 76 | 2 << 62 | number
+        return str(uuid.UUID(int=bits))
+
+    async def _order(self, number: int, at_s: float) -> None:
+        await anyio.sleep(at_s)
+        started_s = anyio.current_time()
+
+        async def proceed(request: Request) -> Answer:
+            self.claim_s.append(anyio.current_time() - started_s)
+            await anyio.sleep(RUN_S)
+            return Answer(Outcome.ANSWERED, 200, (), ANSWER)
+
+        request = Request(
+            f"r{number}",
+            "",
+            "POST",
+            "orders",
+            "/o",
+            (),
+            b"",
+            None,  # type: ignore[arg-type]
+            0.0,
+            idempotency_key=self._make_key(number),
+        )
+        answer = await self.rng.choice(self.filters).apply(request, proceed)
+        self.refused += answer.outcome is not Outcome.ANSWERED
+
+
+def measure(way: str, offered_per_s: int, seconds: float, limit: int) -> Figures:
+    """Return the figures of one way at one offered load."""
+    figures = Figures(way, offered_per_s)
+    trial = Trial(figures, seconds, LimitedKeyValue(limit))
+    started_s = time.process_time()
+    run_virtual(trial.run)
+    cpu_s = time.process_time() - started_s
+    ran = len(trial.claim_s)
+    figures.ran_per_s = round(ran / seconds, 1)
+    figures.refused_share = round(trial.refused / (offered_per_s * seconds), 4)
+    figures.writes_per_s = round(trial.key_value.calls / seconds, 1)
+    figures.writes_per_order = round(trial.key_value.calls / max(1, ran), 3)
+    if ran > 1:
+        cuts = statistics.quantiles(trial.claim_s, n=100)
+        figures.claim_p50_ms = round(cuts[49] * 1000, 1)
+        figures.claim_p99_ms = round(cuts[98] * 1000, 1)
+    figures.cpu_ms_per_order = round(cpu_s * 1000 / max(1, ran), 3)
+    return figures
+
+
+def main() -> None:
+    """Measure both ways at several loads and print them."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=5.0)
+    parser.add_argument("--writes-per-s", type=int, default=300)
+    arguments = parser.parse_args()
+    rows = []
+    for offered_per_s in (5, 50, 150, 500, 1500):
+        for way in ("write per order", "group commit"):
+            row = measure(way, offered_per_s, arguments.seconds, arguments.writes_per_s)
+            print(row, flush=True)
+            rows.append(asdict(row))
+    print(json.dumps({"writes_limit_per_s": arguments.writes_per_s, "rows": rows}))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/overload.py
@@ -0,0 +1,300 @@
+"""Service at twice the capacity, with one target slow by ten and one cold.
+
+Entries and agents of the product in one process and in virtual time, before
+targets whose time grows once they have more in flight than they bear; a cold
+one breaks everything in flight.  Three ways on the same arrivals: round robin
+without limits, the agents' limits with the entries' routing alone (our first
+design), and admission at the entries before it.
+
+Run ``python -m bench.overload [--seconds 20]``; the last line is one JSON
+object.
+"""
+
+import argparse
+import json
+import random
+import statistics
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+import anyio
+
+from reedspar.errors import Failure, Reason, Step
+from reedspar.platform import EngineState, TargetRequest
+from reedspar.requests import RequestService
+from reedspar.requests.admission import AdmissionControl
+from reedspar.requests.tests.fakes import make_service
+from reedspar.requests.tests.mesh import Mesh, PlainOffers, make_agent_settings
+from reedspar.requests.tests.virtual import create_loop_timers, run_virtual
+from reedspar.settings import RequestSettings
+from reedspar.targets import create_target_controller
+
+TARGETS = tuple(f"t{number}" for number in range(8))
+ENTRIES = tuple(f"entry-{number}" for number in range(9))
+SLOW, COLD = "t6", "t7"
+LIMIT = 8
+COLD_LIMIT = 1
+SERVICE_S = 0.1
+SLOW_FACTOR = 10
+DEADLINE_S = 2.0
+WARM_UP_S = 5.0
+WORKSPACES = ("big", "small", "tiny")
+DEMAND = (0.8, 0.15, 0.05)
+WAYS = ("round robin", "routing alone", "admission")
+
+
+@dataclass
+class Way:
+    """What one way did with the offered load."""
+
+    way: str
+    offered_per_s: float
+    capacity_per_s: float
+    goodput_per_s: float = 0.0
+    goodput_share: float = 0.0
+    p50_ms: float = 0.0
+    p99_ms: float = 0.0
+    refused_share: float = 0.0
+    refusal_p99_ms: float = 0.0
+    failed_share: float = 0.0
+    most_over_limit: int = 0
+    answered_share_by_workspace: dict[str, float] = field(default_factory=dict)
+
+
+class LoadedTarget:
+    """A target that slows down beyond its limit; in cold start it breaks."""
+
+    def __init__(self, name: str, rng: random.Random) -> None:
+        self.is_cold = name == COLD
+        self.limit = COLD_LIMIT if self.is_cold else LIMIT
+        self.service_s = SERVICE_S * (SLOW_FACTOR if name == SLOW else 1)
+        self.rng = rng
+        self.in_flight = 0
+        self.most_in_flight = 0
+        self.broken = 0
+
+    @property
+    def capacity_per_s(self) -> float:
+        """Return what it answers in a second at its limit."""
+        return self.limit / self.service_s
+
+    async def serve(self) -> bool:
+        """Return whether the request was answered."""
+        self.in_flight += 1
+        self.most_in_flight = max(self.most_in_flight, self.in_flight)
+        try:
+            if self.is_cold and self.in_flight > self.limit:
+                self.broken += 1
+            before = self.broken
+            stretch = max(1.0, self.in_flight / self.limit)
+            mean_s = self.service_s * stretch
+            await anyio.sleep(self.rng.uniform(0.5, 1.5) * mean_s)
+            return self.broken == before
+        finally:
+            self.in_flight -= 1
+
+    async def read_state(self) -> EngineState:
+        """Report as a target does."""
+        return EngineState("boot-1", is_cold=self.is_cold, in_flight=self.in_flight)
+
+    @asynccontextmanager
+    async def send(self, request: TargetRequest) -> AsyncIterator[Any]:
+        """Answer a request of an agent."""
+        yield _Answering(await self.serve())
+
+    async def cancel(self, request_id: str) -> None:
+        """Take a cancel."""
+
+
+@dataclass
+class _Answering:
+    is_whole: bool
+    status: int = 200
+    headers: tuple = ()
+    weights_digest: str = ""
+
+    async def iterate(self) -> AsyncIterator[bytes | Failure]:
+        yield b"answer"
+        if not self.is_whole:
+            yield Failure(Reason.OUTCOME_UNKNOWN, Step.TARGET_CALL, detail="fell over")
+
+
+class OpenDoor(AdmissionControl):
+    """Admits everything: the design before admission."""
+
+    def try_admit(self, *arguments: Any) -> None:
+        """Take a place whatever the load is."""
+        workspace, terms, now_s = arguments
+        window, self.window = self.window, float("inf")
+        super().try_admit(workspace, terms, now_s)
+        self.window = window
+
+
+@dataclass
+class Trial:
+    """One way under one load."""
+
+    way: str
+    load: float
+    seconds: float
+    rng: random.Random = field(default_factory=lambda: random.Random(1))
+    targets: dict[str, LoadedTarget] = field(default_factory=dict)
+    services: list[RequestService] = field(default_factory=list)
+    answered_s: list[float] = field(default_factory=list)
+    refused_s: list[float] = field(default_factory=list)
+    sent: dict[str, int] = field(default_factory=dict)
+    answered: dict[str, int] = field(default_factory=dict)
+    failed: int = 0
+
+    async def run(self) -> None:
+        """Offer the load; only what arrives after the warm-up counts."""
+        self.targets = {name: LoadedTarget(name, self.rng) for name in TARGETS}
+        async with anyio.create_task_group() as tasks:
+            if self.way != "round robin":
+                await self._start_daemons(tasks)
+            async with anyio.create_task_group() as calls:
+                at_s = 0.0
+                number = 0
+                while at_s < WARM_UP_S + self.seconds:
+                    at_s += self.rng.expovariate(self.load * self.capacity_per_s)
+                    number += 1
+                    calls.start_soon(self._call, number, at_s)
+            tasks.cancel_scope.cancel()
+
+    @property
+    def capacity_per_s(self) -> float:
+        """Return what all targets together answer in a second."""
+        return sum(target.capacity_per_s for target in self.targets.values())
+
+    async def _start_daemons(self, tasks: Any) -> None:
+        mesh = Mesh(ENTRIES, TARGETS, self.rng, delay_s=0.001)
+        for name in ENTRIES:
+            timers = create_loop_timers()
+            settings = RequestSettings(deadline_s=DEADLINE_S)
+            service = make_service(
+                mesh.add(name),
+                timers,
+                name=name,
+                settings=settings,
+                rng=random.Random(name),
+            )
+            if self.way == "routing alone":
+                service.admission.pools["orders"] = OpenDoor()
+            self.services.append(service)
+            tasks.start_soon(timers.run)
+        for name in TARGETS:
+            timers = create_loop_timers()
+            create_target_controller(
+                make_agent_settings(name, LIMIT, COLD_LIMIT),
+                1,
+                mesh.add(name),
+                timers,
+                self.targets[name],
+                PlainOffers(),
+                lambda: None,
+                tasks.start_soon,
+            )
+            tasks.start_soon(timers.run)
+        await anyio.sleep(3)
+
+    async def _call(self, number: int, at_s: float) -> None:
+        workspace = self.rng.choices(WORKSPACES, DEMAND)[0]
+        await anyio.sleep(at_s)
+        started_s = anyio.current_time()
+        status = await self._send(number, workspace)
+        if at_s < WARM_UP_S:
+            return
+        took_s = anyio.current_time() - started_s
+        self.sent[workspace] = self.sent.get(workspace, 0) + 1
+        if status == 200 and took_s <= DEADLINE_S:
+            self.answered[workspace] = self.answered.get(workspace, 0) + 1
+            self.answered_s.append(took_s)
+        elif status in (429, 503):
+            self.refused_s.append(took_s)
+        else:
+            self.failed += 1
+
+    async def _send(self, number: int, workspace: str) -> int:
+        if self.way == "round robin":
+            target = self.targets[TARGETS[number % len(TARGETS)]]
+            with anyio.move_on_after(DEADLINE_S):
+                return 200 if await target.serve() else 502
+            return 504
+        service = self.services[self.rng.randrange(len(self.services))]
+        return await call_application(service, workspace)
+
+
+async def call_application(service: RequestService, workspace: str) -> int:
+    """Return the status of one GET over ASGI."""
+    statuses: list[int] = []
+    first = [{"type": "http.request", "body": b"", "more_body": False}]
+
+    async def receive() -> Any:
+        return first.pop() if first else await anyio.sleep_forever()
+
+    async def send(message: Any) -> None:
+        if message["type"] == "http.response.start":
+            statuses.append(message["status"])
+
+    scope = {
+        "type": "http",
+        "method": "GET",
+        "path": "/v1/pools/orders/o",
+        "raw_path": b"/v1/pools/orders/o",
+        "query_string": b"",
+        "headers": [(b"x-workspace", workspace.encode())],
+    }
+    await service.application(scope, receive, send)
+    return statuses[0]
+
+
+def measure(way: str, load: float, seconds: float) -> Way:
+    """Return the figures of one way."""
+    trial = Trial(way, load, seconds)
+    run_virtual(trial.run)
+    sent = sum(trial.sent.values())
+    capacity = trial.capacity_per_s
+    figures = Way(way, round(load * capacity, 1), round(capacity, 1))
+    figures.goodput_per_s = round(len(trial.answered_s) / seconds, 1)
+    figures.goodput_share = round(figures.goodput_per_s / min(load, 1) / capacity, 4)
+    figures.p50_ms, figures.p99_ms = find_percentiles(trial.answered_s)
+    figures.refused_share = round(len(trial.refused_s) / sent, 4)
+    figures.refusal_p99_ms = find_percentiles(trial.refused_s)[1]
+    figures.failed_share = round(trial.failed / sent, 4)
+    figures.most_over_limit = max(
+        target.most_in_flight - target.limit for target in trial.targets.values()
+    )
+    figures.answered_share_by_workspace = {
+        name: round(trial.answered.get(name, 0) / trial.sent[name], 4)
+        for name in WORKSPACES
+    }
+    return figures
+
+
+def find_percentiles(times_s: list[float]) -> tuple[float, float]:
+    """Return the 50th and the 99th percentile in milliseconds."""
+    if len(times_s) < 2:
+        return 0.0, 0.0
+    cuts = statistics.quantiles(times_s, n=100)
+    return round(cuts[49] * 1000, 1), round(cuts[98] * 1000, 1)
+
+
+def main() -> None:
+    """Measure the ways under half, full and twice the capacity."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--loads", type=float, nargs="+", default=[0.5, 2.0])
+    arguments = parser.parse_args()
+    rows = []
+    for load in arguments.loads:
+        for way in WAYS:
+            row = measure(way, load, arguments.seconds)
+            print(row, flush=True)
+            rows.append({"load": load, **asdict(row)})
+    print(json.dumps({"seconds": arguments.seconds, "rows": rows}))
+
+
+if __name__ == "__main__":
+    main()
--- a/reedspar/requests/claim_ledger.py
+++ b/reedspar/requests/claim_ledger.py
@@ -21,6 +21,7 @@
 from .claim_places import is_location_expired, partition_of
 from .claim_table import ClaimTable, make_reply
 from .messages import (
+    ClaimRecord,
     ClaimReply,
     ClaimRequest,
     ClaimSlice,
@@ -101,6 +102,7 @@
         registry = MessageRegistry()
         register_messages(registry)
         self._codec = registry.for_class(ClaimSlice)
+        self._record_codec = registry.for_class(ClaimRecord)
         self._batches: dict[str, _Batch] = {}
         self._cache: OrderedDict[str, _Cached] = OrderedDict()
         self._next_write_s: dict[str, float] = {}
@@ -237,7 +239,7 @@
         lease_id = await self._leases.get(location)
         if isinstance(lease_id, Failure):
             return lease_id
-        value = self._codec.encode(table.to_slice())
+        value = self._codec.encode(table.to_slice(self._record_codec))
         while True:
             self.counts.writes += 1
             result = await self._key_value.compare_and_swap(
@@ -269,7 +271,7 @@
             if revision != conflicted:
                 table = ClaimTable(self._terms.ttl_s, self._terms.running_s)
                 if entry is not None:
-                    table.load(self._codec.decode(entry.value))
+                    table.load(self._codec.decode(entry.value), self._record_codec)
                 return self._keep(location, table, revision)
             await anyio.sleep(READ_AGAIN_S)
 
--- a/reedspar/requests/claim_places.py
+++ b/reedspar/requests/claim_places.py
@@ -24,7 +24,7 @@
 ]
 
 PARTITIONS = 8
-SLICE_S = 5.0
+SLICE_S = 1.0
 """Both are part of every location: a release that changes them must refuse keys
 dated before its roll-out, or their orders could run again."""
 UNDATED_TTL_S = 30 * 86_400.0
--- a/reedspar/requests/claim_table.py
+++ b/reedspar/requests/claim_table.py
@@ -6,6 +6,8 @@
 
 from dataclasses import dataclass, field, replace
 
+from reedspar.messages.registry import MessageType
+
 from .messages import (
     ClaimRecord,
     ClaimReply,
@@ -59,20 +61,25 @@
     """Age up to which a claimed order may be running still."""
     records: dict[str, ClaimRecord] = field(default_factory=dict)
     size_bytes: int = 0
+    _encoded: dict[str, bytes] = field(default_factory=dict)
 
     def copy(self) -> "ClaimTable":
         """Return a table that can be changed by itself."""
-        records = dict(self.records)
-        return ClaimTable(self.ttl_s, self.running_s, records, self.size_bytes)
+        return replace(self, records=dict(self.records), _encoded=dict(self._encoded))
 
-    def load(self, value: ClaimSlice) -> None:
+    def load(self, value: ClaimSlice, codec: MessageType) -> None:
         """Take the records of a value that was read."""
-        for record in value.records:
+        for encoded in value.records:
+            record: ClaimRecord = codec.decode(encoded)
             self._put(record)
+            self._encoded[record.claim_key] = encoded
 
-    def to_slice(self) -> ClaimSlice:
+    def to_slice(self, codec: MessageType) -> ClaimSlice:
         """Return the value to write."""
-        return ClaimSlice(tuple(self.records.values()))
+        for key, record in self.records.items():
+            if key not in self._encoded:
+                self._encoded[key] = codec.encode(record)
+        return ClaimSlice(tuple(self._encoded.values()))
 
     def claim(self, request: ClaimRequest, now_s: float) -> tuple[ClaimReply, bool]:
         """Return the reply, and whether the table changed; unix time."""
@@ -172,6 +179,7 @@
         if old is not None:
             self.size_bytes -= _size_of(old)
         self.records[record.claim_key] = record
+        self._encoded.pop(record.claim_key, None)
         self.size_bytes += _size_of(record)
 
 
--- a/reedspar/requests/messages.py
+++ b/reedspar/requests/messages.py
@@ -126,7 +126,8 @@
 class ClaimSlice:
     """One value of the key-value service: the records of one location."""
 
-    records: tuple[ClaimRecord, ...]
+    records: tuple[bytes, ...]
+    """Encoded claim records."""
 
 
 def register_messages(registry: MessageRegistry) -> None:
@@ -139,5 +140,6 @@
         ClaimReply,
         ClaimUpdate,
         ClaimUpdated,
+        ClaimRecord,
         ClaimSlice,
     )
--- a/reedspar/requests/requests.capnp
+++ b/reedspar/requests/requests.capnp
@@ -58,5 +58,6 @@
 }
 
 struct ClaimSlice {
-  records @0 :List(ClaimRecord);
+  records @0 :List(Data);
+  # Each an encoded ClaimRecord, so that a writer encodes only what is new.
 }
--- a/reedspar/requests/service.py
+++ b/reedspar/requests/service.py
@@ -42,6 +42,7 @@
     client: AttemptClient
     directory: TargetDirectory
     ledger: ClaimLedger
+    admission: Admit
 
     async def run(self) -> None:
         """Write claims until cancelled; start it in the daemon's task group."""
@@ -85,13 +86,14 @@
         quarantine,
         timers,
     )
+    admission = Admit(configuration, timers)
     filters: list[Filter] = [
         Identify(configuration),
         Bound(timers, settings.deadline_s, settings.body_limit_bytes),
         Classify(configuration),
         Deduplicate(claims, unix_time, settings.claim_ttl_s),
         Guard(quarantine, timers),
-        Admit(configuration, timers),
+        admission,
         relay,
     ]
     if first_filter is not None:
@@ -106,4 +108,4 @@
         zone,
         extra_routes,
     )
-    return RequestService(application, client, directory, ledger)
+    return RequestService(application, client, directory, ledger, admission)
--- a/reedspar/requests/tests/test_histories.py
+++ b/reedspar/requests/tests/test_histories.py
@@ -1,12 +1,11 @@
 """Tests of entries and real agents together, over random histories of faults."""
 
-import asyncio
 import random
 import unittest
 from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from types import SimpleNamespace
 from typing import Any
 
@@ -16,48 +15,16 @@
 from hypothesis import strategies as st
 
 from reedspar.errors import Failure, Reason, Step
-from reedspar.links import LinkChange, LinkEvent, Role
-from reedspar.messages import Sender
+from reedspar.links import LinkChange
 from reedspar.platform import EngineState, TargetRequest
 from reedspar.requests import RequestService
-from reedspar.requests.tests.fakes import FakeNetwork, make_service
+from reedspar.requests.tests.fakes import make_service
+from reedspar.requests.tests.mesh import Mesh, PlainOffers, make_agent_settings
 from reedspar.requests.tests.virtual import create_loop_timers, run_virtual
-from reedspar.settings import DaemonSettings
 from reedspar.targets import create_target_controller
 
 AGENTS = ("t1", "t2", "t3")
 LARGE_BYTES = 3 * 1024 * 1024
-URL = "http://127.0.0.1:9"
-
-
-def make_settings(name: str) -> DaemonSettings:
-    platform = {"key_value_url": URL, "instance_list_url": URL, "origin_url": URL}
-    target = {"kind": "plain_service", "pool": "orders", "url": URL}
-    return DaemonSettings.model_validate(
-        {
-            "name": name,
-            "role": "agent",
-            "zone": "a",
-            "region": "r",
-            "port": 7001,
-            "http_port": 7002,
-            "platform": platform,
-            "target": {**target, "concurrency_limit": 4, "cold_concurrency": 2},
-        }
-    )
-
-
-class PlainOffers:
-    """A plain service needs no weights."""
-
-    def offered(self) -> tuple:
-        return ()
-
-    def is_offering(self) -> bool:
-        return True
-
-    def note_engine_state(self, state: EngineState | None) -> None:
-        pass
 
 
 @dataclass
@@ -106,78 +73,12 @@
         return None
 
 
-class Links(FakeNetwork):
-    """One daemon's links in a mesh."""
-
-    def __init__(self, mesh: "Mesh", name: str, incarnation: int) -> None:
-        super().__init__()
-        self.mesh = mesh
-        self.name = name
-        self.incarnation = incarnation
-
-    def send(self, peer: str, message: Any, priority: int = 0) -> Failure | None:
-        return self.mesh.carry(self, peer, message)
-
-    def peers(self, role: Role | None = None) -> tuple[str, ...]:
-        if role is Role.ENTRY:
-            return ("entry-1",)
-        return AGENTS
-
-
-@dataclass
-class Mesh:
-    """Carries messages; links go silent, are replaced, and lose or cross some."""
-
-    rng: random.Random
-    loss: float
-    daemons: dict[str, Links] = field(default_factory=dict)
-    silent_until_s: dict[frozenset[str], float] = field(default_factory=dict)
-
-    def add(self, name: str, incarnation: int = 1) -> Links:
-        self.daemons[name] = Links(self, name, incarnation)
-        return self.daemons[name]
-
-    def carry(self, sender: Links, peer: str, message: Any) -> Failure | None:
-        if self.daemons.get(sender.name) is not sender or peer not in self.daemons:
-            return Failure(Reason.UNAVAILABLE, Step.LINK, peer)
-        pair = frozenset((sender.name, peer))
-        is_silent = self.silent_until_s.get(pair, 0.0) > anyio.current_time()
-        if is_silent or self.rng.random() < self.loss:
-            return None
-        is_crossed = self.rng.random() < self.loss
-        delay_s = self.rng.uniform(0, 3.0) if is_crossed else 0.002
-        loop = asyncio.get_running_loop()
-        loop.call_later(delay_s, self._deliver, sender, peer, message)
-        return None
-
-    def _deliver(self, sender: Links, peer: str, message: Any) -> None:
-        receiver = self.daemons.get(peer)
-        if receiver is not None:
-            for handler in receiver.handlers.get(type(message), []):
-                handler(Sender(sender.name, sender.incarnation, 1), message)
-
-    async def silence(self, one: str, two: str, for_s: float) -> None:
-        """Let a link go silent, then tell both ends that it was replaced."""
-        self.silent_until_s[frozenset((one, two))] = anyio.current_time() + for_s
-        await anyio.sleep(for_s)
-        self.tell(one, two, LinkChange.REPLACED)
-        self.tell(two, one, LinkChange.REPLACED)
-
-    def tell(self, listener: str, peer: str, change: LinkChange) -> None:
-        reason = Reason.UNAVAILABLE if change is LinkChange.DOWN else None
-        incarnation = self.daemons[peer].incarnation if peer in self.daemons else 0
-        event = LinkEvent(peer, incarnation, change, reason)
-        if listener in self.daemons:
-            for listen in self.daemons[listener].link_listeners:
-                listen(event)
-
-
 class History:
     """One entry, three agents, and a plain service that counts."""
 
     def __init__(self, seed: int, loss: float, breaks: float = 0.05) -> None:
         self.rng = random.Random(seed)
-        self.mesh = Mesh(self.rng, loss)
+        self.mesh = Mesh(("entry-1",), AGENTS, self.rng, loss)
         self.backend = CountingService(self.rng, breaks)
         self.told: dict[str, httpx.Response] = {}
         self.scopes: dict[str, anyio.CancelScope] = {}
@@ -205,7 +106,7 @@
             async with anyio.create_task_group() as tasks:
                 timers = create_loop_timers()
                 create_target_controller(
-                    make_settings(name),
+                    make_agent_settings(name),
                     incarnation,
                     self.mesh.add(name, incarnation),
                     timers,
