Admit by max-min shares with room for bursts; choose targets by expected time

Cause: windows refused small workspaces together with the large one, and two choices by load alone sent requests to a target slow by ten.

--- a/reedspar/requests/admission.py
+++ b/reedspar/requests/admission.py
@@ -9,6 +9,7 @@
 first, and under shortage each workspace keeps its max-min fair part.
 """
 
+import math
 from dataclasses import dataclass, field
 
 from reedspar.errors import Failure, Reason, Step
@@ -22,10 +23,14 @@
 PRIORITY_MAX = 9
 PRIORITY_SPAN = 0.25
 """The lowest priority is refused from this share below the window's end."""
+SHORT_PART = 0.6
+"""Below this part of its places the window is not short: nobody is held to a share."""
 ACTIVE_S = 2.0
 """A workspace counts as active this long after its last request."""
 FIRST_LATENCY_S = 0.5
 LATENCY_WEIGHT = 0.1
+DEMAND_WEIGHT = 0.1
+LATENCY_MIN_S = 0.001
 DECREASE_MIN_S = 0.05
 DECREASE_MAX_S = 1.0
 FORGIVE_S = 5.0
@@ -46,22 +51,25 @@
     terms: WorkspaceTerms
     in_flight: int = 0
     seen_s: float = 0.0
-    refused_s: float = -ACTIVE_S
-    """When it last wanted more than it got."""
-    peak: float = 0.0
-    peak_s: float = 0.0
+    refused: float = 0.0
+    """Refusals within about one latency: what it would have in flight besides."""
+    refused_s: float = 0.0
+    wanted: float = 0.0
 
-    def demand(self, now_s: float) -> float:
+    def demand(self) -> float:
         """Return how many places it would use, as far as is known."""
-        if now_s - self.refused_s < ACTIVE_S:
-            return WINDOW_MAX
-        return max(self.in_flight, self.peak) + 1
+        return self.wanted + 1
 
-    def note_peak(self, now_s: float) -> None:
-        """Remember the most places that it used lately."""
-        if self.in_flight >= self.peak or now_s - self.peak_s > ACTIVE_S:
-            self.peak = self.in_flight
-            self.peak_s = now_s
+    def note_refused(self, latency_s: float, now_s: float) -> None:
+        """Count a refusal; older ones fade with the latency."""
+        faded = math.exp((self.refused_s - now_s) / max(latency_s, LATENCY_MIN_S))
+        self.refused = self.refused * faded + 1
+        self.refused_s = now_s
+
+    def note_arrival(self) -> None:
+        """Follow what it has in flight, or would have, as its requests come."""
+        wanted = self.in_flight + self.refused
+        self.wanted += DEMAND_WEIGHT * (wanted - self.wanted)
 
 
 @dataclass(slots=True)
@@ -75,29 +83,34 @@
     _is_starting: bool = True
     _limited_s: float = -ACTIVE_S
     _decreased_s: float = -ACTIVE_S
+    _forgot_s: float = -ACTIVE_S
     _workspaces: dict[str, _Workspace] = field(default_factory=dict)
 
     def try_admit(
         self, workspace: str, terms: WorkspaceTerms, now_s: float
     ) -> Failure | None:
         """Take a place, or return why not and when to come back."""
+        self.forget_idle(now_s)
         state = self._workspaces.get(workspace)
         if state is None:
             state = self._workspaces[workspace] = _Workspace(terms)
         state.terms = terms
         state.seen_s = now_s
+        state.note_arrival()
         if state.in_flight >= terms.max_in_flight:
             return self._refuse(f"{workspace} has {state.in_flight} in flight")
         top = max(WINDOW_MIN, self.window * _priority_part(terms.priority))
-        if self.in_flight + 1 > top:
+        is_over = self._is_over_share(state, top)
+        # Bursts of those within their share go into what low priority leaves
+        # free; kept free within the places, that room would be lost to all.
+        is_full = self.in_flight + 1 > (top if is_over else max(top, self.window))
+        is_short = self.in_flight + 1 > top * SHORT_PART
+        if is_full or (is_short and is_over):
             self._limited_s = now_s
-            state.refused_s = now_s
-            return self._refuse("capacity is short", overload=self.in_flight / top)
-        if self._is_short() and state.in_flight + 1 > self._fair_part(state, now_s):
-            state.refused_s = now_s
-            return self._refuse(f"{workspace} uses its share", overload=1.0)
+            state.note_refused(self.latency_s, now_s)
+            detail = "capacity is short" if is_full else f"{workspace} uses its share"
+            return self._refuse(detail, overload=self.in_flight / top)
         state.in_flight += 1
-        state.note_peak(now_s)
         self.in_flight += 1
         return None
 
@@ -124,7 +137,9 @@
             return
         self._is_starting = False
         self._decreased_s = now_s
-        self.window = max(WINDOW_MIN, min(self.window, self.in_flight + 1) * DECREASE)
+        self.window = max(
+            WINDOW_MIN, min(self.window, 2 * self.in_flight + 2) * DECREASE
+        )
 
     def on_other(self, workspace: str) -> None:
         """Give the place back after an ending that tells nothing of the load."""
@@ -132,6 +147,9 @@
 
     def forget_idle(self, now_s: float) -> None:
         """Drop the workspaces that were not seen for a while."""
+        if now_s - self._forgot_s < ACTIVE_S:
+            return
+        self._forgot_s = now_s
         idle = [
             name
             for name, state in self._workspaces.items()
@@ -144,30 +162,23 @@
         self._workspaces[workspace].in_flight -= 1
         self.in_flight -= 1
 
-    def _is_short(self) -> bool:
-        return self.in_flight + 1 > self.window * (1 - PRIORITY_SPAN) / 2
+    def _is_over_share(self, state: _Workspace, places: float) -> bool:
+        """Tell whether one more is beyond max-min fairness by share.
 
-    def _fair_part(self, state: _Workspace, now_s: float) -> float:
-        """Return the places of `state` under max-min fairness by share.
-
-        Those that want less than their part leave the rest to the others.
+        Workspaces that want less than their part leave the rest to the others.
         """
-        active = [
-            item
-            for item in self._workspaces.values()
-            if item.in_flight or now_s - item.seen_s < ACTIVE_S
-        ]
-        left = self.window
+        active = sorted(
+            self._workspaces.values(), key=lambda item: item.demand() / item.terms.share
+        )
+        left = places
         shares = sum(item.terms.share for item in active)
-        for item in sorted(active, key=lambda i: i.demand(now_s) / i.terms.share):
+        for item in active:
             part = left * item.terms.share / shares
-            got = min(part, item.demand(now_s))
             if item is state:
-                rest = left - got if len(active) == 1 else 0.0
-                return max(WINDOW_MIN, part + rest)
-            left -= got
+                return state.in_flight + 1 > max(WINDOW_MIN, part)
+            left -= min(part, item.demand())
             shares -= item.terms.share
-        return max(WINDOW_MIN, left)
+        return False
 
     def _refuse(self, detail: str, overload: float = 1.0) -> Failure:
         self.refused += 1
--- a/reedspar/requests/routing.py
+++ b/reedspar/requests/routing.py
@@ -24,6 +24,7 @@
 """Load up to which a prefix keeps going to the target that has it cached."""
 PREFIX_BYTES = 256
 NO_TARGET_RETRY_S = 1.0
+LATENCY_MIN_S = 0.001
 
 
 class Router:
@@ -83,7 +84,7 @@
         if len(views) == 1:
             return views[0]
         one, two = self._rng.sample(views, 2)
-        return one if one.load <= two.load else two
+        return one if _cost(one) <= _cost(two) else two
 
     def _explain(self, request: Request) -> Failure:
         known = self._directory.count(request.pool)
@@ -105,6 +106,15 @@
     return any(item.root_digest == request.weights_digest for item in offered)
 
 
+def _cost(view: TargetView) -> float:
+    """Return the time that one more request can expect at a target.
+
+    A slow target with few requests may cost more than a fast one with many.
+    """
+    place = 1 / max(1, view.report.limit)
+    return (view.load + place) * max(view.report.latency_s, LATENCY_MIN_S)
+
+
 def _drain_time_s(views: list[TargetView]) -> float:
     """Return the time until a full target has worked off one queue's length."""
     waits = [
