--- a/reedspar/configuration/controller.py
+++ b/reedspar/configuration/controller.py
@@ -13,7 +13,7 @@
 from reedspar.timers import TimerService
 
 from .document import ConfigurationDocument
-from .exchange import FreshnessExchange
+from .exchange import ATTEST_HOLD_S, FreshnessExchange
 from .fetching import DocumentFetch
 from .freshness import age_to_ms
 from .messages import ConfigurationOffer, ConfigurationRequest
@@ -48,8 +48,6 @@
 """An older read of the key-value service is at most this old (an assumption)."""
 TELL_INTERVAL_S = 1.0
 TOLD_LIMIT = 1024
-ATTEST_HOLD_S = 1.5
-"""After a start or a pause, time to hear what the zone learned meanwhile."""
 LONE_READ_FIRST_S = 4.0
 LONE_READ_LIMIT_S = 60.0
 
@@ -105,7 +103,13 @@
         self._role = WatcherRole(settings.name, settings.zone)
         self._fetch = DocumentFetch()
         self._exchange = FreshnessExchange(
-            network, timers, view, rng, lambda: self.version, self.note_sender
+            network,
+            timers,
+            view,
+            rng,
+            settings.zone,
+            lambda: self.version,
+            self.note_sender,
         )
         self.counters = ConfigurationCounters()
 
--- a/reedspar/configuration/exchange.py
+++ b/reedspar/configuration/exchange.py
@@ -11,15 +11,27 @@
 from .messages import ClockProbe, ClockReply, FreshnessBeacon
 from .view import DaemonView
 
-__all__ = ["FreshnessExchange"]
+__all__ = ["ATTEST_HOLD_S", "FreshnessExchange"]
+
+ATTEST_HOLD_S = 1.5
+"""After a start or a pause, time to hear what the zone learned meanwhile."""
 
 FANOUT = 3
 """Peers that each push goes to; random, so that no stopped peer cuts others off."""
-PUSH_GAIN_S = 0.5
-"""Evidence that is newer by less is not worth a push while all is well."""
-DOUBT_AGE_S = 1.5
+PUSH_GAIN_S = 0.3
+"""A confirmation that is newer by less is not worth a push while all is well."""
+WORD_GAIN_S = 0.6
+"""A zone's word that is newer by less is not worth a push of its own."""
+NEVER_S = -1e9
+DOUBT_AGE_S = 2.0
 """Evidence older than this is passed on, and asked for, at every tick."""
 DOUBT_GAIN_S = 0.1
+SILENT_AGE_S = 2.0
+"""Without confirmation for so long, the word of every zone is passed on.
+
+While the service confirms, only the own zone's word is, which its watchers
+need: the words of eleven zones would treble the bytes of a beacon.
+"""
 
 
 class FreshnessExchange:
@@ -31,6 +43,7 @@
         timers: TimerService,
         view: DaemonView,
         rng: random.Random,
+        zone: str,
         held_version: Callable[[], int],
         note_sender: Callable[[Sender], None],
     ) -> None:
@@ -38,11 +51,14 @@
         self._timers = timers
         self._view = view
         self._rng = rng
+        self._own_zone = frozenset({zone})
         self._held_version = held_version
         self._note_sender = note_sender
         self._clocks = PeerClocks()
         self._table = FreshnessTable()
-        self._pushed_s = float("-inf")
+        self._pushed_confirmed_s = NEVER_S
+        self._pushed_word_s = NEVER_S
+        self._lapsed_s = timers.now_s()
         network.subscribe(ClockProbe, self._on_probe)
         network.subscribe(ClockReply, self._on_reply)
         network.subscribe(FreshnessBeacon, self._on_beacon)
@@ -58,25 +74,33 @@
         return float("inf") if as_of_s is None else self._timers.now_s() - as_of_s
 
     def zone_age_s(self, zone: str) -> float:
-        """Return the age of a zone's newest word."""
-        attested_s = self._table.attested_s(zone)
-        return float("inf") if attested_s is None else self._timers.now_s() - attested_s
+        """Return for how long nothing was heard of a zone, but could have been."""
+        earliest_s = self._lapsed_s + ATTEST_HOLD_S
+        attested_s = self._table.attested_s(zone) or earliest_s
+        return self._timers.now_s() - max(attested_s, earliest_s)
 
     def lapse(self) -> None:
         """Drop all evidence and all ties of clocks."""
         self._table.lapse()
         self._clocks.lapse()
-        self._pushed_s = float("-inf")
+        self._pushed_confirmed_s = NEVER_S
+        self._pushed_word_s = NEVER_S
+        self._lapsed_s = self._timers.now_s()
 
     def run_tick(self) -> None:
         """Push what is newer; ask a few peers when the evidence gets old."""
         as_of_s = self._table.as_of_s(self._view.zones())
         now_s = self._timers.now_s()
         is_doubtful = as_of_s is None or now_s - as_of_s > DOUBT_AGE_S
-        newest_s = self._newest_s()
+        confirmed_s = self._table.confirmed_s or NEVER_S
+        word_s = self._newest_word_s()
         gain_s = DOUBT_GAIN_S if is_doubtful else PUSH_GAIN_S
-        if newest_s - self._pushed_s >= gain_s:
-            self._pushed_s = newest_s
+        if (
+            confirmed_s - self._pushed_confirmed_s >= gain_s
+            or word_s - self._pushed_word_s >= max(gain_s, WORD_GAIN_S)
+        ):
+            self._pushed_confirmed_s = confirmed_s
+            self._pushed_word_s = word_s
             self.push()
         if is_doubtful:
             for peer in self._choose_peers():
@@ -92,20 +116,25 @@
         """Send a beacon to one peer."""
         self._network.send(peer, self._make_beacon())
 
-    def _newest_s(self) -> float:
-        """Return a time that grows whenever some evidence got newer."""
-        times = [self._table.confirmed_s]
-        times += [self._table.attested_s(zone) for zone in self._view.zones()]
+    def _newest_word_s(self) -> float:
+        """Return a time that grows whenever some zone's word got newer."""
+        times = [self._table.attested_s(zone) for zone in self._zones_to_tell()]
         known = [time_s for time_s in times if time_s is not None]
-        return max(known, default=float("-inf"))
+        return max(known, default=NEVER_S)
 
     def _choose_peers(self) -> list[str]:
         peers = self._network.peers()
         return self._rng.sample(peers, min(FANOUT, len(peers)))
 
     def _make_beacon(self) -> FreshnessBeacon:
-        zones = self._view.zones()
-        return self._table.make_beacon(self._timers.now_s(), self._clock_ms(), zones)
+        now_s = self._timers.now_s()
+        return self._table.make_beacon(now_s, self._clock_ms(), self._zones_to_tell())
+
+    def _zones_to_tell(self) -> frozenset[str]:
+        confirmed_s = self._table.confirmed_s
+        if confirmed_s is None or self._timers.now_s() - confirmed_s > SILENT_AGE_S:
+            return self._view.zones()
+        return self._own_zone
 
     def _clock_ms(self) -> int:
         return int(self._timers.now_s() * 1000)
--- a/reedspar/configuration/tests/fleet.py
+++ b/reedspar/configuration/tests/fleet.py
@@ -195,6 +195,7 @@
         self.controller.note_sender(sender)
         for handler in self.handlers.get(type(message), ()):
             handler(sender, message)
+        self.fleet.observe(self)
 
     def run(self, action: Callable[[], None]) -> None:
         """Run an input now, or once the process goes on."""
@@ -244,6 +245,8 @@
     loss: float = 0.0
     measure: Callable[[Sender, Any], int] = lambda sender, message: 0
     is_cut: Callable[[Node, Node], bool] = lambda a, b: False
+    observe: Callable[[Node], None] = lambda node: None
+    """Called after each message that a daemon has taken in, and at its ticks."""
     clock: VirtualClock = field(default_factory=VirtualClock)
     nodes: dict[str, Node] = field(default_factory=dict)
     zone_members: dict[str, tuple[str, ...]] = field(default_factory=dict)
@@ -309,6 +312,7 @@
         def step() -> None:
             if not node.is_frozen:
                 node.timers.run_due()
+                self.observe(node)
             self.call_after(STEP_S, step)
 
         self.call_after(delay_s, step)
--- a/reedspar/configuration/watching.py
+++ b/reedspar/configuration/watching.py
@@ -20,7 +20,7 @@
 WATCHERS_PER_ZONE = 2
 RANK_LIMIT = 8
 """Daemons of this rank or more never step in: the bound on calls a second."""
-STEP_IN_AGE_S = 1.5
+STEP_IN_AGE_S = 2.0
 STEP_IN_SPACING_S = 0.5
 STEP_IN_DURATION_S = 10.0
 
