--- a/reedspar/admin/app.py
+++ b/reedspar/admin/app.py
@@ -106,7 +106,8 @@
                 Failure(
                     Reason.NOT_READY,
                     Step.CONFIGURE,
-                    detail="no configuration was learned yet",
+                    detail="no configuration was learned yet; if there is none, "
+                    "the first patch is made against number 0",
                 )
             )
         return _respond(document)
--- a/reedspar/tool/fleet_commands.py
+++ b/reedspar/tool/fleet_commands.py
@@ -100,7 +100,7 @@
         def make_row(member: MemberStatus, status: DaemonStatus) -> list[str]:
             agent = status.agent
             if agent is None:
-                return [member.name, member.zone, describe_state(status), *[""] * 6]
+                return [member.name, member.zone, describe_state(status), *[""] * 5]
             offered = [
                 f"{model}={name_version(document, model, digest)}"
                 for model, digest in sorted(agent.offered.items())
@@ -111,14 +111,13 @@
                 describe_state(status),
                 agent.pool,
                 " ".join(offered),
-                str(agent.in_flight),
-                str(agent.limit),
+                f"{agent.in_flight}/{agent.limit}",
                 str(agent.queued),
                 str(status.config_version),
             ]
 
         columns = ["target", "zone", "state", "pool", "offered"]
-        columns += ["#in flight", "#limit", "#queued", "#config"]
+        columns += ["#load", "#queued", "#config"]
         return show_fleet(session, answers, columns, make_row)
 
 
--- a/reedspar/tool/session.py
+++ b/reedspar/tool/session.py
@@ -45,17 +45,30 @@
         self.output.file.write(text + "\n")
 
     def show_table(self, columns: list[str], rows: list[list[str]]) -> None:
-        """Write aligned columns; those named with a leading ``#`` hold numbers."""
+        """Write aligned columns; those named with a leading ``#`` hold numbers.
+
+        Cells are never folded or cut, so that names can be copied; a terminal
+        that is too narrow breaks the line itself.
+        """
         table = Table(box=None, pad_edge=False, padding=(0, 2, 0, 0))
         for column in columns:
             name = column.removeprefix("#")
             justify: Any = "right" if column.startswith("#") else "left"
             table.add_column(
-                name.upper(), justify=justify, overflow="fold", header_style="bold"
+                name.upper(), justify=justify, no_wrap=True, header_style="bold"
             )
         for row in rows:
             table.add_row(*[Text(cell) for cell in row])
-        self.output.print(table)
+        # rich fits tables to the terminal by cutting cells; this console is
+        # wider than any row.
+        wide = Console(
+            file=self.output.file,
+            width=FILE_WIDTH,
+            force_terminal=self.output.is_terminal,
+            highlight=False,
+            markup=False,
+        )
+        wide.print(table, crop=False, soft_wrap=True)
 
     def warn(self, text: str) -> None:
         """Write a line to standard error."""
--- a/reedspar/tool/tests/test_fleet.py
+++ b/reedspar/tool/tests/test_fleet.py
@@ -6,16 +6,18 @@
 import os
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 from unittest import mock
 
 from rich.console import Console
 
-from reedspar.admin import AgentStatus, TransferStatus
+from reedspar.admin import AdminClient, AgentStatus, TransferStatus
 from reedspar.configuration import ConfigurationDocument
 from reedspar.timeline import EventKind, event_to_json, format_caller_id
 from reedspar.tool.exit_codes import ExitCode
 from reedspar.tool.main import main
+from reedspar.tool.session import create_session
 from reedspar.tool.watch_command import TargetProgress, render_progress
 
 from .fleet import POOLS, FleetTest
@@ -62,6 +64,17 @@
         self.assertEqual(found[0]["status"]["agent"]["offered"], {"drafter": OLD})
         self.assertIn("error", found[1])
 
+    def test_long_names_are_never_broken(self) -> None:
+        # Names are copied from the table into the next command.  On a narrow
+        # terminal they were folded into pieces that no command takes.
+        file = io.StringIO()
+        session = create_session(AdminClient(None, []), output=file)
+        narrow = Console(file=file, width=40, force_terminal=True)
+        narrow_session = replace(session, output=narrow)
+        name = "a-target-with-a-long-name-of-its-own-17"
+        narrow_session.show_table(["target", "zone"], [[name, "kingston-a"]])
+        self.assertIn(f"{name}  kingston-a", file.getvalue())
+
     def test_entries(self) -> None:
         run = self.run_tool("entries")
         self.assertEqual(run.code, ExitCode.OK)
--- a/reedspar/tool/timeline_command.py
+++ b/reedspar/tool/timeline_command.py
@@ -19,6 +19,7 @@
     render_picture,
     render_text,
 )
+from reedspar.timeline.picture import EVENTS_MAX
 
 from .exit_codes import ExitCode
 from .fleet import ask_members
@@ -192,7 +193,8 @@
             failure = self._write_picture(self.picture, events)
             if failure:
                 return session.fail(failure)
-            session.warn(f"{len(events)} events drawn in {self.picture}")
+            drawn = min(len(events), EVENTS_MAX)
+            session.warn(f"{drawn} of {len(events)} events drawn in {self.picture}")
         for gap in collected.gaps:
             session.warn(f"reedspar: missing from the time line: {gap}")
         return ExitCode.INCOMPLETE if collected.gaps else ExitCode.OK
--- a/reedspar/tool/watch_command.py
+++ b/reedspar/tool/watch_command.py
@@ -24,7 +24,7 @@
 __all__ = ["TargetProgress", "Watch", "read_progress"]
 
 ROWS_MAX = 30
-BAR_WIDTH = 30
+BAR_WIDTH = 20
 OFFERED = "offered"
 
 
