--- a/reedspar/admin/app.py
+++ b/reedspar/admin/app.py
@@ -10,7 +10,13 @@
 from starlette.routing import Route
 
 from reedspar.errors import Failure, Reason, Step
-from reedspar.timeline import EventFilter, EventKind, event_to_json
+from reedspar.timeline import (
+    EventFilter,
+    EventKind,
+    EventPage,
+    EventRecorder,
+    event_to_json,
+)
 
 from .models import (
     ErrorBody,
@@ -63,6 +69,27 @@
     return Failure(Reason.INVALID, Step.BOUND, detail=detail)
 
 
+def select_page(
+    recorder: EventRecorder, wanted: EventFilter, after: int, limit: int
+) -> EventPage:
+    """Return up to `limit` wanted events, from as far into the ring as it takes.
+
+    Paging over all events would cost an operator who looks for one request
+    several calls of each process instead of one.
+    """
+    first = recorder.after(after, limit)
+    found = wanted.select(first.events)
+    next_after = first.next_after
+    while len(found) < limit and next_after < recorder.last_sequence:
+        page = recorder.after(next_after, limit)
+        found += wanted.select(page.events)
+        next_after = page.next_after
+    if len(found) > limit:
+        found = found[:limit]
+        next_after = found[-1].sequence
+    return EventPage(tuple(found), next_after, first.lost_count)
+
+
 async def _read_patch(request: Request) -> PatchRequest | PatchRefused:
     body = bytearray()
     async for part in request.stream():
@@ -151,21 +178,22 @@
         if isinstance(limit, Failure):
             return _respond_failure(limit)
         recorder = self._sources.recorder
-        page = recorder.after(after, max(1, min(limit, EVENTS_LIMIT)))
         parameters = request.query_params
         wanted = EventFilter(
             parameters.get("request", ""),
             parameters.get("target", ""),
             parameters.get("version", ""),
         )
-        events = tuple(event_to_json(event) for event in wanted.select(page.events))
+        limit = max(1, min(limit, EVENTS_LIMIT))
+        page = select_page(recorder, wanted, after, limit)
         return _respond(
             EventsPage(
                 process=recorder.process,
                 incarnation=recorder.incarnation,
                 next_after=page.next_after,
                 lost_count=page.lost_count,
-                events=events,
+                last_sequence=recorder.last_sequence,
+                events=tuple(event_to_json(event) for event in page.events),
             )
         )
 
--- a/reedspar/admin/models.py
+++ b/reedspar/admin/models.py
@@ -187,4 +187,5 @@
     incarnation: int
     next_after: int
     lost_count: int
+    last_sequence: int = Field(description="Of the latest event recorded.")
     events: tuple[dict[str, Any], ...]
--- a/reedspar/daemon/entry.py
+++ b/reedspar/daemon/entry.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import asdict
 from typing import Any
 
 import anyio
@@ -26,6 +27,7 @@
         self._node = node
         self._service = service
         node.describe_role = self.describe
+        node.metrics.attempt_faults.observe(self._read_faults)
 
     @property
     def application(self) -> Any:
@@ -52,6 +54,11 @@
             while self._service.application.in_flight:
                 await anyio.sleep(DRAIN_POLL_S)
 
+    def _read_faults(self) -> list[tuple[float, dict[str, str]]]:
+        """Return what the attempt client met, for the metrics."""
+        counts = asdict(self._service.client.counts)
+        return [(count, {"fault": name}) for name, count in counts.items()]
+
 
 def create_entry_role(
     node: Node,
--- a/reedspar/tool/timeline_command.py
+++ b/reedspar/tool/timeline_command.py
@@ -75,7 +75,7 @@
         events += [event for event in parsed if event]
         if parsed.count(None):
             gaps.append(f"{page.process}: {parsed.count(None)} of an unknown kind")
-        if page.next_after <= after:
+        if page.next_after <= after or page.next_after >= page.last_sequence:
             return Collected(tuple(events), tuple(gaps))
         after = page.next_after
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -86,6 +86,15 @@
             labels = ", ".join(spec.attributes) or "-"
             self.assertIn(f"| `{spec.prometheus_name}` | {labels} |", self.page)
 
+    def test_every_metric_is_fed(self) -> None:
+        source = "\n".join(
+            path.read_text()
+            for path in product_modules()
+            if path.parent.name != "telemetry" or path.name == "invariants.py"
+        )
+        for attribute in list_instruments():
+            self.assertRegex(source, rf"metrics\.{attribute}\b")
+
     def test_alarms_use_metrics_that_exist(self) -> None:
         declared = {spec.prometheus_name for spec in list_instruments().values()}
         alarms = self.page.partition("## Alarms")[2].partition("## ")[0]
