--- a/reedspar/admin/app.py
+++ b/reedspar/admin/app.py
@@ -87,7 +87,7 @@
     if len(found) > limit:
         found = found[:limit]
         next_after = found[-1].sequence
-    return EventPage(tuple(found), next_after, first.lost_count)
+    return EventPage(tuple(found), next_after, first.lost_count, first.oldest_s)
 
 
 async def _read_patch(request: Request) -> PatchRequest | PatchRefused:
@@ -192,6 +192,7 @@
                 incarnation=recorder.incarnation,
                 next_after=page.next_after,
                 lost_count=page.lost_count,
+                oldest_s=page.oldest_s,
                 last_sequence=recorder.last_sequence,
                 events=tuple(event_to_json(event) for event in page.events),
             )
--- a/reedspar/admin/models.py
+++ b/reedspar/admin/models.py
@@ -187,5 +187,8 @@
     incarnation: int
     next_after: int
     lost_count: int
+    oldest_s: float | None = Field(
+        None, description="Time of the oldest event held, if earlier ones are gone."
+    )
     last_sequence: int = Field(description="Of the latest event recorded.")
     events: tuple[dict[str, Any], ...]
--- a/reedspar/timeline/recorder.py
+++ b/reedspar/timeline/recorder.py
@@ -25,6 +25,8 @@
     """Pass this as `sequence` to read on."""
     lost_count: int
     """Events after the given sequence number that the ring no longer holds."""
+    oldest_s: float | None = None
+    """Wall time of the oldest event held, if earlier ones are gone."""
 
 
 class EventRecorder:
@@ -108,7 +110,11 @@
             self._ring[(number - 1) % self._capacity] for number in range(start, stop)
         )
         next_after = max(stop - 1, 0)
-        return EventPage(events, next_after, max(0, oldest - sequence - 1))
+        lost_count = max(0, oldest - sequence - 1)
+        if not lost_count:
+            return EventPage(events, next_after, 0)
+        oldest_s = self._ring[(oldest - 1) % self._capacity].time_s
+        return EventPage(events, next_after, lost_count, oldest_s)
 
 
 def create_event_recorder(
--- a/reedspar/tool/tests/test_fleet.py
+++ b/reedspar/tool/tests/test_fleet.py
@@ -10,11 +10,17 @@
 from pathlib import Path
 from unittest import mock
 
+import httpx
 from rich.console import Console
 
-from reedspar.admin import AdminClient, AgentStatus, TransferStatus
+from reedspar.admin import AdminClient, AgentStatus, TransferStatus, create_admin_app
 from reedspar.configuration import ConfigurationDocument
-from reedspar.timeline import EventKind, event_to_json, format_caller_id
+from reedspar.timeline import (
+    EventKind,
+    EventRecorder,
+    event_to_json,
+    format_caller_id,
+)
 from reedspar.tool.exit_codes import ExitCode
 from reedspar.tool.main import main
 from reedspar.tool.session import create_session
@@ -113,6 +119,29 @@
         self.assertEqual(len(run.output.splitlines()), 4)
         self.assertIn("missing from the time line: agent-2", run.errors)
 
+    def test_overflown_rings_are_a_note_and_not_a_gap(self) -> None:
+        # Rings of busy processes are always full.  Told as missing, each time
+        # line would end with a line for each process of the fleet, and the
+        # exit code of an incomplete one would mean nothing.
+        for index, start_s in ((0, 100.0), (2, 200.0)):
+            clock = iter(range(1000))
+            recorder = EventRecorder(
+                self.daemons[index].name,
+                3,
+                capacity=2,
+                wall_clock=lambda c=clock, s=start_s: s + next(c),
+            )
+            self.daemons[index].recorder = recorder
+            for _ in range(5):
+                recorder.record(EventKind.LINK_UP)
+            app = create_admin_app(self.daemons[index].sources())
+            address = f"http://127.0.0.1:{self.daemons[index].http_port}"
+            self.transports[address] = httpx.ASGITransport(app)
+        run = self.run_tool("timeline")
+        self.assertEqual(run.code, ExitCode.OK)
+        self.assertIn("complete since 1970-01-01T00:03:23", run.errors)
+        self.assertEqual(len(run.errors.splitlines()), 1)
+
     def test_callers_own_id_finds_every_request_that_bears_it(self) -> None:
         # A shop sends its order twice under one id and asks what became of
         # it: both requests have to show, with what the agents did.
--- a/reedspar/tool/timeline_command.py
+++ b/reedspar/tool/timeline_command.py
@@ -19,6 +19,7 @@
     render_picture,
     render_text,
 )
+from reedspar.timeline.events import format_time
 from reedspar.timeline.picture import EVENTS_MAX
 
 from .exit_codes import ExitCode
@@ -34,6 +35,8 @@
 
     events: tuple[Event, ...]
     gaps: tuple[str, ...] = ()
+    complete_since_s: float = 0.0
+    """Before this time, some process no longer holds its events."""
 
 
 def read_logs(files: Iterable[Path]) -> Collected | Failure:
@@ -64,19 +67,19 @@
     """Return all events that a daemon still holds, page by page."""
     events: list[Event] = []
     gaps: list[str] = []
+    complete_since_s = 0.0
     after = 0
     while True:
         page = await client.read_events(url, after, parameters)
         if isinstance(page, Failure):
             return page
-        if page.lost_count:
-            gaps.append(f"{page.process}: its {page.lost_count} oldest are gone")
+        complete_since_s = max(complete_since_s, page.oldest_s or 0.0)
         parsed = [event_from_json(document) for document in page.events]
         events += [event for event in parsed if event]
         if parsed.count(None):
             gaps.append(f"{page.process}: {parsed.count(None)} of an unknown kind")
         if page.next_after <= after or page.next_after >= page.last_sequence:
-            return Collected(tuple(events), tuple(gaps))
+            return Collected(tuple(events), tuple(gaps), complete_since_s)
         after = page.next_after
 
 
@@ -98,13 +101,15 @@
     )
     events: list[Event] = []
     gaps: list[str] = []
+    complete_since_s = 0.0
     for answer in answers:
         if isinstance(answer.value, Failure):
             gaps.append(f"{answer.member.name}: {answer.value}")
         else:
             events += answer.value.events
             gaps += answer.value.gaps
-    return Collected(tuple(events), tuple(gaps))
+            complete_since_s = max(complete_since_s, answer.value.complete_since_s)
+    return Collected(tuple(events), tuple(gaps), complete_since_s)
 
 
 def find_own_ids(events: Iterable[Event], wanted: EventFilter) -> set[str]:
@@ -131,7 +136,7 @@
             return more
         events += more.events
         gaps += [gap for gap in more.gaps if gap not in gaps]
-    return Collected(tuple(events), tuple(gaps))
+    return Collected(tuple(events), tuple(gaps), collected.complete_since_s)
 
 
 def select_events(events: Sequence[Event], wanted: EventFilter) -> list[Event]:
@@ -195,6 +200,9 @@
                 return session.fail(failure)
             drawn = min(len(events), EVENTS_MAX)
             session.warn(f"{drawn} of {len(events)} events drawn in {self.picture}")
+        if collected.complete_since_s:
+            since = format_time(collected.complete_since_s)
+            session.warn(f"reedspar: note: complete since {since}; logs have the rest")
         for gap in collected.gaps:
             session.warn(f"reedspar: missing from the time line: {gap}")
         return ExitCode.INCOMPLETE if collected.gaps else ExitCode.OK
