Dial the swarm's peers when something is to be sent to them

The swarm asks an agent that a hash names, over a link that nobody could name beforehand; a link to every agent of a pool would cost the product of the fleet.

--- a/reedspar/daemon/agent.py
+++ b/reedspar/daemon/agent.py
@@ -6,7 +6,7 @@
 from starlette.routing import BaseRoute
 
 from reedspar.admin import AgentStatus
-from reedspar.links import PeerAddress
+from reedspar.links import OnDemandNetwork, PeerAddress
 from reedspar.observation import (
     ChunkObserver,
     ObservedEngine,
@@ -27,7 +27,6 @@
 )
 from reedspar.settings import TargetKind
 from reedspar.targets import OfferSource, TargetController, create_target_controller
-from reedspar.utils import rank_by_rendezvous
 from reedspar.weights import WeightController, create_weight_controller
 
 from .fencing import create_fencing_numbers
@@ -37,9 +36,6 @@
 
 __all__ = ["AgentRole", "create_agent_role"]
 
-WEIGHT_LINKS_INTERVAL_S = 1.0
-WEIGHT_LINKS_MAX = 16
-
 
 class _LateGate:
     """The switch gate of a controller that is built after the weights."""
@@ -91,7 +87,6 @@
             return
         self._weights.on_offer_change(self._controller.note_offers_changed)
         self._weights.start()
-        self._node.timers.call_every(WEIGHT_LINKS_INTERVAL_S, self._want_links)
 
     def describe(self) -> AgentStatus:
         """Return the role's part of the status."""
@@ -117,26 +112,6 @@
         await self._target.aclose()
         await self._origin.aclose()
 
-    def _want_links(self) -> None:
-        node = self._node
-        document = node.configuration.current()
-        target = node.settings.target
-        if document is None or target is None or target.pool not in document.pools:
-            return
-        peers = WeightPeers(node.settings.name, node.membership, node.configuration)
-        names = {
-            peer.name
-            for model in document.pools[target.pool].models
-            for peer in peers.agents_of(model)
-        }
-        chosen = rank_by_rendezvous(node.settings.name, names)[:WEIGHT_LINKS_MAX]
-        members = (node.membership.member(name) for name in chosen)
-        records = [member.record for member in members if member is not None]
-        node.network.want(
-            "weights",
-            [PeerAddress(record.name, record.host, record.port) for record in records],
-        )
-
 
 def create_agent_role(node: Node, admin_routes: list[BaseRoute]) -> AgentRole:
     """Build the agent role on the node."""
@@ -181,12 +156,18 @@
         member = node.membership.member(name)
         return (member.record.region, member.record.zone) if member else None
 
+    def resolve(name: str) -> PeerAddress | None:
+        member = node.membership.member(name)
+        if member is None:
+            return None
+        return PeerAddress(name, member.record.host, member.record.port)
+
     chunks = ChunkObserver(
         node.network, node.metrics, (settings.region, settings.zone), locate
     )
     return create_weight_controller(
         settings,
-        network=node.network,
+        network=OnDemandNetwork(node.network, node.timers, "weights", resolve),
         timers=node.timers,
         tasks=node.tasks,
         origin=ObservedWeightSource(
--- a/reedspar/links/__init__.py
+++ b/reedspar/links/__init__.py
@@ -10,6 +10,7 @@
     PeerAddress,
     Priority,
 )
+from .on_demand import OnDemandLimits, OnDemandNetwork
 
 __all__ = [
     "Handler",
@@ -19,6 +20,8 @@
     "LinkEvent",
     "LinkListener",
     "Network",
+    "OnDemandLimits",
+    "OnDemandNetwork",
     "PeerAddress",
     "Priority",
     "Role",
--- /dev/null
+++ b/reedspar/links/tests/test_on_demand.py
@@ -0,0 +1,82 @@
+"""Tests of links that are dialled when something is to be sent."""
+
+import unittest
+
+from reedspar.errors import Failure, Reason, Step
+from reedspar.links import LinkChange, LinkEvent, PeerAddress
+from reedspar.links.on_demand import OnDemandLimits, OnDemandNetwork
+from reedspar.timers import TimerService, VirtualClock
+
+
+class FakeNetwork:
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, str]] = []
+        self.open: set[str] = set()
+        self.wanted: set[str] = set()
+
+    def on_link_event(self, listener) -> None:
+        self.listener = listener
+
+    def want(self, owner, peers) -> None:
+        self.wanted = {peer.name for peer in peers}
+
+    def send(self, peer, message, priority=0):
+        if peer not in self.open:
+            return Failure(Reason.UNAVAILABLE, Step.LINK, peer)
+        self.sent.append((peer, message))
+        return None
+
+    def open_link(self, peer: str) -> None:
+        self.open.add(peer)
+        self.listener(LinkEvent(peer, 1, LinkChange.UP))
+
+
+class OnDemandNetworkTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = VirtualClock()
+        self.timers = TimerService(self.clock, pause_threshold_s=1000.0)
+        self.inner = FakeNetwork()
+        self.network = OnDemandNetwork(
+            self.inner,
+            self.timers,
+            "test",
+            lambda name: PeerAddress(name, "127.0.0.1", 1) if name != "gone" else None,
+            OnDemandLimits(links_max=2, held_max=2, hold_s=2.0, idle_s=30.0),
+        )
+
+    def advance(self, by_s: float) -> None:
+        self.clock.advance(by_s)
+        self.timers.run_due()
+
+    def test_message_waits_for_the_link_that_it_dials(self) -> None:
+        self.assertIsNone(self.network.send("a", "m1"))
+        self.assertEqual(self.inner.wanted, {"a"})
+        self.inner.open_link("a")
+        self.assertEqual(self.inner.sent, [("a", "m1")])
+
+    def test_late_link_gets_no_old_messages(self) -> None:
+        # The peer is frozen for a while.  What was asked of it then has been
+        # asked of others since; sent now, it would only be answered twice.
+        self.network.send("a", "m1")
+        self.advance(3.0)
+        self.inner.open_link("a")
+        self.assertEqual(self.inner.sent, [])
+
+    def test_links_and_held_messages_are_bounded(self) -> None:
+        for message in ("m1", "m2", "m3"):
+            self.network.send("a", message)
+        self.network.send("b", "m")
+        self.network.send("c", "m")
+        self.assertEqual(self.inner.wanted, {"b", "c"})
+        self.inner.open_link("a")
+        self.assertEqual(self.inner.sent, [])
+        self.advance(31.0)
+        self.assertEqual(self.inner.wanted, set())
+
+    def test_unknown_peer_is_a_failure(self) -> None:
+        failure = self.network.send("gone", "m")
+        self.assertIs(failure.reason, Reason.UNAVAILABLE)
+
+
+if __name__ == "__main__":
+    unittest.main()
