Stop an entry gracefully: unnamed, serving, finishing, at the bound the truth

An entry that stops leaves the addresses first, serves for their time to live and a second, then refuses new requests and finishes those in flight. At drain_timeout_s callers that still wait are told that the outcome is unknown; streams are cut. Changes reedspar/daemon/entry.py: drain is the service's now.

--- a/reedspar/daemon/entry.py
+++ b/reedspar/daemon/entry.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from typing import Any
 
-import anyio
 from starlette.routing import BaseRoute
 
 from reedspar.admin import EntryStatus
@@ -16,8 +15,6 @@
 
 __all__ = ["EntryRole", "create_entry_role"]
 
-DRAIN_POLL_S = 0.05
-
 
 class EntryRole:
     """An entry daemon's part of the node."""
@@ -45,12 +42,8 @@
 
     async def drain(self) -> None:
         """Leave: be named no more, outlast kept addresses, finish, stop."""
-        settings = self._node.settings.requests
         self._node.membership.announce_leaving()
-        await anyio.sleep(settings.address_ttl_s)
-        with anyio.move_on_after(settings.drain_timeout_s):
-            while self._service.application.in_flight:
-                await anyio.sleep(DRAIN_POLL_S)
+        await self._service.drain()
 
 
 def create_entry_role(
--- a/reedspar/requests/application.py
+++ b/reedspar/requests/application.py
@@ -18,7 +18,7 @@
 from reedspar.timers import TimerService
 
 from .addresses import order_addresses
-from .endings import REQUEST_ID_HEADER, encode_refusal, make_headers
+from .endings import REQUEST_ID_HEADER, encode_refusal, make_headers, make_not_run
 from .request import Answer, Outcome, Proceed, Request
 from .views import ConfigurationView, EntryDirectory
 
@@ -48,6 +48,7 @@
     """
 
     def __init__(self, name: str, incarnation: int) -> None:
+        self.name = name
         self._prefix = f"{name}:{incarnation}:"
         self._counter = itertools.count(1)
 
@@ -125,8 +126,24 @@
         self._zone = zone
         routes = [Route("/v1/addresses", self._list_addresses), *extra_routes]
         self._router = Starlette(routes=routes)
+        self._active: dict[str, anyio.CancelScope] = {}
+        self._is_named = True
+        self._is_admitting = True
         self.in_flight = 0
 
+    def stop_naming(self) -> None:
+        """Leave this entry out of the addresses it gives."""
+        self._is_named = False
+
+    def stop_admitting(self) -> None:
+        """Refuse new requests as not run."""
+        self._is_admitting = False
+
+    def abort(self) -> None:
+        """End every request in flight now, with a final answer if one fits."""
+        for scope in self._active.values():
+            scope.cancel()
+
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one ASGI connection."""
         if scope["type"] == "http" and scope["path"].startswith(POOLS_PREFIX):
@@ -142,8 +159,13 @@
         client = http_request.client
         key = http_request.headers.get("x-workspace", "")
         key += f"/{client.host}:{client.port}" if client is not None else ""
+        entries = [
+            entry
+            for entry in self._entries.entries()
+            if self._is_named or entry.name != self._ids.name
+        ]
         addresses = order_addresses(
-            self._entries.entries(), self._configuration.document, self._zone, key
+            entries, self._configuration.document, self._zone, key
         )
         ttl_s = self._settings.address_ttl_s
         document = {"addresses": addresses, "ttl_s": ttl_s}
@@ -183,7 +205,7 @@
         """
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_watch_caller, receive, request, tasks.cancel_scope)
-            answer = await self._answer(request)
+            answer = await self._answer_bounded(request)
             tasks.cancel_scope.cancel()
             # A cancelled scope would also stop the answer's own writes.
             with anyio.CancelScope(shield=True):
@@ -192,6 +214,25 @@
         # A broken stream ends here without its last piece: the server then
         # aborts the connection, and the caller sees that it was cut.
 
+    async def _answer_bounded(self, request: Request) -> Answer:
+        """Return the answer, or at an abort the truth: it may have run."""
+        if not self._is_admitting:
+            detail = "this entry is leaving; use another address"
+            failure = Failure(
+                Reason.DRAINING, Step.DRAIN, detail=detail, retry_after_s=1.0
+            )
+            return make_not_run(failure)
+        with anyio.CancelScope() as scope:
+            self._active[request.request_id] = scope
+            try:
+                return await self._answer(request)
+            finally:
+                del self._active[request.request_id]
+        detail = "this entry had to stop before the answer was whole"
+        failure = Failure(Reason.DRAINING, Step.DRAIN, detail=detail)
+        is_started = request.responder.is_started
+        return Answer(Outcome.UNKNOWN, failure=failure, is_sent=is_started)
+
     async def _answer(self, request: Request) -> Answer:
         try:
             return await self._proceed(request)
--- a/reedspar/requests/service.py
+++ b/reedspar/requests/service.py
@@ -18,6 +18,7 @@
 from .claim_ledger import ClaimLedger, LedgerTerms
 from .crash_gossip import create_crash_gossip
 from .deduplicate import Deduplicate
+from .draining import run_drain
 from .filters import Bound, Classify, Identify, chain_filters
 from .guards import Admit, Guard
 from .quarantine import Quarantine
@@ -43,11 +44,17 @@
     directory: TargetDirectory
     ledger: ClaimLedger
     admission: Admit
+    timers: TimerService
+    settings: RequestSettings
 
     async def run(self) -> None:
         """Write claims until cancelled; start it in the daemon's task group."""
         await self.ledger.run()
 
+    async def drain(self) -> None:
+        """Return once this entry may stop; announce its leaving before."""
+        await run_drain(self.application, self.settings, self.timers.now_s)
+
 
 def create_request_service(
     *,
@@ -109,4 +116,6 @@
         zone,
         extra_routes,
     )
-    return RequestService(application, client, directory, ledger, admission)
+    return RequestService(
+        application, client, directory, ledger, admission, timers, settings
+    )
--- /dev/null
+++ b/reedspar/requests/tests/test_draining.py
@@ -0,0 +1,103 @@
+"""Tests of an entry's graceful stop, in virtual time."""
+
+import unittest
+from typing import Any
+
+import anyio
+import httpx
+
+from reedspar.attempts import AttemptStart
+from reedspar.requests import EntryAddress
+from reedspar.requests.tests.fakes import (
+    FakeEntries,
+    FakeNetwork,
+    make_answer,
+    make_report,
+    make_service,
+)
+from reedspar.requests.tests.virtual import create_loop_timers, run_virtual
+from reedspar.settings import RequestSettings
+
+SETTINGS = RequestSettings(address_ttl_s=5, drain_timeout_s=20, deadline_s=60)
+
+
+class DrainTest(unittest.TestCase):
+    """Each answer takes as long as its path says; the stop begins at 10 s."""
+
+    def run_calls(self, *calls: tuple[float, str]) -> float:
+        """Make (when, path) calls and return when the entry stopped."""
+        self.responses: dict[float, httpx.Response] = {}
+        return run_virtual(self._run, calls)
+
+    async def _run(self, calls: tuple[tuple[float, str], ...]) -> float:
+        network = FakeNetwork()
+        timers = create_loop_timers()
+        names = ("entry-1", "entry-2")
+        entries = FakeEntries([EntryAddress(name, "a", name, 1) for name in names])
+        service = make_service(network, timers, settings=SETTINGS, entries=entries)
+        async with anyio.create_task_group() as tasks:
+
+            async def answer(peer: str, start: AttemptStart) -> None:
+                await anyio.sleep(float(start.path[1:]))
+                network.deliver(peer, *make_answer(start, b"whole"))
+
+            def on_send(peer: str, message: Any) -> None:
+                if isinstance(message, AttemptStart):
+                    tasks.start_soon(answer, peer, message)
+
+            async def call(at_s: float, path: str) -> None:
+                await anyio.sleep(at_s)
+                network.deliver("t1", make_report("t1", sequence=int(at_s) + 1))
+                transport = httpx.ASGITransport(app=service.application)
+                headers = {"x-workspace": "w"}
+                async with httpx.AsyncClient(
+                    transport=transport, base_url="http://e"
+                ) as http:
+                    method = "POST" if "pools" in path else "GET"
+                    self.responses[at_s] = await http.request(
+                        method, path, headers=headers
+                    )
+
+            network.on_send = on_send
+            tasks.start_soon(timers.run)
+            for at_s, path in calls:
+                tasks.start_soon(call, at_s, path)
+            await anyio.sleep(10)
+            await service.drain()
+            stopped_s = anyio.current_time()
+            await anyio.sleep(0.1)
+            tasks.cancel_scope.cancel()
+        return stopped_s
+
+    def test_serves_kept_addresses_then_finishes_then_stops(self) -> None:
+        # An operator replaces an entry.  Callers that keep its address for
+        # five seconds are served; those already waiting get their answer.
+        stopped_s = self.run_calls(
+            (1, "/v1/addresses"),
+            (11, "/v1/addresses"),
+            (9, "/v1/pools/orders/8"),
+            (15, "/v1/pools/orders/3"),
+            (16.5, "/v1/pools/orders/1"),
+        )
+        self.assertEqual(len(self.responses[1].json()["addresses"]), 2)
+        self.assertEqual(self.responses[11].json()["addresses"], ["http://entry-2:1"])
+        self.assertEqual(self.responses[9].content, b"whole")
+        self.assertEqual(self.responses[15].content, b"whole")
+        self.assertEqual(self.responses[16.5].status_code, 503)
+        self.assertEqual(self.responses[16.5].json()["reason"], "draining")
+        self.assertAlmostEqual(stopped_s, 18.0, delta=0.2)
+
+    def test_at_the_bound_callers_get_the_truth(self) -> None:
+        # An answer takes longer than the stop may.  Its caller is told that
+        # the outcome is unknown instead of meeting a connection that closes.
+        stopped_s = self.run_calls((9, "/v1/pools/orders/50"))
+        self.assertEqual(self.responses[9].status_code, 504)
+        self.assertEqual(self.responses[9].json()["step"], "drain")
+        self.assertLess(stopped_s, 31.5)
+
+    def test_an_idle_entry_outlasts_kept_addresses_only(self) -> None:
+        self.assertAlmostEqual(self.run_calls(), 16.0, delta=0.2)
+
+
+if __name__ == "__main__":
+    unittest.main()
