--- a/reedspar/daemon/entry.py
+++ b/reedspar/daemon/entry.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import asdict
 from typing import Any
 
 from starlette.routing import BaseRoute
@@ -23,6 +24,7 @@
         self._node = node
         self._service = service
         node.describe_role = self.describe
+        node.metrics.attempt_faults.observe(self._read_faults)
 
     @property
     def application(self) -> Any:
@@ -45,6 +47,11 @@
         self._node.membership.announce_leaving()
         await self._service.drain()
 
+    def _read_faults(self) -> list[tuple[float, dict[str, str]]]:
+        """Return what the attempt client met, for the metrics."""
+        counts = asdict(self._service.client.counts)
+        return [(count, {"fault": name}) for name, count in counts.items()]
+
 
 def create_entry_role(
     node: Node,
