Let a publication outlast other operators' patches, and share how tools retry

Refused as stale after the upload because a zone had been taken out meanwhile (test seen failing), it had to be asked again; another version of the same model is still refused. zone out no longer counts pools that had no target before.

--- a/reedspar/tool/publish_command.py
+++ b/reedspar/tool/publish_command.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 import cappa
 from rich.progress import BarColumn, DownloadColumn, Progress, TextColumn
@@ -12,8 +12,8 @@
 from reedspar.platform import create_http_weight_source
 from reedspar.weights import Publication, WeightSink, publish_weights
 
+from .current_patch import patch_current
 from .exit_codes import ExitCode
-from .patching import build_request, send_patch
 from .session import Session
 
 __all__ = ["Publish", "UploadSink", "upload"]
@@ -105,25 +105,35 @@
         )
         if isinstance(published, Failure):
             return session.fail(published)
-        if find_published(document, self.model, published.version):
-            return self._show_unchanged(session, document)
         if not session.is_json:
             _show_publication(session, published)
-        request = build_request(
-            document.version,
-            {"models": {self.model: published.version.model_dump(mode="json")}},
-            "",
-            f"publish {self.model} {self.label}",
-        )
-        if isinstance(request, Failure):
-            return session.fail(request)
-        return await send_patch(session, request)
-
-    def _show_unchanged(
-        self, session: Session, document: ConfigurationDocument
-    ) -> ExitCode:
+        return await self._put_in_force(session, published.version)
+
+    async def _put_in_force(self, session: Session, version: ModelVersion) -> ExitCode:
+        """Patch the configuration; what others change meanwhile does not matter."""
+
+        def make_patch(
+            document: ConfigurationDocument,
+        ) -> dict[str, Any] | Failure | None:
+            if find_published(document, self.model, version):
+                return None
+            current = document.models.get(self.model)
+            if current is not None and current.sequence >= version.sequence:
+                detail = (
+                    f"{self.model} {current.label} was published meanwhile, as "
+                    f"sequence {current.sequence}; publish again to replace it"
+                )
+                return Failure(Reason.CONFLICT, Step.CONFIGURE, detail=detail)
+            return {"models": {self.model: version.model_dump(mode="json")}}
+
+        summary = f"publish {self.model} {self.label}"
+        result = await patch_current(session, make_patch, summary)
+        if isinstance(result, ExitCode):
+            return result
         if session.is_json:
-            session.show_json({"version": document.version, "patch_id": None})
+            session.show_json({"version": result.version, "patch_id": result.patch_id})
+        elif result.patch_id:
+            session.show_line(f"accepted as version {result.version}")
         else:
             session.show_line(f"{self.model} {self.label} is in force already")
         return ExitCode.OK
--- a/reedspar/tool/tests/test_config.py
+++ b/reedspar/tool/tests/test_config.py
@@ -170,6 +170,19 @@
         self.assertIn("no target would be left in: quotes", last.errors)
         forced = self.run_tool("zone", "out", "kingston-b", "--force")
         self.assertEqual(forced.code, ExitCode.OK)
+        repeated = self.run_tool("zone", "out", "kingston-b", "--base", "6")
+        self.assertIn("out already, version 6", repeated.output)
+
+    def test_pool_without_any_target_blocks_nothing(self) -> None:
+        # A pool's last targets are leaving when a zone has to go out in a
+        # hurry.  It has nothing to lose, so it must not need --force.
+        leaving = self.daemons[3].as_member().model_copy(
+            update={"name": "agent-3", "state": "leaving", "pool": "portal"}
+        )
+        for daemon in self.daemons:
+            daemon.members = (*daemon.members, leaving)
+        run = self.run_tool("zone", "out", "kingston-a", "--wait", "0")
+        self.assertEqual(run.code, ExitCode.OK)
 
     def test_base_makes_it_strict_and_races_are_retried_without(self) -> None:
         strict = self.run_tool("zone", "out", "kingston-a", "--base", "3")
--- a/reedspar/tool/tests/test_publish.py
+++ b/reedspar/tool/tests/test_publish.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 from unittest import mock
 
+from reedspar.admin import PatchRequest
 from reedspar.errors import Failure, Reason, Step
 from reedspar.tool import publish_command
 from reedspar.tool.exit_codes import ExitCode
@@ -85,6 +86,50 @@
         version = self.configuration.read_document().models["drafter"]
         self.assertEqual((version.label, version.sequence), ("april", 2))
 
+    def change_while_uploading(self, patch: dict) -> None:
+        """Have another operator's patch accepted during the next upload."""
+        put = self.origin.put
+
+        async def put_and_race(name, data):
+            if patch:
+                request = PatchRequest(
+                    base_version=4, patch_id="other-0001", patch=dict(patch)
+                )
+                patch.clear()
+                await self.configuration.apply_patch(request)
+            return await put(name, data)
+
+        self.origin.put = put_and_race
+
+    def test_upload_is_not_in_vain_when_others_change_something_else(self) -> None:
+        # An upload takes minutes.  Refused as stale at its end, because a
+        # zone was taken out meanwhile, it would all have to be asked again.
+        self.change_while_uploading({"zones": {"kingston-a": "out"}})
+        run = self.publish("march")
+        self.assertEqual(run.code, ExitCode.OK)
+        document = self.configuration.read_document()
+        self.assertEqual(
+            (document.version, document.models["drafter"].sequence), (6, 1)
+        )
+        self.assertFalse(document.is_zone_in("kingston-a"))
+
+    def test_other_version_of_the_model_is_not_overwritten(self) -> None:
+        # Two operators publish different weights of one model at once.  The
+        # later patch must not silently take back the first one's version.
+        other = {
+            "label": "hotfix",
+            "sequence": 1,
+            "manifest_digest": "ab" * 32,
+            "root_digest": "cd" * 32,
+            "size_bytes": 1,
+        }
+        self.change_while_uploading({"models": {"drafter": other}})
+        run = self.publish("march")
+        self.assertEqual(run.code, ExitCode.STALE)
+        self.assertIn("drafter hotfix was published meanwhile", run.errors)
+        label = self.configuration.read_document().models["drafter"].label
+        self.assertEqual(label, "hotfix")
+
     def test_missing_file(self) -> None:
         self.file.unlink()
         self.assertEqual(self.publish("march").code, ExitCode.REFUSED)
--- a/reedspar/tool/zone_commands.py
+++ b/reedspar/tool/zone_commands.py
@@ -8,23 +8,22 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Annotated
+from typing import Annotated, Any
 
 import cappa
 
-from reedspar.admin import MemberStatus, PatchAccepted
+from reedspar.admin import MemberStatus
 from reedspar.configuration import ConfigurationDocument, ZoneState
 from reedspar.errors import Failure, Reason, Step
 from reedspar.links.messages import Role
 
 from .confirmation import wait_until_confirmed
+from .current_patch import Changed, patch_current
 from .exit_codes import ExitCode
-from .patching import build_request, show_accepted
 from .session import Session
 
 __all__ = ["Zone", "check_zone_change", "count_targets_left"]
 
-RACE_TRIES = 5
 WAIT_S = 10.0
 
 
@@ -58,8 +57,9 @@
         return Failure(Reason.INVALID, Step.CONFIGURE, detail=detail)
     if state is ZoneState.IN:
         return None
+    now = count_targets_left(members, document, "")
     left = count_targets_left(members, document, zone)
-    empty = [pool for pool, (count, _) in left.items() if count == 0]
+    empty = [pool for pool, (count, _) in left.items() if count == 0 < now[pool][0]]
     if empty:
         detail = f"no target would be left in: {', '.join(empty)} (--force does it)"
         return Failure(Reason.INVALID, Step.CONFIGURE, detail=detail)
@@ -67,55 +67,45 @@
 
 
 async def set_zone(
-    session: Session,
-    zone: str,
-    state: ZoneState,
-    *,
-    base: int | None,
-    is_forced: bool,
-    wait_s: float,
+    session: Session, change: "ZoneChange", state: ZoneState
 ) -> ExitCode:
-    """Patch the zone's state; without `base`, again when others were faster."""
+    """Patch the zone's state, and wait until it is in force."""
     members = await session.client.list_members()
     if isinstance(members, Failure):
         return session.fail(members)
-    for attempt in range(RACE_TRIES):
-        document = await session.client.read_configuration()
-        if isinstance(document, Failure):
-            return session.fail(document)
+    zone = change.zone
+
+    def make_patch(document: ConfigurationDocument) -> dict[str, Any] | Failure | None:
         slip = check_zone_change(members, document, zone, state)
-        if slip and not is_forced:
-            return session.fail(slip)
-        if document.zones.get(zone, ZoneState.IN) is state and base is None:
-            _show_unchanged(session, zone, state, document.version)
-            return await _wait(session, document.version, wait_s)
-        request = build_request(
-            document.version if base is None else base,
-            {"zones": {zone: state.value}},
-            "",
-            f"zone {state.value} {zone}",
-        )
-        if isinstance(request, Failure):
-            return session.fail(request)
-        result = await session.client.apply_patch(request)
-        if isinstance(result, PatchAccepted):
-            show_accepted(session, result, request)
-            if state is ZoneState.OUT and not session.is_json:
-                _show_left(session, members, document, zone)
-            return await _wait(session, result.version, wait_s)
-        is_race = result.reason is Reason.CONFLICT and base is None
-        if not is_race or attempt == RACE_TRIES - 1:
-            return session.fail_patch(result)
-    return ExitCode.STALE
-
-
-def _show_unchanged(
-    session: Session, zone: str, state: ZoneState, version: int
+        if slip and not change.force:
+            return slip
+        if document.zones.get(zone, ZoneState.IN) is state:
+            return None
+        return {"zones": {zone: state.value}}
+
+    summary = f"zone {state.value} {zone}"
+    result = await patch_current(session, make_patch, summary, change.base)
+    if isinstance(result, ExitCode):
+        return result
+    _show_change(session, result, zone, state)
+    if state is ZoneState.OUT and result.patch_id and not session.is_json:
+        _show_left(session, members, result.before, zone)
+    if change.wait <= 0:
+        return ExitCode.OK
+    return await wait_until_confirmed(session, result.version, change.wait)
+
+
+def _show_change(
+    session: Session, result: Changed, zone: str, state: ZoneState
 ) -> None:
     if session.is_json:
-        session.show_json({"version": version, "patch_id": None})
+        session.show_json({"version": result.version, "patch_id": result.patch_id})
+    elif result.patch_id:
+        session.show_line(f"accepted as version {result.version}")
     else:
-        session.show_line(f"zone {zone} is {state.value} already, version {version}")
+        session.show_line(
+            f"zone {zone} is {state.value} already, version {result.version}"
+        )
 
 
 def _show_left(
@@ -128,12 +118,6 @@
         session.show_line(f"  pool {pool}: {left} of {known} targets left")
 
 
-async def _wait(session: Session, version: int, wait_s: float) -> ExitCode:
-    if wait_s <= 0:
-        return ExitCode.OK
-    return await wait_until_confirmed(session, version, wait_s)
-
-
 @dataclass
 class ZoneChange:
     """What both commands take."""
@@ -159,14 +143,7 @@
 
     async def run(self, session: Session) -> ExitCode:
         """Patch the zone out."""
-        return await set_zone(
-            session,
-            self.zone,
-            ZoneState.OUT,
-            base=self.base,
-            is_forced=self.force,
-            wait_s=self.wait,
-        )
+        return await set_zone(session, self, ZoneState.OUT)
 
 
 @cappa.command(name="in")
@@ -176,14 +153,7 @@
 
     async def run(self, session: Session) -> ExitCode:
         """Patch the zone in."""
-        return await set_zone(
-            session,
-            self.zone,
-            ZoneState.IN,
-            base=self.base,
-            is_forced=self.force,
-            wait_s=self.wait,
-        )
+        return await set_zone(session, self, ZoneState.IN)
 
 
 @cappa.command(name="zone")
