--- a/reedspar/tool/tests/test_config.py
+++ b/reedspar/tool/tests/test_config.py
@@ -176,8 +176,12 @@
     def test_pool_without_any_target_blocks_nothing(self) -> None:
         # A pool's last targets are leaving when a zone has to go out in a
         # hurry.  It has nothing to lose, so it must not need --force.
-        leaving = self.daemons[3].as_member().model_copy(
-            update={"name": "agent-3", "state": "leaving", "pool": "portal"}
+        leaving = (
+            self.daemons[3]
+            .as_member()
+            .model_copy(
+                update={"name": "agent-3", "state": "leaving", "pool": "portal"}
+            )
         )
         for daemon in self.daemons:
             daemon.members = (*daemon.members, leaving)
