Open the links that the distribution of weights asks for

Cause: an agent kept links to 16 hashed peers, but draws and ring neighbours are others; with more than 17 agents their messages were never sent.

--- a/bench/hashed.py
+++ b/bench/hashed.py
@@ -125,6 +125,13 @@
     def release(self, digest: str, now_s: float) -> None:
         """Do nothing: this distribution keeps every object."""
 
+    def note_unsent(self, peer: str, message: WeightMessage, now_s: float) -> None:
+        """Do nothing: the deadline covers it."""
+
+    def wanted_links(self) -> set[str]:
+        """Return none: this design is not run over real links."""
+        return set()
+
     def lapse(self, now_s: float) -> None:
         """Ask again for whatever is open: answers may have been missed."""
         for want in self._wants.values():
--- a/bench/origin_only.py
+++ b/bench/origin_only.py
@@ -60,6 +60,13 @@
     def release(self, digest: str, now_s: float) -> None:
         """Do nothing."""
 
+    def note_unsent(self, peer: str, message: WeightMessage, now_s: float) -> None:
+        """Do nothing: the deadline covers it."""
+
+    def wanted_links(self) -> set[str]:
+        """Return none: this design is not run over real links."""
+        return set()
+
     def lapse(self, now_s: float) -> None:
         """Do nothing."""
 
--- a/reedspar/daemon/agent.py
+++ b/reedspar/daemon/agent.py
@@ -37,7 +37,7 @@
 
 __all__ = ["AgentRole", "create_agent_role"]
 
-WEIGHT_LINKS_INTERVAL_S = 1.0
+WEIGHT_LINKS_INTERVAL_S = 0.2
 WEIGHT_LINKS_MAX = 16
 
 
@@ -130,6 +130,8 @@
             for peer in peers.agents_of(model)
         }
         chosen = rank_by_rendezvous(node.settings.name, names)[:WEIGHT_LINKS_MAX]
+        if self._weights is not None:
+            chosen = list(dict.fromkeys([*chosen, *self._weights.wanted_links()]))
         members = (node.membership.member(name) for name in chosen)
         records = [member.record for member in members if member is not None]
         node.network.want(
--- a/reedspar/weights/announcing.py
+++ b/reedspar/weights/announcing.py
@@ -10,6 +10,7 @@
 __all__ = ["Announcer"]
 
 ASK_AGAIN_S = 1.0
+LINK_WAIT_S = 0.2
 
 
 class Announcer:
@@ -52,6 +53,12 @@
         )
         self._actions.append(SendMessage(neighbour.name, message))
 
+    def note_unsent(self, peer: str) -> None:
+        """Ask a neighbour again soon, as no link to it is open yet."""
+        neighbour = self._transfer.table.neighbours.get(peer)
+        if neighbour is not None:
+            neighbour.asked_s -= ASK_AGAIN_S - LINK_WAIT_S
+
     def ask_again(self, now_s: float) -> None:
         """Ask the neighbours that have not answered yet."""
         for neighbour in self._transfer.table.neighbours.values():
--- a/reedspar/weights/controller.py
+++ b/reedspar/weights/controller.py
@@ -53,6 +53,8 @@
 STAGE_RETRY_S = 0.2
 PEER_REFRESH_S = 0.5
 PACE_MIN_S = 0.002
+LINK_KEPT_S = 30.0
+"""How long a link is kept after the last message to a peer."""
 DISTRIBUTION_MESSAGES = (
     ChunkRequest,
     ChunkPiece,
@@ -132,6 +134,7 @@
         self._stage_wakeup = anyio.Event()
         self._listeners: list[Callable[[], None]] = []
         self._is_pacing = False
+        self._links: dict[str, float] = {}
         self._last_offered: tuple[LoadedWeights, ...] = ()
 
     def offered(self) -> tuple[LoadedWeights, ...]:
@@ -142,6 +145,12 @@
         """Call `listener` after each change of what is offered."""
         self._listeners.append(listener)
 
+    def wanted_links(self) -> tuple[str, ...]:
+        """Return the peers that links are to be open to; call it often."""
+        now_s = self._timers.now_s()
+        self._links = {n: t for n, t in self._links.items() if t > now_s}
+        return tuple(sorted({*self._links, *self._distribution.wanted_links()}))
+
     def start(self) -> None:
         """Subscribe to messages, timers and the configuration, and start to work."""
         for message_class in DISTRIBUTION_MESSAGES:
@@ -255,9 +264,11 @@
         self._pump()
 
     def _send(self, action: SendMessage) -> None:
-        # A failure needs no answer here: the request's deadline covers a lost
-        # message and one that was never sent alike.
-        self._network.send(action.peer, action.message, Priority.BULK)
+        now_s = self._timers.now_s()
+        self._links[action.peer] = now_s + LINK_KEPT_S
+        failure = self._network.send(action.peer, action.message, Priority.BULK)
+        if is_failure(failure):
+            self._distribution.note_unsent(action.peer, action.message, now_s)
 
     async def _read_origin(self, digest: str) -> None:
         result = await self._origin.read(digest, 0, 0)
--- a/reedspar/weights/distribution.py
+++ b/reedspar/weights/distribution.py
@@ -99,6 +99,14 @@
         """Let an object that was ready be evicted: it is staged or decoded."""
         ...
 
+    def note_unsent(self, peer: str, message: WeightMessage, now_s: float) -> None:
+        """Take back a message for which no link is open yet."""
+        ...
+
+    def wanted_links(self) -> set[str]:
+        """Return the peers to keep links to while there is something to get."""
+        ...
+
     def lapse(self, now_s: float) -> None:
         """Drop every timed claim after a pause of the process."""
         ...
--- a/reedspar/weights/drawing.py
+++ b/reedspar/weights/drawing.py
@@ -77,18 +77,25 @@
                 self._ask_keeper(fetch, index, placement, now_s)
 
     def note_asked(
-        self, transfer: Transfer, placement: Placement, digest: str, now_s: float
+        self,
+        transfer: Transfer,
+        placement: Placement,
+        digest: str,
+        now_s: float,
+        *,
+        is_near: bool,
     ) -> None:
-        """Take up a chunk that a peer asks this agent to get, unless it is coming."""
+        """Take up a chunk that a peer asks this agent to get, unless it is coming.
+
+        A peer of the own region asks only once the usual way has failed it; one
+        of another region asks ahead, for what the swarm here will bring.
+        """
         index = transfer.index_of.get(digest)
         if index is None or len(self._duties) >= DUTY_LIMIT:
             return
         is_moving = now_s - transfer.progress_s < self._limits.seek_s
         is_coming = transfer.is_missing(index) and is_moving
-        if is_coming and placement.drawer(index) != placement.me:
-            fetch = self._fetches.get(digest)
-            is_coming = fetch is None or not fetch.attempts
-        if not is_coming:
+        if is_near or not is_coming:
             self._duties[digest] = transfer
 
     def do_duties(self, placements: Mapping[str, Placement], now_s: float) -> None:
--- a/reedspar/weights/fetches.py
+++ b/reedspar/weights/fetches.py
@@ -14,9 +14,11 @@
 
 ORIGIN = "origin"
 AVOID_STALLED_S = 1.0
-AVOID_CORRUPT_S = 20.0
+AVOID_CORRUPT_S = 2.0
+AVOID_FACTOR = 4
 AVOID_MAX_S = 300.0
-AVOID_ORIGIN_S = 1.0
+REPEATS_MAX = 8
+AVOID_SCARCE_S = 0.25
 AVOID_ORIGIN_MAX_S = 10.0
 """The origin is avoided for less: what it alone has can't come from elsewhere."""
 
@@ -71,9 +73,9 @@
         """Leave a peer alone that sent nothing in time."""
         self._strike(peer, AVOID_STALLED_S, now_s)
 
-    def note_corrupt(self, peer: str, now_s: float) -> None:
-        """Leave a peer alone that sent wrong bytes."""
-        self._strike(peer, AVOID_CORRUPT_S, now_s)
+    def note_corrupt(self, peer: str, now_s: float, *, is_scarce: bool = False) -> None:
+        """Leave a peer alone that sent wrong bytes; shortly if there are few others."""
+        self._strike(peer, AVOID_SCARCE_S if is_scarce else AVOID_CORRUPT_S, now_s)
 
     def note_good(self, peer: str) -> None:
         """Forget one strike of a peer that has sent a whole object."""
@@ -87,11 +89,11 @@
 
     def _strike(self, peer: str, base_s: float, now_s: float) -> None:
         self._strikes[peer] += 1
-        doublings = min(self._strikes[peer] - 1, 8)
         limit_s = AVOID_MAX_S
         if peer == ORIGIN:
-            base_s, limit_s = AVOID_ORIGIN_S, AVOID_ORIGIN_MAX_S
-        avoid_s = min(base_s * 2**doublings, limit_s)
+            base_s, limit_s = AVOID_SCARCE_S, AVOID_ORIGIN_MAX_S
+        repeats = min(self._strikes[peer] - 1, REPEATS_MAX)
+        avoid_s = min(base_s * AVOID_FACTOR**repeats, limit_s)
         self._until_s[peer] = max(now_s + avoid_s, self._until_s.get(peer, 0.0))
 
 
--- a/reedspar/weights/limits.py
+++ b/reedspar/weights/limits.py
@@ -35,6 +35,7 @@
     seek_s: float = 1.0
     map_wait_s: float = 0.25
     busy_s: float = 0.02
+    link_wait_s: float = 0.2
     near_queue: int = 4
     """Requests of the own region that wait for the link; more go elsewhere."""
     same_chunk: int = 2
--- a/reedspar/weights/placement.py
+++ b/reedspar/weights/placement.py
@@ -126,6 +126,17 @@
         names = [name for name in dict.fromkeys(names) if name]
         return [name for name in names if self._regions[name] != self._me.region]
 
+    def draw_partners(self) -> set[str]:
+        """Return the agents that this one draws from, or that draw from it.
+
+        They hold the slots of the links between regions, so they are few.
+        """
+        regions = {self._me.region, self._origin_region, *self._names}
+        holders = {name for region in regions for name in self._slots_of(region)}
+        if self._me.name not in holders:
+            return set()
+        return {n for n in holders if self._regions[n] != self._me.region}
+
     def ancestors(self, digest: str) -> list[str]:
         """Return whom to ask for a single object, the nearest in its tree first.
 
--- a/reedspar/weights/swarm.py
+++ b/reedspar/weights/swarm.py
@@ -14,7 +14,7 @@
 from reedspar.utils import digest_bytes
 
 from .announcing import Announcer
-from .distribution import Action, ObjectReady, SendMessage, WeightPeer
+from .distribution import Action, ObjectReady, WeightPeer
 from .drawing import Drawing
 from .fetches import ORIGIN, Fetch, FetchBook, PeerBook, Request
 from .limits import SwarmLimits
@@ -33,8 +33,8 @@
 from .pacing import TokenBucket
 from .placement import Placement
 from .selection import pick_pull
+from .serving import ChunkServer
 from .transfers import Transfer
-from .uploads import UploadQueue, WaitingRequests
 
 __all__ = ["SwarmDistribution"]
 
@@ -54,8 +54,7 @@
         )
         self._peers = PeerBook()
         self._fetches = FetchBook(self._memory, self._peers, self._actions)
-        self._uploads = UploadQueue(self._memory, limits)
-        self._waiting = WaitingRequests(limits.patience_s, self._refuse)
+        self._server = ChunkServer(me.region, self._memory, limits, self._actions)
         self._downloads = TokenBucket(
             limits.machine_bytes_per_s, limits.download_burst_bytes
         )
@@ -75,7 +74,7 @@
     @property
     def sent_bytes(self) -> int:
         """Return the bytes of objects that were sent to peers."""
-        return self._uploads.sent_bytes
+        return self._server.sent_bytes
 
     def set_peers(self, model: str, peers: Iterable[WeightPeer], now_s: float) -> None:
         """Replace the live agents that need or hold a model."""
@@ -139,8 +138,7 @@
         elif isinstance(message, ChunkRefused):
             self._take_refusal(peer, message, now_s)
         elif isinstance(message, ChunkCancel):
-            self._uploads.cancel(peer, message.request_id)
-            self._waiting.cancel(peer, message.request_id)
+            self._server.cancel(peer, message.request_id)
         elif isinstance(message, HaveMap | HaveUpdate):
             announcer = self._announcers.get(message.root_digest)
             if announcer is not None:
@@ -184,9 +182,33 @@
             for neighbour in transfer.table.neighbours.values():
                 announcer.send_map(neighbour, now_s, is_reply_wanted=True)
 
+    def note_unsent(self, peer: str, message: WeightMessage, now_s: float) -> None:
+        """Take back a message for which no link is open yet."""
+        if isinstance(message, ChunkRequest):
+            fetch = self._fetches.get(message.digest)
+            request = self._fetches.find(peer, message.digest, message.request_id)
+            if fetch is not None and request is not None:
+                self._fetches.close(fetch, request, is_cancelled=False)
+                fetch.not_before_s = now_s + TICK_S
+                self._peers.note_busy(peer, now_s + self._limits.link_wait_s)
+        elif isinstance(message, HaveMap):
+            announcer = self._announcers.get(message.root_digest)
+            if announcer is not None:
+                announcer.note_unsent(peer)
+
+    def wanted_links(self) -> set[str]:
+        """Return the peers to keep links to while there is something to get."""
+        names: set[str] = set()
+        for transfer in self._transfers.values():
+            if not transfer.is_complete:
+                placement = self._placements[transfer.model]
+                names.update(transfer.table.neighbours)
+                names.update(placement.draw_partners())
+        return names
+
     def tick(self, now_s: float) -> None:
         """Act on whatever has become due."""
-        self._waiting.expire(now_s)
+        self._server.expire(now_s)
         for fetch, request in self._fetches.iterate():
             waited_s = now_s - request.progress_s
             if waited_s >= request.timeout_s:
@@ -202,7 +224,7 @@
     def due_s(self, now_s: float) -> float:
         """Return when `tick` should be called next."""
         times = [now_s + TICK_S]
-        upload_s = self._uploads.due_s(now_s)
+        upload_s = self._server.due_s(now_s)
         if upload_s is not None:
             times.append(upload_s)
         for announcer in self._announcers.values():
@@ -227,7 +249,7 @@
             self._pull(transfer, now_s)
             self._drawing.seek(transfer, placement, now_s)
         self._drawing.do_duties(self._placements, now_s)
-        self._actions += self._uploads.take_pieces(now_s)
+        self._server.send_pieces(now_s)
         for announcer in self._announcers.values():
             announcer.flush(now_s)
 
@@ -291,7 +313,7 @@
         request.progress_s = now_s
         result = request.assembly.add(piece, peer)
         if isinstance(result, Failure):
-            self._peers.note_corrupt(peer, now_s)
+            self._peers.note_corrupt(peer, now_s, is_scarce=bool(request.region))
             self._fail(fetch, request, now_s)
         elif result is not None:
             self._peers.note_good(peer)
@@ -331,8 +353,7 @@
         self._drawing.end_duty(digest)
         if is_wanted:
             self._report(digest)
-        for peer, request_id in self._waiting.take(digest):
-            self._queue_upload(peer, request_id, digest)
+        self._server.note_held(digest, self._region_of)
 
     def _report(self, digest: str) -> None:
         if digest not in self._ready:
@@ -341,35 +362,23 @@
         self._actions.append(ObjectReady(digest))
 
     def _serve(self, peer: str, request: ChunkRequest, now_s: float) -> None:
-        digest = request.digest
-        if digest in self._memory:
-            self._queue_upload(peer, request.request_id, digest)
-        elif not request.may_draw:
-            self._refuse(peer, request.request_id, digest)
-        elif self._waiting.add(peer, request.request_id, digest, now_s):
-            for transfer in self._transfers.values():
-                placement = self._placements[transfer.model]
-                self._drawing.note_asked(transfer, placement, digest, now_s)
-        else:
-            self._refuse(peer, request.request_id, digest, RefusalCause.BUSY)
+        region = self._region_of(peer)
+        if not self._server.serve(peer, request, region, now_s):
+            return
+        for transfer in self._transfers.values():
+            self._drawing.note_asked(
+                transfer,
+                self._placements[transfer.model],
+                request.digest,
+                now_s,
+                is_near=region == self._me.region,
+            )
 
-    def _queue_upload(self, peer: str, request_id: int, digest: str) -> None:
-        region = ""
+    def _region_of(self, peer: str) -> str:
         for placement in self._placements.values():
-            region = region or placement.region_of(peer)
-        far_region = region if region != self._me.region else ""
-        if not self._uploads.add(peer, request_id, digest, far_region):
-            self._refuse(peer, request_id, digest, RefusalCause.BUSY)
-
-    def _refuse(
-        self,
-        peer: str,
-        request_id: int,
-        digest: str,
-        cause: RefusalCause = RefusalCause.NOT_HELD,
-    ) -> None:
-        message = ChunkRefused(digest, request_id, cause)
-        self._actions.append(SendMessage(peer, message))
+            if region := placement.region_of(peer):
+                return region
+        return ""
 
     def _placement_of(self, model: str) -> Placement:
         if model not in self._placements:
@@ -402,7 +411,7 @@
         transfer.assign(placement)
 
     def _drop_peer(self, name: str, now_s: float) -> None:
-        self._uploads.drop_peer(name)
+        self._server.drop_peer(name)
         for fetch, request in self._fetches.iterate():
             if request.peer == name:
                 self._fetches.close(fetch, request, is_cancelled=False)
