--- /dev/null
+++ b/reedspar/weights/serving.py
@@ -0,0 +1,89 @@
+"""Serving peers: what is asked of this agent is sent, waited for, or refused."""
+
+from collections.abc import Callable
+
+from .distribution import Action, SendMessage
+from .limits import SwarmLimits
+from .memory import ChunkMemory
+from .messages import ChunkRefused, ChunkRequest, RefusalCause
+from .uploads import UploadQueue, WaitingRequests
+
+__all__ = ["ChunkServer"]
+
+
+class ChunkServer:
+    """The sending side of a distribution."""
+
+    def __init__(
+        self,
+        region: str,
+        memory: ChunkMemory,
+        limits: SwarmLimits,
+        actions: list[Action],
+    ) -> None:
+        self._region = region
+        self._memory = memory
+        self._actions = actions
+        self._uploads = UploadQueue(memory, limits)
+        self._waiting = WaitingRequests(limits.patience_s, self._refuse)
+
+    @property
+    def sent_bytes(self) -> int:
+        """Return the bytes of objects that were sent."""
+        return self._uploads.sent_bytes
+
+    def serve(
+        self, peer: str, request: ChunkRequest, region: str, now_s: float
+    ) -> bool:
+        """Take a request; True if it waits for an object that is to be got."""
+        digest = request.digest
+        if digest in self._memory:
+            self._queue(peer, request.request_id, digest, region)
+        elif not request.may_draw:
+            self._refuse(peer, request.request_id, digest)
+        elif self._waiting.add(peer, request.request_id, digest, now_s):
+            return True
+        else:
+            self._refuse(peer, request.request_id, digest, RefusalCause.BUSY)
+        return False
+
+    def note_held(self, digest: str, region_of: Callable[[str], str]) -> None:
+        """Serve the requests that have waited for an object."""
+        for peer, request_id in self._waiting.take(digest):
+            self._queue(peer, request_id, digest, region_of(peer))
+
+    def cancel(self, peer: str, request_id: int) -> None:
+        """Drop a request."""
+        self._uploads.cancel(peer, request_id)
+        self._waiting.cancel(peer, request_id)
+
+    def drop_peer(self, peer: str) -> None:
+        """Drop every request of a peer that is gone."""
+        self._uploads.drop_peer(peer)
+
+    def expire(self, now_s: float) -> None:
+        """Refuse the requests that have waited too long."""
+        self._waiting.expire(now_s)
+
+    def send_pieces(self, now_s: float) -> None:
+        """Send what the budgets let go now."""
+        self._actions += self._uploads.take_pieces(now_s)
+
+    def due_s(self, now_s: float) -> float | None:
+        """Return when the next piece may go, or None if there is none to send."""
+        return self._uploads.due_s(now_s)
+
+    def _queue(self, peer: str, request_id: int, digest: str, region: str) -> None:
+        far_region = region if region != self._region else ""
+        if not self._uploads.add(peer, request_id, digest, far_region):
+            self._refuse(peer, request_id, digest, RefusalCause.BUSY)
+
+    def _refuse(
+        self,
+        peer: str,
+        request_id: int,
+        digest: str,
+        cause: RefusalCause = RefusalCause.NOT_HELD,
+    ) -> None:
+        message = ChunkRefused(digest, request_id, cause)
+        self._actions.append(SendMessage(peer, message))
