--- a/reedspar/weights/controller.py
+++ b/reedspar/weights/controller.py
@@ -255,9 +255,10 @@
         self._pump()
 
     def _send(self, action: SendMessage) -> None:
-        # A failure needs no answer here: the request's deadline covers a lost
-        # message and one that was never sent alike.
-        self._network.send(action.peer, action.message, Priority.BULK)
+        now_s = self._timers.now_s()
+        failure = self._network.send(action.peer, action.message, Priority.BULK)
+        if is_failure(failure):
+            self._distribution.note_unsent(action.peer, action.message, now_s)
 
     async def _read_origin(self, digest: str) -> None:
         result = await self._origin.read(digest, 0, 0)
