Measure processor time a request and a token, dated and plain keys apart

Cause: on a machine shared with others, latency tells of the neighbours. The bench now prints the processor time of entry and agents a request (beyond their idle use) and per 1,000 tokens, beside the direct baseline. Streams are now short for most of the warm-up.

--- a/bench/latency.py
+++ b/bench/latency.py
@@ -2,12 +2,17 @@
 
 Every figure stands beside its baseline, the same call straight to the target's
 stand-in, taken in the same run: calls at 50 a second in turn with direct ones,
-calls as fast as a few clients can, streams, and an idle daemon's memory.
+calls as fast as a few clients can, streams, and an idle daemon's memory.  Orders
+with dated keys share writes to the key-value service, plain keys cost one each;
+they are measured apart.  The processor time a request is that of the entry, and
+of all agents of the pool together, beyond what they use when idle.
 """
 
 import argparse
+import os
 import random
 import time
+import uuid
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
@@ -21,7 +26,7 @@
 from stand_ins.processes import exit_on_signals
 from stand_ins.promises import read_percentile
 
-from .measuring import print_result, read_cpu_s, read_resident_bytes
+from .measuring import CpuMeter, print_result, read_resident_bytes
 from .small_deployment import DEPLOYMENT, make_options, prepare
 from .streams import measure_streams
 
@@ -30,7 +35,6 @@
 ENGINE_ARGUMENTS = ("--token-s", "0.002", "--sequence-s", "0")
 RATE_PER_S = 50.0
 WARM_SHARE = 0.1
-IDLE_S = 5.0
 CLIENTS = 32
 
 
@@ -83,20 +87,26 @@
 
     async def order_direct(self, sample: Sample) -> None:
         """Order at the service."""
-        await self._order(f"{self.service_url}/orders", sample)
+        url = f"{self.service_url}/orders"
+        await self._order(url, sample, make_dated_key(self._rng))
 
     async def order_through(self, sample: Sample) -> None:
-        """Order at the entry."""
-        await self._order(f"{self.entry_url}/v1/pools/deposits/orders", sample)
+        """Order at the entry, with a dated key."""
+        url = f"{self.entry_url}/v1/pools/deposits/orders"
+        await self._order(url, sample, make_dated_key(self._rng))
+
+    async def order_plain_through(self, sample: Sample) -> None:
+        """Order at the entry, with a key that carries no date."""
+        url = f"{self.entry_url}/v1/pools/deposits/orders"
+        await self._order(url, sample, str(uuid.uuid4()))
 
     async def _quote(self, url: str, sample: Sample) -> None:
         self._count += 1
         body = {"model": "m", "prompt": f"quote {self._count}", "max_tokens": 1}
         await self._post(url, body, {}, sample)
 
-    async def _order(self, url: str, sample: Sample) -> None:
+    async def _order(self, url: str, sample: Sample, key: str) -> None:
         self._count += 1
-        key = make_dated_key(self._rng)
         await self._post(url, {"deposit": 1}, {"idempotency-key": key}, sample)
 
     async def _post(
@@ -148,44 +158,91 @@
     return {**sample.describe(), "requests_per_s": round(rate, 1)}
 
 
-async def measure_idle(launcher: Launcher) -> dict[str, Any]:
+def list_pids(launcher: Launcher, pool: str) -> dict[str, list[int]]:
+    """Return the processes of the entry and of the pool's agents."""
+
+    def find(daemon: Daemon) -> int:
+        return launcher.processes[daemon.name].popen.pid
+
+    return {
+        "entry": [find(launcher.entries[0])],
+        "agents": [find(agent) for agent in launcher.agents_of(pool)],
+    }
+
+
+async def measure_idle(launcher: Launcher, idle_s: float) -> dict[str, Any]:
     """Return resident memory and share of a core of daemons without requests."""
-    figures = {}
-    daemons: list[Daemon] = [launcher.entries[0], launcher.agents[0]]
-    pids = [launcher.processes[d.name].popen.pid for d in daemons]
-    before = [read_cpu_s(pid) for pid in pids]
-    await anyio.sleep(IDLE_S)
-    for daemon, pid, cpu_s in zip(daemons, pids, before, strict=True):
-        figures[daemon.record.role] = {
-            "resident_mb": round(read_resident_bytes(pid) / 1e6, 1),
-            "core_share": round((read_cpu_s(pid) - cpu_s) / IDLE_S, 4),
+    pids = list_pids(launcher, "quotes")
+    meter = CpuMeter(pids)
+    await anyio.sleep(idle_s)
+    shares = meter.shares()
+    return {
+        role: {
+            "resident_mb": round(read_resident_bytes(pids[role][0]) / 1e6, 1),
+            "core_share": round(shares[role] / len(pids[role]), 4),
         }
-    return figures
+        for role in pids
+    }
+
+
+class Measurement:
+    """The phases of one run, each with the processor time that it took."""
+
+    def __init__(self, launcher: Launcher, idle: dict[str, Any]) -> None:
+        self._launcher = launcher
+        self._idle = idle
+
+    def start_meter(self, pool: str) -> CpuMeter:
+        """Return a meter of the entry and the pool's agents."""
+        pids = list_pids(self._launcher, pool)
+        shares = {r: self._idle[r]["core_share"] * len(pids[r]) for r in pids}
+        return CpuMeter(pids, shares)
+
+    async def compare(
+        self, pool: str, direct: Call, through: Call, seconds: float
+    ) -> dict[str, Any]:
+        """Return both ways to call, what is added, and the time of processors."""
+        meter = self.start_meter(pool)
+        calls = {"direct": direct, "through": through}
+        figures = await run_at_rate(calls, seconds)
+        figures.update(meter.per_unit_ms(int(seconds * RATE_PER_S)))
+        for key in ("p50_ms", "p99_ms"):
+            added = figures["through"][key] - figures["direct"][key]
+            figures[f"added_{key}"] = round(added, 3)
+        figures["load_average"] = os.getloadavg()[0]
+        return figures
+
+    async def flat_out(self, call: Call, seconds: float) -> dict[str, Any]:
+        """Return the throughput of quotes, and the time of processors."""
+        meter = self.start_meter("quotes")
+        figures = await run_flat_out(call, seconds)
+        figures.update(meter.per_unit_ms(figures["requests_per_s"] * seconds))
+        return figures
 
 
 async def measure(launcher: Launcher, arguments: argparse.Namespace) -> dict[str, Any]:
-    """Take all figures."""
+    """Take all figures of plain calls."""
+    seconds = arguments.seconds
     result: dict[str, Any] = {"bench": "latency", "rate_per_s": RATE_PER_S}
     await prepare(launcher)
-    result["idle"] = await measure_idle(launcher)
+    result["idle"] = await measure_idle(launcher, arguments.idle_seconds)
+    print(f"idle: {result['idle']}", flush=True)
+    measurement = Measurement(launcher, result["idle"])
     caller = Caller(launcher)
-    result["quotes"] = await run_at_rate(
-        {"direct": caller.quote_direct, "through": caller.quote_through},
-        arguments.seconds,
+    result["quotes"] = await measurement.compare(
+        "quotes", caller.quote_direct, caller.quote_through, seconds
     )
-    result["keyed_orders"] = await run_at_rate(
-        {"direct": caller.order_direct, "through": caller.order_through},
-        arguments.seconds,
+    result["dated_orders"] = await measurement.compare(
+        "deposits", caller.order_direct, caller.order_through, seconds
     )
-    for name in ("quotes", "keyed_orders"):
-        figures = result[name]
-        for key in ("p50_ms", "p99_ms"):
-            added = figures["through"][key] - figures["direct"][key]
-            figures[f"added_{key}"] = round(added, 3)
-        print(f"{name}: {figures}", flush=True)
+    result["plain_orders"] = await measurement.compare(
+        "deposits", caller.order_direct, caller.order_plain_through, seconds
+    )
+    for name in ("quotes", "dated_orders", "plain_orders"):
+        print(f"{name}: {result[name]}", flush=True)
     result["flat_out"] = {
-        "direct": await run_flat_out(caller.quote_direct, arguments.seconds / 2),
-        "through": await run_flat_out(caller.quote_through, arguments.seconds / 2),
+        "direct": await run_flat_out(caller.quote_direct, seconds / 2),
+        "through": await measurement.flat_out(caller.quote_through, seconds / 2),
     }
     print(f"flat out: {result['flat_out']}", flush=True)
     await caller.aclose()
@@ -196,6 +253,7 @@
     """Run the measurement."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--idle-seconds", type=float, default=30.0)
     parser.add_argument("--streams", type=int, default=400)
     arguments = parser.parse_args()
     exit_on_signals()
--- a/bench/measuring.py
+++ b/bench/measuring.py
@@ -2,10 +2,11 @@
 
 import json
 import os
+import time
 from pathlib import Path
 from typing import Any
 
-__all__ = ["print_result", "read_cpu_s", "read_resident_bytes"]
+__all__ = ["CpuMeter", "print_result", "read_cpu_s", "read_resident_bytes"]
 
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 KIBIBYTE = 1024
@@ -26,6 +27,49 @@
     return (user + system) / TICKS_PER_S
 
 
+class CpuMeter:
+    """Processor time of the entry and of the agents since it was started.
+
+    On a busy machine latency says more of the neighbours than of the daemons;
+    processor time changes far less.  What the daemons use when idle is left
+    out by its share of a core, measured before.
+    """
+
+    def __init__(
+        self, pids: dict[str, list[int]], idle_shares: dict[str, float] | None = None
+    ) -> None:
+        self._pids = pids
+        self._idle_shares = idle_shares or {}
+        self._start_s = time.monotonic()
+        self._before = self._read()
+
+    def shares(self) -> dict[str, float]:
+        """Return the share of a core that each role's processes used in all."""
+        took_s = time.monotonic() - self._start_s
+        now = self._read()
+        return {role: (now[role] - self._before[role]) / took_s for role in now}
+
+    def per_unit_ms(self, count: float) -> dict[str, float]:
+        """Return milliseconds beyond idle for each of `count` requests or tokens."""
+        took_s = time.monotonic() - self._start_s
+        return {
+            f"{role}_cpu_ms": round(
+                1000
+                * (share - self._idle_shares.get(role, 0.0))
+                * took_s
+                / max(count, 1),
+                3,
+            )
+            for role, share in self.shares().items()
+        }
+
+    def _read(self) -> dict[str, float]:
+        return {
+            role: sum(read_cpu_s(pid) for pid in pids)
+            for role, pids in self._pids.items()
+        }
+
+
 def print_result(result: dict[str, Any]) -> None:
     """Print the JSON object that ends a measurement's output."""
     print(json.dumps(result, sort_keys=True), flush=True)
--- a/bench/stream_worker.py
+++ b/bench/stream_worker.py
@@ -17,6 +17,9 @@
 
 EVENT = b"data: "
 RETRY_S = 1.0
+SHORT_TOKENS = 10
+LONG_BEFORE_S = 3.0
+"""How long before the time that counts the streams get their full length."""
 
 
 @dataclass
@@ -41,10 +44,11 @@
     round_number = 0
     while time.monotonic() < tally.until_s:
         round_number += 1
+        is_warm = time.monotonic() >= tally.from_s - LONG_BEFORE_S
         body = {
             "model": arguments.model,
             "prompt": f"stream {number} {round_number}",
-            "max_tokens": arguments.tokens,
+            "max_tokens": arguments.tokens if is_warm else SHORT_TOKENS,
             "stream": True,
         }
         headers = {"x-workspace": f"workspace-{number % 10}"}
--- a/bench/streams.py
+++ b/bench/streams.py
@@ -1,6 +1,7 @@
 """Measure the streamed tokens a second that one entry daemon relays."""
 
 import json
+import os
 import subprocess
 import sys
 import time
@@ -11,15 +12,16 @@
 from stand_ins.launcher import launch
 from stand_ins.processes import TOP
 
-from .measuring import read_cpu_s
+from .measuring import CpuMeter
 from .small_deployment import DEPLOYMENT, make_options, prepare
 
 __all__ = ["measure_streams"]
 
 ENGINE_ARGUMENTS = ("--token-s", "0.02", "--sequence-s", "0")
 DIRECT_WARM_S = 2.0
-THROUGH_WARM_S = 20.0
-"""Agents raise their limits by completions; long streams complete rarely."""
+THROUGH_WARM_S = 12.0
+"""Entry and agents raise their limits by completions: the workers' streams are
+short for most of the warm-up."""
 
 
 def measure_streams(streams: int, seconds: float) -> dict[str, Any]:
@@ -28,8 +30,11 @@
         anyio.run(prepare, launcher)
         entry = launcher.entries[0]
         agents = launcher.agents_of("quotes")
-        names = [entry.name, *(agent.name for agent in agents)]
-        pids = [launcher.processes[name].popen.pid for name in names]
+        processes = launcher.processes
+        pids = {
+            "entry": [processes[entry.name].popen.pid],
+            "agents": [processes[agent.name].popen.pid for agent in agents],
+        }
         direct = [f"{agent.target_url}/v1/completions" for agent in agents]
         through = [f"{entry.http_url}/v1/pools/quotes/v1/completions"] * len(agents)
         return {
@@ -39,7 +44,11 @@
 
 
 def run_workers(
-    urls: list[str], streams: int, warm_s: float, seconds: float, pids: list[int]
+    urls: list[str],
+    streams: int,
+    warm_s: float,
+    seconds: float,
+    pids: dict[str, list[int]],
 ) -> dict[str, Any]:
     """Return tokens a second over all workers, and the daemons' processor time."""
     command = [sys.executable, "-m", "bench.stream_worker", "--model", "m"]
@@ -50,19 +59,23 @@
         for url in urls
     ]
     time.sleep(warm_s)
-    before = [read_cpu_s(pid) for pid in pids]
-    start_s = time.monotonic()
+    meter = CpuMeter(pids)
     time.sleep(seconds)
-    took_s = time.monotonic() - start_s
-    used = [read_cpu_s(pid) - b for pid, b in zip(pids, before, strict=True)]
+    shares = meter.shares()
     answers = [json.loads(worker.communicate()[0]) for worker in workers]
     for answer in answers:
         for failure in answer["first_failures"][:1]:
             print(f"stream failed: {failure}", flush=True)
-    return {
-        "tokens_per_s": round(sum(a["tokens"] for a in answers) / seconds),
+    tokens = sum(answer["tokens"] for answer in answers)
+    figures = {
+        "tokens_per_s": round(tokens / seconds),
         "failures_while_counting": sum(a["failures"] for a in answers),
         "streams": streams,
-        "entry_cores": round(used[0] / took_s, 2),
-        "agent_cores": [round(cpu_s / took_s, 2) for cpu_s in used[1:]],
+        "load_average": os.getloadavg()[0],
     }
+    for role, share in shares.items():
+        figures[f"{role}_cores"] = round(share, 2)
+        used_ms = 1000 * share * seconds
+        per_thousand = used_ms / max(tokens / 1000, 1)
+        figures[f"{role}_cpu_ms_per_1000_tokens"] = round(per_thousand, 1)
+    return figures
