Write lists of structs in place

Cause: a list of dicts handed to pycapnp took 133 us for eight headers, the same fields set in place 17 us; a whole AttemptStart 167 and 40 us, an AttemptHead 61 and 22 us to encode (trials, timed alone on the busy machine, load 16). The wire is the same.

--- a/reedspar/messages/registry.py
+++ b/reedspar/messages/registry.py
@@ -18,6 +18,8 @@
 __all__ = ["BatchType", "MessageRegistry", "MessageType", "load_schema"]
 
 Converter = Callable[[Any], Any]
+Writer = Callable[[Any, str, Any], None]
+"""Sets the field of that name of a builder to the schema's form of a value."""
 SCALARS = (str, int, float, bool, bytes)
 
 
@@ -35,55 +37,94 @@
     return value
 
 
-def _make_converters(annotation: Any) -> tuple[Converter, Converter]:
+def _make_converters(annotation: Any) -> tuple[Writer, Converter]:
     """Return the functions to and from the schema's value."""
     if annotation in SCALARS:
-        return _identity, _identity
+        return setattr, _identity
     if isinstance(annotation, type) and issubclass(annotation, Enum):
-        return (lambda value: value.value), annotation
+        return _write_enum, annotation
     if dataclasses.is_dataclass(annotation):
         fields = _make_fields(annotation)
-        return _make_struct_converters(annotation, fields)
+        return _make_struct_writer(fields), _make_struct_reader(annotation, fields)
     if typing.get_origin(annotation) is tuple:
         item, ellipsis = typing.get_args(annotation)
-        if ellipsis is Ellipsis and item in SCALARS:
-            return list, tuple
         if ellipsis is Ellipsis:
-            encode, decode = _make_converters(item)
-            return (
-                (lambda values: [encode(value) for value in values]),
-                (lambda values: tuple(decode(value) for value in values)),
-            )
+            return _make_list_converters(item)
     raise TypeError(f"{annotation} has no encoding")
 
 
+def _make_list_converters(item: Any) -> tuple[Writer, Converter]:
+    if item in SCALARS:
+        return _write_scalars, tuple
+    _, read = _make_converters(item)
+
+    def read_all(values: Any) -> tuple[Any, ...]:
+        return tuple([read(value) for value in values])
+
+    if dataclasses.is_dataclass(item):
+        return _make_struct_list_writer(_make_fields(item)), read_all
+    if issubclass(item, Enum):
+        return _write_enums, read_all
+    raise TypeError(f"tuples of {item} have no encoding")
+
+
+def _write_enum(builder: Any, name: str, value: Enum) -> None:
+    setattr(builder, name, value.value)
+
+
+def _write_enums(builder: Any, name: str, values: tuple[Enum, ...]) -> None:
+    setattr(builder, name, [value.value for value in values])
+
+
+def _write_scalars(builder: Any, name: str, values: tuple[Any, ...]) -> None:
+    setattr(builder, name, list(values))
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Field:
     name: str
     wire_name: str
-    encode: Converter
-    decode: Converter
+    write: Writer
+    read: Converter
 
 
 def _make_fields(message_class: Any) -> tuple[_Field, ...]:
     hints = typing.get_type_hints(message_class)
     fields = []
     for field in dataclasses.fields(message_class):
-        encode, decode = _make_converters(hints[field.name])
-        fields.append(_Field(field.name, to_camel_case(field.name), encode, decode))
+        write, read = _make_converters(hints[field.name])
+        fields.append(_Field(field.name, to_camel_case(field.name), write, read))
     return tuple(fields)
 
 
-def _make_struct_converters(
-    message_class: Any, fields: tuple[_Field, ...]
-) -> tuple[Converter, Converter]:
-    def encode(message: Any) -> dict[str, Any]:
-        return {f.wire_name: f.encode(getattr(message, f.name)) for f in fields}
+def _write_fields(builder: Any, fields: tuple[_Field, ...], message: Any) -> None:
+    for field in fields:
+        field.write(builder, field.wire_name, getattr(message, field.name))
+
+
+def _make_struct_writer(fields: tuple[_Field, ...]) -> Writer:
+    def write(builder: Any, name: str, value: Any) -> None:
+        _write_fields(builder.init(name), fields, value)
+
+    return write
+
+
+def _make_struct_list_writer(fields: tuple[_Field, ...]) -> Writer:
+    """Return a writer in place; a list of dicts would cost eight times as much."""
+
+    def write(builder: Any, name: str, values: tuple[Any, ...]) -> None:
+        items = builder.init(name, len(values))
+        for i, value in enumerate(values):
+            _write_fields(items[i], fields, value)
+
+    return write
+
 
-    def decode(reader: Any) -> Any:
-        return message_class(*[f.decode(getattr(reader, f.wire_name)) for f in fields])
+def _make_struct_reader(message_class: Any, fields: tuple[_Field, ...]) -> Converter:
+    def read(reader: Any) -> Any:
+        return message_class(*[f.read(getattr(reader, f.wire_name)) for f in fields])
 
-    return encode, decode
+    return read
 
 
 class MessageType:
@@ -94,15 +135,12 @@
         self.message_class = message_class
         self._struct = struct
         self._fields = _make_fields(message_class)
-        _, self._decode = _make_struct_converters(message_class, self._fields)
+        self._decode = _make_struct_reader(message_class, self._fields)
 
     def encode(self, message: Any) -> bytes:
         """Return the message's Cap'n Proto bytes."""
         builder = self._struct.new_message()
-        for field in self._fields:
-            setattr(
-                builder, field.wire_name, field.encode(getattr(message, field.name))
-            )
+        _write_fields(builder, self._fields, message)
         return builder.to_bytes()
 
     def decode(self, data: bytes) -> Any:
