--- a/bench/claims.py
+++ b/bench/claims.py
@@ -98,7 +98,9 @@
             for name in ENTRIES:
                 timers = create_loop_timers()
                 terms = LedgerTerms(86_400.0, 35.0)
-                ledger = ClaimLedger(self.key_value, timers, self.unix_time, terms)
+                ledger = ClaimLedger(
+                    self.key_value, timers, self.unix_time, terms, lambda: len(ENTRIES)
+                )
                 client = ClaimClient(name, self._join(name), timers, ledger, entries)
                 self.filters.append(Deduplicate(client, self.unix_time, 86_400.0))
                 tasks.start_soon(ledger.run)
--- a/reedspar/requests/claim_client.py
+++ b/reedspar/requests/claim_client.py
@@ -5,7 +5,7 @@
 token, which is safe whether or not the owner wrote it before.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 
@@ -76,20 +76,32 @@
         waiting = self._waiting[token] = _Waiting()
         try:
             owner = self._owner_of(place.location)
+            is_asked = False
             if owner != self._name and self._network.send(owner, request) is None:
                 with anyio.move_on_after(OWNER_TIMEOUT_S):
                     await waiting.event.wait()
                 if waiting.reply is not None:
                     return waiting.reply
                 self._pass_by(owner)
+                is_asked = True
             self._ledger.submit_claim(request, self._on_reply)
             with anyio.move_on_after(DIRECT_TIMEOUT_S):
                 await waiting.event.wait()
-            detail = "no answer from the claims"
-            return waiting.reply or make_reply(token, ClaimVerdict.UNAVAILABLE, detail)
+            return self._conclude(token, waiting.reply, is_asked)
         finally:
             del self._waiting[token]
 
+    def _conclude(
+        self, token: str, reply: ClaimReply | None, is_asked: bool
+    ) -> ClaimReply:
+        if reply is None:
+            detail = "no answer from the claims"
+            return make_reply(token, ClaimVerdict.UNAVAILABLE, detail)
+        # The owner that did not answer may still write the claim later.
+        if reply.verdict is ClaimVerdict.NOT_WRITTEN and is_asked:
+            return replace(reply, verdict=ClaimVerdict.UNAVAILABLE)
+        return reply
+
     def update(self, update: ClaimUpdate) -> None:
         """Record how the order ended; sent again until it is written."""
         if len(self._updates) >= UPDATES_MAX:
--- a/reedspar/requests/claim_ledger.py
+++ b/reedspar/requests/claim_ledger.py
@@ -18,7 +18,8 @@
 from reedspar.timers import TimerService
 
 from .claim_leases import ClaimLeases
-from .claim_places import UNDATED, is_location_expired, partition_of
+from .claim_pace import PaceTerms, WritePace
+from .claim_places import is_location_expired
 from .claim_table import ClaimTable, make_reply
 from .messages import (
     ClaimRecord,
@@ -36,8 +37,14 @@
 CACHE_SIZE_BYTES = 8 * 1024 * 1024
 COMMITS_MAX = 10
 READ_AGAIN_S = 0.02
+CROWDED = (
+    "more undated idempotency keys than can be written; "
+    "a UUID of version 7 shares its write with others"
+)
 PARALLEL_MAX = 64
 
+UNCONFIRMED = "the key-value service did not confirm the claim"
+UNSURE = ClaimVerdict.UNAVAILABLE
 SURE_VERDICTS = frozenset({ClaimVerdict.GRANTED, ClaimVerdict.ANSWERED})
 
 OnReply = Callable[[ClaimReply], None]
@@ -50,12 +57,7 @@
 
     ttl_s: float
     running_s: float
-    write_interval_s: float = 0.04
-    """Least time between two writes of one partition."""
-    undated_writes_per_s: float = 200.0
-    """Writes of undated keys that all entries together may make."""
-    undated_wait_s: float = 0.5
-    """Wait for such a write beyond which the claim is refused at once."""
+    pace: PaceTerms = field(default_factory=PaceTerms)
     update_delay_s: float = 0.25
     """How long an outcome waits for a claim to share its write with."""
     cache_s: float = 1.0
@@ -88,6 +90,17 @@
     read_s: float
 
 
+@dataclass(slots=True)
+class _Commit:
+    """How far a batch came."""
+
+    is_done: bool = False
+    is_writing: bool = False
+    """A write was sent, and its answer is not there."""
+    is_unknown: bool = False
+    """The answer of a write was lost."""
+
+
 class ClaimLedger:
     """Claims and outcomes of one entry, and of those that forward to it."""
 
@@ -99,11 +112,11 @@
         terms: LedgerTerms,
         count_entries: Callable[[], int] = lambda: 1,
     ) -> None:
-        self._count_entries = count_entries
         self._key_value = key_value
         self._timers = timers
         self._unix_time = unix_time
         self._terms = terms
+        self._pace = WritePace(timers, terms.pace, count_entries)
         self._leases = ClaimLeases(key_value, timers, terms.ttl_s)
         registry = MessageRegistry()
         register_messages(registry)
@@ -111,9 +124,7 @@
         self._record_codec = registry.for_class(ClaimRecord)
         self._batches: dict[str, _Batch] = {}
         self._cache: OrderedDict[str, _Cached] = OrderedDict()
-        self._next_write_s: dict[str, float] = {}
         self._tasks: TaskGroup | None = None
-        self._undated_waiting: set[str] = set()
         self._slots = anyio.Semaphore(PARALLEL_MAX)
         self.counts = LedgerCounts()
 
@@ -131,14 +142,9 @@
     def submit_claim(self, request: ClaimRequest, on_reply: OnReply) -> None:
         """Claim; `on_reply` is called once the record is written or refused."""
         self.counts.claims += 1
-        is_undated = partition_of(request.location) == UNDATED
-        if is_undated and self._is_crowded():
-            detail = "more undated idempotency keys than can be written; "
-            detail += "a UUID of version 7 shares its write with others"
-            on_reply(make_reply(request.token, ClaimVerdict.CROWDED, detail))
+        if not self._pace.try_enter(request.location):
+            on_reply(make_reply(request.token, ClaimVerdict.NOT_WRITTEN, CROWDED))
             return
-        if is_undated:
-            self._undated_waiting.add(request.location)
         batch = self._batch_of(request.location)
         batch.claims.append((request, on_reply))
         batch.wake.set()
@@ -166,64 +172,37 @@
                 del self._batches[location]
                 return
             async with self._slots:
-                await self._pace(partition_of(location))
-                self._undated_waiting.discard(location)
+                await self._pace.wait(location)
                 batch = self._batches[location]
                 self._batches[location] = _Batch()
                 await self._commit_bounded(location, batch)
 
-    async def _pace(self, partition: str) -> None:
-        """Wait for the partition's next turn to write."""
-        now_s = self._timers.now_s()
-        turn_s = max(now_s, self._next_write_s.get(partition, 0.0))
-        self._next_write_s[partition] = turn_s + self._interval_s(partition)
-        if turn_s > now_s:
-            await anyio.sleep(turn_s - now_s)
-
-    def _interval_s(self, partition: str) -> float:
-        """Return the least time between two writes of a partition.
-
-        Undated keys have a value each, which no other order's write can share.
-        Their owner is whichever entry has the request, so the writes that the
-        key-value service bears are divided by the number of entries.
-        """
-        if partition != UNDATED:
-            return self._terms.write_interval_s
-        return max(1, self._count_entries()) / self._terms.undated_writes_per_s
-
-    def _is_crowded(self) -> bool:
-        """Tell whether an undated claim would wait too long to be of use.
-
-        It would time out in the queue instead, after seconds in which the
-        caller hears nothing, and hold up those behind it.
-        """
-        turn_s = self._next_write_s.get(UNDATED, 0.0)
-        queued_s = len(self._undated_waiting) * self._interval_s(UNDATED)
-        wait_s = max(0.0, turn_s - self._timers.now_s()) + queued_s
-        return wait_s > self._terms.undated_wait_s
-
     async def _commit_bounded(self, location: str, batch: _Batch) -> None:
-        is_done = False
+        state = _Commit()
         with anyio.move_on_after(self._terms.commit_timeout_s):
-            is_done = await self._commit(location, batch)
-        if not is_done:
-            self._cache.pop(location, None)
-            for request, on_reply in batch.claims:
-                detail = "the key-value service did not confirm the claim"
-                on_reply(make_reply(request.token, ClaimVerdict.UNAVAILABLE, detail))
-
-    async def _commit(self, location: str, batch: _Batch) -> bool:
-        """Return whether every claim got its reply from what is written."""
+            await self._commit(location, batch, state)
+        if state.is_done:
+            return
+        self._cache.pop(location, None)
+        # A write that is provably not written needs no release, which would
+        # cost another write just when there are too many.
+        is_doubtful = state.is_writing or state.is_unknown
+        verdict = UNSURE if is_doubtful else ClaimVerdict.NOT_WRITTEN
+        for request, on_reply in batch.claims:
+            on_reply(make_reply(request.token, verdict, UNCONFIRMED))
+
+    async def _commit(self, location: str, batch: _Batch, state: _Commit) -> None:
+        """Write the batch; the state tells how far it came."""
         cached = self._cache.get(location) or await self._read(location, None)
         for _ in range(COMMITS_MAX):
             if cached is None:
-                return False
+                return
             table = cached.table.copy()
             replies, is_changed = self._apply(table, batch)
             if is_changed:
-                written = await self._write(location, table, cached.revision)
+                written = await self._write(location, table, cached.revision, state)
                 if isinstance(written, Failure):
-                    return False
+                    return
                 if written == 0:
                     cached = await self._read(location, cached.revision)
                     continue
@@ -231,9 +210,9 @@
             elif self._is_doubtful(cached, replies):
                 cached = await self._read(location, None)
                 continue
+            state.is_done = True
             self._reply(location, batch, replies)
-            return True
-        return False
+            return
 
     def _apply(self, table: ClaimTable, batch: _Batch) -> tuple[list[ClaimReply], bool]:
         now_s = self._unix_time()
@@ -267,7 +246,7 @@
             on_written()
 
     async def _write(
-        self, location: str, table: ClaimTable, revision: int
+        self, location: str, table: ClaimTable, revision: int, state: _Commit
     ) -> int | Failure:
         """Return the new revision, 0 on a conflict, or a failure.
 
@@ -280,9 +259,11 @@
         value = self._codec.encode(table.to_slice(self._record_codec))
         while True:
             self.counts.writes += 1
+            state.is_writing = True
             result = await self._key_value.compare_and_swap(
                 location, value, revision, lease_id
             )
+            state.is_writing = False
             if not isinstance(result, Failure):
                 return result
             if result.reason is Reason.CONFLICT:
@@ -292,6 +273,7 @@
                 self._leases.drop()
                 return result
             self.counts.unknown += 1
+            state.is_unknown = True
             await anyio.sleep(READ_AGAIN_S)
 
     async def _read(self, location: str, conflicted: int | None) -> _Cached | None:
--- a/reedspar/requests/messages.py
+++ b/reedspar/requests/messages.py
@@ -48,8 +48,8 @@
     """The record's time to live has passed."""
     UNAVAILABLE = "unavailable"
     """The record could not be read or written; it may have been, unseen."""
-    CROWDED = "crowded"
-    """Refused before anything was written: the writes in turn are too many."""
+    NOT_WRITTEN = "not_written"
+    """Refused, and proved that nothing was written."""
 
 
 class ClaimState(Enum):
