--- a/bench/overload.py
+++ b/bench/overload.py
@@ -24,7 +24,7 @@
 from reedspar.errors import Failure, Reason, Step
 from reedspar.platform import EngineState, TargetRequest
 from reedspar.requests import RequestService
-from reedspar.requests.admission import AdmissionControl
+from reedspar.requests.admission import AdmissionControl, WorkspaceTerms
 from reedspar.requests.tests.fakes import make_service
 from reedspar.requests.tests.mesh import Mesh, PlainOffers, make_agent_settings
 from reedspar.requests.tests.virtual import create_loop_timers, run_virtual
@@ -124,12 +124,16 @@
 class OpenDoor(AdmissionControl):
     """Admits everything: the design before admission."""
 
-    def try_admit(self, *arguments: Any) -> None:
+    def try_admit(
+        self,
+        workspace: str,
+        terms: WorkspaceTerms,
+        now_s: float,
+        *,
+        has_room: bool = False,
+    ) -> Failure | None:
         """Take a place whatever the load is."""
-        workspace, terms, now_s = arguments
-        window, self.window = self.window, float("inf")
-        super().try_admit(workspace, terms, now_s)
-        self.window = window
+        return super().try_admit(workspace, terms, now_s, has_room=True)
 
 
 @dataclass
--- a/reedspar/requests/admission.py
+++ b/reedspar/requests/admission.py
@@ -87,9 +87,18 @@
     _workspaces: dict[str, _Workspace] = field(default_factory=dict)
 
     def try_admit(
-        self, workspace: str, terms: WorkspaceTerms, now_s: float
+        self,
+        workspace: str,
+        terms: WorkspaceTerms,
+        now_s: float,
+        *,
+        has_room: bool = False,
     ) -> Failure | None:
-        """Take a place, or return why not and when to come back."""
+        """Take a place, or return why not and when to come back.
+
+        While the targets report room, the window binds nobody: it grows by
+        answers, and long streams would not answer before it is needed.
+        """
         self.forget_idle(now_s)
         state = self._workspaces.get(workspace)
         if state is None:
@@ -100,6 +109,10 @@
         if state.in_flight >= terms.max_in_flight:
             return self._refuse(f"{workspace} has {state.in_flight} in flight")
         top = max(WINDOW_MIN, self.window * _priority_part(terms.priority))
+        if has_room:
+            self.window = max(self.window, float(self.in_flight + 1))
+            self._admit(state)
+            return None
         is_over = self._is_over_share(state, top)
         # Bursts of those within their share go into what low priority leaves
         # free; kept free within the places, that room would be lost to all.
@@ -110,8 +123,7 @@
             state.note_refused(self.latency_s, now_s)
             detail = "capacity is short" if is_full else f"{workspace} uses its share"
             return self._refuse(detail, overload=self.in_flight / top)
-        state.in_flight += 1
-        self.in_flight += 1
+        self._admit(state)
         return None
 
     def on_answered(self, workspace: str, latency_s: float, now_s: float) -> None:
@@ -158,6 +170,10 @@
         for name in idle:
             del self._workspaces[name]
 
+    def _admit(self, state: _Workspace) -> None:
+        state.in_flight += 1
+        self.in_flight += 1
+
     def _release(self, workspace: str) -> None:
         self._workspaces[workspace].in_flight -= 1
         self.in_flight -= 1
--- a/reedspar/requests/guards.py
+++ b/reedspar/requests/guards.py
@@ -10,6 +10,7 @@
 from .endings import make_not_run
 from .quarantine import Quarantine, Standing
 from .request import Answer, Outcome, Proceed, Request
+from .target_directory import TargetDirectory
 from .views import ConfigurationView
 
 __all__ = ["Admit", "Guard"]
@@ -75,8 +76,14 @@
 class Admit:
     """Refuse what the pool does not bear now, by priority and by workspace."""
 
-    def __init__(self, configuration: ConfigurationView, timers: TimerService) -> None:
+    def __init__(
+        self,
+        configuration: ConfigurationView,
+        directory: TargetDirectory,
+        timers: TimerService,
+    ) -> None:
         self._configuration = configuration
+        self._directory = directory
         self._timers = timers
         self.pools: dict[str, AdmissionControl] = {}
         timers.call_every(FORGET_S, self._forget_idle)
@@ -87,7 +94,12 @@
         workspace = request.workspace
         started_s = self._timers.now_s()
         terms = self._find_terms(workspace)
-        failure = control.try_admit(workspace, terms, started_s)
+        failure = control.try_admit(
+            workspace,
+            terms,
+            started_s,
+            has_room=self._directory.has_room(request.pool),
+        )
         if failure is not None:
             return make_not_run(failure)
         answer: Answer | None = None
--- a/reedspar/requests/service.py
+++ b/reedspar/requests/service.py
@@ -94,7 +94,7 @@
         quarantine,
         timers,
     )
-    admission = Admit(configuration, timers)
+    admission = Admit(configuration, directory, timers)
     filters: list[Filter] = [
         Identify(configuration),
         Bound(timers, settings.deadline_s, settings.body_limit_bytes),
--- a/reedspar/requests/target_directory.py
+++ b/reedspar/requests/target_directory.py
@@ -12,6 +12,7 @@
 
 REPORT_TTL_S = 5.0
 FORGET_AFTER_S = 60.0
+ROOMY_PART = 0.75
 IncarnationListener = Callable[[str, int], None]
 
 
@@ -33,6 +34,13 @@
         """Return the target's name."""
         return self.report.target
 
+    @property
+    def count(self) -> float:
+        """Return the estimated requests that it has."""
+        report = self.report
+        since = self.own_in_flight - self.own_at_report
+        return max(self.own_in_flight, report.in_flight + report.queued + since)
+
     @property
     def load(self) -> float:
         """Return the estimated requests per place of its limit.
@@ -40,10 +48,7 @@
         The report counts everybody's requests with a lag; our own hand-overs
         since then are added, and our own answers since then taken off.
         """
-        report = self.report
-        since = self.own_in_flight - self.own_at_report
-        count = max(self.own_in_flight, report.in_flight + report.queued + since)
-        return count / max(1, report.limit)
+        return self.count / max(1, self.report.limit)
 
 
 class TargetDirectory:
@@ -81,6 +86,15 @@
             if now_s >= view.refused_until_s:
                 yield view
 
+    def has_room(self, pool: str) -> bool:
+        """Tell whether the pool's targets are, as far as known, far from full."""
+        limit = 0
+        count = 0.0
+        for view in self.usable(pool):
+            limit += view.report.limit
+            count += view.count
+        return count + 1 <= ROOMY_PART * limit
+
     def count(self, pool: str) -> int:
         """Return how many targets of `pool` are known, usable or not."""
         return len(self._by_pool.get(pool, {}))
--- a/reedspar/requests/tests/test_decisions.py
+++ b/reedspar/requests/tests/test_decisions.py
@@ -99,6 +99,15 @@
             total = sum(pool.answered.values()) / 10
             self.assertGreater(total, 0.95 * 200)
 
+    def test_long_streams_are_admitted_while_targets_have_room(self) -> None:
+        # Many streams begin within a second, each for minutes.  A window that
+        # grows by answers alone would refuse nearly all before idle targets.
+        control = AdmissionControl()
+        terms = WorkspaceTerms(max_in_flight=1000)
+        for number in range(400):
+            failure = control.try_admit("w", terms, number / 400, has_room=True)
+            self.assertIsNone(failure)
+
     def test_low_priority_is_refused_first(self) -> None:
         pool = Pool(20, 1)
         terms = {
