--- a/reedspar/requests/messages.py
+++ b/reedspar/requests/messages.py
@@ -128,7 +128,8 @@
 class ClaimSlice:
     """One value of the key-value service: the records of one location."""
 
-    records: tuple[ClaimRecord, ...]
+    records: tuple[bytes, ...]
+    """Encoded claim records."""
 
 
 def register_messages(registry: MessageRegistry) -> None:
@@ -141,5 +142,6 @@
         ClaimReply,
         ClaimUpdate,
         ClaimUpdated,
+        ClaimRecord,
         ClaimSlice,
     )
--- a/reedspar/tool/fleet_commands.py
+++ b/reedspar/tool/fleet_commands.py
@@ -1,5 +1,6 @@
 """``reedspar targets`` and ``reedspar entries``."""
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -17,6 +18,7 @@
 __all__ = ["Entries", "Targets", "name_version"]
 
 DIGEST_SHOWN = 12
+STATE_COLUMN = 2
 
 RowMaker = Callable[[MemberStatus, DaemonStatus], list[str]]
 
@@ -65,6 +67,9 @@
             else:
                 rows.append(make_row(member, value))
         session.show_table(columns, rows)
+        states = Counter(row[STATE_COLUMN] for row in rows)
+        counts = ", ".join(f"{n} {state}" for state, n in sorted(states.items()))
+        session.show_line(f"{len(rows)} in all: {counts}")
         for answer in lost:
             session.warn(f"reedspar: {answer.value}")
     return ExitCode.INCOMPLETE if lost else ExitCode.OK
@@ -95,7 +100,7 @@
         def make_row(member: MemberStatus, status: DaemonStatus) -> list[str]:
             agent = status.agent
             if agent is None:
-                return [member.name, member.zone, describe_state(status), *[""] * 6]
+                return [member.name, member.zone, describe_state(status), *[""] * 5]
             offered = [
                 f"{model}={name_version(document, model, digest)}"
                 for model, digest in sorted(agent.offered.items())
@@ -106,14 +111,13 @@
                 describe_state(status),
                 agent.pool,
                 " ".join(offered),
-                str(agent.in_flight),
-                str(agent.limit),
+                f"{agent.in_flight}/{agent.limit}",
                 str(agent.queued),
                 str(status.config_version),
             ]
 
         columns = ["target", "zone", "state", "pool", "offered"]
-        columns += ["#in flight", "#limit", "#queued", "#config"]
+        columns += ["#load", "#queued", "#config"]
         return show_fleet(session, answers, columns, make_row)
 
 
