--- a/reedspar/configuration/controller.py
+++ b/reedspar/configuration/controller.py
@@ -17,16 +17,11 @@
 from .fetching import DocumentFetch
 from .freshness import age_to_ms
 from .messages import ConfigurationOffer, ConfigurationRequest
-from .patching import DOCUMENT_LIMIT_BYTES, PatchRequest, encode_document
-from .store import (
-    AcceptedPatch,
-    ConfigurationStore,
-    create_configuration_store,
-    decode_document,
-    decode_entry,
-)
+from .patching import DOCUMENT_LIMIT_BYTES, encode_document
+from .store import decode_document, decode_entry
 from .view import DaemonView
 from .watching import (
+    WATCHERS_PER_ZONE,
     KeyValueWatch,
     Spawn,
     WatcherRole,
@@ -76,9 +71,9 @@
         network: Network,
         timers: TimerService,
         watch: KeyValueWatch,
-        store: ConfigurationStore,
         view: DaemonView,
         rng: random.Random,
+        watchers_per_zone: int = WATCHERS_PER_ZONE,
     ) -> None:
         self._name = settings.name
         self._zone = settings.zone
@@ -86,7 +81,6 @@
         self._network = network
         self._timers = timers
         self._watch = watch
-        self._store = store
         self._view = view
         self._rng = rng
         self._document: ConfigurationDocument | None = None
@@ -100,7 +94,7 @@
         self._lone_read_s = timers.now_s() + LONE_READ_FIRST_S * (0.5 + rng.random())
         self._told_s: dict[str, float] = {}
         self._listeners: list[ChangeListener] = []
-        self._role = WatcherRole(settings.name, settings.zone)
+        self._role = WatcherRole(settings.name, settings.zone, watchers_per_zone)
         self._fetch = DocumentFetch()
         self._exchange = FreshnessExchange(
             network,
@@ -193,18 +187,14 @@
             listener(document)
         self._exchange.push()
 
-    async def accept(self, request: PatchRequest) -> AcceptedPatch | Failure:
-        """Accept an operator's patch; see `ConfigurationStore.accept`."""
-        others = len(self._view.zone_members(self._zone)) > 1
-        if others and not self._network.peers():
-            # The promise that an accepted version is in force within seconds
-            # rests on the accepting daemon telling others.
-            detail = "this daemon is cut off from the others; ask another one"
-            return Failure(Reason.UNAVAILABLE, Step.CONFIGURE, detail=detail)
-        result = await self._store.accept(request, self.version)
-        if isinstance(result, AcceptedPatch) and result.document.version > self.version:
-            self.adopt(result.document)
-        return result
+    def learn(self, document: ConfigurationDocument) -> None:
+        """Bring a document into force unless a newer one is already.
+
+        An accepted patch's document comes back after the answer of the
+        key-value service; by then a later one may have arrived from a peer.
+        """
+        if document.version > self.version:
+            self.adopt(document)
 
     def note_sender(self, sender: Sender) -> None:
         """Take in the version that a frame, whatever its payload, has shown."""
@@ -377,7 +367,6 @@
         network,
         timers,
         create_key_value_watch(key_value, spawn),
-        create_configuration_store(key_value),
         view,
         rng or random.Random(),
     )
--- a/reedspar/configuration/tests/fleet.py
+++ b/reedspar/configuration/tests/fleet.py
@@ -13,8 +13,12 @@
 
 from reedspar.configuration import ConfigurationController, ConfigurationDocument
 from reedspar.configuration.patching import encode_document
-from reedspar.configuration.store import CURRENT_KEY, ConfigurationStore
-from reedspar.configuration.watching import KeyValueWatch, WatchResult
+from reedspar.configuration.store import CURRENT_KEY
+from reedspar.configuration.watching import (
+    WATCHERS_PER_ZONE,
+    KeyValueWatch,
+    WatchResult,
+)
 from reedspar.errors import Failure, Reason, Step
 from reedspar.links import Network, Priority, Role
 from reedspar.messages import Sender
@@ -165,9 +169,9 @@
             cast(Network, self),
             self.timers,
             cast(KeyValueWatch, _Watch(self, self.fleet.key_value)),
-            cast(ConfigurationStore, None),
             _View(self.fleet, self),
             random.Random(self.fleet.rng.random()),
+            self.fleet.watchers_per_zone,
         )
         self.controller.start()
 
@@ -243,6 +247,7 @@
     """The region of each zone."""
     seed: int = 0
     loss: float = 0.0
+    watchers_per_zone: int = WATCHERS_PER_ZONE
     measure: Callable[[Sender, Any], int] = lambda sender, message: 0
     is_cut: Callable[[Node, Node], bool] = lambda a, b: False
     observe: Callable[[Node], None] = lambda node: None
--- a/reedspar/configuration/watching.py
+++ b/reedspar/configuration/watching.py
@@ -15,7 +15,13 @@
 
 from .store import CURRENT_KEY
 
-__all__ = ["KeyValueWatch", "WatchResult", "WatcherRole", "create_key_value_watch"]
+__all__ = [
+    "WATCHERS_PER_ZONE",
+    "KeyValueWatch",
+    "WatchResult",
+    "WatcherRole",
+    "create_key_value_watch",
+]
 
 WATCHERS_PER_ZONE = 2
 RANK_LIMIT = 8
