--- /dev/null
+++ b/bench/control_cost.py
@@ -0,0 +1,214 @@
+"""What control costs a daemon, by the size of the fleet, with real processes.
+
+``python -m bench.control_cost [--sizes 9,18,27] [--seconds N]``
+
+No requests and no weights: links, membership, configuration and reports only.
+Prints processor time, resident memory and bytes a second for each daemon, the
+key-value calls, the time from acceptance to in force, and a slope by size.
+"""
+
+import argparse
+import statistics
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import httpx
+
+from bench.measuring import print_result, read_cpu_s, read_resident_bytes
+from reedspar.settings import TargetKind
+from reedspar.timeline.events import EventKind, event_from_json
+from stand_ins.deployments import Deployment, Pool, Zone
+from stand_ins.launcher import Daemon, Launcher, LauncherOptions, launch
+
+__all__ = ["main"]
+
+ZONES = tuple(Zone(f"zone-{i}", f"region-{i}") for i in range(3))
+ENTRY_SHARE = 590 / 2490
+POOL = "orders"
+SETTLE_S = 8.0
+MEBIBYTE = 1024 * 1024
+MEMORY_SHARE = 0.5
+DAEMON_MEMORY_BYTES = 100 * MEBIBYTE
+PATCHES = 5
+ADOPTION_WAIT_S = 4.0
+CLIENT_TIMEOUT_S = 20.0
+TRAFFIC = "links_traffic"
+
+
+def check_memory(count: int) -> None:
+    """Refuse a fleet that would take more than half of what is free."""
+    with open("/proc/meminfo") as file:
+        lines = dict(line.split(":") for line in file)
+    free_bytes = int(lines["MemAvailable"].split()[0]) * 1024
+    if count * DAEMON_MEMORY_BYTES > free_bytes * MEMORY_SHARE:
+        raise SystemExit(f"{count} daemons do not fit into half of {free_bytes} bytes")
+
+
+def make_deployment(count: int) -> Deployment:
+    """Return a fleet of `count` daemons in the ratio to design for."""
+    entries = max(3, round(count * ENTRY_SHARE))
+    pool = Pool(POOL, TargetKind.PLAIN_SERVICE, count - entries)
+    return Deployment(f"control-{count}", ZONES, (pool,), entries)
+
+
+def read_traffic(client: httpx.Client, daemon: Daemon) -> dict[str, float]:
+    """Return the bytes that a daemon has sent to and received from others."""
+    traffic = {}
+    for line in client.get(f"{daemon.http_url}/metrics").text.splitlines():
+        if TRAFFIC in line and not line.startswith("#"):
+            direction = line.split('direction="')[1].split('"')[0]
+            traffic[direction] = float(line.rsplit(" ", 1)[1])
+    return traffic
+
+
+def patch(client: httpx.Client, daemon: Daemon, version: int) -> float:
+    """Accept a version on a daemon and return the wall time of the answer."""
+    body = {
+        "base_version": version - 1,
+        "patch_id": f"control-cost-{version}",
+        "patch": {"pools": {POOL: {"kind": "plain"}}},
+    }
+    url = f"{daemon.http_url}/admin/configuration/patches"
+    answer = client.post(url, json=body)
+    if answer.is_error:
+        raise SystemExit(f"version {version} was refused: {answer.text}")
+    return time.time()
+
+
+def read_adoptions(client: httpx.Client, daemon: Daemon) -> dict[int, float]:
+    """Return the wall time at which a daemon adopted each version."""
+    page = client.get(f"{daemon.http_url}/admin/events").json()
+    events = [event_from_json(data) for data in page["events"]]
+    return {
+        int(event.version): event.time_s
+        for event in events
+        if event.kind is EventKind.CONFIG_ADOPTED
+    }
+
+
+def measure_adoption(client: httpx.Client, launcher: Launcher) -> dict[str, Any]:
+    """Return the times from acceptance to in force over all daemons."""
+    accepted = {}
+    for version in range(2, PATCHES + 2):
+        accepted[version] = patch(client, launcher.entries[0], version)
+        time.sleep(ADOPTION_WAIT_S)
+    times = []
+    missing = 0
+    for daemon in launcher.daemons:
+        adoptions = read_adoptions(client, daemon)
+        for version, accepted_s in accepted.items():
+            if version in adoptions:
+                times.append(max(adoptions[version] - accepted_s, 0.0))
+            else:
+                missing += 1
+    times.sort()
+    return {
+        "p50_s": round(statistics.median(times), 3),
+        "p99_s": round(times[int(len(times) * 0.99)], 3),
+        "max_s": round(times[-1], 3),
+        "not_in_force": missing,
+    }
+
+
+def measure_cost(
+    client: httpx.Client, launcher: Launcher, seconds: float
+) -> dict[str, Any]:
+    """Return the means over the daemons of each role while nothing changes."""
+    daemons = launcher.daemons
+    pids = {each.name: launcher.processes[each.name].popen.pid for each in daemons}
+
+    def read_all() -> dict[str, tuple[float, dict[str, float]]]:
+        with ThreadPoolExecutor(8) as pool:
+            traffic = list(pool.map(lambda each: read_traffic(client, each), daemons))
+        return {
+            each.name: (read_cpu_s(pids[each.name]), bytes_)
+            for each, bytes_ in zip(daemons, traffic, strict=True)
+        }
+
+    counts_url = f"{launcher.key_value_url}/control/counts"
+    before = read_all()
+    calls = sum_counts(client.get(counts_url).json())
+    started_s = time.monotonic()
+    time.sleep(seconds)
+    after = read_all()
+    elapsed_s = time.monotonic() - started_s
+    result: dict[str, Any] = {
+        "key_value_calls_per_s": round(
+            (sum_counts(client.get(counts_url).json()) - calls) / elapsed_s, 1
+        )
+    }
+    for role, group in (("entry", launcher.entries), ("agent", launcher.agents)):
+        cpu = [(after[d.name][0] - before[d.name][0]) / elapsed_s for d in group]
+        moved = [
+            sum(after[d.name][1].values()) - sum(before[d.name][1].values())
+            for d in group
+        ]
+        resident = [read_resident_bytes(pids[d.name]) / MEBIBYTE for d in group]
+        result[role] = {
+            "cpu_share": round(statistics.fmean(cpu), 4),
+            "cpu_share_max": round(max(cpu), 4),
+            "resident_mib": round(statistics.fmean(resident), 1),
+            "resident_mib_max": round(max(resident), 1),
+            "link_bytes_per_s": round(statistics.fmean(moved) / elapsed_s, 0),
+            "link_bytes_per_s_max": round(max(moved) / elapsed_s, 0),
+        }
+    return result
+
+
+def sum_counts(counts: Any) -> int:
+    """Return the sum of all numbers in an answer of counts."""
+    if isinstance(counts, dict):
+        return sum(sum_counts(value) for value in counts.values())
+    return counts if isinstance(counts, int) else 0
+
+
+def measure_size(count: int, seconds: float) -> dict[str, Any]:
+    """Run a fleet of `count` daemons and return its figures."""
+    check_memory(count)
+    options = LauncherOptions(
+        targets_per_process=count,
+        daemon_settings={"platform": {"instance_poll_s": 5.0}},
+    )
+    with (
+        launch(make_deployment(count), options) as launcher,
+        httpx.Client(trust_env=False, timeout=CLIENT_TIMEOUT_S) as client,
+    ):
+        patch(client, launcher.entries[0], 1)
+        time.sleep(SETTLE_S)
+        cost = measure_cost(client, launcher, seconds)
+        adoption = measure_adoption(client, launcher)
+    return {"daemons": count, **cost, "in_force": adoption}
+
+
+def fit_slope(xs: list[float], ys: list[float]) -> dict[str, float]:
+    """Return a least-squares line through the figures."""
+    if len(xs) < 2:
+        return {}
+    line = statistics.linear_regression(xs, ys)
+    return {"slope_per_daemon": line.slope, "intercept": line.intercept}
+
+
+def main() -> None:
+    """Measure each size and print one JSON line last."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--sizes", default="9,18,27")
+    parser.add_argument("--seconds", type=float, default=20.0)
+    options = parser.parse_args()
+    figures = []
+    for text in options.sizes.split(","):
+        figures.append(measure_size(int(text), options.seconds))
+        print(figures[-1], flush=True)
+    sizes = [float(each["daemons"]) for each in figures]
+    slopes: dict[str, Any] = {
+        f"{role}_{key}": fit_slope(sizes, [each[role][key] for each in figures])
+        for role in ("entry", "agent")
+        for key in ("cpu_share", "resident_mib", "link_bytes_per_s")
+    }
+    calls = [each["key_value_calls_per_s"] for each in figures]
+    slopes["key_value_calls_per_s"] = fit_slope(sizes, calls)
+    print_result({"sizes": figures, "slopes": slopes})
+
+
+if __name__ == "__main__":
+    main()
