--- a/reedspar/tool/tests/test_config.py
+++ b/reedspar/tool/tests/test_config.py
@@ -5,7 +5,7 @@
 
 from reedspar.tool.exit_codes import ExitCode
 
-from .fleet import ENTRY, FleetTest, LostAnswerTransport
+from .fleet import ENTRY, FleetTest, FrozenTransport, LostAnswerTransport
 
 OUT = "zones.kingston-a=out"
 
@@ -106,6 +106,10 @@
 
 
 class ReadingTest(FleetTest):
+    def test_first_patch_is_against_the_empty_document(self) -> None:
+        run = self.run_tool("config", "patch", "--base", "0", "--set", OUT, "--dry-run")
+        self.assertEqual(run.output, '+ zones.kingston-a: "out"\n')
+
     def test_history_diff_and_earlier_versions(self) -> None:
         self.run_tool(
             "config", "patch", "--base", "4", "--set", OUT, "--summary", "cooling"
@@ -166,6 +170,23 @@
         self.assertIn("no target would be left in: quotes", last.errors)
         forced = self.run_tool("zone", "out", "kingston-b", "--force")
         self.assertEqual(forced.code, ExitCode.OK)
+        repeated = self.run_tool("zone", "out", "kingston-b", "--base", "6")
+        self.assertIn("out already, version 6", repeated.output)
+
+    def test_pool_without_any_target_blocks_nothing(self) -> None:
+        # A pool's last targets are leaving when a zone has to go out in a
+        # hurry.  It has nothing to lose, so it must not need --force.
+        leaving = (
+            self.daemons[3]
+            .as_member()
+            .model_copy(
+                update={"name": "agent-3", "state": "leaving", "pool": "portal"}
+            )
+        )
+        for daemon in self.daemons:
+            daemon.members = (*daemon.members, leaving)
+        run = self.run_tool("zone", "out", "kingston-a", "--wait", "0")
+        self.assertEqual(run.code, ExitCode.OK)
 
     def test_base_makes_it_strict_and_races_are_retried_without(self) -> None:
         strict = self.run_tool("zone", "out", "kingston-a", "--base", "3")
@@ -188,7 +209,11 @@
         self.assertIn("accepted as version 6", run.output)
 
     def test_wait_names_who_lacks_the_version(self) -> None:
+        # One agent is frozen and another lags.  The frozen one must not keep
+        # the tool from seeing that the rest have confirmed.
         self.daemons[3].config_version = 4
-        run = self.run_tool("zone", "out", "kingston-a", "--wait", "0.01")
+        self.transports["http://127.0.0.1:8003"] = FrozenTransport()
+        run = self.run_tool("zone", "out", "kingston-a", "--wait", "1")
         self.assertEqual(run.code, ExitCode.INCOMPLETE)
-        self.assertIn("agent-2 (behind)", run.errors)
+        self.assertIn("confirmed by 2 of 4", run.errors)
+        self.assertIn("agent-1 (unreachable), agent-2 (behind)", run.errors)
