Wait for a source that is avoided shortly instead of sending all its draws elsewhere

Cause: one corrupt chunk from another region moved every draw of that slot to the origin's region, whose link then carried them beside its own.

--- a/reedspar/weights/drawing.py
+++ b/reedspar/weights/drawing.py
@@ -15,6 +15,7 @@
 SEEK_SAMPLE = 32
 SEEK_INTERVAL_S = 0.05
 DUTY_LIMIT = 256
+SHORT_WAIT_S = 0.5
 
 
 class Drawing:
@@ -70,7 +71,7 @@
             if transfer.table.count(index) and not is_stuck:
                 continue
             fetch = self._fetches.get(digest)
-            has_failed = fetch is not None and fetch.attempts > 0
+            has_failed = fetch is not None and fetch.has_origin_failed
             was_seen = transfer.table.seen_map >> index & 1
             if is_stuck or was_seen or has_failed:
                 fetch = self._fetches.ensure(digest, transfer.sizes[digest])
@@ -164,11 +165,10 @@
         sources = placement.sources(index, fetch.digest)
         if not sources:
             return self._ask_origin(fetch, now_s)
-        peer = sources[fetch.attempts % len(sources)]
-        region = placement.region_of(peer)
-        if self._peers.is_avoided(peer, now_s):
-            fetch.attempts += 1
+        peer = self._choose_source(fetch, sources, now_s)
+        if peer is None:
             return False
+        region = placement.region_of(peer)
         bucket = self._bucket_of(region, placement, now_s)
         is_open = self._fetches.far_open(region) < self._limits.far_window
         if not is_open or not bucket.is_ready(now_s):
@@ -184,6 +184,23 @@
             bucket.take(size_bytes, now_s)
         return is_asked
 
+    def _choose_source(
+        self, fetch: Fetch, sources: list[str], now_s: float
+    ) -> str | None:
+        """Return whom to ask; None to wait for one that is avoided only shortly.
+
+        Were its chunks all taken elsewhere at once, the one other link would
+        carry them beside its own, and the avoided one would idle.
+        """
+        for i in range(len(sources)):
+            peer = sources[(fetch.attempts + i) % len(sources)]
+            avoided_s = self._peers.avoided_for_s(peer, now_s)
+            if not avoided_s:
+                return peer
+            if avoided_s < SHORT_WAIT_S:
+                return None
+        return None
+
     def _is_full(self, placement: Placement, now_s: float) -> bool:
         """Tell whether nothing more can be asked of the origin or any region now."""
         if placement.is_in_origin_region:
@@ -196,7 +213,7 @@
 
     def _is_for_others(self, fetch: Fetch, placement: Placement) -> bool:
         """Tell whether the origin has failed here, so that others are asked."""
-        return placement.is_in_origin_region and fetch.attempts > 0
+        return placement.is_in_origin_region and fetch.has_origin_failed
 
     def _ask_keeper(
         self, fetch: Fetch, index: int, placement: Placement, now_s: float
--- a/reedspar/weights/fetches.py
+++ b/reedspar/weights/fetches.py
@@ -46,6 +46,7 @@
     size_bytes: int | None
     requests: list[Request] = field(default_factory=list)
     attempts: int = 0
+    has_origin_failed: bool = False
     not_before_s: float = 0.0
 
     def is_open_at(self, peer: str) -> bool:
@@ -65,6 +66,10 @@
         """Tell whether a peer is left alone now."""
         return self._until_s.get(peer, 0.0) > now_s
 
+    def avoided_for_s(self, peer: str, now_s: float) -> float:
+        """Return how long a peer is still left alone, in seconds."""
+        return max(0.0, self._until_s.get(peer, 0.0) - now_s)
+
     def note_busy(self, peer: str, until_s: float) -> None:
         """Leave a peer alone that has said that it is busy."""
         self._until_s[peer] = max(until_s, self._until_s.get(peer, 0.0))
--- a/reedspar/weights/swarm.py
+++ b/reedspar/weights/swarm.py
@@ -338,6 +338,7 @@
         self._fetches.close(fetch, request, is_cancelled=True)
         fetch.attempts += 1
         if request.peer == ORIGIN:
+            fetch.has_origin_failed = True
             fetch.not_before_s = now_s + self._limits.busy_s
 
     def _finish(self, digest: str, data: bytes, request: Request, now_s: float) -> None:
