Switch targets by turns in bounded cohorts; keep fencing numbers in the key-value service

Cause: every target of a pool would load the next version as soon as its chunks were there, and numbers taken from the incarnation said nothing of what a predecessor had ordered. Ruled out: one ranked list over the whole pool (2,400 notices per target and switch).

--- a/reedspar/daemon/agent.py
+++ b/reedspar/daemon/agent.py
@@ -28,9 +28,12 @@
 from reedspar.settings import TargetKind
 from reedspar.targets import OfferSource, TargetController, create_target_controller
 from reedspar.utils import rank_by_rendezvous
-from reedspar.weights import WeightController, create_weight_controller
+from reedspar.weights import (
+    WeightController,
+    create_fencing_numbers,
+    create_weight_controller,
+)
 
-from .fencing import create_fencing_numbers
 from .node import Node
 from .offers import PlainOffers, WeightOffers
 from .views import WeightConfiguration, WeightPeers
@@ -197,6 +200,6 @@
         engine=engine,
         peers=WeightPeers(settings.name, node.membership, node.configuration),
         configuration=WeightConfiguration(node.configuration),
-        fencing=create_fencing_numbers(node.incarnation, node.key_value),
+        fencing=create_fencing_numbers(settings.name, node.key_value),
         gate=gate,
     )
--- a/reedspar/weights/controller.py
+++ b/reedspar/weights/controller.py
@@ -2,9 +2,8 @@
 
 import logging
 import random
-from collections import deque
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
@@ -37,20 +36,19 @@
     ChunkRequest,
     HaveMap,
     HaveUpdate,
+    VersionNotice,
+    VersionPhase,
 )
 from .offers import OfferBook
+from .rollout import Rollout
+from .stager import Stager
 from .staging import StagedVersion, StagingOrder
 from .swarm import SwarmDistribution
+from .views import ConfigurationView, PeerView
 
-__all__ = [
-    "ConfigurationView",
-    "PeerView",
-    "WeightController",
-    "create_weight_controller",
-]
+__all__ = ["WeightController", "create_weight_controller"]
 
 TICK_S = 0.05
-STAGE_RETRY_S = 0.2
 PEER_REFRESH_S = 0.5
 PACE_MIN_S = 0.002
 LINK_KEPT_S = 30.0
@@ -69,27 +67,6 @@
 _logger = logging.getLogger(__name__)
 
 
-class PeerView(Protocol):
-    """What the membership knows of the other agents."""
-
-    def agents_of(self, model: str) -> tuple[WeightPeer, ...]:
-        """Return the live agents, without this one, whose pools serve a model."""
-        ...
-
-
-class ConfigurationView(Protocol):
-    """The configuration as this daemon knows it."""
-
-    @property
-    def document(self) -> ConfigurationDocument | None:
-        """Return the latest document, or None before the first."""
-        ...
-
-    def on_change(self, listener: Callable[[ConfigurationDocument], None]) -> None:
-        """Call `listener` with each newer document."""
-        ...
-
-
 class WeightController:
     """Bring the configured models into the target's engine, and say what is offered."""
 
@@ -129,9 +106,17 @@
             self.note_engine_state,
             self._notify,
         )
+        self._rollout = Rollout(
+            settings.name, settings.weights.switch_share, self._phase_of
+        )
         self._staged: dict[str, StagedVersion] = {}
-        self._to_stage: deque[StagingOrder] = deque()
-        self._stage_wakeup = anyio.Event()
+        self._stager = Stager(
+            engine,
+            self._staged,
+            self._distribution.object_bytes,
+            lambda: self._book.boot_id,
+            self._note_staged,
+        )
         self._listeners: list[Callable[[], None]] = []
         self._is_pacing = False
         self._links: dict[str, float] = {}
@@ -149,17 +134,19 @@
         """Return the peers that links are to be open to; call it often."""
         now_s = self._timers.now_s()
         self._links = {n: t for n, t in self._links.items() if t > now_s}
-        return tuple(sorted({*self._links, *self._distribution.wanted_links()}))
+        wanted = self._distribution.wanted_links() | self._rollout.wanted_links()
+        return tuple(sorted({*self._links, *wanted}))
 
     def start(self) -> None:
         """Subscribe to messages, timers and the configuration, and start to work."""
         for message_class in DISTRIBUTION_MESSAGES:
             self._network.subscribe(message_class, self._receive)
+        self._network.subscribe(VersionNotice, self._take_notice)
         self._timers.call_every(TICK_S, self._tick)
         self._timers.call_every(PEER_REFRESH_S, self._refresh_peers)
         self._timers.on_pause(self._lapse)
         self._configuration.on_change(self._adopt)
-        self._tasks.start_soon(self._stage)
+        self._tasks.start_soon(self._stager.run)
         self._tasks.start_soon(self._loader.settle)
         if self._configuration.document is not None:
             self._adopt(self._configuration.document)
@@ -203,9 +190,10 @@
         if not self._book.is_forward(model, version.sequence):
             _logger.error("version is older than the one served: %s %s", model, version)
             return
-        self._staged[model] = StagedVersion(model, version)
+        staged = self._staged[model] = StagedVersion(model, version)
+        self._rollout.set_version(staged)
+        self._set_peers(model)
         now_s = self._timers.now_s()
-        self._distribution.set_peers(model, self._peers.agents_of(model), now_s)
         self._distribution.want_object(model, version.manifest_digest, now_s)
 
     def _let_go(self, staged: StagedVersion) -> None:
@@ -231,14 +219,21 @@
         self._distribution.tick(self._timers.now_s())
         self._pump()
         self._advance()
+        for action in self._rollout.tick(self._timers.now_s()):
+            self._send(action)
 
     def _refresh_peers(self) -> None:
-        now_s = self._timers.now_s()
         for model in self._staged:
-            self._distribution.set_peers(model, self._peers.agents_of(model), now_s)
+            self._set_peers(model)
+
+    def _set_peers(self, model: str) -> None:
+        peers = self._peers.agents_of(model)
+        self._distribution.set_peers(model, peers, self._timers.now_s())
+        self._rollout.set_peers(model, [peer.name for peer in peers])
 
     def _lapse(self, gap_s: float) -> None:
         self._distribution.lapse(self._timers.now_s())
+        self._rollout.lapse(self._timers.now_s())
 
     def _pump(self) -> None:
         """Carry out what the distribution has decided."""
@@ -282,8 +277,7 @@
                 self._take_manifest(staged)
             orders += staged.orders_for(digest, self._book.boot_id)
         if orders:
-            self._to_stage += orders
-            self._stage_wakeup.set()
+            self._stager.add(orders)
         else:
             self._distribution.release(digest, self._timers.now_s())
 
@@ -302,46 +296,43 @@
             self._distribution.know_version(manifest, self._timers.now_s())
             self._want_chunks(staged)
 
-    async def _stage(self) -> None:
-        """Hand chunks to the engine, one after the other."""
-        while True:
-            if not self._to_stage:
-                self._stage_wakeup = anyio.Event()
-                await self._stage_wakeup.wait()
-            await self._stage_next(self._to_stage.popleft())
-
-    async def _stage_next(self, order: StagingOrder) -> None:
-        data = self._distribution.object_bytes(order.digest)
-        if self._is_current(order) and data is not None:
-            root_digest = order.root_digest
-            failure = await self._engine.stage_chunk(root_digest, order.index, data)
-            if not self._is_current(order):
-                pass
-            elif is_failure(failure):
-                _logger.warning("chunk was not staged: %s", failure)
-                self._to_stage.append(order)
-                await anyio.sleep(STAGE_RETRY_S)
-            else:
-                self._staged[order.model].mark(order)
+    def _note_staged(self, order: StagingOrder) -> None:
+        """Let go of a chunk that no version lacks any more."""
         if not any(s.needs(order.digest) for s in self._staged.values()):
             self._distribution.release(order.digest, self._timers.now_s())
             self._pump()
         self._advance()
 
-    def _is_current(self, order: StagingOrder) -> bool:
-        """Tell whether a chunk is still meant for this version and boot."""
-        staged = self._staged.get(order.model)
-        if staged is None or staged.root_digest != order.root_digest:
-            return False
-        return order.boot_id == self._book.boot_id and staged.needs(order.digest)
-
     def _advance(self) -> None:
         """Start the switch of each version that is whole in the engine."""
         for staged in self._staged.values():
-            if staged.is_whole and self._loader.may_start(staged):
+            if self._may_switch(staged):
                 self._loader.reserve(staged)
                 self._tasks.start_soon(self._switch, staged)
 
+    def _may_switch(self, staged: StagedVersion) -> bool:
+        if not staged.is_whole or not self._loader.may_start(staged):
+            return False
+        if not self._book.is_serving(staged.model):
+            return True
+        return self._rollout.may_switch(staged, self._timers.now_s())
+
+    def _phase_of(self, model: str) -> VersionPhase:
+        """Return what the cohort is told of a model."""
+        staged = self._staged.get(model)
+        if self._loader.is_busy_with(model):
+            return VersionPhase.SWITCHING
+        if staged is None or self._book.is_confirmed(model):
+            return VersionPhase.SERVING
+        if staged.is_whole and self._book.is_serving(model):
+            return VersionPhase.WAITING
+        return VersionPhase.FETCHING
+
+    def _take_notice(self, sender: Sender, notice: VersionNotice) -> None:
+        now_s = self._timers.now_s()
+        for action in self._rollout.receive(sender.name, notice, now_s):
+            self._send(action)
+
     async def _switch(self, staged: StagedVersion) -> None:
         failure = await self._loader.load(staged)
         if failure is None:
--- a/reedspar/weights/fencing.py
+++ b/reedspar/weights/fencing.py
@@ -1,11 +1,32 @@
-"""Fencing numbers: each order to a target carries a higher one than those before."""
+"""Fencing numbers: each order to a target carries a higher one than those before.
 
+The number lives in the key-value service beside the versions that were
+ordered under it, so that neither goes back when an agent is replaced.
+"""
+
+import json
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Annotated, Protocol
+
+import anyio
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from reedspar.errors import Failure
+from reedspar.errors import Failure, Reason, Step
+from reedspar.platform import KeyValueEntry, KeyValueStore
 
-__all__ = ["FencingNumbers", "FencingRecord", "OrderedVersion"]
+__all__ = [
+    "FencingNumbers",
+    "FencingRecord",
+    "KeyValueFencing",
+    "OrderedVersion",
+    "create_fencing_numbers",
+]
+
+KEY_PREFIX = "fences/"
+VERSIONS_KEPT = 2
+"""Versions kept by model: the one ordered, and the one that may still be served."""
+ATTEMPTS = 6
+BACKOFF_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,6 +45,19 @@
     number: int = 0
     ordered: tuple[OrderedVersion, ...] = ()
 
+    def highest(self, model: str) -> int:
+        """Return the newest sequence ordered of a model, 0 if none was."""
+        sequences = (v.sequence for v in self.ordered if v.model == model)
+        return max(sequences, default=0)
+
+    def add(self, version: OrderedVersion) -> "FencingRecord":
+        """Return the record with one more order, and the oldest forgotten."""
+        same = [v for v in self.ordered if v.model == version.model and v != version]
+        same.sort(key=lambda v: v.sequence)
+        others = tuple(v for v in self.ordered if v.model != version.model)
+        kept = (*same, version)[-VERSIONS_KEPT:]
+        return FencingRecord(self.number + 1, (*others, *kept))
+
 
 class FencingNumbers(Protocol):
     """Gives out fencing numbers for one target."""
@@ -37,3 +71,109 @@
     ) -> int | Failure:
         """Return a number above all before; `FENCED` if a newer version was ordered."""
         ...
+
+
+class _Version(BaseModel):
+    model_config = ConfigDict(extra="ignore")
+
+    model: str
+    root_digest: str
+    sequence: int
+
+
+class _Value(BaseModel):
+    model_config = ConfigDict(extra="ignore")
+
+    number: Annotated[int, Field(ge=0)]
+    ordered: tuple[_Version, ...] = ()
+
+
+class KeyValueFencing:
+    """Fencing numbers by compare-and-swap on one key per target."""
+
+    def __init__(
+        self, target: str, key_value: KeyValueStore, backoff_s: float = BACKOFF_S
+    ) -> None:
+        self._backoff_s = backoff_s
+        self._key = KEY_PREFIX + target
+        self._key_value = key_value
+        self._last = OrderedVersion("", "", 0)
+        self._last_number = 0
+
+    async def read(self) -> FencingRecord | Failure:
+        """Return the record; an empty one if no order was ever given."""
+        entry = await self._key_value.get(self._key)
+        if isinstance(entry, Failure):
+            return entry
+        return _decode(entry)
+
+    async def next_number(
+        self, model: str, root_digest: str, sequence: int
+    ) -> int | Failure:
+        """Return a number above all before.
+
+        A write whose answer was lost is not looked for: the next attempt reads
+        again and takes a higher number, and a number that is skipped does no
+        harm.  While the service is away, the number of this agent's last order
+        serves again for the same version, so that an engine that restarted
+        then is not left empty.
+        """
+        version = OrderedVersion(model, root_digest, sequence)
+        failure = Failure(Reason.CONFLICT, Step.KEY_VALUE, detail=self._key)
+        for attempt in range(ATTEMPTS):
+            result = await self._try_next(version)
+            if not isinstance(result, Failure):
+                self._last = version
+                self._last_number = result
+                return result
+            failure = result
+            if failure.reason is Reason.FENCED:
+                return failure
+            if failure.reason is Reason.UNAVAILABLE and version == self._last:
+                return self._last_number
+            await anyio.sleep(self._backoff_s * (attempt + 1))
+        return failure
+
+    async def _try_next(self, version: OrderedVersion) -> int | Failure:
+        entry = await self._key_value.get(self._key)
+        if isinstance(entry, Failure):
+            return entry
+        record = _decode(entry)
+        if isinstance(record, Failure):
+            return record
+        if record.highest(version.model) > version.sequence:
+            detail = f"{version.model}: {record.highest(version.model)} was ordered"
+            return Failure(Reason.FENCED, Step.LOAD, detail=detail)
+        record = record.add(version)
+        revision = entry.revision if entry else 0
+        written = await self._key_value.compare_and_swap(
+            self._key, _encode(record), revision
+        )
+        return written if isinstance(written, Failure) else record.number
+
+
+def _decode(entry: KeyValueEntry | None) -> FencingRecord | Failure:
+    if entry is None:
+        return FencingRecord()
+    try:
+        value = _Value.model_validate_json(entry.value)
+    except ValidationError as error:
+        detail = f"{entry.key}: {error.errors()[0]['msg']}"
+        return Failure(Reason.INVALID, Step.KEY_VALUE, detail=detail)
+    versions = (
+        OrderedVersion(v.model, v.root_digest, v.sequence) for v in value.ordered
+    )
+    return FencingRecord(value.number, tuple(versions))
+
+
+def _encode(record: FencingRecord) -> bytes:
+    ordered = [
+        {"model": v.model, "root_digest": v.root_digest, "sequence": v.sequence}
+        for v in record.ordered
+    ]
+    return json.dumps({"number": record.number, "ordered": ordered}).encode()
+
+
+def create_fencing_numbers(target: str, key_value: KeyValueStore) -> FencingNumbers:
+    """Make the fencing numbers of one target."""
+    return KeyValueFencing(target, key_value)
--- a/reedspar/weights/loading.py
+++ b/reedspar/weights/loading.py
@@ -50,6 +50,10 @@
         self._busy_model = ""
         self._not_before_s = 0.0
 
+    def is_busy_with(self, model: str) -> bool:
+        """Tell whether a model is being switched, or about to be."""
+        return self._busy_model == model
+
     async def settle(self) -> None:
         """Learn what predecessors ordered, and wait out what may be in flight.
 
@@ -59,17 +63,19 @@
         order is left, so only then are the engine's reports relied on.
         """
         await self._read_back()
-        while isinstance(record := await self._fencing.read(), Failure):
-            _logger.warning("fencing record was not read: %s", record)
-            await anyio.sleep(RETRY_S)
-        for ordered in record.ordered:
-            self._book.add_known(ordered.model, ordered.root_digest, ordered.sequence)
+        has_record = await self._read_record()
         if not self._target.checks_fencing:
             await anyio.sleep(self._target.order_settle_s)
         await self._read_back()
         self._is_settled = True
         self._book.settle()
         self._notify()
+        while not has_record:
+            # The configured version can be offered without the record; it only
+            # lacks which older one the engine may still serve meanwhile.
+            await anyio.sleep(RETRY_S)
+            has_record = await self._read_record()
+        self._notify()
 
     def may_start(self, staged: StagedVersion) -> bool:
         """Tell whether a version that is whole in the engine may be ordered now."""
@@ -131,6 +137,16 @@
             return Failure(Reason.CORRUPT, Step.CONFIRM, detail=staged.root_digest)
         return failure
 
+    async def _read_record(self) -> bool:
+        """Take the versions that predecessors ordered; False if not to be read."""
+        record = await self._fencing.read()
+        if isinstance(record, Failure):
+            _logger.warning("fencing record was not read: %s", record)
+            return False
+        for ordered in record.ordered:
+            self._book.add_known(ordered.model, ordered.root_digest, ordered.sequence)
+        return True
+
     async def _read_back(self) -> None:
         """Take the engine's own word on what it holds, as soon as it answers."""
         while isinstance(state := await self._engine.read_state(), Failure):
--- a/reedspar/weights/messages.py
+++ b/reedspar/weights/messages.py
@@ -35,6 +35,7 @@
 class VersionPhase(Enum):
     """How far a target has come with a version."""
 
+    FETCHING = "fetching"
     WAITING = "waiting"
     """All chunks are staged; the target waits for its turn to switch."""
     SWITCHING = "switching"
--- a/reedspar/weights/offers.py
+++ b/reedspar/weights/offers.py
@@ -42,7 +42,8 @@
 
     def add_known(self, model: str, root_digest: str, sequence: int) -> None:
         """Take a version that is known to be published whole."""
-        self._known.setdefault(model, {})[root_digest] = sequence
+        known = self._known.setdefault(model, {})
+        known[root_digest] = max(sequence, known.get(root_digest, 0))
 
     def settle(self) -> None:
         """Trust reports from now on: no predecessor's order can be in flight."""
@@ -79,6 +80,10 @@
         wanted = self._wanted.get(model)
         return wanted is not None and self._is_reported(model, wanted.root_digest)
 
+    def is_serving(self, model: str) -> bool:
+        """Tell whether a switch would take a version from service."""
+        return self._is_settled and self._is_current(model)
+
     def is_forward(self, model: str, sequence: int) -> bool:
         """Tell whether a version may still be ordered."""
         return sequence >= self._highest.get(model, 0)
--- /dev/null
+++ b/reedspar/weights/stager.py
@@ -0,0 +1,75 @@
+"""Handing checked chunks to the engine, one after the other."""
+
+import logging
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping
+
+import anyio
+
+from reedspar.errors import is_failure
+from reedspar.platform import ModelEngine
+
+from .staging import StagedVersion, StagingOrder
+
+__all__ = ["Stager"]
+
+RETRY_S = 0.2
+
+_logger = logging.getLogger(__name__)
+
+
+class Stager:
+    """Carry out staging orders that are still meant for the engine's boot."""
+
+    def __init__(
+        self,
+        engine: ModelEngine,
+        staged: Mapping[str, StagedVersion],
+        object_bytes: Callable[[str], bytes | None],
+        boot_id: Callable[[], str],
+        on_staged: Callable[[StagingOrder], None],
+    ) -> None:
+        self._engine = engine
+        self._staged = staged
+        self._object_bytes = object_bytes
+        self._boot_id = boot_id
+        self._on_staged = on_staged
+        self._orders: deque[StagingOrder] = deque()
+        self._wakeup = anyio.Event()
+
+    def add(self, orders: Iterable[StagingOrder]) -> None:
+        """Queue orders."""
+        self._orders += orders
+        self._wakeup.set()
+
+    async def run(self) -> None:
+        """Carry out orders until cancelled."""
+        while True:
+            if not self._orders:
+                self._wakeup = anyio.Event()
+                await self._wakeup.wait()
+            order = self._orders.popleft()
+            await self._stage(order)
+            self._on_staged(order)
+
+    async def _stage(self, order: StagingOrder) -> None:
+        data = self._object_bytes(order.digest)
+        if data is None or not self._is_current(order):
+            return
+        root_digest = order.root_digest
+        failure = await self._engine.stage_chunk(root_digest, order.index, data)
+        if not self._is_current(order):
+            return
+        if is_failure(failure):
+            _logger.warning("chunk was not staged: %s", failure)
+            self._orders.append(order)
+            await anyio.sleep(RETRY_S)
+        else:
+            self._staged[order.model].mark(order)
+
+    def _is_current(self, order: StagingOrder) -> bool:
+        """Tell whether a chunk is still meant for this version and boot."""
+        staged = self._staged.get(order.model)
+        if staged is None or staged.root_digest != order.root_digest:
+            return False
+        return order.boot_id == self._boot_id() and staged.needs(order.digest)
--- a/reedspar/weights/swarm.py
+++ b/reedspar/weights/swarm.py
@@ -30,9 +30,8 @@
     RefusalCause,
     WeightMessage,
 )
-from .pacing import TokenBucket
 from .placement import Placement
-from .selection import pick_pull
+from .pulling import Pulling
 from .serving import ChunkServer
 from .transfers import Transfer
 
@@ -55,9 +54,7 @@
         self._peers = PeerBook()
         self._fetches = FetchBook(self._memory, self._peers, self._actions)
         self._server = ChunkServer(me.region, self._memory, limits, self._actions)
-        self._downloads = TokenBucket(
-            limits.machine_bytes_per_s, limits.download_burst_bytes
-        )
+        self._pulling = Pulling(limits, self._fetches, self._peers, rng)
         self._placements: dict[str, Placement] = {}
         self._transfers: dict[str, Transfer] = {}
         self._announcers: dict[str, Announcer] = {}
@@ -215,7 +212,7 @@
                 self._peers.note_stalled(request.peer, now_s)
                 self._fail(fetch, request, now_s)
             elif waited_s >= self._limits.stall_s and not request.region:
-                self._overtake(fetch, request, now_s)
+                self._pulling.overtake(fetch, request, self._transfers.values(), now_s)
         for transfer in self._transfers.values():
             if not transfer.is_complete:
                 self._announcers[transfer.root_digest].ask_again(now_s)
@@ -246,64 +243,13 @@
         for transfer in sorted(transfers, key=lambda t: len(t.missing)):
             placement = self._placements[transfer.model]
             self._drawing.draw(transfer, placement, now_s)
-            self._pull(transfer, now_s)
+            self._pulling.pull(transfer, now_s)
             self._drawing.seek(transfer, placement, now_s)
         self._drawing.do_duties(self._placements, now_s)
         self._server.send_pieces(now_s)
         for announcer in self._announcers.values():
             announcer.flush(now_s)
 
-    def _pull(self, transfer: Transfer, now_s: float) -> None:
-        limits = self._limits
-        lookahead = limits.lookahead(transfer)
-        while self._fetches.near_open < limits.window:
-            if not self._downloads.is_ready(now_s):
-                return
-            choice = pick_pull(
-                transfer,
-                lambda digest: not self._fetches.is_blocked(digest, now_s),
-                lambda name: self._load_of(name, now_s),
-                self._rng,
-                lookahead,
-            )
-            if choice is None:
-                return
-            index, peer = choice
-            if not self._ask_near(transfer, index, peer, now_s):
-                return
-
-    def _load_of(self, name: str, now_s: float) -> int | None:
-        if self._peers.is_avoided(name, now_s):
-            return None
-        load = self._peers.outstanding[name]
-        return load if load < self._limits.requests_per_peer else None
-
-    def _ask_near(
-        self, transfer: Transfer, index: int, peer: str, now_s: float
-    ) -> bool:
-        digest = transfer.digests[index]
-        size_bytes = transfer.sizes[digest]
-        fetch = self._fetches.ensure(digest, size_bytes)
-        timeout_s = self._limits.request_timeout_s
-        if not self._fetches.ask(fetch, peer, now_s, timeout_s):
-            return False
-        self._downloads.take(size_bytes, now_s)
-        return True
-
-    def _overtake(self, fetch: Fetch, request: Request, now_s: float) -> None:
-        """Ask a second holder for what the first is slow to send."""
-        if request.is_overtaken or len(fetch.requests) > 1:
-            return
-        for transfer in self._transfers.values():
-            index = transfer.index_of.get(fetch.digest)
-            if index is None:
-                continue
-            for name in transfer.table.holders(index):
-                if name != request.peer and self._load_of(name, now_s) is not None:
-                    request.is_overtaken = True
-                    self._ask_near(transfer, index, name, now_s)
-                    return
-
     def _take_piece(self, peer: str, piece: ChunkPiece, now_s: float) -> None:
         request = self._fetches.find(peer, piece.digest, piece.request_id)
         fetch = self._fetches.get(piece.digest)
@@ -327,7 +273,7 @@
         self._fetches.close(fetch, request, is_cancelled=False)
         if message.cause is RefusalCause.BUSY:
             self._peers.note_busy(peer, now_s + self._limits.busy_s)
-            self._downloads.give_back(request.size_bytes)
+            self._pulling.give_back(request.size_bytes)
         elif message.cause is RefusalCause.LEAVING:
             self._peers.note_busy(peer, now_s + self._limits.request_timeout_s)
         else:
--- a/reedspar/weights/tests/fakes.py
+++ b/reedspar/weights/tests/fakes.py
@@ -32,6 +32,7 @@
 MODEL = "quotes"
 POOL = "models"
 TURNS_PER_STEP = 20
+ORDER_SETTLE_S = 0.3
 
 
 class FakeOrigin:
@@ -81,6 +82,13 @@
         self.fencing_number = 0
         self.orders: list[LoadOrder] = []
         self.load_failures: deque[Failure] = deque()
+        self.load_steps = 0
+        self._turns = 0
+
+    def turns(self) -> int:
+        """Return how often the engine was waited for."""
+        self._turns += 1
+        return self._turns
 
     def restart(self) -> None:
         self.boot += 1
@@ -103,6 +111,9 @@
         return None
 
     async def load(self, order: LoadOrder) -> Failure | None:
+        until = self.turns() + self.load_steps * TURNS_PER_STEP
+        while self.turns() < until:
+            await anyio.lowlevel.checkpoint()
         if self.load_failures:
             return self.load_failures.popleft()
         if self.checks_fencing and order.fencing_number < self.fencing_number:
@@ -178,6 +189,11 @@
         self.sent: Counter[str] = Counter()
         self.dead: set[str] = set()
 
+    def forget(self, name: str) -> None:
+        """Drop the handlers of an agent that died."""
+        for key in [key for key in self.handlers if key[0] == name]:
+            del self.handlers[key]
+
     def deliver(self) -> None:
         for _ in range(len(self.queue)):
             sender, peer, message = self.queue.popleft()
@@ -228,6 +244,13 @@
         self.gate = FakeGate()
         self.pool = pool
         self.controller: WeightController
+        self.scope: anyio.CancelScope
+
+    async def run(self) -> None:
+        with anyio.CancelScope() as self.scope:
+            async with anyio.create_task_group() as tasks:
+                self.start(tasks)
+                await anyio.sleep_forever()
 
     def start(self, tasks: Any) -> None:
         pool = self.pool
@@ -266,14 +289,34 @@
         self.origin = FakeOrigin()
         self.configuration = FakeConfiguration()
         self.peers = peers
+        self.tasks: Any = None
+        self.version: Any = None
         self.agents = [Agent(self, peer, checks_fencing) for peer in peers]
 
+    async def replace(self, agent: Agent) -> None:
+        """Let an agent's process die and another take its place."""
+        successor = Agent(self, agent.peer, agent.engine.checks_fencing)
+        successor.engine = agent.engine
+        successor.fencing = agent.fencing
+        agent.scope.cancel()
+        self.links.forget(agent.peer.name)
+        await anyio.lowlevel.checkpoint()
+        self.agents[self.agents.index(agent)] = successor
+        self.tasks.start_soon(successor.run)
+        await anyio.lowlevel.checkpoint()
+
+    async def wait_settled(self) -> None:
+        """Let real time pass until the order's settling time is over."""
+        await anyio.sleep(2 * ORDER_SETTLE_S)
+        await self.step(0.5)
+
     async def publish(self, weights: bytes, sequence: int = 1) -> ModelVersion:
         """Publish weights, and make them the configured version."""
         publication = await publish_weights(
             self.origin, MODEL, f"v{sequence}", sequence, weights, 1024
         )
         assert not isinstance(publication, Failure)
+        self.version = publication.version
         self.configuration.set_models(**{MODEL: publication.version})
         return publication.version
 
@@ -307,7 +350,7 @@
                 "pool": POOL,
                 "url": "http://127.0.0.1:4",
                 "checks_fencing": checks_fencing,
-                "order_settle_s": 0.01,
+                "order_settle_s": ORDER_SETTLE_S,
             },
         }
     )
@@ -318,8 +361,10 @@
 
     async def run() -> None:
         async with anyio.create_task_group() as tasks:
+            pool.tasks = tasks
             for agent in pool.agents:
-                agent.start(tasks)
+                tasks.start_soon(agent.run)
+            await anyio.lowlevel.checkpoint()
             await history(pool)
             tasks.cancel_scope.cancel()
 
--- a/reedspar/weights/tests/test_controller.py
+++ b/reedspar/weights/tests/test_controller.py
@@ -114,3 +114,64 @@
             self.assertEqual(agent.engine.loaded["quotes"], newer.root_digest)
 
         run_pool(make_pool(1), history)
+
+    def test_roll_out_over_the_pool_never_withdraws_every_offer(self) -> None:
+        # All targets have the next version staged at about the same time.
+        # Callers would find no target while every engine loads.
+        async def history(pool: AgentPool) -> None:
+            await pool.publish(WEIGHTS, 1)
+            await pool.step(4)
+            for agent in pool.agents:
+                agent.engine.load_steps = 10
+            version = await pool.publish(OTHER_WEIGHTS, 2)
+            least = len(pool.agents)
+            for _ in range(400):
+                await pool.step(0.05)
+                least = min(least, sum(bool(a.offered_root) for a in pool.agents))
+            for agent in pool.agents:
+                self.assertEqual(agent.offered_root, version.root_digest)
+            self.assertEqual(least, len(pool.agents) - 1)
+
+        run_pool(make_pool(), history)
+
+    def test_agent_that_restarts_offers_what_the_engine_serves_without_a_load(
+        self,
+    ) -> None:
+        # Only the agent dies; its engine goes on.  A second load would take
+        # the target from service for nothing, and draw every chunk again.
+        async def history(pool: AgentPool) -> None:
+            version = await pool.publish(WEIGHTS)
+            await pool.step(3)
+            reads = sum(pool.origin.reads.values())
+            await pool.replace(pool.agents[0])
+            await pool.step(3)
+            agent = pool.agents[0]
+            self.assertEqual(agent.offered_root, version.root_digest)
+            self.assertEqual(len(agent.engine.orders), 1)
+            self.assertEqual(sum(pool.origin.reads.values()), reads)
+
+        run_pool(make_pool(), history)
+
+    def test_predecessors_order_is_waited_out_where_fencing_is_ignored(self) -> None:
+        # The agent dies with an order in flight to an engine that ignores
+        # fencing numbers.  The order takes effect after the successor started:
+        # callers let in before would see the weights change under them.
+        async def history(pool: AgentPool) -> None:
+            older = await pool.publish(WEIGHTS, 1)
+            await pool.wait_settled()
+            await pool.step(3)
+            agent = pool.agents[0]
+            self.assertEqual(agent.offered_root, older.root_digest)
+            newer = await pool.publish(OTHER_WEIGHTS, 2)
+            await pool.replace(agent)
+            successor = pool.agents[0]
+            self.assertEqual(successor.offered_root, "")
+            await pool.step(0.05)
+            await successor.poll()
+            self.assertEqual(successor.offered_root, "")
+            agent.engine.loaded["quotes"] = newer.root_digest
+            await pool.wait_settled()
+            self.assertEqual(successor.offered_root, newer.root_digest)
+            self.assertEqual(len(agent.engine.orders), 1)
+
+        run_pool(make_pool(1, checks_fencing=False), history)
