--- a/bench/origin_only.py
+++ b/bench/origin_only.py
@@ -60,6 +60,9 @@
     def release(self, digest: str, now_s: float) -> None:
         """Do nothing."""
 
+    def note_unsent(self, peer: str, message: WeightMessage, now_s: float) -> None:
+        """Do nothing: the deadline covers it."""
+
     def lapse(self, now_s: float) -> None:
         """Do nothing."""
 
