--- a/bench/random_run.py
+++ b/bench/random_run.py
@@ -25,6 +25,7 @@
 from stand_ins.operations import Operator, OperatorError
 from stand_ins.processes import exit_on_signals
 from stand_ins.promises import Ledger, Violation, read_percentile
+from stand_ins.reasons import describe_reasons
 
 from .chaos import Chaos
 from .configuration_watch import ConfigurationWatch
@@ -102,6 +103,8 @@
                 self._chaos.time_line.note(f"publishing failed: {error}")
 
     def _conclude(self) -> dict[str, Any]:
+        for line in describe_reasons(self._ledger.calls):
+            print(f"  {line}", flush=True)
         self._ledger.outages = self._chaos.outages
         violations = [
             *self._ledger.check(),
