Let a repeated order wait for the first one's answer

A repeat now asks the claims again until the first one has ended or its own deadline is near. Once an earlier one was seen running, claims that can't be asked no longer end as "not run": that would be untrue.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -102,7 +102,9 @@
                     self.key_value, timers, self.unix_time, terms, lambda: len(ENTRIES)
                 )
                 client = ClaimClient(name, self._join(name), timers, ledger, entries)
-                self.filters.append(Deduplicate(client, self.unix_time, 86_400.0))
+                self.filters.append(
+                    Deduplicate(client, timers, self.unix_time, 86_400.0)
+                )
                 tasks.start_soon(ledger.run)
                 tasks.start_soon(timers.run)
             async with anyio.create_task_group() as orders:
--- a/reedspar/requests/deduplicate.py
+++ b/reedspar/requests/deduplicate.py
@@ -2,8 +2,11 @@
 
 from collections.abc import Callable
 
+import anyio
+
 from reedspar.attempts import Header
 from reedspar.errors import Failure, Reason, Step
+from reedspar.timers import TimerService
 
 from .claim_client import ClaimClient
 from .claim_places import ClaimPlace, make_expired, place_claim
@@ -17,15 +20,24 @@
 REPLAYED_HEADER = Header("x-reedspar-replayed", "true")
 RUNNING_RETRY_S = 1.0
 UNAVAILABLE_RETRY_S = 2.0
+FIRST_WAIT_S = 0.1
+WAIT_GROWTH = 1.5
+WAIT_MAX_S = 1.0
+UNANSWERED_VERDICTS = frozenset({ClaimVerdict.UNAVAILABLE, ClaimVerdict.NOT_WRITTEN})
 
 
 class Deduplicate:
     """Claim the key before the rest runs; answer a repeat from its record."""
 
     def __init__(
-        self, claims: ClaimClient, unix_time: Callable[[], float], ttl_s: float
+        self,
+        claims: ClaimClient,
+        timers: TimerService,
+        unix_time: Callable[[], float],
+        ttl_s: float,
     ) -> None:
         self._claims = claims
+        self._timers = timers
         self._unix_time = unix_time
         self._ttl_s = ttl_s
 
@@ -42,7 +54,7 @@
         )
         if isinstance(place, Failure):
             return make_not_run(place)
-        reply = await self._claims.claim(place, request.request_id, request.fingerprint)
+        reply = await self._claim(request, place)
         if reply.verdict is ClaimVerdict.GRANTED:
             return await self._run(request, place, proceed)
         if reply.verdict is ClaimVerdict.UNAVAILABLE:
@@ -51,6 +63,34 @@
             self._end(request, place, ClaimState.RELEASED)
         return self._answer(reply)
 
+    async def _claim(self, request: Request, place: ClaimPlace) -> ClaimReply:
+        """Claim; while an earlier one with the key is running, wait for its end.
+
+        A shop that asks twice would otherwise be told "unknown" by the second
+        answer, moments before the first one tells it all.
+        """
+        reply = await self._claim_once(request, place)
+        wait_s = FIRST_WAIT_S
+        is_doubtful = False
+        while reply.verdict is ClaimVerdict.RUNNING:
+            if self._timers.now_s() + wait_s >= request.deadline_s:
+                if is_doubtful:
+                    self._end(request, place, ClaimState.RELEASED)
+                return reply
+            await anyio.sleep(wait_s)
+            wait_s = min(wait_s * WAIT_GROWTH, WAIT_MAX_S)
+            latest = await self._claim_once(request, place)
+            # That the claims can't be asked just now proves nothing of the
+            # earlier one; "not run" would be untrue if that has run.
+            if latest.verdict not in UNANSWERED_VERDICTS:
+                reply = latest
+                is_doubtful = False
+            is_doubtful |= latest.verdict is ClaimVerdict.UNAVAILABLE
+        return reply
+
+    async def _claim_once(self, request: Request, place: ClaimPlace) -> ClaimReply:
+        return await self._claims.claim(place, request.request_id, request.fingerprint)
+
     async def _run(
         self, request: Request, place: ClaimPlace, proceed: Proceed
     ) -> Answer:
--- a/reedspar/requests/service.py
+++ b/reedspar/requests/service.py
@@ -99,7 +99,7 @@
         Identify(configuration),
         Bound(timers, settings.deadline_s, settings.body_limit_bytes),
         Classify(configuration),
-        Deduplicate(claims, unix_time, settings.claim_ttl_s),
+        Deduplicate(claims, timers, unix_time, settings.claim_ttl_s),
         Guard(quarantine, timers),
         admission,
         relay,
--- a/reedspar/requests/tests/test_claims.py
+++ b/reedspar/requests/tests/test_claims.py
@@ -99,6 +99,7 @@
         self.key_value = FakeKeyValue()
         self.shop = Shop()
         self.frozen_s = 0.0
+        self.patience_s = 30.0
         self.filters: dict[str, Deduplicate] = {}
         if is_faulty:
             self.key_value.before_write = lambda key: self._fault(0.1)
@@ -125,7 +126,7 @@
                 terms = LedgerTerms(TTL_S, 35.0)
                 ledger = ClaimLedger(self.key_value, timers, self.unix_time, terms)
                 client = ClaimClient(name, mesh.add(name), timers, ledger, entries)
-                self.filters[name] = Deduplicate(client, self.unix_time, TTL_S)
+                self.filters[name] = Deduplicate(client, timers, self.unix_time, TTL_S)
                 tasks.start_soon(ledger.run)
                 tasks.start_soon(timers.run)
             async with anyio.create_task_group() as orders:
@@ -137,6 +138,7 @@
     async def _send(self, number: int, at_s: float, entry: str, key: str) -> None:
         await anyio.sleep(at_s)
         order = make_order(f"{entry}:1:{number}", key)
+        order.deadline_s = anyio.current_time() + self.patience_s
         answer = await self.filters[entry].apply(order, self._proceed)
         self.shop.told.setdefault(key, []).append(answer)
 
@@ -238,6 +240,25 @@
         assert failure is not None
         self.assertIs(failure.reason, Reason.EXPIRED)
 
+    def test_repeat_while_the_first_runs_gets_the_first_answer(self) -> None:
+        # A shop's clerk presses the button twice.  The second sending used to
+        # end as "unknown" while the first was about to be answered, and the
+        # till, which shows the last answer, told the clerk that nobody knew.
+        key = make_key(0, 1)
+        history = self.send((0.0, "e1", key), (0.05, "e2", key), (0.1, "e1", key))
+        answers = history.shop.told[key]
+        self.assertEqual([a.outcome for a in answers], [Outcome.ANSWERED] * 3)
+        self.assertEqual({a.body for a in answers}, {b"e1:1:0"})
+
+    def test_repeat_that_cannot_wait_is_unknown_at_its_deadline(self) -> None:
+        # The first one runs for longer than the second one's caller waits.
+        history = History(3, is_faulty=False)
+        history.patience_s = 0.3
+        key = make_key(0, 1)
+        run_virtual(history.run, [(0.0, "e1", key), (0.05, "e2", key)])
+        endings = {a.outcome for a in history.shop.told[key]}
+        self.assertEqual(endings, {Outcome.ANSWERED, Outcome.UNKNOWN})
+
     def test_key_of_another_payload_is_refused(self) -> None:
         table = ClaimTable(TTL_S, 35.0)
         table.claim(ClaimRequest("k", "e1:1:1", "deposit of 10", "l"), EPOCH_S)
