--- /dev/null
+++ b/tests/test_silent_link.py
@@ -0,0 +1,121 @@
+"""Tests of an attempt whose link between entry and agent is spoiled by a relay."""
+
+import unittest
+from contextlib import AsyncExitStack
+
+import anyio
+
+from reedspar.attempts import AttemptStart
+from reedspar.links import PeerAddress
+from reedspar.links.tests.test_tcp_network import Node, find_port, wait_until
+from reedspar.requests.assembly import Verdict
+from reedspar.requests.attempt_client import OpenAttempt, create_attempt_client
+from reedspar.targets import create_target_controller
+from reedspar.targets.tests.fakes import (
+    FakeOffers,
+    FakeTarget,
+    make_settings,
+    make_start,
+)
+from stand_ins.relay import Relay, RelayRule, RelayRules
+
+WHOLE = b"begin end"
+SILENT = RelayRule(silent=True)
+
+
+class SilentLinkTest(unittest.TestCase):
+    def run_scenario(self, scenario) -> None:
+        async def main() -> None:
+            self.entry, self.agent = Node("entry-1"), Node("agent-1")
+            relay_port = find_port()
+            self.relay = Relay(relay_port, self.agent.port)
+            self.target = FakeTarget()
+            async with AsyncExitStack() as stack:
+                tasks = await stack.enter_async_context(anyio.create_task_group())
+                tasks.start_soon(self.relay.run)
+                await self.agent.start(tasks)
+                await self.entry.start(tasks)
+                self.client = create_attempt_client(
+                    self.entry.network, self.entry.timers
+                )
+                create_target_controller(
+                    make_settings(),
+                    1,
+                    self.agent.network,
+                    self.agent.timers,
+                    self.target,
+                    FakeOffers(),
+                    lambda: None,
+                    tasks.start_soon,
+                )
+                address = PeerAddress("agent-1", "127.0.0.1", relay_port)
+                self.entry.network.want("test", [address])
+                await wait_until(lambda: self.entry.network.peers())
+                await anyio.sleep(0.4)
+                await scenario()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+
+    async def start_attempt(self) -> OpenAttempt:
+        start: AttemptStart = make_start("r1", is_idempotent=False, timeout_s=60.0)
+        attempt = self.client.open("agent-1", start)
+        assert isinstance(attempt, OpenAttempt)
+        await wait_until(lambda: self.target.in_flight)
+        return attempt
+
+    async def expect_whole_answer(self, attempt: OpenAttempt) -> None:
+        await wait_until(lambda: not attempt.assembly.is_open)
+        self.assertIs(attempt.assembly.verdict, Verdict.WHOLE)
+        self.assertEqual(attempt.assembly.take(), WHOLE)
+        self.assertEqual(self.target.runs, ["r1.1"])
+
+    def test_connection_that_goes_silent_both_ways_loses_nothing(self) -> None:
+        # Something between the two ends loses track of the open connection in
+        # mid-answer; new ones work.  The shop gets its whole answer, and the
+        # deposit is taken once.
+        async def scenario() -> None:
+            attempt = await self.start_attempt()
+            self.relay.set_rules(
+                RelayRules(to_server=SILENT, to_client=SILENT, only_open=True)
+            )
+            self.target.release.set()
+            await self.expect_whole_answer(attempt)
+
+        self.run_scenario(scenario)
+
+    def test_connection_that_goes_silent_towards_the_agent_only(self) -> None:
+        # The entry still hears the agent, so it alone would never notice.
+        async def scenario() -> None:
+            attempt = await self.start_attempt()
+            self.relay.set_rules(RelayRules(to_server=SILENT, only_open=True))
+            await wait_until(lambda: len(self.entry.events) > 1)
+            self.target.release.set()
+            await self.expect_whole_answer(attempt)
+
+        self.run_scenario(scenario)
+
+    def test_connection_that_is_cut_in_mid_answer_is_resumed(self) -> None:
+        async def scenario() -> None:
+            attempt = await self.start_attempt()
+            self.relay.cut_all()
+            self.target.release.set()
+            await self.expect_whole_answer(attempt)
+
+        self.run_scenario(scenario)
+
+    def test_corrupt_frames_end_the_connection_not_the_answer(self) -> None:
+        # Bytes are damaged on the way for a while.  No damaged byte may reach
+        # the shop; the attempt is resumed once the path is sound again.
+        async def scenario() -> None:
+            attempt = await self.start_attempt()
+            damaged = RelayRule(corrupt_share=1.0)
+            self.relay.set_rules(RelayRules(to_client=damaged, only_open=True))
+            self.target.release.set()
+            await self.expect_whole_answer(attempt)
+
+        self.run_scenario(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
