--- a/reedspar/weights/controller.py
+++ b/reedspar/weights/controller.py
@@ -51,8 +51,6 @@
 TICK_S = 0.05
 PEER_REFRESH_S = 0.5
 PACE_MIN_S = 0.002
-LINK_KEPT_S = 30.0
-"""How long a link is kept after the last message to a peer."""
 DISTRIBUTION_MESSAGES = (
     ChunkRequest,
     ChunkPiece,
@@ -119,7 +117,6 @@
         )
         self._listeners: list[Callable[[], None]] = []
         self._is_pacing = False
-        self._links: dict[str, float] = {}
         self._last_offered: tuple[LoadedWeights, ...] = ()
 
     def offered(self) -> tuple[LoadedWeights, ...]:
@@ -130,13 +127,6 @@
         """Call `listener` after each change of what is offered."""
         self._listeners.append(listener)
 
-    def wanted_links(self) -> tuple[str, ...]:
-        """Return the peers that links are to be open to; call it often."""
-        now_s = self._timers.now_s()
-        self._links = {n: t for n, t in self._links.items() if t > now_s}
-        wanted = self._distribution.wanted_links() | self._rollout.wanted_links()
-        return tuple(sorted({*self._links, *wanted}))
-
     def start(self) -> None:
         """Subscribe to messages, timers and the configuration, and start to work."""
         for message_class in DISTRIBUTION_MESSAGES:
@@ -260,8 +250,9 @@
 
     def _send(self, action: SendMessage) -> None:
         now_s = self._timers.now_s()
-        self._links[action.peer] = now_s + LINK_KEPT_S
-        failure = self._network.send(action.peer, action.message, Priority.BULK)
+        is_bulk = isinstance(action.message, ChunkPiece)
+        priority = Priority.BULK if is_bulk else Priority.LIVE
+        failure = self._network.send(action.peer, action.message, priority)
         if is_failure(failure):
             self._distribution.note_unsent(action.peer, action.message, now_s)
 
--- a/reedspar/weights/distribution.py
+++ b/reedspar/weights/distribution.py
@@ -103,10 +103,6 @@
         """Take back a message for which no link is open yet."""
         ...
 
-    def wanted_links(self) -> set[str]:
-        """Return the peers to keep links to while there is something to get."""
-        ...
-
     def lapse(self, now_s: float) -> None:
         """Drop every timed claim after a pause of the process."""
         ...
--- a/reedspar/weights/rollout.py
+++ b/reedspar/weights/rollout.py
@@ -56,15 +56,6 @@
         for decision in self._decisions.values():
             decision.lapse(now_s)
 
-    def wanted_links(self) -> set[str]:
-        """Return the peers to talk to about a switch."""
-        return {
-            name
-            for model, decision in self._decisions.items()
-            if self._is_active(model)
-            for name in decision.cohort
-        }
-
     def tick(self, now_s: float) -> list[SendMessage]:
         """Tell the cohorts what has changed, and repeat what does not last."""
         messages = []
--- a/reedspar/weights/swarm.py
+++ b/reedspar/weights/swarm.py
@@ -151,7 +151,7 @@
                 self._peers.note_stalled(ORIGIN, now_s)
                 self._fail(fetch, request, now_s)
             elif digest_bytes(result) != digest:
-                self._peers.note_corrupt(ORIGIN, now_s)
+                self._peers.note_corrupt(ORIGIN, now_s, is_scarce=True)
                 self._fail(fetch, request, now_s)
             else:
                 self._peers.note_good(ORIGIN)
@@ -193,16 +193,6 @@
             if announcer is not None:
                 announcer.note_unsent(peer)
 
-    def wanted_links(self) -> set[str]:
-        """Return the peers to keep links to while there is something to get."""
-        names: set[str] = set()
-        for transfer in self._transfers.values():
-            if not transfer.is_complete:
-                placement = self._placements[transfer.model]
-                names.update(transfer.table.neighbours)
-                names.update(placement.draw_partners())
-        return names
-
     def tick(self, now_s: float) -> None:
         """Act on whatever has become due."""
         self._server.expire(now_s)
