--- a/reedspar/weights/controller.py
+++ b/reedspar/weights/controller.py
@@ -250,7 +250,9 @@
 
     def _send(self, action: SendMessage) -> None:
         now_s = self._timers.now_s()
-        failure = self._network.send(action.peer, action.message, Priority.BULK)
+        is_bulk = isinstance(action.message, ChunkPiece)
+        priority = Priority.BULK if is_bulk else Priority.LIVE
+        failure = self._network.send(action.peer, action.message, priority)
         if is_failure(failure):
             self._distribution.note_unsent(action.peer, action.message, now_s)
 
--- a/reedspar/weights/swarm.py
+++ b/reedspar/weights/swarm.py
@@ -151,7 +151,7 @@
                 self._peers.note_stalled(ORIGIN, now_s)
                 self._fail(fetch, request, now_s)
             elif digest_bytes(result) != digest:
-                self._peers.note_corrupt(ORIGIN, now_s)
+                self._peers.note_corrupt(ORIGIN, now_s, is_scarce=True)
                 self._fail(fetch, request, now_s)
             else:
                 self._peers.note_good(ORIGIN)
