--- a/reedspar/requests/application.py
+++ b/reedspar/requests/application.py
@@ -15,6 +15,7 @@
 from reedspar.attempts import Header
 from reedspar.errors import Failure, Reason, Step
 from reedspar.settings import RequestSettings
+from reedspar.telemetry import check_invariant
 from reedspar.timers import TimerService
 
 from .addresses import order_addresses
@@ -209,6 +210,11 @@
             tasks.cancel_scope.cancel()
             # A cancelled scope would also stop the answer's own writes.
             with anyio.CancelScope(shield=True):
+                check_invariant(
+                    answer.outcome is not Outcome.NOT_RUN or not request.may_have_run,
+                    "not_run_is_proved",
+                    request.request_id,
+                )
                 if not answer.is_sent:
                     await responder.finish(answer)
         # A broken stream ends here without its last piece: the server then
--- a/reedspar/requests/relay.py
+++ b/reedspar/requests/relay.py
@@ -9,6 +9,7 @@
 
 from reedspar.attempts import AttemptHead, AttemptStart, Header
 from reedspar.errors import Failure, Reason, Step
+from reedspar.telemetry import check_invariant
 from reedspar.timers import TimerService
 
 from .assembly import Verdict
@@ -99,6 +100,7 @@
 
     def _choose(self, request: Request, tried: set[str]) -> TargetView | Failure:
         document = self._configuration.document
+        self._timers.check_pause()
         # Without a fresh confirmation a zone may have been taken out without
         # our knowing; it would go on getting new work from this entry.
         if document is None or not self._configuration.is_fresh():
@@ -110,15 +112,24 @@
 
     async def _attempt(self, request: Request, view: TargetView, number: int) -> Answer:
         start = self._make_start(request, view, number)
+        check_invariant(
+            request.is_idempotent or not request.may_have_run,
+            "handed_over_once",
+            f"{request.request_id} again to {view.name}",
+        )
         attempt = self._client.open(view.name, start)
         if isinstance(attempt, Failure):
             view.refused_until_s = self._timers.now_s() + REST_S
             return make_not_run(attempt)
+        is_repeated = request.may_have_run
+        request.may_have_run = True
         view.own_in_flight += 1
         try:
             with anyio.move_on_after(request.deadline_s - self._timers.now_s()):
                 answer = await self._follow(request, attempt)
                 self._note_refusal(view, answer)
+                if answer.outcome is Outcome.NOT_RUN:
+                    request.may_have_run = is_repeated
                 return answer
             return self._give_up(request, attempt)
         finally:
--- a/reedspar/requests/request.py
+++ b/reedspar/requests/request.py
@@ -82,6 +82,8 @@
     idempotency_key: str = ""
     fingerprint: str = ""
     weights_digest: str = ""
+    may_have_run: bool = False
+    """It was handed over, and nothing proves that it did not run."""
     header_map: dict[str, str] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
--- a/reedspar/requests/tests/fakes.py
+++ b/reedspar/requests/tests/fakes.py
@@ -45,6 +45,7 @@
     def __init__(self) -> None:
         self.sent: list[tuple[str, Any]] = []
         self.link_listeners: list[Callable] = []
+        self.linked_entries: tuple[str, ...] = ()
         self.down: set[str] = set()
         self.handlers: dict[type, list[Callable]] = {}
         self.on_send: Callable[[str, Any], None] = lambda peer, message: None
@@ -60,7 +61,7 @@
         self.handlers.setdefault(message_class, []).append(handler)
 
     def peers(self, role: object = None) -> tuple[str, ...]:
-        return ()
+        return self.linked_entries
 
     def on_link_event(self, listener: Callable) -> None:
         self.link_listeners.append(listener)
--- a/reedspar/requests/tests/test_application.py
+++ b/reedspar/requests/tests/test_application.py
@@ -7,9 +7,16 @@
 import anyio
 import httpx
 
-from reedspar.attempts import AttemptCancel, AttemptEnd, AttemptStart, EndKind
+from reedspar.attempts import (
+    AttemptCancel,
+    AttemptEnd,
+    AttemptStart,
+    CrashNotice,
+    EndKind,
+)
 from reedspar.errors import Reason
 from reedspar.requests import EntryAddress
+from reedspar.requests.messages import CrashNews
 from reedspar.requests.tests.fakes import (
     DOCUMENT,
     FakeConfiguration,
@@ -158,6 +165,32 @@
         return [head, data, broken]
 
 
+class QuarantineTest(ApplicationTestCase):
+    def test_request_that_crashed_two_targets_is_refused(self) -> None:
+        # A caller sends a request that crashes its target, and sends it again
+        # when it breaks off.  The third time no target may meet it.
+        def crash(peer: str, start: AttemptStart) -> list[Any]:
+            boot_id = f"boot-{len(self.starts())}"
+            notice = CrashNotice(peer, "orders", boot_id, (start.fingerprint,))
+            key = (start.request_id, start.attempt)
+            end = AttemptEnd(*key, EndKind.BROKEN, 0, "", Reason.UNAVAILABLE, "")
+            return [notice, end]
+
+        self.network.linked_entries = ("entry-1", "entry-2")
+        self.answer_with(crash)
+        for status in (504, 504, 503):
+            response = self.call("POST", "/v1/pools/orders/deadly", headers=SHOP)
+            self.assertEqual(response.status_code, status)
+        self.assertEqual(response.json()["reason"], "quarantined")
+        self.assertEqual(response.headers["retry-after"], "300")
+        self.assertEqual(len(self.starts()), 2)
+        told = [peer for peer, item in self.network.sent if type(item) is CrashNews]
+        self.assertEqual(told, ["entry-2", "entry-2"])
+        self.answer_with(lambda peer, start: make_answer(start, b"ok"))
+        other = self.call("POST", "/v1/pools/orders/harmless", headers=SHOP)
+        self.assertEqual(other.status_code, 200)
+
+
 class StreamTest(ApplicationTestCase):
     def run_stream(
         self,
--- a/reedspar/requests/tests/test_histories.py
+++ b/reedspar/requests/tests/test_histories.py
@@ -22,6 +22,10 @@
 from reedspar.requests.tests.mesh import Mesh, PlainOffers, make_agent_settings
 from reedspar.requests.tests.virtual import create_loop_timers, run_virtual
 from reedspar.targets import create_target_controller
+from reedspar.telemetry import (
+    create_invariant_reporter,
+    install_invariant_reporter,
+)
 
 AGENTS = ("t1", "t2", "t3")
 LARGE_BYTES = 3 * 1024 * 1024
@@ -158,7 +162,13 @@
             (rng.uniform(0, 20), rng.choice(["GET", "POST"]), f"{number}")
             for number in range(30)
         ]
-        run_virtual(history.run, orders, 6)
+        reporter = create_invariant_reporter()
+        before = install_invariant_reporter(reporter)
+        try:
+            run_virtual(history.run, orders, 6)
+        finally:
+            install_invariant_reporter(before)
+        self.assertEqual(reporter.violation_count, 0)
         self.assertEqual(len(history.told), len(orders))
         for _, method, order in orders:
             self.check(history, method, order)
