Forward networks in one class; dial a replaced peer where it is now

The observed and the on-demand network both spelled out every call of the network behind; they share a base now. A peer that was replaced under its name by an instance elsewhere went on being dialled at its old address until its link was forgotten as idle (30 s); test seen failing.

--- a/reedspar/links/__init__.py
+++ b/reedspar/links/__init__.py
@@ -1,5 +1,6 @@
 """Connections between daemons: dialled, watched by heartbeats, replaced on silence."""
 
+from .forwarding import ForwardingNetwork
 from .messages import Heartbeat, Hello, Role, register_messages
 from .monitor import LinkChange
 from .network import (
@@ -13,6 +14,7 @@
 from .on_demand import OnDemandLimits, OnDemandNetwork
 
 __all__ = [
+    "ForwardingNetwork",
     "Handler",
     "Heartbeat",
     "Hello",
--- /dev/null
+++ b/reedspar/links/forwarding.py
@@ -0,0 +1,53 @@
+"""A network in front of another one; subclasses change what they are for."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from reedspar.errors import Failure
+from reedspar.messages import Sender
+
+from .messages import Role
+from .network import Handler, LinkListener, Network, PeerAddress, Priority
+
+__all__ = ["ForwardingNetwork"]
+
+
+class ForwardingNetwork:
+    """Hand everything on to the network behind."""
+
+    def __init__(self, network: Network) -> None:
+        self._network = network
+
+    def send(
+        self, peer: str, message: Any, priority: Priority = Priority.LIVE
+    ) -> Failure | None:
+        """Queue a message; a failure means that nothing was sent."""
+        return self._network.send(peer, message, priority)
+
+    def subscribe(self, message_class: type, handler: Handler) -> None:
+        """Call `handler` with each such message; it must not block."""
+        self._network.subscribe(message_class, handler)
+
+    def on_link_event(self, listener: LinkListener) -> None:
+        """Call `listener` when a link comes up, is replaced or goes down."""
+        self._network.on_link_event(listener)
+
+    def on_sender(self, listener: Callable[[Sender], None]) -> None:
+        """Call `listener` with what each received frame says of its sender."""
+        self._network.on_sender(listener)
+
+    def want(self, owner: str, peers: Iterable[PeerAddress]) -> None:
+        """Keep links to these peers, until the same owner wants others."""
+        self._network.want(owner, peers)
+
+    def peers(self, role: Role | None = None) -> tuple[str, ...]:
+        """Return the names of the peers (of a role) that a link is open to."""
+        return self._network.peers(role)
+
+    def incarnation_of(self, peer: str) -> int:
+        """Return the incarnation heard last of a peer; 0 if none."""
+        return self._network.incarnation_of(peer)
+
+    def bulk_backlog_bytes(self, peer: str) -> int:
+        """Return how much bulk waits to be sent to a peer."""
+        return self._network.bulk_backlog_bytes(peer)
--- a/reedspar/links/on_demand.py
+++ b/reedspar/links/on_demand.py
@@ -6,20 +6,17 @@
 """
 
 from collections import OrderedDict, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 from reedspar.errors import Failure, Reason
-from reedspar.messages import Sender
 from reedspar.timers import TimerService
 
-from .messages import Role
+from .forwarding import ForwardingNetwork
 from .monitor import LinkChange
 from .network import (
-    Handler,
     LinkEvent,
-    LinkListener,
     Network,
     PeerAddress,
     Priority,
@@ -48,7 +45,7 @@
     held: deque[tuple[Any, Priority, float]] = field(default_factory=deque)
 
 
-class OnDemandNetwork:
+class OnDemandNetwork(ForwardingNetwork):
     """A network that dials whom it is asked to send to."""
 
     def __init__(
@@ -59,7 +56,7 @@
         resolve: Callable[[str], PeerAddress | None],
         limits: OnDemandLimits | None = None,
     ) -> None:
-        self._network = network
+        super().__init__(network)
         self._timers = timers
         self._owner = owner
         self._resolve = resolve
@@ -75,56 +72,36 @@
         failure = self._network.send(peer, message, priority)
         if failure is not None and failure.reason is not Reason.UNAVAILABLE:
             return failure
-        entry = self._touch(peer)
-        if failure is None or entry is None:
+        if failure is None:
+            self._touch(peer)
+            return None
+        entry = self._dial(peer)
+        if entry is None:
             return failure
         entry.held.append((message, priority, self._timers.now_s()))
         while len(entry.held) > self._limits.held_max:
             entry.held.popleft()
         return None
 
-    def subscribe(self, message_class: type, handler: Handler) -> None:
-        """Call `handler` with each such message."""
-        self._network.subscribe(message_class, handler)
-
-    def on_link_event(self, listener: LinkListener) -> None:
-        """Call `listener` when a link comes up, is replaced or goes down."""
-        self._network.on_link_event(listener)
-
-    def on_sender(self, listener: Callable[[Sender], None]) -> None:
-        """Call `listener` with what each received frame says of its sender."""
-        self._network.on_sender(listener)
-
-    def want(self, owner: str, peers: Iterable[PeerAddress]) -> None:
-        """Keep links to these peers, until the same owner wants others."""
-        self._network.want(owner, peers)
-
-    def peers(self, role: Role | None = None) -> tuple[str, ...]:
-        """Return the names of the peers (of a role) that a link is open to."""
-        return self._network.peers(role)
-
-    def incarnation_of(self, peer: str) -> int:
-        """Return the incarnation heard last of a peer; 0 if none."""
-        return self._network.incarnation_of(peer)
-
-    def bulk_backlog_bytes(self, peer: str) -> int:
-        """Return how much bulk waits to be sent to a peer."""
-        return self._network.bulk_backlog_bytes(peer)
-
-    def _touch(self, peer: str) -> _Peer | None:
-        """Note that a peer's link is in use; dial it if it is new."""
-        now_s = self._timers.now_s()
+    def _touch(self, peer: str) -> None:
+        """Note that a peer's link is in use."""
         entry = self._peers.get(peer)
         if entry is not None:
-            entry.used_s = now_s
+            entry.used_s = self._timers.now_s()
             self._peers.move_to_end(peer)
-            return entry
+
+    def _dial(self, peer: str) -> _Peer | None:
+        """Have a peer dialled where it is now; None if nobody knows where."""
         address = self._resolve(peer)
         if address is None:
             return None
-        entry = self._peers[peer] = _Peer(address, now_s)
-        if len(self._peers) > self._limits.links_max:
-            self._peers.popitem(last=False)
+        entry = self._peers.get(peer)
+        if entry is None:
+            entry = self._peers[peer] = _Peer(address, self._timers.now_s())
+            if len(self._peers) > self._limits.links_max:
+                self._peers.popitem(last=False)
+        entry.address = address
+        self._touch(peer)
         self._want()
         return entry
 
--- a/reedspar/links/tests/test_on_demand.py
+++ b/reedspar/links/tests/test_on_demand.py
@@ -18,7 +18,8 @@
         self.listener = listener
 
     def want(self, owner, peers) -> None:
-        self.wanted = {peer.name for peer in peers}
+        self.addresses = {peer.name: peer.port for peer in peers}
+        self.wanted = set(self.addresses)
 
     def send(self, peer, message, priority=0):
         if peer not in self.open:
@@ -36,14 +37,18 @@
         self.clock = VirtualClock()
         self.timers = TimerService(self.clock, pause_threshold_s=1000.0)
         self.inner = FakeNetwork()
+        self.port = 1
         self.network = OnDemandNetwork(
             self.inner,
             self.timers,
             "test",
-            lambda name: PeerAddress(name, "127.0.0.1", 1) if name != "gone" else None,
+            self.resolve,
             OnDemandLimits(links_max=2, held_max=2, hold_s=2.0, idle_s=30.0),
         )
 
+    def resolve(self, name: str) -> PeerAddress | None:
+        return None if name == "gone" else PeerAddress(name, "127.0.0.1", self.port)
+
     def advance(self, by_s: float) -> None:
         self.clock.advance(by_s)
         self.timers.run_due()
@@ -73,6 +78,14 @@
         self.advance(31.0)
         self.assertEqual(self.inner.wanted, set())
 
+    def test_peer_that_was_replaced_elsewhere_is_dialled_there(self) -> None:
+        # An instance is replaced under its name by one at another address.
+        # Its old address would refuse until the link is forgotten as idle.
+        self.network.send("a", "m1")
+        self.port = 2
+        self.network.send("a", "m2")
+        self.assertEqual(self.inner.addresses, {"a": 2})
+
     def test_unknown_peer_is_a_failure(self) -> None:
         failure = self.network.send("gone", "m")
         self.assertIs(failure.reason, Reason.UNAVAILABLE)
--- a/reedspar/observation/network.py
+++ b/reedspar/observation/network.py
@@ -1,19 +1,17 @@
 """A network that counts messages and lets observers see those that are sent."""
 
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any
 
 from reedspar.errors import Failure
 from reedspar.links import (
+    ForwardingNetwork,
     Handler,
     LinkChange,
     LinkEvent,
-    LinkListener,
     Network,
-    PeerAddress,
     Priority,
-    Role,
 )
 from reedspar.messages import Sender
 from reedspar.telemetry import Metrics
@@ -29,13 +27,13 @@
 }
 
 
-class ObservedNetwork:
+class ObservedNetwork(ForwardingNetwork):
     """Pass everything on to the real network; keep plain counts by message type."""
 
     def __init__(
         self, network: Network, metrics: Metrics, recorder: EventRecorder
     ) -> None:
-        self._network = network
+        super().__init__(network)
         self._metrics = metrics
         self._recorder = recorder
         self._sent: Counter[type] = Counter()
@@ -71,30 +69,6 @@
             self._network.subscribe(message_class, self._count_received)
         self._network.subscribe(message_class, handler)
 
-    def on_link_event(self, listener: LinkListener) -> None:
-        """Call `listener` when a link comes up, is replaced or goes down."""
-        self._network.on_link_event(listener)
-
-    def on_sender(self, listener: Callable[[Sender], None]) -> None:
-        """Call `listener` with what each received frame says of its sender."""
-        self._network.on_sender(listener)
-
-    def want(self, owner: str, peers: Iterable[PeerAddress]) -> None:
-        """Keep links to these peers, until the same owner wants others."""
-        self._network.want(owner, peers)
-
-    def peers(self, role: Role | None = None) -> tuple[str, ...]:
-        """Return the names of the peers (of a role) that a link is open to."""
-        return self._network.peers(role)
-
-    def incarnation_of(self, peer: str) -> int:
-        """Return the incarnation heard last of a peer; 0 if none."""
-        return self._network.incarnation_of(peer)
-
-    def bulk_backlog_bytes(self, peer: str) -> int:
-        """Return how much bulk waits to be sent to a peer."""
-        return self._network.bulk_backlog_bytes(peer)
-
     def _count_received(self, sender: Sender, message: Any) -> None:
         self._received[type(message)] += 1
 
