--- a/reedspar/daemon/views.py
+++ b/reedspar/daemon/views.py
@@ -100,7 +100,7 @@
             return ()
         pools = {name for name, pool in document.pools.items() if model in pool.models}
         return tuple(
-            WeightPeer(record.name, record.region, record.zone)
+            WeightPeer(record.name, record.region, record.zone, record.pool)
             for record in self._membership.agents()
             if record.pool in pools and record.name != self._name
         )
--- a/reedspar/weights/controller.py
+++ b/reedspar/weights/controller.py
@@ -219,7 +219,11 @@
     def _set_peers(self, model: str) -> None:
         peers = self._peers.agents_of(model)
         self._distribution.set_peers(model, peers, self._timers.now_s())
-        self._rollout.set_peers(model, [peer.name for peer in peers])
+        # Another pool may serve the model, too.  Counted together, a small pool
+        # could switch as a whole while the larger one's share allows it.
+        pool = self._target.pool
+        same_pool = [peer.name for peer in peers if peer.pool in ("", pool)]
+        self._rollout.set_peers(model, same_pool)
 
     def _lapse(self, gap_s: float) -> None:
         self._distribution.lapse(self._timers.now_s())
--- a/reedspar/weights/distribution.py
+++ b/reedspar/weights/distribution.py
@@ -30,6 +30,7 @@
     name: str
     region: str
     zone: str
+    pool: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/reedspar/weights/limits.py
+++ b/reedspar/weights/limits.py
@@ -47,6 +47,11 @@
         """Return how far requests may run ahead of the machine's link."""
         return 32 * self.piece_bytes
 
+    @property
+    def slowest_bytes_per_s(self) -> float:
+        """Return the rate at which a copy can come at most."""
+        return min(self.machine_bytes_per_s, self.region_bytes_per_s)
+
     @property
     def patience_s(self) -> float:
         """Return how long a request waits here for an object that is coming."""
--- a/reedspar/weights/swarm.py
+++ b/reedspar/weights/swarm.py
@@ -92,6 +92,10 @@
         if digest in self._memory:
             self._report(digest)
             return
+        for other in [d for d, m in self._objects.items() if m == model]:
+            # The manifest of a version that was replaced is not needed any more.
+            del self._objects[other]
+            self._fetches.finish(other)
         self._objects[digest] = model
         self._settle(now_s)
 
@@ -328,7 +332,7 @@
     def _transfer_of(self, manifest: Manifest, now_s: float) -> Transfer:
         root_digest = manifest.root_digest
         if root_digest not in self._transfers:
-            transfer = Transfer(manifest, self._limits.machine_bytes_per_s, self._rng)
+            transfer = Transfer(manifest, self._limits.slowest_bytes_per_s, self._rng)
             self._transfers[root_digest] = transfer
             self._announcers[root_digest] = Announcer(
                 transfer, self._me.name, self._actions
--- a/reedspar/weights/transfers.py
+++ b/reedspar/weights/transfers.py
@@ -9,7 +9,7 @@
 __all__ = ["Transfer"]
 
 ANNOUNCEMENTS_PER_COPY = 150
-"""Batches of changes told to a neighbour while a whole copy crosses the link."""
+"""Batches of changes told to a neighbour while a copy crosses the slowest link."""
 ANNOUNCE_MIN_S = 0.01
 ANNOUNCE_MAX_S = 0.25
 
@@ -21,7 +21,7 @@
     """
 
     def __init__(
-        self, manifest: Manifest, machine_bytes_per_s: float, rng: random.Random
+        self, manifest: Manifest, slowest_bytes_per_s: float, rng: random.Random
     ) -> None:
         self.manifest = manifest
         self.model = manifest.model
@@ -42,7 +42,7 @@
         self.size_bytes = manifest.size_bytes
         self.missing_map = 0
         self.seek_at_s = 0.0
-        copy_s = self.size_bytes / machine_bytes_per_s
+        copy_s = self.size_bytes / slowest_bytes_per_s
         interval_s = copy_s / ANNOUNCEMENTS_PER_COPY
         self.announce_interval_s = min(max(interval_s, ANNOUNCE_MIN_S), ANNOUNCE_MAX_S)
         self._rng = rng
