Show that a lagging report defeats the gate after a boot

Cause: the gate takes a warm report at its word, also right after a boot that the report does not know of yet. Two answers are then enough to raise the limit above what the cold target bears.

--- /dev/null
+++ b/reedspar/targets/tests/test_gate.py
@@ -0,0 +1,38 @@
+"""Tests that the gate alone keeps a cold target from more than it bears."""
+
+import unittest
+
+from reedspar.targets import ColdStartGate, GateSettings
+
+COLD_LIMIT = 1
+FULL_LIMIT = 4
+
+
+class LaggingReportTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.gate = ColdStartGate(GateSettings(COLD_LIMIT, FULL_LIMIT))
+
+    def answer(self, count: int) -> None:
+        for _ in range(count):
+            self.gate.note_started()
+            self.gate.note_first_byte(0.1)
+            self.gate.note_ended()
+            self.gate.note_completed()
+
+    def test_report_from_before_the_boot_raises_no_limit(self) -> None:
+        # A warm target restarts.  Its boot shows at once, but its load report
+        # lags and goes on to say "warm" while the new process is cold.  A few
+        # answers later the target gets two at once, falls over, and callers
+        # see broken answers until it has started twice.
+        self.gate.note_boot("boot-1")
+        self.gate.note_report(is_cold=False)
+        self.answer(10)
+        self.assertEqual(self.gate.limit, FULL_LIMIT)
+        self.gate.note_boot("boot-2")
+        self.gate.note_report(is_cold=False)
+        self.answer(3)
+        self.assertEqual(self.gate.limit, COLD_LIMIT)
+
+
+if __name__ == "__main__":
+    unittest.main()
