Share reading controls and being silent among the stand-ins

The same validation of a control's body stood four times, and the switch that holds answers back twice. Behaviour unchanged.

--- a/stand_ins/engine.py
+++ b/stand_ins/engine.py
@@ -20,7 +20,7 @@
 from .engine_model import EngineModel
 from .engine_settings import EngineControl, EngineOptions
 from .engine_weights import LoadOutcome
-from .faults import refuse
+from .faults import Silence, read_control, refuse
 from .serving import (
     CutResponse,
     CuttableStream,
@@ -56,8 +56,7 @@
 
     def __init__(self, options: EngineOptions) -> None:
         self._model = EngineModel(options)
-        self._loud = anyio.Event()
-        self._loud.set()
+        self._silence = Silence()
 
     def make_routes(self) -> list[Route]:
         """Return the routes of the engine and of its control."""
@@ -86,7 +85,7 @@
             tasks.cancel_scope.cancel()
 
     async def _refuse_if_down(self) -> Response | None:
-        await self._loud.wait()
+        await self._silence.wait()
         return refuse("restarting") if self._model.is_down else None
 
     async def _complete(self, request: Request) -> Response:
@@ -132,7 +131,7 @@
                 async for token in job.receiver:
                     text += token
             tasks.cancel_scope.cancel()
-        await self._loud.wait()
+        await self._silence.wait()
         if job.end is not JobEnd.COMPLETED:
             return CutResponse()
         return JSONResponse(make_answer(job, text, "length"), headers=headers)
@@ -140,7 +139,7 @@
     async def _stream(self, job: Job) -> AsyncIterator[bytes | None]:
         try:
             async for token in job.receiver:
-                await self._loud.wait()
+                await self._silence.wait()
                 yield make_event(make_answer(job, token, None))
             if job.end is not JobEnd.COMPLETED:
                 yield None
@@ -210,15 +209,11 @@
         return JSONResponse({"error": error_text}, status_code=status)
 
     async def _set_control(self, request: Request) -> Response:
-        try:
-            control = EngineControl.model_validate_json(await request.body())
-        except ValidationError as error:
-            return JSONResponse({"error": str(error)}, status_code=422)
+        control = await read_control(request, EngineControl.model_validate_json)
+        if isinstance(control, Response):
+            return control
         self._model.batch.control = control
-        if control.silent:
-            self._loud = anyio.Event()
-        else:
-            self._loud.set()
+        self._silence.set(is_silent=control.silent)
         return Response(status_code=204)
 
     async def _turn_cold(self, request: Request) -> Response:
--- a/stand_ins/faults.py
+++ b/stand_ins/faults.py
@@ -1,7 +1,10 @@
 """Faults that a stand-in is told to show, drawn from a seeded generator."""
 
 import random
+from collections.abc import Callable
+from typing import TypeVar
 
+import anyio
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
@@ -11,6 +14,9 @@
 
 Share = Field(0.0, ge=0, le=1)
 REFUSED_STATUS = 503
+INVALID_STATUS = 422
+
+ControlT = TypeVar("ControlT")
 
 
 class Faults(BaseModel):
@@ -28,6 +34,25 @@
     """Share of reads whose body is damaged."""
 
 
+class Silence:
+    """Holds back answers while a stand-in is silent."""
+
+    def __init__(self) -> None:
+        self._end = anyio.Event()
+        self._end.set()
+
+    def set(self, *, is_silent: bool) -> None:
+        """Begin or end the silence."""
+        if is_silent:
+            self._end = anyio.Event()
+        else:
+            self._end.set()
+
+    async def wait(self) -> None:
+        """Return once the stand-in is not silent."""
+        await self._end.wait()
+
+
 class FaultControl:
     """Holds the faults in force, and draws from them."""
 
@@ -53,13 +78,23 @@
 
     async def _handle(self, request: Request) -> Response:
         if request.method != "GET":
-            try:
-                self.faults = Faults.model_validate_json(await request.body())
-            except ValidationError as error:
-                return JSONResponse({"error": str(error)}, status_code=422)
+            faults = await read_control(request, Faults.model_validate_json)
+            if isinstance(faults, Response):
+                return faults
+            self.faults = faults
         return JSONResponse(self.faults.model_dump())
 
 
+async def read_control(
+    request: Request, validate: Callable[[bytes], ControlT]
+) -> ControlT | Response:
+    """Return the request's validated body, or the answer that says why not."""
+    try:
+        return validate(await request.body())
+    except ValidationError as error:
+        return JSONResponse({"error": str(error)}, status_code=INVALID_STATUS)
+
+
 def refuse(detail: str = "outage") -> Response:
     """Return the answer of a service that did nothing."""
     return JSONResponse({"error": detail}, status_code=REFUSED_STATUS)
--- a/stand_ins/instance_list.py
+++ b/stand_ins/instance_list.py
@@ -5,7 +5,7 @@
 from collections import deque
 
 import anyio
-from pydantic import TypeAdapter, ValidationError
+from pydantic import TypeAdapter
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
@@ -13,7 +13,7 @@
 
 from reedspar.platform import InstanceRecord
 
-from .faults import FaultControl, refuse
+from .faults import FaultControl, read_control, refuse
 from .serving import add_port_argument, serve_ports
 
 __all__ = ["InstanceListService", "create_app"]
@@ -55,10 +55,9 @@
         return Response(body, media_type="application/json")
 
     async def _put(self, request: Request) -> Response:
-        try:
-            record = _RECORD.validate_json(await request.body())
-        except ValidationError as error:
-            return JSONResponse({"error": str(error)}, status_code=422)
+        record = await read_control(request, _RECORD.validate_json)
+        if isinstance(record, Response):
+            return record
         self._change(request.path_params["name"], record)
         return Response(status_code=204)
 
--- a/stand_ins/plain_service.py
+++ b/stand_ins/plain_service.py
@@ -7,7 +7,7 @@
 from dataclasses import asdict, dataclass, field
 
 import anyio
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
@@ -15,7 +15,7 @@
 
 from reedspar.platform import EngineState
 
-from .faults import refuse
+from .faults import Silence, read_control, refuse
 from .lagged import LaggedValue
 from .serving import CutResponse, add_port_argument, serve_ports
 
@@ -56,8 +56,7 @@
         self._down_until_s = 0.0
         self._in_flight = 0
         self._load = LaggedValue(0, load_lag_s)
-        self._loud = anyio.Event()
-        self._loud.set()
+        self._silence = Silence()
 
     def make_routes(self) -> list[Route]:
         """Return the routes of the service and of its control."""
@@ -76,7 +75,7 @@
 
     async def _run(self, request: Request) -> Response:
         body = await request.body()
-        await self._loud.wait()
+        await self._silence.wait()
         if self._is_down:
             return refuse("restarting")
         key = find_order_key(request)
@@ -85,7 +84,7 @@
         self._change_load(1)
         try:
             await anyio.sleep(self._control.latency_s)
-            await self._loud.wait()
+            await self._silence.wait()
         finally:
             self._change_load(-1)
         if self._control.crash_next:
@@ -113,7 +112,7 @@
         self._down_until_s = time.monotonic() + self._control.restart_s
 
     async def _state(self, request: Request) -> Response:
-        await self._loud.wait()
+        await self._silence.wait()
         if self._is_down:
             return refuse("restarting")
         state = EngineState(self._boot_id, in_flight=self._load.get())
@@ -126,16 +125,11 @@
         return JSONResponse({"boot_id": self._boot_id})
 
     async def _set_control(self, request: Request) -> Response:
-        try:
-            self._control = PlainServiceControl.model_validate_json(
-                await request.body()
-            )
-        except ValidationError as error:
-            return JSONResponse({"error": str(error)}, status_code=422)
-        if self._control.silent:
-            self._loud = anyio.Event()
-        else:
-            self._loud.set()
+        control = await read_control(request, PlainServiceControl.model_validate_json)
+        if isinstance(control, Response):
+            return control
+        self._control = control
+        self._silence.set(is_silent=control.silent)
         return Response(status_code=204)
 
     async def _crash_now(self, request: Request) -> Response:
