Release all that a silent stand-in holds back

Cause: each control that says silent made another event, so requests that waited on the one before it hung for good, also after the silence. Test seen failing (timed out after 5 s) before the mend.

--- a/stand_ins/faults.py
+++ b/stand_ins/faults.py
@@ -43,10 +43,10 @@
 
     def set(self, *, is_silent: bool) -> None:
         """Begin or end the silence."""
-        if is_silent:
-            self._end = anyio.Event()
-        else:
+        if not is_silent:
             self._end.set()
+        elif self._end.is_set():
+            self._end = anyio.Event()
 
     async def wait(self) -> None:
         """Return once the stand-in is not silent."""
