--- a/bench/cold_start_model.py
+++ b/bench/cold_start_model.py
@@ -105,8 +105,8 @@
 
     def note_state(self, boot_id: str, is_cold: bool, now_s: float) -> None:
         """Take in the target's report."""
-        self._gate.note_boot(boot_id)
-        self._gate.note_report(is_cold=is_cold)
+        self._gate.note_boot(boot_id, now_s)
+        self._gate.note_report(is_cold=is_cold, now_s=now_s)
 
 
 class TimedLimiter:
--- a/reedspar/settings/models.py
+++ b/reedspar/settings/models.py
@@ -121,6 +121,9 @@
     cold_concurrency: int = Field(
         1, ge=1, description="Requests that it bears at once in cold start."
     )
+    report_lag_s: Seconds = Field(
+        3.0, description="How old the target's own report may be."
+    )
     answer_ttl_s: Seconds = Field(
         60.0, description="How long a finished answer is kept for resumption."
     )
--- a/reedspar/targets/controller.py
+++ b/reedspar/targets/controller.py
@@ -78,7 +78,9 @@
         self._may_start_work = may_start_work
         self._spawn = spawn
         limit = target_settings.concurrency_limit
-        gate_settings = GateSettings(target_settings.cold_concurrency, limit)
+        gate_settings = GateSettings(
+            target_settings.cold_concurrency, limit, target_settings.report_lag_s
+        )
         self._gate = ColdStartGate(gate_settings)
         self._incarnation = incarnation
         self._crashes = CrashLedger()
@@ -272,10 +274,11 @@
         self._start_poll()
 
     def _take_state(self, state: EngineState) -> None:
+        now_s = self._timers.now_s()
         previous = self._gate.boot_id
-        if self._gate.note_boot(state.boot_id) and previous:
+        if self._gate.note_boot(state.boot_id, now_s) and previous:
             self._announce_crash(previous)
-        self._gate.note_report(is_cold=state.is_cold)
+        self._gate.note_report(is_cold=state.is_cold, now_s=now_s)
         self._is_reachable = True
         self._missed_reports = 0
         self._offers.note_engine_state(state)
--- a/reedspar/targets/gate.py
+++ b/reedspar/targets/gate.py
@@ -15,6 +15,13 @@
 LATENCY_JUMP_FACTOR = 4.0
 LATENCY_JUMP_FLOOR_S = 0.05
 WARM_COMPLETIONS_PER_SLOT = 2
+SLOW_SMOOTHING = 0.02
+"""A first byte that is far too late hardly counts as usual: taken as such, a
+target that turned cold without a word would soon look as it always did."""
+SLOW_IN_A_ROW = 3
+"""Late first bytes after which the target is taken for cold; one alone may be
+a long prompt."""
+DEFAULT_REPORT_LAG_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,6 +30,8 @@
 
     cold_concurrency: int
     concurrency_limit: int
+    report_lag_s: float = DEFAULT_REPORT_LAG_S
+    """How old the target's own report may be."""
 
 
 class ColdStartGate:
@@ -37,6 +46,9 @@
         self._completions_since_cold = 0
         self._latency_s = 0.0
         self._is_confirmed = False
+        self._slow_in_a_row = 0
+        self._now_s = float("-inf")
+        self._cold_since_s = float("-inf")
 
     @property
     def limit(self) -> int:
@@ -81,22 +93,30 @@
         bound = self._limit if self._is_confirmed else min(cold, self._limit)
         return self._in_flight < bound
 
-    def note_boot(self, boot_id: str) -> bool:
+    def note_boot(self, boot_id: str, now_s: float) -> bool:
         """Take in the boot id just read; tell whether it differs from the last."""
+        self._now_s = now_s
         self._is_confirmed = True
         if not boot_id or boot_id == self._boot_id:
             return False
         self._boot_id = boot_id
         self._latency_s = 0.0
-        self.drop()
+        self._turn_cold()
         self._is_confirmed = True
         return True
 
-    def note_report(self, *, is_cold: bool) -> None:
-        """Take in the target's own, lagging, report."""
+    def note_report(self, *, is_cold: bool, now_s: float) -> None:
+        """Take in the target's own, lagging, report.
+
+        A report may be as old as its lag.  Soon after a boot, or after the
+        latency has shown a turn to cold, "warm" may tell of the time before;
+        believed, it would let through more than the cold target bears.
+        """
+        self._now_s = now_s
         if is_cold and not self._is_reported_cold:
             self.drop()
-        self._is_reported_cold = is_cold
+        may_be_old = now_s - self._cold_since_s < self._settings.report_lag_s
+        self._is_reported_cold = is_cold or may_be_old
 
     def drop(self) -> None:
         """Go back to the cold limit."""
@@ -118,11 +138,13 @@
         """Take in how long a request's first byte took."""
         known_s = self._latency_s
         jump_s = max(known_s * LATENCY_JUMP_FACTOR, LATENCY_JUMP_FLOOR_S)
-        if known_s and latency_s > jump_s:
-            # The target may have turned cold without a word; its report lags.
-            # Were the limit to wait for it, full load would bring it down.
-            self._limit = max(self._settings.cold_concurrency, self._limit // 2)
-        self._latency_s = known_s + LATENCY_SMOOTHING * (latency_s - known_s)
+        is_slow = bool(known_s) and latency_s > jump_s
+        if is_slow:
+            self._note_slow()
+        else:
+            self._slow_in_a_row = 0
+        weight = SLOW_SMOOTHING if is_slow else LATENCY_SMOOTHING
+        self._latency_s = known_s + weight * (latency_s - known_s)
         if not known_s:
             self._latency_s = latency_s
 
@@ -135,3 +157,22 @@
     def note_broken(self) -> None:
         """Take in that the target broke off an answer: it may be restarting."""
         self.drop()
+
+    def _note_slow(self) -> None:
+        """Act on a late first byte: the target may have turned cold silently.
+
+        Its report lags.  Were the limit to wait for it, full load would bring
+        the target down.
+        """
+        self._slow_in_a_row += 1
+        if self._slow_in_a_row < SLOW_IN_A_ROW:
+            self._limit = max(self._settings.cold_concurrency, self._limit // 2)
+        elif self._slow_in_a_row == SLOW_IN_A_ROW:
+            self._turn_cold()
+
+    def _turn_cold(self) -> None:
+        """Hold to the cold limit until a report can't be from before."""
+        self._cold_since_s = self._now_s
+        self._is_reported_cold = True
+        self._slow_in_a_row = 0
+        self.drop()
--- a/reedspar/targets/tests/test_controller.py
+++ b/reedspar/targets/tests/test_controller.py
@@ -52,6 +52,8 @@
                     tasks.start_soon,
                 )
                 await self.advance(0.3)
+                # By now the report can't be from before the boot.
+                await self.advance(4.0)
                 await scenario()
                 tasks.cancel_scope.cancel()
 
--- a/reedspar/targets/tests/test_gate.py
+++ b/reedspar/targets/tests/test_gate.py
@@ -24,14 +24,45 @@
         # lags and goes on to say "warm" while the new process is cold.  A few
         # answers later the target gets two at once, falls over, and callers
         # see broken answers until it has started twice.
-        self.gate.note_boot("boot-1")
-        self.gate.note_report(is_cold=False)
+        self.gate.note_boot("boot-1", 0.0)
+        self.gate.note_report(is_cold=False, now_s=10.0)
         self.answer(10)
         self.assertEqual(self.gate.limit, FULL_LIMIT)
-        self.gate.note_boot("boot-2")
-        self.gate.note_report(is_cold=False)
+        self.gate.note_boot("boot-2", 20.0)
+        self.gate.note_report(is_cold=False, now_s=20.0)
         self.answer(3)
         self.assertEqual(self.gate.limit, COLD_LIMIT)
+        self.gate.note_report(is_cold=False, now_s=22.9)
+        self.answer(3)
+        self.assertEqual(self.gate.limit, COLD_LIMIT)
+        self.gate.note_report(is_cold=False, now_s=23.1)
+        self.answer(3)
+        self.assertEqual(self.gate.limit, FULL_LIMIT)
+
+    def test_silent_turn_to_cold_shows_in_late_first_bytes(self) -> None:
+        # A warm target turns cold without a restart, and its report goes on to
+        # say "warm".  Taken for usual, its slow answers would raise the limit
+        # again, and it would fall over under what it bore before.
+        self.gate.note_boot("boot-1", 0.0)
+        self.gate.note_report(is_cold=False, now_s=10.0)
+        self.answer(20)
+        for i in range(12):
+            self.gate.note_report(is_cold=False, now_s=11.0 + i / 5)
+            self.gate.note_started()
+            self.gate.note_first_byte(1.0)
+            self.gate.note_ended()
+            self.gate.note_completed()
+            if i >= 2:
+                self.assertEqual(self.gate.limit, COLD_LIMIT)
+
+    def test_one_long_prompt_does_not_make_the_target_cold(self) -> None:
+        self.gate.note_boot("boot-1", 0.0)
+        self.gate.note_report(is_cold=False, now_s=10.0)
+        self.answer(20)
+        self.gate.note_first_byte(1.0)
+        self.assertFalse(self.gate.is_cold)
+        self.answer(2)
+        self.assertEqual(self.gate.limit, FULL_LIMIT)
 
 
 if __name__ == "__main__":
