--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -101,6 +101,7 @@
             (3, self._spoil_key_value),
             (1, self._spoil_origin),
             (3, self._take_zone_out),
+            (4, self._spoil_path),
         ]
         weights = [weight for weight, _ in faults]
         until_s = anyio.current_time() + seconds
@@ -232,6 +233,33 @@
         self.time_line.note(f"{name}: no faults")
         self._busy.discard(name)
 
+    async def _spoil_path(self) -> None:
+        """Cut, slow down or silence a path to a target or the key-value service."""
+        name, url = self._rng.choice(self._list_paths())
+        if f"path {name}" in self._busy:
+            return
+        self._busy.add(f"path {name}")
+        control_url = self._launcher.relay_urls[url]
+        kind = self._rng.choice(["cut", "slow", "silent", "silent for open ones"])
+        self.time_line.note(f"path to {name}: {kind}")
+        if kind == "cut":
+            await self._client.post(f"{control_url}/control/cut")
+        else:
+            rule = {"delay_s": 0.2} if kind == "slow" else {"silent": True}
+            rules = {"to_server": rule, "to_client": rule}
+            only_open = kind == "silent for open ones"
+            body = {**rules, "only_open": only_open}
+            await self._client.put(f"{control_url}/control/rules", json=body)
+            await anyio.sleep(self._rng.uniform(1.0, 6.0))
+            await self._client.put(f"{control_url}/control/rules", json={})
+            self.time_line.note(f"path to {name}: clear")
+        self._busy.discard(f"path {name}")
+
+    def _list_paths(self) -> list[tuple[str, str]]:
+        launcher = self._launcher
+        paths = [(agent.name, agent.target_url) for agent in launcher.agents]
+        return [*paths, ("key-value", launcher.key_value_url)]
+
     async def _take_zone_out(self) -> None:
         if "zone" in self._busy:
             return
--- a/bench/random_run.py
+++ b/bench/random_run.py
@@ -203,6 +203,7 @@
     options = LauncherOptions(
         targets_per_process=5,
         engine_arguments=ENGINE_ARGUMENTS,
+        has_relays=True,
         key_value_arguments=("--reads-per-s", "2000", "--writes-per-s", "500"),
     )
     with launch(MARCOS_CENTRAL, options) as launcher:
--- a/stand_ins/launcher.py
+++ b/stand_ins/launcher.py
@@ -46,6 +46,8 @@
     daemon_settings: dict[str, Any] = field(default_factory=dict)
     """Merged into each daemon's settings, table by table."""
     has_daemons: bool = True
+    has_relays: bool = False
+    """Put a relay before the key-value service and before each target."""
 
 
 @dataclass(frozen=True)
@@ -55,6 +57,7 @@
     record: InstanceRecord
     settings_path: Path
     target_url: str = ""
+    """The target itself, past any relay."""
 
     @property
     def name(self) -> str:
@@ -82,6 +85,9 @@
         self.key_value_url = ""
         self.origin_url = ""
         self.instance_list_url = ""
+        self.relay_urls: dict[str, str] = {}
+        """Where the relay before an URL is controlled."""
+        self._relayed: dict[str, str] = {}
         self._ports = PortAllocator()
         self._http = httpx.Client(trust_env=False, verify=False, timeout=5.0)
 
@@ -98,6 +104,9 @@
         """Start everything and wait until it answers."""
         self._start_platform()
         target_urls = self._start_targets()
+        if self.options.has_relays:
+            urls = [url for pool_urls in target_urls.values() for url in pool_urls]
+            self._start_relays([self.key_value_url, *urls])
         self._wait(self.processes.names)
         if not self.options.has_daemons:
             return
@@ -160,6 +169,21 @@
         )
         return urls
 
+    def _start_relays(self, urls: list[str]) -> None:
+        """Start one process with a relay before each URL."""
+        arguments: list[str] = []
+        for url in urls:
+            port, control_port = self._ports.allocate(), self._ports.allocate()
+            server_port = url.rpartition(":")[2]
+            arguments += ["--port", str(port), "--server-port", server_port]
+            arguments += ["--control-port", str(control_port)]
+            self._relayed[url] = f"http://{HOST}:{port}"
+            self.relay_urls[url] = f"http://{HOST}:{control_port}"
+        ready_url = f"{self.relay_urls[urls[-1]]}/control/ready"
+        self.processes.start(
+            "relays", "stand_ins.relay", *arguments, ready_url=ready_url
+        )
+
     def _start_targets(self) -> dict[str, list[str]]:
         return {pool.name: self._start_pool(pool) for pool in self.deployment.pools}
 
@@ -193,7 +217,7 @@
                 target = {
                     "kind": pool.kind.value,
                     "pool": pool.name,
-                    "url": url,
+                    "url": self._relayed.get(url, url),
                     "checks_fencing": fencing,
                 }
                 self.agents.append(self._make_daemon(record, {"target": target}, url))
@@ -224,7 +248,9 @@
             "port": record.port,
             "http_port": record.http_port,
             "platform": {
-                "key_value_url": self.key_value_url,
+                "key_value_url": self._relayed.get(
+                    self.key_value_url, self.key_value_url
+                ),
                 "instance_list_url": self.instance_list_url,
                 "origin_url": self.origin_url,
                 "instance_poll_s": 1.0,
--- a/stand_ins/relay.py
+++ b/stand_ins/relay.py
@@ -207,26 +207,29 @@
     )
 
 
-async def run_relay(relay: Relay, control_port: int) -> None:
-    """Relay, and serve the control port, until told to stop."""
+async def run_relays(relays: list[tuple[Relay, int]]) -> None:
+    """Relay, and serve each relay's control port, until killed."""
     stop = anyio.Event()
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(relay.run)
-        app = create_control_app(relay)
-        await serve_app(app, control_port, stop)
-        tasks.cancel_scope.cancel()
+        for relay, control_port in relays:
+            tasks.start_soon(relay.run)
+            tasks.start_soon(serve_app, create_control_app(relay), control_port, stop)
 
 
 def main() -> None:
-    """Run the relay."""
+    """Run relays: each port with the server port and control port at its place."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--port", type=int, required=True, help="Relayed.")
-    parser.add_argument("--server-port", type=int, required=True)
-    parser.add_argument("--control-port", type=int, required=True)
+    for option in ("--port", "--server-port", "--control-port"):
+        parser.add_argument(option, type=int, action="append", required=True)
     parser.add_argument("--seed", type=int, default=0)
     arguments = parser.parse_args()
-    relay = Relay(arguments.port, arguments.server_port, arguments.seed)
-    anyio.run(run_relay, relay, arguments.control_port)
+    relays = [
+        (Relay(port, server_port, arguments.seed), control_port)
+        for port, server_port, control_port in zip(
+            arguments.port, arguments.server_port, arguments.control_port, strict=True
+        )
+    ]
+    anyio.run(run_relays, relays)
 
 
 if __name__ == "__main__":
