Stop an agent without waiting for entries that are gone

Now entries are reminded while the agent stops; those without a link are waited for 3 s. Changes reedspar/targets/desk.py.

--- a/reedspar/requests/tests/mesh.py
+++ b/reedspar/requests/tests/mesh.py
@@ -63,7 +63,9 @@
 
     def peers(self, role: Role | None = None) -> tuple[str, ...]:
         names = self.mesh.entries if role is Role.ENTRY else self.mesh.agents
-        return tuple(name for name in names if name != self.name)
+        return tuple(
+            name for name in names if name != self.name and name in self.mesh.daemons
+        )
 
 
 @dataclass
--- a/reedspar/targets/desk.py
+++ b/reedspar/targets/desk.py
@@ -15,7 +15,7 @@
     AttemptStatus,
 )
 from reedspar.errors import Failure, Reason, Step
-from reedspar.links import Network
+from reedspar.links import Network, Role
 from reedspar.messages import Sender
 from reedspar.timers import TimerService
 
@@ -28,6 +28,9 @@
 
 EXPIRE_INTERVAL_S = 1.0
 DRAIN_POLL_S = 0.05
+REMIND_POLLS = 10
+REDIAL_S = 3.0
+"""How long a live entry may take to replace its link to a stopping agent."""
 MIN_RETRY_AFTER_S = 0.25
 
 
@@ -115,9 +118,31 @@
             await anyio.sleep(DRAIN_POLL_S)
 
     async def wait_delivered(self) -> None:
-        """Return once every answer has reached its entry."""
-        while self._handles or self._table.undelivered():
+        """Return once every answer has reached its entry.
+
+        An entry that was killed acknowledges nothing, and one that gave an
+        attempt up may have lost its end.  Operators would see the stop take
+        all the time it may.  So entries are reminded: those that don't wait
+        for the answer say so, and those without a link are waited for as long
+        as it takes them to dial again.
+        """
+        polls = 0
+        while self._handles or self._is_awaited(polls * DRAIN_POLL_S):
+            if polls % REMIND_POLLS == 0:
+                self._remind()
             await anyio.sleep(DRAIN_POLL_S)
+            polls = 0 if self._handles else polls + 1
+
+    def _is_awaited(self, idle_s: float) -> bool:
+        undelivered = self._table.undelivered()
+        if idle_s < REDIAL_S:
+            return bool(undelivered)
+        linked = self._network.peers(Role.ENTRY)
+        return any(record.entry in linked for record in undelivered)
+
+    def _remind(self) -> None:
+        for record in self._table.undelivered():
+            self._send(record.entry, record.end)
 
     def _send(self, peer: str, message: Any) -> None:
         # A failed send is no loss: the entry asks again from what it has.
