--- a/reedspar/requests/relay.py
+++ b/reedspar/requests/relay.py
@@ -31,9 +31,12 @@
 ATTEMPTS_MAX = 4
 BREAKS_MAX = 2
 """Targets that may break under one request; it may be what breaks them."""
+UNBROKEN_REASONS = frozenset({Reason.CORRUPT, Reason.TIMEOUT, Reason.CANCELLED})
+"""Ends for which the target itself did not break."""
 RETRY_WAIT_S = 1.5
-"""How long a retry waits for a target while links and reports recover."""
+"""How long a request waits for a target while links and reports recover."""
 RETRY_POLL_S = 0.1
+LATELY_S = 5.0
 VERDICT_MARGIN_S = 0.25
 """What the agent's word at its deadline gets to reach us before ours."""
 RESTED_REASONS = frozenset(
@@ -63,6 +66,7 @@
         self._configuration = configuration
         self._quarantine = quarantine
         self._timers = timers
+        self._served_s: dict[str, float] = {}
 
     async def apply(self, request: Request, proceed: Proceed) -> Answer:
         """Return the answer; `proceed` is not called, for this filter is the last."""
@@ -88,16 +92,33 @@
     async def _choose_soon(
         self, request: Request, tried: set[str]
     ) -> TargetView | Failure:
-        """Choose a target; a retry may wait a moment for one."""
+        """Choose a target; wait a moment for one if that may help."""
         view = self._choose(request, tried)
-        polls = round(RETRY_WAIT_S / RETRY_POLL_S) if tried else 0
-        for _ in range(polls):
-            if not isinstance(view, Failure) or view.reason is Reason.EXPIRED:
+        for _ in range(round(RETRY_WAIT_S / RETRY_POLL_S)):
+            if not isinstance(view, Failure):
+                self._served_s[request.pool] = self._timers.now_s()
+                break
+            if not self._is_worth_waiting(request, view, is_retry=bool(tried)):
                 break
             await anyio.sleep(RETRY_POLL_S)
             view = self._choose(request, tried)
         return view
 
+    def _is_worth_waiting(
+        self, request: Request, failure: Failure, *, is_retry: bool
+    ) -> bool:
+        """Tell whether a target may come back in a moment.
+
+        A first attempt waits only where targets were there until just now,
+        for instance while the one target of a pool is restarted.
+        """
+        if is_retry:
+            return failure.reason is not Reason.EXPIRED
+        served_s = self._served_s.get(request.pool)
+        if failure.reason is not Reason.NO_TARGET or served_s is None:
+            return False
+        return self._timers.now_s() - served_s < LATELY_S
+
     def _choose(self, request: Request, tried: set[str]) -> TargetView | Failure:
         document = self._configuration.document
         self._timers.check_pause()
@@ -220,7 +241,8 @@
     failure = answer.failure
     if answer.outcome is not Outcome.UNKNOWN or failure is None:
         return False
-    return failure.step is Step.TARGET_CALL
+    is_at_target = failure.step is Step.TARGET_CALL
+    return is_at_target and failure.reason not in UNBROKEN_REASONS
 
 
 def _is_streamed(request: Request, head: AttemptHead, size_bytes: int) -> bool:
