--- a/reedspar/configuration/controller.py
+++ b/reedspar/configuration/controller.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from reedspar.errors import Failure, InvariantError, Reason, Step
-from reedspar.links import Network
+from reedspar.links import Network, Role
 from reedspar.messages import Sender
 from reedspar.platform import KeyValueStore
 from reedspar.settings import DaemonSettings
@@ -102,6 +102,7 @@
             view,
             rng,
             settings.zone,
+            settings.role is Role.ENTRY,
             lambda: self.version,
             self.note_sender,
         )
@@ -122,6 +123,16 @@
         """Return how long ago the version was surely the newest."""
         return self._exchange.age_s()
 
+    @property
+    def confirmed_age_s(self) -> float:
+        """Return how long ago the key-value service confirmed the version."""
+        confirmed_s = self._exchange.table.confirmed_s
+        return (
+            float("inf")
+            if confirmed_s is None
+            else self._timers.now_s() - (confirmed_s)
+        )
+
     @property
     def fresh_age_ms(self) -> int:
         """Return that age for `Sender`; it informs people and proves nothing."""
@@ -216,14 +227,15 @@
         if len(self._told_s) > TOLD_LIMIT:
             self._told_s.clear()
         self._note_ready()
-        if self.is_watching and self._view.is_seeded:
+        is_watching = self.is_watching
+        if is_watching and self._view.is_seeded:
             if self._may_attest(now_s):
                 self._exchange.table.note_attested(self._zone, now_s)
             self._start_watch()
         elif not self._is_ready and now_s >= self._lone_read_s:
             self._read_alone(now_s)
         self._request_document()
-        self._exchange.run_tick()
+        self._exchange.run_tick(is_watching)
 
     def _note_ready(self) -> None:
         if self._is_ready or self._document is None:
--- a/reedspar/configuration/exchange.py
+++ b/reedspar/configuration/exchange.py
@@ -18,12 +18,16 @@
 
 FANOUT = 3
 """Peers that each push goes to; random, so that no stopped peer cuts others off."""
-PUSH_GAIN_S = 0.3
+HUB_FANOUT = 4
+LEAF_FANOUT = 1
+"""Agents have links to few entries, and entries to many agents: were all to push
+alike, entries would get three times the messages, mostly what they have told."""
+PUSH_GAIN_S = 0.5
 """A confirmation that is newer by less is not worth a push while all is well."""
-WORD_GAIN_S = 0.6
+WORD_GAIN_S = 0.9
 """A zone's word that is newer by less is not worth a push of its own."""
 NEVER_S = -1e9
-DOUBT_AGE_S = 2.0
+DOUBT_AGE_S = 2.5
 """Evidence older than this is passed on, and asked for, at every tick."""
 DOUBT_GAIN_S = 0.1
 SILENT_AGE_S = 2.0
@@ -44,6 +48,7 @@
         view: DaemonView,
         rng: random.Random,
         zone: str,
+        is_hub: bool,
         held_version: Callable[[], int],
         note_sender: Callable[[Sender], None],
     ) -> None:
@@ -52,6 +57,7 @@
         self._view = view
         self._rng = rng
         self._own_zone = frozenset({zone})
+        self._is_hub = is_hub
         self._held_version = held_version
         self._note_sender = note_sender
         self._clocks = PeerClocks()
@@ -87,7 +93,7 @@
         self._pushed_word_s = NEVER_S
         self._lapsed_s = self._timers.now_s()
 
-    def run_tick(self) -> None:
+    def run_tick(self, is_watching: bool) -> None:
         """Push what is newer; ask a few peers when the evidence gets old."""
         as_of_s = self._table.as_of_s(self._view.zones())
         now_s = self._timers.now_s()
@@ -101,16 +107,14 @@
         ):
             self._pushed_confirmed_s = confirmed_s
             self._pushed_word_s = word_s
-            self.push()
+            self._push_to(HUB_FANOUT if self._is_hub or is_watching else LEAF_FANOUT)
         if is_doubtful:
-            for peer in self._choose_peers():
+            for peer in self._choose_peers(FANOUT):
                 self._probe(peer)
 
     def push(self) -> None:
         """Send a beacon, and with it the own version, to a few peers."""
-        beacon = self._make_beacon()
-        for peer in self._choose_peers():
-            self._network.send(peer, beacon)
+        self._push_to(FANOUT)
 
     def tell(self, peer: str) -> None:
         """Send a beacon to one peer."""
@@ -122,9 +126,14 @@
         known = [time_s for time_s in times if time_s is not None]
         return max(known, default=NEVER_S)
 
-    def _choose_peers(self) -> list[str]:
+    def _push_to(self, count: int) -> None:
+        beacon = self._make_beacon()
+        for peer in self._choose_peers(count):
+            self._network.send(peer, beacon)
+
+    def _choose_peers(self, count: int) -> list[str]:
         peers = self._network.peers()
-        return self._rng.sample(peers, min(FANOUT, len(peers)))
+        return self._rng.sample(peers, min(count, len(peers)))
 
     def _make_beacon(self) -> FreshnessBeacon:
         now_s = self._timers.now_s()
--- a/reedspar/configuration/tests/test_histories.py
+++ b/reedspar/configuration/tests/test_histories.py
@@ -8,6 +8,7 @@
 
 from reedspar.configuration import ConfigurationDocument, ZoneState
 from reedspar.configuration.tests.fleet import Fleet, Node
+from reedspar.errors import InvariantError
 from reedspar.links import Role
 
 REGIONS = {"kingston-a": "east", "kingston-b": "east", "montego-a": "west"}
@@ -206,6 +207,16 @@
             self.world.fleet.run_for(1.0)
             self.assertEqual(self.refused(), [])
 
+    def test_late_answer_of_a_patch_does_not_revert(self) -> None:
+        # The answer to an accepted patch comes after a later version has come
+        # from a peer.  The operator must see it accepted, and nothing reverts.
+        controller = self.world.nodes[0].controller
+        controller.adopt(ConfigurationDocument(version=9))
+        controller.learn(ConfigurationDocument(version=8))
+        self.assertEqual(controller.version, 9)
+        with self.assertRaises(InvariantError):
+            controller.adopt(ConfigurationDocument(version=8))
+
     def test_frames_that_waited_in_a_socket_do_not_refresh(self) -> None:
         # A process is stopped for a minute.  Its socket holds frames that
         # claim a young age.  Believed, they would let it start work in a zone
--- a/reedspar/configuration/watching.py
+++ b/reedspar/configuration/watching.py
@@ -26,7 +26,7 @@
 WATCHERS_PER_ZONE = 2
 RANK_LIMIT = 8
 """Daemons of this rank or more never step in: the bound on calls a second."""
-STEP_IN_AGE_S = 2.0
+STEP_IN_AGE_S = 2.5
 STEP_IN_SPACING_S = 0.5
 STEP_IN_DURATION_S = 10.0
 
