--- a/bench/paced_links.py
+++ b/bench/paced_links.py
@@ -36,10 +36,10 @@
     def run(self, is_over: Callable[[], bool], limit_s: float) -> bool:
         """Run until it is over; False if the time limit came first."""
         while self._heap and not is_over():
-            time_s, _, call = heapq.heappop(self._heap)
-            if time_s > limit_s:
+            if self._heap[0][0] > limit_s:
+                self.now_s = max(self.now_s, limit_s)
                 return False
-            self.now_s = time_s
+            self.now_s, _, call = heapq.heappop(self._heap)
             call()
         return is_over()
 
--- a/stand_ins/launcher.py
+++ b/stand_ins/launcher.py
@@ -1,5 +1,7 @@
 """Start and stop a whole deployment: the platform, its targets, and the daemons."""
 
+import os
+import re
 import shutil
 import tempfile
 from collections.abc import Iterator
@@ -23,6 +25,7 @@
 HOST = "127.0.0.1"
 DAEMON_MODULE = "reedspar.daemon.main"
 READY_TIMEOUT_S = 30.0
+_FOLDER_NAME = re.compile(r"reedspar-.+-(\d+)-[a-z0-9_]{8}")
 TARGET_MODULES = {
     TargetKind.MODEL_ENGINE: "stand_ins.engine",
     TargetKind.PLAIN_SERVICE: "stand_ins.plain_service",
@@ -43,6 +46,8 @@
     daemon_settings: dict[str, Any] = field(default_factory=dict)
     """Merged into each daemon's settings, table by table."""
     has_daemons: bool = True
+    has_relays: bool = False
+    """Put a relay before the key-value service and before each target."""
 
 
 @dataclass(frozen=True)
@@ -52,6 +57,7 @@
     record: InstanceRecord
     settings_path: Path
     target_url: str = ""
+    """The target itself, past any relay."""
 
     @property
     def name(self) -> str:
@@ -79,6 +85,9 @@
         self.key_value_url = ""
         self.origin_url = ""
         self.instance_list_url = ""
+        self.relay_urls: dict[str, str] = {}
+        """Where the relay before an URL is controlled."""
+        self._relayed: dict[str, str] = {}
         self._ports = PortAllocator()
         self._http = httpx.Client(trust_env=False, verify=False, timeout=5.0)
 
@@ -95,6 +104,9 @@
         """Start everything and wait until it answers."""
         self._start_platform()
         target_urls = self._start_targets()
+        if self.options.has_relays:
+            urls = [url for pool_urls in target_urls.values() for url in pool_urls]
+            self._start_relays([self.key_value_url, *urls])
         self._wait(self.processes.names)
         if not self.options.has_daemons:
             return
@@ -157,6 +169,21 @@
         )
         return urls
 
+    def _start_relays(self, urls: list[str]) -> None:
+        """Start one process with a relay before each URL."""
+        arguments: list[str] = []
+        for url in urls:
+            port, control_port = self._ports.allocate(), self._ports.allocate()
+            server_port = url.rpartition(":")[2]
+            arguments += ["--port", str(port), "--server-port", server_port]
+            arguments += ["--control-port", str(control_port)]
+            self._relayed[url] = f"http://{HOST}:{port}"
+            self.relay_urls[url] = f"http://{HOST}:{control_port}"
+        ready_url = f"{self.relay_urls[urls[-1]]}/control/ready"
+        self.processes.start(
+            "relays", "stand_ins.relay", *arguments, ready_url=ready_url
+        )
+
     def _start_targets(self) -> dict[str, list[str]]:
         return {pool.name: self._start_pool(pool) for pool in self.deployment.pools}
 
@@ -190,7 +217,7 @@
                 target = {
                     "kind": pool.kind.value,
                     "pool": pool.name,
-                    "url": url,
+                    "url": self._relayed.get(url, url),
                     "checks_fencing": fencing,
                 }
                 self.agents.append(self._make_daemon(record, {"target": target}, url))
@@ -221,7 +248,9 @@
             "port": record.port,
             "http_port": record.http_port,
             "platform": {
-                "key_value_url": self.key_value_url,
+                "key_value_url": self._relayed.get(
+                    self.key_value_url, self.key_value_url
+                ),
                 "instance_list_url": self.instance_list_url,
                 "origin_url": self.origin_url,
                 "instance_poll_s": 1.0,
@@ -244,12 +273,22 @@
             document[key] = {**document.get(key, {}), **value}
 
 
+def remove_stale_folders() -> None:
+    """Remove the logs of launchers that were killed and couldn't do it."""
+    for path in Path(tempfile.gettempdir()).glob("reedspar-*"):
+        match = _FOLDER_NAME.fullmatch(path.name)
+        if match is not None and not Path(f"/proc/{match.group(1)}").exists():
+            shutil.rmtree(path, ignore_errors=True)
+
+
 @contextmanager
 def launch(
     deployment: Deployment, options: LauncherOptions | None = None
 ) -> Iterator[Launcher]:
     """Run a deployment for the time of the block, and leave nothing behind."""
-    folder = Path(tempfile.mkdtemp(prefix=f"reedspar-{deployment.name}-"))
+    remove_stale_folders()
+    prefix = f"reedspar-{deployment.name}-{os.getpid()}-"
+    folder = Path(tempfile.mkdtemp(prefix=prefix))
     launcher = Launcher(deployment, options or LauncherOptions(), folder)
     try:
         launcher.start()
