Never take an overtaken report of the target for its state

The agent's poll was under way when the engine loaded; its answer came after the read that confirmed the load and withdrew the new version, so an answer of sound weights was cut off. Ruled out: the order of drain, load, read-back and offer, which is right. The adapter now returns the later report to a read that was overtaken.

--- a/reedspar/platform/http_target.py
+++ b/reedspar/platform/http_target.py
@@ -24,6 +24,7 @@
     failure_of_write,
 )
 from .models import EngineState, LoadOrder, TargetRequest
+from .ordering import OrderedReads
 from .protocols import TargetResponse
 
 __all__ = [
@@ -54,28 +55,11 @@
         self._transport = transport
         self._base_url = str(client.base_url).rstrip("/")
         self._state_request = client.build_request("GET", "/state")
+        self._states = OrderedReads(self._read_state)
 
     async def read_state(self) -> EngineState | Failure:
-        """Return the target's own report."""
-        step = Step.TARGET_CALL
-        try:
-            response = await self._transport.handle_async_request(self._state_request)
-        except httpx.HTTPError as error:
-            return failure_of_read(error, step, self._peer)
-        try:
-            await response.aread()
-        except httpx.HTTPError as error:
-            return failure_of_read(error, step, self._peer)
-        finally:
-            with anyio.CancelScope(shield=True):
-                await response.aclose()
-        if response.status_code != httpx.codes.OK:
-            return failure_of_status(response, step, self._peer)
-        try:
-            return _STATE.validate_json(response.content)
-        except ValidationError as error:
-            detail = str(error).splitlines()[0]
-            return Failure(Reason.CORRUPT, step, self._peer, detail)
+        """Return the target's own report, never one older than returned before."""
+        return await self._states.read()
 
     @asynccontextmanager
     async def send(
@@ -124,6 +108,28 @@
         response.request = outgoing
         return response
 
+    async def _read_state(self) -> EngineState | Failure:
+        """Ask for the report."""
+        step = Step.TARGET_CALL
+        try:
+            response = await self._transport.handle_async_request(self._state_request)
+        except httpx.HTTPError as error:
+            return failure_of_read(error, step, self._peer)
+        try:
+            await response.aread()
+        except httpx.HTTPError as error:
+            return failure_of_read(error, step, self._peer)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await response.aclose()
+        if response.status_code != httpx.codes.OK:
+            return failure_of_status(response, step, self._peer)
+        try:
+            return _STATE.validate_json(response.content)
+        except ValidationError as error:
+            detail = str(error).splitlines()[0]
+            return Failure(Reason.CORRUPT, step, self._peer, detail)
+
 
 class HttpModelEngine(HttpPlainService):
     """Hand requests and weights to a model engine (see `ModelEngine`)."""
--- a/reedspar/platform/protocols.py
+++ b/reedspar/platform/protocols.py
@@ -94,7 +94,7 @@
     """What every target offers: a model engine or a plain service."""
 
     async def read_state(self) -> EngineState | Failure:
-        """Return the target's own report."""
+        """Return the target's own report, never one older than returned before."""
         ...
 
     def send(
