Refuse HTTP versions under which a cut stream can't be seen

A broken stream is never finished; hypercorn then closes an HTTP/1.1 connection, but leaves an HTTP/2 stream open for good (trial with httpx: read timeout), and under HTTP/1.0 the cut looks like the end. 505 instead.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -244,6 +244,7 @@
 
     scope = {
         "type": "http",
+        "http_version": "1.1",
         "method": "GET",
         "path": "/v1/pools/orders/o",
         "raw_path": b"/v1/pools/orders/o",
--- a/reedspar/requests/application.py
+++ b/reedspar/requests/application.py
@@ -37,6 +37,9 @@
         "upgrade",
     }
 )
+CUT_SHOWING_VERSION = "1.1"
+"""Under HTTP/1.0 the end of a broken stream looks like any end, and under HTTP/2
+the server leaves a broken stream open for good."""
 BODILESS_STATUSES = frozenset({204, 304})
 logger = logging.getLogger(__name__)
 
@@ -193,6 +196,7 @@
             body,
             responder,
             arrived_s,
+            can_show_cuts=scope.get("http_version") == CUT_SHOWING_VERSION,
         )
         await self._run(request, responder, receive)
 
@@ -222,6 +226,9 @@
 
     async def _answer_bounded(self, request: Request) -> Answer:
         """Return the answer, or at an abort the truth: it may have run."""
+        if not request.can_show_cuts:
+            detail = "use HTTP/1.1: no other version shows here that an answer was cut"
+            return make_not_run(Failure(Reason.INVALID, Step.RELAY, detail=detail))
         if not self._is_admitting:
             detail = "this entry is leaving; use another address"
             failure = Failure(
--- a/reedspar/requests/endings.py
+++ b/reedspar/requests/endings.py
@@ -50,6 +50,7 @@
     (Step.BOUND, Reason.OVERLOADED): 413,
     (Step.IDENTIFY, Reason.NOT_FOUND): 404,
     (Step.ADMIT, Reason.OVERLOADED): 429,
+    (Step.RELAY, Reason.INVALID): 505,
     (Step.DEDUPLICATE, Reason.DUPLICATE): 409,
     (Step.DEDUPLICATE, Reason.EXPIRED): 410,
     (Step.DEDUPLICATE, Reason.CONFLICT): 422,
@@ -57,7 +58,7 @@
 STATUS_BY_REASON = {Reason.INVALID: 400}
 UNAVAILABLE_STATUS = 503
 UNKNOWN_STATUS = 504
-PERMANENT_STATUSES = frozenset({400, 404, 410, 413, 422})
+PERMANENT_STATUSES = frozenset({400, 404, 410, 413, 422, 505})
 
 
 def make_not_run(failure: Failure) -> Answer:
--- a/reedspar/requests/request.py
+++ b/reedspar/requests/request.py
@@ -82,6 +82,8 @@
     idempotency_key: str = ""
     fingerprint: str = ""
     weights_digest: str = ""
+    can_show_cuts: bool = True
+    """The caller's protocol tells a broken stream from a whole one."""
     may_have_run: bool = False
     """It was handed over, and nothing proves that it did not run."""
     header_map: dict[str, str] = field(default_factory=dict)
--- a/reedspar/requests/tests/test_application.py
+++ b/reedspar/requests/tests/test_application.py
@@ -197,6 +197,7 @@
         script: Script,
         disconnect: bool = False,
         on_piece: Callable[[dict], None] = lambda message: None,
+        version: str = "1.1",
     ) -> list[dict]:
         self.answer_with(script)
         sent: list[dict] = []
@@ -215,6 +216,7 @@
 
         scope = {
             "type": "http",
+            "http_version": version,
             "method": "GET",
             "path": "/v1/pools/orders/s",
             "raw_path": b"/v1/pools/orders/s",
@@ -253,6 +255,17 @@
         self.assertTrue(all(message.get("more_body", True) for message in sent))
         self.assertEqual(len(self.starts()), 1)
 
+    def test_versions_that_cannot_show_a_cut_are_refused(self) -> None:
+        # A stream breaks.  Under HTTP/1.0 its end looks like any other end,
+        # and under HTTP/2 the server leaves the stream open: the caller takes
+        # the half for the whole, or waits until its own timeout.
+        for version in ("1.0", "2"):
+            sent = self.run_stream(
+                lambda peer, start: make_answer(start, b"a"), version=version
+            )
+            self.assertEqual(sent[0]["status"], 505)
+        self.assertEqual(self.starts(), [])
+
     def test_caller_that_goes_away_cancels_its_attempt(self) -> None:
         self.run_stream(lambda peer, start: [], disconnect=True)
         self.assertEqual(len(self.network.sent_of(AttemptCancel)), 1)
