--- a/bench/weight_agents.py
+++ b/bench/weight_agents.py
@@ -119,6 +119,7 @@
         self.events = Events()
         self.rates = rates
         self.rng = random.Random(seed)
+        self.create = create
         self.objects: dict[str, bytes] = {}
         self.origin = FairLink(self.events, rates.origin, piece_bytes)
         self.origin_is_away = False
--- a/reedspar/weights/fetches.py
+++ b/reedspar/weights/fetches.py
@@ -19,8 +19,8 @@
 AVOID_MAX_S = 300.0
 REPEATS_MAX = 8
 AVOID_SCARCE_S = 0.25
-AVOID_ORIGIN_MAX_S = 10.0
-"""The origin is avoided for less: what it alone has can't come from elsewhere."""
+AVOID_SCARCE_MAX_S = 10.0
+"""Where there are few others to ask, a peer or the origin is avoided for less."""
 
 
 @dataclass(slots=True)
@@ -76,11 +76,14 @@
 
     def note_stalled(self, peer: str, now_s: float) -> None:
         """Leave a peer alone that sent nothing in time."""
-        self._strike(peer, AVOID_STALLED_S, now_s)
+        self._strike(peer, AVOID_STALLED_S, AVOID_SCARCE_MAX_S, now_s)
 
     def note_corrupt(self, peer: str, now_s: float, *, is_scarce: bool = False) -> None:
         """Leave a peer alone that sent wrong bytes; shortly if there are few others."""
-        self._strike(peer, AVOID_SCARCE_S if is_scarce else AVOID_CORRUPT_S, now_s)
+        if is_scarce:
+            self._strike(peer, AVOID_SCARCE_S, AVOID_SCARCE_MAX_S, now_s)
+        else:
+            self._strike(peer, AVOID_CORRUPT_S, AVOID_MAX_S, now_s)
 
     def note_good(self, peer: str) -> None:
         """Forget one strike of a peer that has sent a whole object."""
@@ -92,14 +95,15 @@
         self._until_s.pop(peer, None)
         del self._strikes[peer]
 
-    def _strike(self, peer: str, base_s: float, now_s: float) -> None:
+    def _strike(self, peer: str, base_s: float, limit_s: float, now_s: float) -> None:
+        if self.is_avoided(peer, now_s):
+            # Requests to one peer often fail together.  Were each to count, a
+            # peer that waited for the origin would be avoided for minutes.
+            return
         self._strikes[peer] += 1
-        limit_s = AVOID_MAX_S
-        if peer == ORIGIN:
-            base_s, limit_s = AVOID_SCARCE_S, AVOID_ORIGIN_MAX_S
         repeats = min(self._strikes[peer] - 1, REPEATS_MAX)
         avoid_s = min(base_s * AVOID_FACTOR**repeats, limit_s)
-        self._until_s[peer] = max(now_s + avoid_s, self._until_s.get(peer, 0.0))
+        self._until_s[peer] = now_s + avoid_s
 
 
 class FetchBook:
