--- a/reedspar/targets/gate.py
+++ b/reedspar/targets/gate.py
@@ -15,12 +15,13 @@
 LATENCY_JUMP_FACTOR = 4.0
 LATENCY_JUMP_FLOOR_S = 0.05
 WARM_COMPLETIONS_PER_SLOT = 2
-SLOW_SMOOTHING = 0.02
+SLOW_SMOOTHING = 0.004
 """A first byte that is far too late hardly counts as usual: taken as such, a
 target that turned cold without a word would soon look as it always did."""
-SLOW_IN_A_ROW = 3
-"""Late first bytes after which the target is taken for cold; one alone may be
-a long prompt."""
+SLOW_TO_HALVE = 3
+SLOW_TO_TURN_COLD = 8
+"""Late first bytes in a row.  A few are long prompts; a target that turned cold
+is late with every one."""
 DEFAULT_REPORT_LAG_S = 3.0
 
 
@@ -165,9 +166,12 @@
         the target down.
         """
         self._slow_in_a_row += 1
-        if self._slow_in_a_row < SLOW_IN_A_ROW:
+        if self._slow_in_a_row == SLOW_TO_HALVE:
             self._limit = max(self._settings.cold_concurrency, self._limit // 2)
-        elif self._slow_in_a_row == SLOW_IN_A_ROW:
+        elif self._slow_in_a_row == SLOW_TO_TURN_COLD:
+            # What is usual is learned anew, or a target that is slower for
+            # good would be taken for cold again and again.
+            self._latency_s = 0.0
             self._turn_cold()
 
     def _turn_cold(self) -> None:
