Dial on a daemon that refused once, though it is not chosen

Cause: a refused dial kept a daemon out of the wanted links for 15 s, and one that starts again at its address tells only the few entries that it dials itself; those had its new incarnation from the link before the notice came, so the notice was no news and went no further. Ruled out: the links' back-off (at most 2 s), the instance list's lag. The choice for requests is unchanged: a refused daemon stays out until it shows itself. Left: the notice that goes no further; it costs nothing now but a dial.

--- a/reedspar/membership/controller.py
+++ b/reedspar/membership/controller.py
@@ -146,15 +146,27 @@
         while attempts are in flight on it.
         """
         if self._wanted is None:
-            entries = self.entries()
-            if self._own.role == Role.AGENT.value:
-                chosen = choose_entries(self._own, entries)
-            else:
-                chosen = choose_agents(self._own, self.agents())
-                chosen += choose_neighbours(self._own, entries)
-            self._wanted = tuple(chosen)
+            chosen = self._choose_links(self.entries(), self.agents())
+            # A daemon that starts again at its address tells but a few of the
+            # others.  Were those that it refused once to dial no more, callers
+            # would hear for many seconds that there is no target.  The link's
+            # own back-off bounds what the further dials cost.
+            chosen += self._choose_links(
+                self._view.dialable(Role.ENTRY.value),
+                self._view.dialable(Role.AGENT.value),
+            )
+            by_name = {record.name: record for record in chosen}
+            self._wanted = tuple(by_name.values())
         return self._wanted
 
+    def _choose_links(
+        self, entries: tuple[InstanceRecord, ...], agents: tuple[InstanceRecord, ...]
+    ) -> list[InstanceRecord]:
+        if self._own.role == Role.AGENT.value:
+            return choose_entries(self._own, entries)
+        chosen = choose_agents(self._own, agents)
+        return chosen + choose_neighbours(self._own, entries)
+
     def note_sender(self, sender: Sender) -> None:
         """Take in the incarnation that a frame has shown."""
         self._view.note_incarnation(sender.name, sender.incarnation)
--- a/reedspar/membership/view.py
+++ b/reedspar/membership/view.py
@@ -77,6 +77,14 @@
             and (member.has_link or now_s - member.refused_s > REFUSED_TTL_S)
         )
 
+    def dialable(self, role: str) -> tuple[InstanceRecord, ...]:
+        """Return the daemons of a role that are worth a dial, refused ones too."""
+        return tuple(
+            member.record
+            for _, member in sorted(self._members.items())
+            if member.record.role == role and not member.is_leaving
+        )
+
     def zones(self) -> frozenset[str]:
         """Return every zone that may hold a daemon."""
         return frozenset(member.record.zone for member in self._members.values())
