--- a/reedspar/requests/service.py
+++ b/reedspar/requests/service.py
@@ -94,12 +94,12 @@
         quarantine,
         timers,
     )
-    admission = Admit(configuration, timers)
+    admission = Admit(configuration, directory, timers)
     filters: list[Filter] = [
         Identify(configuration),
         Bound(timers, settings.deadline_s, settings.body_limit_bytes),
         Classify(configuration),
-        Deduplicate(claims, unix_time, settings.claim_ttl_s),
+        Deduplicate(claims, timers, unix_time, settings.claim_ttl_s),
         Guard(quarantine, timers),
         admission,
         relay,
