--- a/reedspar/configuration/tests/test_histories.py
+++ b/reedspar/configuration/tests/test_histories.py
@@ -95,7 +95,10 @@
         elif fault == "service_down":
             self.key_value.is_down = not self.key_value.is_down
         elif fault == "service_cut":
+            # The claim assumes that a daemon which is cut off from its zone does
+            # not reach the service either, so the isolated stay cut off.
             self.key_value.cut_off ^= {each.name for each in self.nodes_of(zone)}
+            self.key_value.cut_off |= self.isolated
         elif fault == "region_cut":
             self.cut_zones ^= {frozenset(self.rng.sample(ZONES, 2))}
         else:
