--- a/reedspar/daemon/run.py
+++ b/reedspar/daemon/run.py
@@ -51,12 +51,16 @@
 
 
 async def _wait_for_signal(stop: anyio.Event, *, task_status: TaskStatus) -> None:
+    """Set `stop` at the first signal, and take further ones without effect.
+
+    Supervisors ask more than once.  Left to its default, the second signal
+    would end the process in mid-drain and cut its callers off.
+    """
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         task_status.started()
         async for number in signals:
             LOGGER.info("stopping", extra={"signal": number.name})
             stop.set()
-            return
 
 
 async def run_daemon(settings: DaemonSettings) -> None:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -154,10 +154,12 @@
         self.assertEqual(self.count_runs("kill-agent"), 1)
 
     def test_planned_stop_of_the_agent_cuts_nothing_off(self) -> None:
-        # The agent is told to stop while its target works: it ends only after
-        # the shop has its answer.
+        # The agent is told to stop while its target works, and told again by
+        # an impatient supervisor: it ends only after the shop has its answer.
         async def stop(agent: Daemon) -> None:
             process = self.launcher.processes
+            process.kill(agent.name, signal.SIGTERM)
+            await anyio.sleep(0.3)
             code = await anyio.to_thread.run_sync(process.stop, agent.name, PATIENCE_S)
             self.assertEqual(code, 0)
             process.restart(agent.name)
