--- a/reedspar/settings/models.py
+++ b/reedspar/settings/models.py
@@ -70,7 +70,7 @@
     """Distribution of weights."""
 
     chunk_memory_bytes: int = Field(
-        64 * MEBIBYTE, gt=0, description="Bound on chunks held by the agent."
+        48 * MEBIBYTE, gt=0, description="Bound on chunks held by the agent."
     )
     origin_region: str = Field(
         "", description="Region in which the origin lies; empty: this one."
