--- /dev/null
+++ b/reedspar/daemon/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the composition of the daemon."""
