--- a/reedspar/daemon/main.py
+++ b/reedspar/daemon/main.py
@@ -1,5 +1,6 @@
 """The command `reedspard`: run one daemon from its settings file."""
 
+import logging
 import sys
 from dataclasses import dataclass
 from pathlib import Path
@@ -15,7 +16,9 @@
 
 __all__ = ["main"]
 
+EXIT_FAILED = 1
 EXIT_SETTINGS = 2
+LOGGER = logging.getLogger("reedspar.daemon")
 
 
 @cappa.command(name="reedspard")
@@ -32,7 +35,7 @@
 
 
 def main(argv: list[str] | None = None) -> None:
-    """Run the command; exit with 2 if the settings can't be used."""
+    """Run the command; exit with 2 on bad settings, 1 if e.g. a port is taken."""
     command = cappa.parse(Reedspard, argv=argv)
     try:
         settings = load_settings(command.settings)
@@ -43,7 +46,12 @@
         level=command.log_level,
         common={"process": settings.name, "zone": settings.zone},
     )
-    anyio.run(run_daemon, settings)
+    try:
+        anyio.run(run_daemon, settings)
+    except* OSError as group:
+        for error in group.exceptions:
+            LOGGER.critical("the daemon can not go on: %s", error)
+        sys.exit(EXIT_FAILED)
 
 
 if __name__ == "__main__":
