--- a/reedspar/daemon/main.py
+++ b/reedspar/daemon/main.py
@@ -49,8 +49,8 @@
     try:
         anyio.run(run_daemon, settings)
     except* OSError as group:
-        for error in group.exceptions:
-            LOGGER.critical("the daemon can not go on: %s", error)
+        for cause in group.exceptions:
+            LOGGER.critical("the daemon can not go on: %s", cause)
         sys.exit(EXIT_FAILED)
 
 
