Tick ten times a second instead of twenty

Ruled out: sleeping until the next timer is due, since timers are due at phases of their own and would wake the daemon more often than the tick.

--- a/reedspar/timers/service.py
+++ b/reedspar/timers/service.py
@@ -11,7 +11,7 @@
 
 __all__ = ["PauseListener", "Subscription", "TimerService", "create_timer_service"]
 
-TICK_S = 0.05
+TICK_S = 0.1
 PAUSE_THRESHOLD_S = 1.0
 
 PauseListener = Callable[[float], None]
