Tell work held by a silent path from new work in a zone that is out

The target was given nothing new, so the check was wrong. It now excuses a run only if its call is from before the outage and a relay held the path to that target until then; the test shows both sides.

--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -14,7 +14,7 @@
 from stand_ins.launcher import Daemon, Launcher
 from stand_ins.operations import Operator, OperatorError
 from stand_ins.processes import StartError
-from stand_ins.promises import ZoneOutage
+from stand_ins.promises import HeldPath, ZoneOutage
 
 __all__ = ["Chaos", "PlannedStop", "TimeLine"]
 
@@ -67,6 +67,7 @@
         self._last_end_s = 0.0
         self._is_closing = False
         self.time_line = TimeLine()
+        self.held_paths: list[HeldPath] = []
         self.outages: list[ZoneOutage] = []
         self.stops: list[PlannedStop] = []
         self.disturbed_at: dict[str, float] = {}
@@ -248,10 +249,12 @@
             rule = {"delay_s": 0.2} if kind == "slow" else {"silent": True}
             rules = {"to_server": rule, "to_client": rule}
             only_open = kind == "silent for open ones"
+            begun_at = time.time()
             body = {**rules, "only_open": only_open}
             await self._client.put(f"{control_url}/control/rules", json=body)
             await anyio.sleep(self._rng.uniform(1.0, 6.0))
             await self._client.put(f"{control_url}/control/rules", json={})
+            self.held_paths.append(HeldPath(name, begun_at, time.time()))
             self.time_line.note(f"path to {name}: clear")
         self._busy.discard(f"path {name}")
 
--- a/bench/random_run.py
+++ b/bench/random_run.py
@@ -106,6 +106,7 @@
         for line in describe_reasons(self._ledger.calls):
             print(f"  {line}", flush=True)
         self._ledger.outages = self._chaos.outages
+        self._ledger.held_paths = self._chaos.held_paths
         violations = [
             *self._ledger.check(),
             *self._check_stops(),
--- a/stand_ins/tests/test_promises.py
+++ b/stand_ins/tests/test_promises.py
@@ -6,7 +6,7 @@
 from reedspar.settings import TargetKind
 from stand_ins.caller import Call, CallKind, Ending, check_text
 from stand_ins.generation import expect_text, make_token
-from stand_ins.promises import Ledger, TargetRun, ZoneOutage
+from stand_ins.promises import HeldPath, Ledger, TargetRun, ZoneOutage
 
 PLAIN = TargetKind.PLAIN_SERVICE
 
@@ -56,6 +56,21 @@
         ledger = Ledger([make_order("k", Ending.ANSWERED)])
         self.assertEqual(self.find(ledger), ["an answered order has run"])
 
+    def test_work_held_by_a_silent_path_is_not_taken_for_new(self) -> None:
+        # The agent handed an order to its target; the path between them went
+        # silent, the zone was taken out, and the path passed the order on when
+        # it cleared.  The target counts it late, yet nothing new was started.
+        call = make_order("k", Ending.ANSWERED)
+        call.started_at = 9.0
+        ledger = Ledger([call], [ZoneOutage("a", 10.0, 30.0)])
+        ledger.runs = [make_run("k", 16.1)]
+        late = ["a zone that was taken out gets no new work"]
+        self.assertEqual(self.find(ledger), late)
+        ledger.held_paths = [HeldPath("t", 9.5, 16.0)]
+        self.assertEqual(self.find(ledger), [])
+        call.started_at = 11.0
+        self.assertEqual(self.find(ledger), late)
+
     def test_late_work_in_a_zone_taken_out_is_found(self) -> None:
         # Operators take a zone out to work on it, and it still gets requests.
         ledger = Ledger(outages=[ZoneOutage("a", 10.0, 20.0)])
