--- a/reedspar/targets/tests/test_controller.py
+++ b/reedspar/targets/tests/test_controller.py
@@ -72,6 +72,13 @@
         self.target.release.set()
         await anyio.wait_all_tasks_blocked()
 
+    async def warm_up(self) -> None:
+        """Have the target answer until it may be given all that it bears."""
+        self.target.release.set()
+        for i in range(10):
+            await self.deliver(make_start(f"warm{i}"))
+        self.assertEqual(self.controller.gate.limit, 4)
+
     def body(self) -> bytes:
         return b"".join(m.data for m in self.network.sent_of(AttemptData))
 
@@ -155,10 +162,7 @@
         # A warm target crashes in full flight.  Its next requests must meet
         # the cold limit at once, and the suspects are told to the entries.
         async def scenario() -> None:
-            self.target.release.set()
-            for i in range(10):
-                await self.deliver(make_start(f"warm{i}"))
-            self.assertEqual(self.controller.gate.limit, 4)
+            await self.warm_up()
             self.target.release = anyio.Event()
             for i in range(4):
                 await self.deliver(make_start(f"r{i}"))
@@ -176,10 +180,7 @@
         # No stream breaks when an idle target restarts.  The burst that comes
         # before the next poll must not go to it at the warm limit.
         async def scenario() -> None:
-            self.target.release.set()
-            for i in range(10):
-                await self.deliver(make_start(f"warm{i}"))
-            self.assertEqual(self.controller.gate.limit, 4)
+            await self.warm_up()
             self.target.release = anyio.Event()
             self.target.most_in_flight = 0
             self.target.state = EngineState("boot-2", is_cold=True)
@@ -195,9 +196,7 @@
         # for every one that its callers make.  Never polled, a queue that
         # formed after a quiet moment would be let through one by one.
         async def scenario() -> None:
-            self.target.release.set()
-            for i in range(10):
-                await self.deliver(make_start(f"warm{i}"))
+            await self.warm_up()
             polls = self.target.polls
             for i in range(10):
                 await self.deliver(make_start(f"single{i}"))
