--- /dev/null
+++ b/bench/requests_during_distribution.py
@@ -0,0 +1,131 @@
+"""Latency of requests while a version travels, and while targets switch to it.
+
+``python -m bench.requests_during_distribution``.  Real processes of the smaller
+deployment under a steady load.  The baseline is the time before the version is
+published; "transfer" ends when the first engine has loaded it, "switch" when
+the last one has.
+"""
+
+import random
+import time
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+
+from stand_ins.caller import CallKind, Ending
+from stand_ins.deployments import MARCOS_CENTRAL
+from stand_ins.launcher import Launcher, launch
+from stand_ins.load import Load, LoadPlan
+from stand_ins.operations import Operator
+from stand_ins.processes import exit_on_signals
+from stand_ins.promises import Ledger, read_percentile
+
+from .measuring import print_result
+
+__all__ = ["main"]
+
+WARM_UP_S = 10.0
+BASELINE_S = 15.0
+AFTER_S = 3.0
+VERSION_BYTES = 24 * 1024 * 1024
+CHUNK_BYTES = 256 * 1024
+LIMIT_S = 90.0
+PLAN = LoadPlan(quotes_per_s=16.0, streams_per_s=8.0, orders_per_s=8.0)
+
+
+@dataclass(frozen=True)
+class Window:
+    """A stretch of the run, in wall-clock seconds."""
+
+    name: str
+    begun_at: float
+    ended_at: float
+
+
+class DistributionRun:
+    """One run."""
+
+    def __init__(self, launcher: Launcher) -> None:
+        self._launcher = launcher
+        self._operator = Operator(launcher)
+        self._ledger = Ledger()
+        self._pool = launcher.deployment.pools[0]
+        self._rng = random.Random(1)
+
+    async def run(self) -> dict[str, Any]:
+        """Run it and return the result."""
+        await self._operator.configure()
+        await self._distribute(1)
+        load = Load(self._launcher, self._ledger, PLAN, seed=1)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(load.run)
+            await anyio.sleep(WARM_UP_S)
+            begun_at = time.time()
+            await anyio.sleep(BASELINE_S)
+            published_at = time.time()
+            times_s = await self._distribute(2)
+            waited_from = time.time() - max(times_s)
+            await anyio.sleep(AFTER_S)
+            load.stop()
+        await load.aclose()
+        await self._operator.aclose()
+        first_at = waited_from + min(times_s)
+        last_at = waited_from + max(times_s)
+        windows = [
+            Window("before", begun_at, published_at),
+            Window("transfer", published_at, first_at),
+            Window("switch", first_at, last_at + AFTER_S),
+        ]
+        return {
+            "bench": "requests_during_distribution",
+            "version_bytes": VERSION_BYTES,
+            "all_loaded_after_s": round(last_at - published_at, 2),
+            "windows": {window.name: self._sum_up(window) for window in windows},
+        }
+
+    async def _distribute(self, sequence: int) -> list[float]:
+        model = self._pool.models[0]
+        weights = self._rng.randbytes(VERSION_BYTES)
+        publication = await self._operator.publish(
+            model, f"v{sequence}", sequence, weights, CHUNK_BYTES
+        )
+        agents = self._launcher.agents_of(self._pool.name)
+        loaded = await self._operator.wait_for_replicas(
+            agents, model, publication.version.root_digest, LIMIT_S
+        )
+        if len(loaded) < len(agents):
+            raise TimeoutError(f"only {sorted(loaded)} loaded version {sequence}")
+        return sorted(loaded.values())
+
+    def _sum_up(self, window: Window) -> dict[str, Any]:
+        calls = [
+            call
+            for call in self._ledger.calls
+            if window.begun_at <= call.started_at < window.ended_at
+        ]
+        latencies_s = [
+            call.latency_s
+            for call in calls
+            if call.ending is Ending.ANSWERED and call.kind is not CallKind.ORDER
+        ]
+        return {
+            "seconds": round(window.ended_at - window.begun_at, 2),
+            "calls": len(calls),
+            "p50_ms": round(1000 * read_percentile(latencies_s, 0.5), 1),
+            "p99_ms": round(1000 * read_percentile(latencies_s, 0.99), 1),
+            "not_answered": sum(1 for c in calls if c.ending is not Ending.ANSWERED),
+            "problems": sum(1 for call in calls if call.problem),
+        }
+
+
+def main() -> None:
+    """Run the measurement."""
+    exit_on_signals()
+    with launch(MARCOS_CENTRAL) as launcher:
+        result = anyio.run(DistributionRun(launcher).run)
+    print_result(result)
+
+
+if __name__ == "__main__":
+    main()
