Remove five methods that nothing calls; lose a target in one place

The two ways in which a target counts as gone spelled out the same two calls. Behaviour is unchanged.

--- a/reedspar/links/connection.py
+++ b/reedspar/links/connection.py
@@ -79,11 +79,6 @@
         self._written_s = float("-inf")
         self._is_closed = False
 
-    @property
-    def is_closed(self) -> bool:
-        """Tell whether the connection has ended."""
-        return self._is_closed
-
     @property
     def bulk_backlog_bytes(self) -> int:
         """Return how much bulk waits to be sent."""
--- a/reedspar/membership/controller.py
+++ b/reedspar/membership/controller.py
@@ -131,14 +131,6 @@
         """Return the names of the daemons in a zone that are not leaving."""
         return self._view.zone_members(zone)
 
-    def region_members(self, region: str) -> tuple[str, ...]:
-        """Return the names of the daemons in a region that are not leaving."""
-        return tuple(
-            member.record.name
-            for member in self._view.members()
-            if member.record.region == region and not member.is_leaving
-        )
-
     def wanted_links(self) -> tuple[InstanceRecord, ...]:
         """Return the daemons that this one should keep a link dialled to.
 
--- a/reedspar/targets/controller.py
+++ b/reedspar/targets/controller.py
@@ -270,8 +270,7 @@
         self._missed_reports += 1
         is_gone = failure.reason is Reason.UNAVAILABLE
         if is_gone or self._missed_reports >= MISSED_REPORTS_MAX:
-            self._lapse()
-            self._offers.note_engine_state(None)
+            self._lose_target()
 
     def _note_overdue(self, waited_s: float) -> None:
         """Act on a report that does not come.
@@ -283,10 +282,14 @@
         if waited_s >= OVERDUE_S:
             self._gate.note_overdue()
         if waited_s >= SILENT_S and self._is_reachable:
-            self._lapse()
-            self._offers.note_engine_state(None)
+            self._lose_target()
             self._reports.publish_if_changed()
 
+    def _lose_target(self) -> None:
+        """Give the target no work, and offer nothing, until it reports again."""
+        self._lapse()
+        self._offers.note_engine_state(None)
+
     def _lapse(self) -> None:
         """Trust nothing that was known of the target until it reports again."""
         self._is_reachable = False
--- a/reedspar/weights/fetches.py
+++ b/reedspar/weights/fetches.py
@@ -49,10 +49,6 @@
     has_origin_failed: bool = False
     not_before_s: float = 0.0
 
-    def is_open_at(self, peer: str) -> bool:
-        """Tell whether the peer has been asked and has not ended."""
-        return any(request.peer == peer for request in self.requests)
-
 
 class PeerBook:
     """Which peers to leave alone for a while, and what they were asked for."""
--- a/reedspar/weights/memory.py
+++ b/reedspar/weights/memory.py
@@ -60,10 +60,6 @@
         if self._pins[digest] <= 0:
             del self._pins[digest]
 
-    def is_pinned(self, digest: str) -> bool:
-        """Tell whether an object must stay."""
-        return digest in self._pins
-
     def reserve(self, size_bytes: int) -> bool:
         """Make room for an object on its way; False if all room is in use."""
         if not self._make_room(size_bytes):
--- a/reedspar/weights/staging.py
+++ b/reedspar/weights/staging.py
@@ -42,11 +42,6 @@
         """Tell whether the engine was given every chunk in its present boot."""
         return self.manifest is not None and not self._missing
 
-    @property
-    def missing_count(self) -> int:
-        """Return how many chunks the engine lacks."""
-        return len(self._missing)
-
     def set_manifest(self, manifest: Manifest) -> bool:
         """Take the manifest; tell whether it is the one that was announced."""
         announced = (self.model, self.version.sequence, self.root_digest)
