Finish a version on its way before the next, fetch that one ahead, switch by the bound

Cause: a version named 4 s after another dropped the first half-way, and every target was without weights from the bound of the oldest on; agents that started before the configuration was written took their own region for the origin's.

--- a/reedspar/daemon/site_agent.py
+++ b/reedspar/daemon/site_agent.py
@@ -49,6 +49,8 @@
 LOST_AFTER = 3
 """Reads in a row that must fail before the engine counts as gone."""
 LISTEN_GRACE_S = 0.3
+OLDER_MARGIN_S = 0.4
+"""Before the bound, an older version gets nothing new from the entries."""
 
 _logger = logging.getLogger(__name__)
 
@@ -138,10 +140,12 @@
 
     async def _start_weights(self) -> None:
         self.tasks.start_soon(self._register)
-        await self.feed.wait_seeded()
+        await self._wait_for_routes()
         controller = self.create_weights(self._with_origin_region())
         self._weights = controller
-        self.catalog.on_manifest(controller.hold_object)
+        self.catalog.follow(
+            controller.hold_object, controller.left_s, controller.prefetch
+        )
         controller.start()
         self.view.on_change(lambda change: self._name_versions())
         self._name_versions()
@@ -152,6 +156,15 @@
         await self.feed.wait_seeded()
         await self.registration.run()
 
+    async def _wait_for_routes(self) -> None:
+        """Return once the configuration is known: it says where the origin is."""
+        await self.feed.wait_seeded()
+        known = anyio.Event()
+        self.view.on_change(lambda change: known.set())
+        while self.view.routes is None:
+            await known.wait()
+            known = anyio.Event()
+
     def _with_origin_region(self) -> SiteSettings:
         """Return the settings with the region of the origin that is configured."""
         terms = self.view.routes.origin if self.view.routes is not None else None
@@ -215,7 +228,14 @@
     registration = create_registration(key, value, parts.store, timers)
     network = _create_network(settings, incarnation, view, timers)
     origin = borders.create_origin(view)
-    catalog = VersionCatalog(settings.pool, origin, rng)
+    catalog = VersionCatalog(
+        settings.pool,
+        origin,
+        timers,
+        rng,
+        settings.bounds.version_ms / 1000 - OLDER_MARGIN_S,
+        settings.links.machine_bytes_per_s,
+    )
     engine = borders.create_engine(catalog)
 
     def resolve(name: str) -> PeerAddress | None:
@@ -235,6 +255,7 @@
             fencing=LocalFencing(),
             gate=_EngineDrains(),
             staged_reader=engine,
+            deadlines=catalog,
         )
 
     agent = SiteAgent(
--- a/reedspar/direct/choice.py
+++ b/reedspar/direct/choice.py
@@ -91,8 +91,13 @@
             _Candidate(known, load, self._expect_s(request, terms, load, now_s))
             for known, load in self._open(fit, terms, now_s)
         ]
+        candidates = [i for i in candidates if self._is_in_time(i, request)]
         if not candidates:
-            return self._refuse(request, "every fit target is cold", NO_TARGET_RETRY_S)
+            return self._refuse(
+                request,
+                "every fit target is cold or about to switch",
+                NO_TARGET_RETRY_S,
+            )
         best_s = min(item.expected_s for item in candidates)
         limit_s = self._limit_s(request, terms)
         if best_s > limit_s:
@@ -165,6 +170,13 @@
             return False
         return not request.weights_digest or request.weights_digest == str(version)
 
+    def _is_in_time(self, candidate: _Candidate, request: Request) -> bool:
+        """Tell whether the request begins before its target's version is too old."""
+        version = candidate.known.record.weights.get(request.model)
+        if version is None:
+            return True
+        return self._versions.may_serve(request.model, version, candidate.expected_s)
+
     def _open(
         self, fit: list[KnownTarget], terms: ServiceTerms | None, now_s: float
     ) -> list[tuple[KnownTarget, TargetLoad]]:
--- a/reedspar/direct/versions.py
+++ b/reedspar/direct/versions.py
@@ -5,11 +5,12 @@
 
 __all__ = ["VersionRule"]
 
-OLDER_MARGIN_S = 0.8
+OLDER_MARGIN_S = 0.4
 """Before the bound, nothing more is sent to an older version.
 
-A request waits up to its aimed time, half a second, before it begins to run, and
-the news of a version takes up to a quarter of a second to come."""
+The news of a version takes up to a quarter of a second to come."""
+WAIT_FACTOR = 2.0
+"""How many times as long as expected a request may wait before it begins to run."""
 UNSURE_S = 2.5
 """After a start, how long an older version is still used.
 
@@ -30,12 +31,13 @@
         """Note that versions named from now on are named now."""
         self._seeded_s = self._timers.now_s()
 
-    def may_serve(self, model: str, version: int) -> bool:
-        """Tell whether a request may begin on a version."""
+    def may_serve(self, model: str, version: int, wait_s: float = 0.0) -> bool:
+        """Tell whether a request that will wait may begin on a version."""
         newest = self._view.version_of(model)
         if newest is None or version >= newest.version:
             return True
-        return self._timers.now_s() < self._older_until_s(model, version)
+        begins_s = self._timers.now_s() + WAIT_FACTOR * wait_s
+        return begins_s < self._older_until_s(model, version)
 
     def _older_until_s(self, model: str, version: int) -> float:
         """Return until when a version may serve that a newer one replaced."""
--- a/reedspar/settings/site.py
+++ b/reedspar/settings/site.py
@@ -105,7 +105,7 @@
         10.0, gt=0, description="The link between two regions, for all traffic."
     )
     link_share: float = Field(
-        0.95,
+        0.88,
         gt=0,
         le=1,
         description="Part of a link that weights may take; the rest is for requests.",
--- a/reedspar/weights/activation.py
+++ b/reedspar/weights/activation.py
@@ -1,5 +1,6 @@
 """Activation: when a target may switch to a version, decided from what peers say."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Protocol
@@ -8,6 +9,7 @@
 from reedspar.utils import rank_by_rendezvous
 
 from .messages import VersionNotice, VersionPhase
+from .succession import SWITCH_S
 
 __all__ = ["SwitchDecision", "SwitchGate", "choose_cohort"]
 
@@ -69,16 +71,25 @@
         self._words: dict[str, _Word] = {}
         self._root_digest = ""
         self._since_s = 0.0
+        self._deadline_s = float("inf")
 
     @property
     def cohort(self) -> tuple[str, ...]:
         """Return the peers that take turns with this target."""
         return self._cohort
 
-    @property
-    def allowed(self) -> int:
-        """Return how many of the cohort may switch at once; at least one."""
-        return max(1, int(self._share * (len(self._cohort) + 1)))
+    def allowed(self, now_s: float) -> int:
+        """Return how many of the cohort may switch at once; at least one.
+
+        Where the older version has to go by a time, the cohort takes as many
+        turns as fit before it, and one more that begins then.
+        """
+        size = len(self._cohort) + 1
+        count = max(1, int(self._share * size))
+        if self._deadline_s == float("inf"):
+            return count
+        turns = 1 + max(0, math.ceil((self._deadline_s - now_s) / SWITCH_S))
+        return max(count, math.ceil(size / turns))
 
     def set_peers(self, names: Iterable[str]) -> None:
         """Take the live agents of the pool."""
@@ -90,6 +101,10 @@
         if peer in self._cohort:
             self._words[peer] = _Word(notice.phase, now_s)
 
+    def set_deadline(self, deadline_s: float) -> None:
+        """Take the time from which the older version serves nobody any more."""
+        self._deadline_s = deadline_s
+
     def begin_waiting(self, root_digest: str, now_s: float) -> None:
         """Note that this target could switch from now on."""
         if root_digest != self._root_digest:
@@ -106,6 +121,8 @@
 
     def may_switch(self, now_s: float) -> bool:
         """Tell whether it is this target's turn."""
+        if now_s >= self._deadline_s:
+            return True
         has_waited = now_s - self._since_s >= ANSWER_WAIT_S
         if len(self._words) < len(self._cohort) and not has_waited:
             return False
@@ -118,7 +135,7 @@
             for peer, word in words
             if word is not None and not self._is_silent(word, now_s)
         )
-        return ahead < max(1, self.allowed - silent)
+        return ahead < max(1, self.allowed(now_s) - silent)
 
     def _is_ahead(self, word: _Word, is_before_me: bool) -> bool:
         if word.phase is VersionPhase.WAITING:
--- a/reedspar/weights/catalog.py
+++ b/reedspar/weights/catalog.py
@@ -19,15 +19,19 @@
     PoolKind,
 )
 from reedspar.errors import Failure
+from reedspar.timers import TimerService
 from reedspar.utils import digest_bytes
 
 from .manifest import Manifest, encode_manifest
+from .succession import Succession, should_finish_first
 
 __all__ = ["KnownVersion", "ManifestReader", "VersionCatalog"]
 
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.5
-"""Pause before a manifest is asked for again, drawn anew each time."""
+WAIT_POLL_S = 0.1
+"""Pause before a manifest is asked for again, drawn anew each time, and between two
+looks at the version that is finished first."""
 
 _logger = logging.getLogger(__name__)
 Listener = Callable[[ConfigurationDocument], None]
@@ -58,11 +62,21 @@
         self,
         pool: str,
         reader: ManifestReader,
+        timers: TimerService,
         rng: random.Random,
+        bound_s: float,
+        link_bytes_per_s: float,
     ) -> None:
         self._pool = pool
         self._reader = reader
+        self._timers = timers
+        self._bound_s = bound_s
+        self._link_bytes_per_s = link_bytes_per_s
         self._hold: Callable[[str, bytes], None] = lambda digest, data: None
+        self._left_s: Callable[[str], float | None] = lambda model: None
+        self._prefetch: Callable[[Manifest], None] = lambda manifest: None
+        self._prefetched: set[tuple[str, int]] = set()
+        self._named_s: dict[tuple[str, int], float] = {}
         self._rng = rng
         self._wanted: dict[str, int] = {}
         self._known: dict[tuple[str, int], KnownVersion] = {}
@@ -80,13 +94,34 @@
         """Call `listener` with each newer document."""
         self._listeners.append(listener)
 
-    def on_manifest(self, hold: Callable[[str, bytes], None]) -> None:
-        """Give each manifest to `hold` before the document that names it."""
+    def follow(
+        self,
+        hold: Callable[[str, bytes], None],
+        left_s: Callable[[str], float | None],
+        prefetch: Callable[[Manifest], None],
+    ) -> None:
+        """Give manifests to `hold`, and ask `left_s` how far a model's version is.
+
+        A version that has to wait for the one before it to be loaded, though
+        that one has come, goes to `prefetch`.
+        """
         self._hold = hold
+        self._left_s = left_s
+        self._prefetch = prefetch
+
+    def older_until_s(self, model: str) -> float:
+        """Return until when an older version than the published one may serve."""
+        published = self._published.get(model)
+        if published is None:
+            return float("inf")
+        key = (model, published.manifest.sequence)
+        return self._named_s.get(key, float("inf")) + self._bound_s
 
     def name(self, model: str, version: int) -> None:
         """Take the version that a model is to be brought to; it only goes up."""
         if version > self._wanted.get(model, 0):
+            if model in self._wanted:
+                self._named_s[model, version] = self._timers.now_s()
             self._wanted[model] = version
             self._wakeup.set()
 
@@ -108,12 +143,46 @@
         """Fetch the manifests of named versions until cancelled."""
         while True:
             self._wakeup = anyio.Event()
-            if not await self._fetch_wanted():
-                pause_s = self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
-                with anyio.move_on_after(pause_s):
-                    await self._wakeup.wait()
-            elif not self._unpublished():
+            is_done = await self._learn(self._unpublished())
+            for key in self._unpublished():
+                if key in self._known:
+                    self._move_on(*key)
+            if not self._unpublished():
                 await self._wakeup.wait()
+                continue
+            pause_s = self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
+            with anyio.move_on_after(WAIT_POLL_S if is_done else pause_s):
+                await self._wakeup.wait()
+
+    def _move_on(self, model: str, version: int) -> None:
+        """Publish a version, or fetch it ahead while the one before it is loaded."""
+        known = self._known[model, version]
+        if not self._is_to_wait(model, version):
+            self._publish(known)
+        elif not self._left_s(model) and (model, version) not in self._prefetched:
+            self._prefetched.add((model, version))
+            self._hold(known.digest, known.encoded)
+            self._prefetch(known.manifest)
+
+    def _is_to_wait(self, model: str, version: int) -> bool:
+        """Tell whether the version on its way is to be finished first."""
+        current = self._published.get(model)
+        left_s = self._left_s(model)
+        if current is None or left_s is None:
+            return False
+        number = current.manifest.sequence
+        named_s = self._named_s.get((model, number))
+        next_named_s = self._named_s.get((model, version))
+        if named_s is None or next_named_s is None:
+            return False
+        succession = Succession(
+            self._timers.now_s(),
+            left_s,
+            current.manifest.size_bytes / self._link_bytes_per_s,
+            named_s + self._bound_s,
+            next_named_s + self._bound_s,
+        )
+        return should_finish_first(succession)
 
     def _unpublished(self) -> list[tuple[str, int]]:
         return [
@@ -123,25 +192,26 @@
             or (model, version) not in self._known
         ]
 
-    async def _fetch_wanted(self) -> bool:
-        """Fetch what is missing; tell whether every read went well."""
-        for model, version in self._unpublished():
-            result = await self._reader.read_manifest(model, version)
-            if isinstance(result, Failure):
-                _logger.warning(
-                    "manifest was not read",
-                    extra={"model": model, "version": version, "failure": str(result)},
-                )
+    async def _learn(self, keys: list[tuple[str, int]]) -> bool:
+        """Fetch the manifests that are missing; tell whether every read went well."""
+        for model, version in keys:
+            if (model, version) in self._known:
+                continue
+            manifest = await self._reader.read_manifest(model, version)
+            if isinstance(manifest, Failure):
+                failure = str(manifest)
+                extra = {"model": model, "version": version, "failure": failure}
+                _logger.warning("manifest was not read", extra=extra)
                 return False
-            self._publish(result)
+            encoded = encode_manifest(manifest)
+            known = KnownVersion(manifest, encoded, digest_bytes(encoded))
+            self._known[model, version] = known
         return True
 
-    def _publish(self, manifest: Manifest) -> None:
-        encoded = encode_manifest(manifest)
-        known = KnownVersion(manifest, encoded, digest_bytes(encoded))
-        self._known[(manifest.model, manifest.sequence)] = known
+    def _publish(self, known: KnownVersion) -> None:
+        manifest = known.manifest
         self._published[manifest.model] = known
-        self._hold(known.digest, encoded)
+        self._hold(known.digest, known.encoded)
         self._document = self._make_document()
         _logger.info(
             "weights wanted",
--- a/reedspar/weights/controller.py
+++ b/reedspar/weights/controller.py
@@ -44,7 +44,7 @@
 from .stager import Stager
 from .staging import StagedVersion, StagingOrder
 from .swarm import SwarmDistribution
-from .views import AgentSettings, ConfigurationView, PeerView
+from .views import AgentSettings, ConfigurationView, PeerView, VersionDeadlines
 
 __all__ = ["WeightController", "create_weight_controller"]
 
@@ -59,6 +59,7 @@
     HaveMap,
     HaveUpdate,
 )
+RECOVER_RETRY_S = 0.2
 CHUNKS_LOST = (Reason.INVALID, Reason.NOT_FOUND, Reason.CORRUPT)
 """Refusals of a load after which the engine is given every chunk again."""
 
@@ -82,7 +83,9 @@
         gate: SwitchGate,
         distribution: Distribution,
         staged_reader: StagedReader | None = None,
+        deadlines: VersionDeadlines | None = None,
     ) -> None:
+        self._deadlines = deadlines
         if settings.target is None:
             raise ValueError("weights are for agents: the settings have no target")
         self._target = settings.target
@@ -120,6 +123,8 @@
         )
         self._listeners: list[Callable[[], None]] = []
         self._is_pacing = False
+        self._origin_reads = 0
+        self._has_recovered = False
         self._last_offered: tuple[LoadedWeights, ...] = ()
 
     def offered(self) -> tuple[LoadedWeights, ...]:
@@ -149,6 +154,13 @@
         self._distribution.hold_object(digest, data, self._timers.now_s())
         self._pump()
 
+    def prefetch(self, manifest: Manifest) -> None:
+        """Get the chunks of a version that is to be loaded after the present one."""
+        now_s = self._timers.now_s()
+        self._distribution.know_version(manifest, now_s)
+        self._distribution.want_chunks(manifest, now_s)
+        self._pump()
+
     def note_engine_state(self, state: EngineState) -> None:
         """Take what the agent's poll has read; call it with every report."""
         confirmed = {m for m in self._staged if self._book.is_confirmed(m)}
@@ -269,6 +281,7 @@
             self._distribution.note_unsent(action.peer, action.message, now_s)
 
     async def _read_origin(self, digest: str) -> None:
+        self._origin_reads += 1
         result = await self._origin.read(digest, 0, 0)
         self._distribution.complete_read(digest, result, self._timers.now_s())
         self._pump()
@@ -300,21 +313,43 @@
             self._tasks.start_soon(self._recover, staged, manifest)
 
     async def _recover(self, staged: StagedVersion, manifest: Manifest) -> None:
-        """Take what lies beside the engine, then get the rest."""
-        if self._staged_reader is not None:
-            found = await recover_staged(
-                self._staged_reader, manifest, self.hold_object
-            )
-            _logger.info(
-                "staged chunks read back",
-                extra={"version": manifest.sequence, "found": str(found)},
-            )
+        """Take what lies beside the engine at the start, then get the rest."""
+        reader = self._staged_reader
+        is_first = not self._has_recovered
+        self._has_recovered = True
+        while reader and is_first and self._staged.get(staged.model) is staged:
+            found = await recover_staged(reader, manifest, self.hold_object)
+            if not isinstance(found, Failure):
+                _logger.info(
+                    "staged chunks read back",
+                    extra={"version": manifest.sequence, "found": found},
+                )
+                break
+            await anyio.sleep(RECOVER_RETRY_S)
         if self._staged.get(staged.model) is staged:
             self._want_chunks(staged)
             self._pump()
 
+    def left_s(self, model: str) -> float | None:
+        """Return when a version on its way will have come; None if none is."""
+        staged = self._staged.get(model)
+        if staged is None or self._book.is_confirmed(model):
+            return None
+        if staged.manifest is None:
+            return float("inf")
+        return self._distribution.left_s(staged.root_digest)
+
     def _note_staged(self, order: StagingOrder) -> None:
         """Let go of a chunk that no version lacks any more."""
+        staged = self._staged.get(order.model)
+        if staged is not None and staged.is_whole:
+            _logger.info(
+                "weights staged",
+                extra={
+                    "version": staged.version.sequence,
+                    "origin_reads": self._origin_reads,
+                },
+            )
         if not any(s.needs(order.digest) for s in self._staged.values()):
             self._distribution.release(order.digest, self._timers.now_s())
             self._pump()
@@ -332,7 +367,10 @@
             return False
         if not self._book.is_serving(staged.model):
             return True
-        return self._rollout.may_switch(staged, self._timers.now_s())
+        deadline_s = float("inf")
+        if self._deadlines is not None:
+            deadline_s = self._deadlines.older_until_s(staged.model)
+        return self._rollout.may_switch(staged, self._timers.now_s(), deadline_s)
 
     def _phase_of(self, model: str) -> VersionPhase:
         """Return what the cohort is told of a model."""
@@ -384,6 +422,7 @@
     fencing: FencingNumbers,
     gate: SwitchGate,
     staged_reader: StagedReader | None = None,
+    deadlines: VersionDeadlines | None = None,
 ) -> WeightController:
     """Make the controller of an agent before a model engine; call `start` next."""
     me = WeightPeer(settings.name, settings.region, settings.zone)
@@ -403,4 +442,5 @@
         gate,
         distribution,
         staged_reader,
+        deadlines,
     )
--- a/reedspar/weights/distribution.py
+++ b/reedspar/weights/distribution.py
@@ -84,6 +84,10 @@
         """
         ...
 
+    def left_s(self, root_digest: str) -> float:
+        """Return how long the missing chunks take over this machine's link."""
+        ...
+
     def forget(self, root_digest: str, now_s: float) -> None:
         """Stop getting chunks that only this version needs."""
         ...
--- a/reedspar/weights/limits.py
+++ b/reedspar/weights/limits.py
@@ -12,6 +12,12 @@
 SLOTS_MIN = 2
 REACH_MIN = 4
 SLOTS_MAX = 8
+PIECE_TIME_S = 0.01
+"""Time that one piece may take of the machine's link.
+
+Answers leave a target over the same link.  Behind a whole chunk of 24 KB they
+would wait 54 ms at 3.65 Mbit/s, and several chunks would make each event late."""
+PIECE_MIN_BYTES = 4096
 SLOT_SHARE = 0.25
 """Share of a machine's link that one slot of a narrow link takes at most."""
 
@@ -88,11 +94,14 @@
 
 def create_swarm_limits(settings: AgentSettings) -> SwarmLimits:
     """Return the limits that the settings ask for."""
+    machine_bytes_per_s = settings.links.machine_bytes_per_s
+    piece_bytes = max(PIECE_MIN_BYTES, round(machine_bytes_per_s * PIECE_TIME_S))
     return SwarmLimits(
         origin_region=settings.weights.origin_region or settings.region,
-        machine_bytes_per_s=settings.links.machine_bytes_per_s,
+        machine_bytes_per_s=machine_bytes_per_s,
         region_bytes_per_s=settings.links.region_bytes_per_s,
         memory_bytes=settings.weights.chunk_memory_bytes,
         copies_per_region=settings.weights.copies_per_region,
         request_timeout_s=settings.weights.request_timeout_s,
+        piece_bytes=min(PIECE_SIZE_BYTES, piece_bytes),
     )
--- a/reedspar/weights/loading.py
+++ b/reedspar/weights/loading.py
@@ -141,7 +141,10 @@
             fencing_number=number,
             order_id=uuid.uuid4().hex,
         )
+        extra = {"model": staged.model, "version": staged.version.sequence}
+        _logger.info("load ordered", extra=extra)
         failure = await self._engine.load(order)
+        _logger.info("load ended", extra=extra | {"failure": str(failure or "")})
         if failure is not None and failure.reason is Reason.OUTCOME_UNKNOWN:
             # The order may still take effect.  At an engine that ignores
             # fencing numbers it could overwrite the next one, seen as an
--- a/reedspar/weights/rollout.py
+++ b/reedspar/weights/rollout.py
@@ -45,9 +45,12 @@
             return []
         return [SendMessage(peer, self._make_notice(notice.model))]
 
-    def may_switch(self, staged: StagedVersion, now_s: float) -> bool:
+    def may_switch(
+        self, staged: StagedVersion, now_s: float, deadline_s: float = float("inf")
+    ) -> bool:
         """Tell whether it is this target's turn to switch a model."""
         decision = self._decision_of(staged.model)
+        decision.set_deadline(deadline_s)
         decision.begin_waiting(staged.root_digest, now_s)
         return decision.may_switch(now_s)
 
--- /dev/null
+++ b/reedspar/weights/succession.py
@@ -0,0 +1,39 @@
+"""Decision: whether a version on its way is finished before the next one is begun.
+
+Versions may be named faster than they travel.  Dropped half-way for the next
+one, a version never serves, and the targets have nothing to serve with from
+the moment at which the one before it may no longer be used.
+"""
+
+from dataclasses import dataclass
+
+__all__ = ["SWITCH_S", "Succession", "should_finish_first"]
+
+SWITCH_S = 1.5
+"""Time in which a target switches: what runs ends, 1.2 s, and 0.3 s of loading."""
+
+
+@dataclass(frozen=True, slots=True)
+class Succession:
+    """A version on its way, and the next one; times in seconds."""
+
+    now_s: float
+    left_s: float
+    """Until the version on its way has arrived."""
+    copy_s: float
+    """For a whole copy of the next version."""
+    served_until_s: float
+    """When what is served now may no longer be used."""
+    current_until_s: float
+    """When the version on its way may no longer be used."""
+
+
+def should_finish_first(succession: Succession) -> bool:
+    """Tell which order leaves the targets without weights for less time."""
+    finished_s = succession.now_s + succession.left_s + SWITCH_S
+    next_s = finished_s + succession.copy_s
+    gap_s = max(0.0, finished_s - succession.served_until_s)
+    gap_s += max(0.0, next_s - succession.current_until_s)
+    jumped_s = succession.now_s + succession.copy_s + SWITCH_S
+    gap_if_dropped_s = max(0.0, jumped_s - succession.served_until_s)
+    return gap_s <= gap_if_dropped_s
--- a/reedspar/weights/swarm.py
+++ b/reedspar/weights/swarm.py
@@ -124,6 +124,16 @@
             announcer.send_map(neighbour, now_s, is_reply_wanted=True)
         self._settle(now_s)
 
+    def left_s(self, root_digest: str) -> float:
+        """Return how long the missing chunks take over this machine's link."""
+        transfer = self._transfers.get(root_digest)
+        if transfer is None or transfer.is_complete:
+            return 0.0
+        missing_bytes = sum(
+            transfer.sizes[transfer.digests[index]] for index in transfer.missing
+        )
+        return missing_bytes / self._limits.machine_bytes_per_s
+
     def forget(self, root_digest: str, now_s: float) -> None:
         """Stop getting chunks that only this version needs."""
         transfer = self._transfers.pop(root_digest, None)
--- a/reedspar/weights/views.py
+++ b/reedspar/weights/views.py
@@ -8,7 +8,7 @@
 
 from .distribution import WeightPeer
 
-__all__ = ["AgentSettings", "ConfigurationView", "PeerView"]
+__all__ = ["AgentSettings", "ConfigurationView", "PeerView", "VersionDeadlines"]
 
 
 class AgentSettings(Protocol):
@@ -64,3 +64,11 @@
     def on_change(self, listener: Callable[[ConfigurationDocument], None]) -> None:
         """Call `listener` with each newer document."""
         ...
+
+
+class VersionDeadlines(Protocol):
+    """Until when an older version of a model may be served."""
+
+    def older_until_s(self, model: str) -> float:
+        """Return the time, by the timer service; infinite if there is no bound."""
+        ...
