--- a/reedspar/direct/choice.py
+++ b/reedspar/direct/choice.py
@@ -47,6 +47,8 @@
 """Part of the aimed time within which the first event must be expected.
 
 An answer after its aim earns a quarter, and delays all behind it."""
+QUEUE_SLACK_S = 0.1
+"""What may wait before a request that would be late in any case: two usual prompts."""
 GAP_PART = 0.95
 """Part of the pause between events that callers bear which one prompt may make."""
 
@@ -69,6 +71,8 @@
     estimated_s: float
     expected_s: float
     """The calibrated estimate, and what the distance counts as."""
+    alone_s: float = 0.0
+    """What the calibrated estimate would be if no prompt waited before it."""
     pause_s: float = 0.0
     """The pause that the prompts before the request make in the streams beside it."""
 
@@ -127,14 +131,13 @@
         if not candidates:
             detail = "one more prompt would hold up the streams beside it"
             return self._refuse(request, detail, COME_BACK_S)
-        best_s = min(item.expected_s for item in candidates)
-        limit_s = self._limit_s(request, terms)
-        if best_s > limit_s:
+        best = min(candidates, key=lambda item: item.expected_s)
+        best_s = best.expected_s
+        excess_s = best_s - self._limit_s(request, best)
+        if excess_s > 0:
             detail = f"the first answer is expected in {best_s:.2f} s"
-            excess_s = best_s - limit_s
-            return self._refuse(
-                request, detail, excess_s if excess_s < SOON_S else COME_BACK_S
-            )
+            after_s = excess_s if excess_s < SOON_S else COME_BACK_S
+            return self._refuse(request, detail, after_s)
         near = [i for i in candidates if i.expected_s <= best_s + NEAR_BEST_S]
         chosen = self._rng.choice(near)
         return DirectTarget(
@@ -258,8 +261,11 @@
         work = _work_of(load, engine, now_s)
         estimated_s = estimate_first_event_s(engine, work, request.prompt_tokens)
         expected_s = estimated_s * self._calibration(request.pool).factor + distance_s
+        nothing_waits = EngineWork(0.0, work.writing, 0.0, work.pace)
+        alone_s = estimate_first_event_s(engine, nothing_waits, request.prompt_tokens)
+        alone_s = alone_s * self._calibration(request.pool).factor + distance_s
         pause_s = estimate_pause_s(engine, work)
-        return _Candidate(known, load, estimated_s, expected_s, pause_s)
+        return _Candidate(known, load, estimated_s, expected_s, alone_s, pause_s)
 
     def _calibration(self, pool: str) -> Calibration:
         return self._calibrations.setdefault(pool, Calibration())
@@ -269,10 +275,15 @@
         is_near = self._regions.get(known.record.zone) == self._region
         return 0.0 if is_near else FAR_S
 
-    def _limit_s(self, request: Request, terms: ServiceTerms | None) -> float:
-        if terms is None or terms.engine is None or request.aim_s <= 0:
+    def _limit_s(self, request: Request, best: _Candidate) -> float:
+        """Return the time within which the first answer must be expected.
+
+        A long prompt may take longer than the aimed time though nothing waits
+        before it.  Refused for that, it would be refused at idle targets, always.
+        """
+        if not best.alone_s or request.aim_s <= 0:
             return float("inf")
-        return request.aim_s * AIM_PART
+        return max(request.aim_s * AIM_PART, best.alone_s + QUEUE_SLACK_S)
 
     def _explain(self, request: Request, tried: Collection[str]) -> Failure:
         known = sum(1 for _ in self._view.targets(request.pool))
--- /dev/null
+++ b/reedspar/direct/tests/test_choice.py
@@ -0,0 +1,130 @@
+"""Tests of which target a direct request goes to, over ASGI."""
+
+import unittest
+
+from reedspar.direct import DirectService, LoadReport
+from reedspar.direct.tests.cases import (
+    Call,
+    DirectTestCase,
+    make_order_target,
+)
+from reedspar.direct.tests.fakes import (
+    FakeDialer,
+    make_engine_target,
+    make_table,
+)
+from reedspar.fleet import (
+    FleetView,
+    RoutesChange,
+    TargetChange,
+    TargetState,
+    ZoneChange,
+)
+from reedspar.routes import WorkspaceAccess
+
+
+class ChoiceTest(DirectTestCase):
+    async def send(self, service: DirectService, call: Call) -> Call:
+        await service.application(call.scope, call.receive, call.send)
+        return call
+
+    def test_leaving_targets_and_zones_that_are_out_get_nothing(self) -> None:
+        # A target leaves and a zone is taken out; both must get no new work.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            leaving = make_order_target("o1", state=TargetState.LEAVING)
+            view.apply(TargetChange("o1", leaving))
+            for _ in range(10):
+                await self.send(service, Call("/s/1"))
+            self.assertEqual({name for name, _ in dialer.sent}, {"o2"})
+            view.apply(ZoneChange("a", True))
+            call = await self.send(service, Call("/s/1"))
+            self.assertEqual(call.outcome, "not-run")
+            self.assertEqual(len(dialer.sent), 10)
+
+        self.run_with(script)
+
+    def test_workspace_stays_in_its_regions(self) -> None:
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            homes = {"key": WorkspaceAccess("shop", regions=frozenset({"rb"}))}
+            view.apply(RoutesChange(make_table(2, workspaces=homes)))
+            call = await self.send(service, Call("/s/1"))
+            self.assertEqual(call.outcome, "not-run")
+            view.apply(TargetChange("o2", make_order_target("o2", zone="b")))
+            for _ in range(5):
+                await self.send(service, Call("/s/1"))
+            self.assertEqual({name for name, _ in dialer.sent}, {"o2"})
+
+        self.run_with(script)
+
+    def test_target_without_the_model_gets_no_request_for_it(self) -> None:
+        # A target that was added is empty until its weights have come.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            view.apply(TargetChange("q1", make_engine_target("q1", weights={})))
+            for _ in range(5):
+                await self.send(service, Call("/q/1", x_model="m"))
+            self.assertEqual({name for name, _ in dialer.sent}, {"q2"})
+
+        self.run_with(script)
+
+    def test_full_engines_are_not_sent_more(self) -> None:
+        # Every engine has long prompts before it.  The caller is refused at once,
+        # and told when the first event could come in time.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            for target_id in ("q1", "q2"):
+                service.chooser.note_report(target_id, LoadReport(16, 20, 16))
+            call = await self.send(service, Call("/q/1", x_model="m", x_tokens="900"))
+            self.assertEqual(call.outcome, "not-run")
+            self.assertEqual(call.status, 503)
+            self.assertIn("retry-after", call.headers)
+            self.assertEqual(dialer.sent, [])
+
+        self.run_with(script)
+
+    def test_long_prompt_is_not_refused_at_an_idle_engine(self) -> None:
+        # A prompt is so long that its first event can't come within the aimed time.
+        # Refused for that it would never be served.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            call = await self.send(service, Call("/q/1", x_model="m", x_tokens="12000"))
+            self.assertEqual(call.status, 200)
+
+        self.run_with(script)
+
+    def test_less_busy_engine_is_chosen(self) -> None:
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            service.chooser.note_report("q1", LoadReport(10, 5, 16))
+            service.chooser.note_report("q2", LoadReport(2, 0, 16))
+            for _ in range(5):
+                await self.send(service, Call("/q/1", x_model="m", x_tokens="900"))
+            self.assertEqual({name for name, _ in dialer.sent}, {"q2"})
+
+        self.run_with(script)
+
+    def test_cold_target_gets_its_part_alone(self) -> None:
+        # A target has just started and falls over under full load.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            view.apply(TargetChange("q2", None))
+            cold = make_engine_target("q1", cold_left_s=3.0)
+            view.apply(TargetChange("q1", cold))
+            for _ in range(30):
+                await self.send(service, Call("/q/1", x_model="m"))
+            self.assertLessEqual(len(dialer.sent), 4)
+
+        self.run_with(script)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/reedspar/direct/tests/test_endings.py
@@ -0,0 +1,185 @@
+"""Tests of how direct requests end, over ASGI."""
+
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from reedspar.direct import DirectService
+from reedspar.direct.tests.cases import (
+    Call,
+    DirectTestCase,
+)
+from reedspar.direct.tests.fakes import (
+    FakeDialer,
+    FakeResponse,
+    broken,
+    not_run,
+    unreachable,
+)
+from reedspar.fleet import (
+    FleetView,
+)
+from reedspar.requests.request import Outcome
+
+
+class EndingTest(DirectTestCase):
+    def test_whole_answer(self) -> None:
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            call = Call("/s/1")
+            await service.application(call.scope, call.receive, call.send)
+            self.assertEqual((call.status, call.body), (200, b"ok"))
+            (sent,) = dialer.sent
+            self.assertEqual(sent[1].workspace, "shop")
+            self.assertEqual(service.client.open_count, 0)
+
+        self.run_with(script)
+
+    def test_refusals_before_any_target(self) -> None:
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            cases = [
+                (Call("/x/1"), "not_found"),
+                (Call("/s/1", authorization="Bearer other"), "unauthenticated"),
+                (Call("/s/1", x_allowed_s="0"), "expired"),
+            ]
+            for call, reason in cases:
+                await service.application(call.scope, call.receive, call.send)
+                self.assertEqual(call.outcome, "not-run")
+                self.assertIn(reason.encode(), call.body)
+            public = Call("/p/1", authorization="")
+            await service.application(public.scope, public.receive, public.send)
+            self.assertEqual(public.status, 200)
+            self.assertEqual(len(dialer.sent), 1)
+
+        self.run_with(script)
+
+    def test_order_goes_on_only_after_word_that_it_did_not_run(self) -> None:
+        # A target is full and says so; another one takes the order.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            def answer(target_id: str, request: Any) -> Any:
+                first = len(dialer.sent) == 1
+                return not_run(target_id) if first else FakeResponse([b"placed"])
+
+            dialer.script = answer
+            call = Call("/o/1")
+            await service.application(call.scope, call.receive, call.send)
+            self.assertEqual((call.status, call.body), (200, b"placed"))
+
+        self.run_with(script)
+
+    def test_order_whose_target_breaks_is_not_sent_again(self) -> None:
+        # The target dies with the order.  Nobody knows whether the deposit was
+        # booked, and the shop is told just that.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            dialer.script = lambda target_id, request: broken(target_id)
+            call = Call("/o/1")
+            await service.application(call.scope, call.receive, call.send)
+            self.assertEqual(call.outcome, Outcome.UNKNOWN.value)
+            self.assertEqual(len(dialer.sent), 1)
+
+        self.run_with(script)
+
+    def test_order_that_no_target_took_was_not_run(self) -> None:
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            dialer.script = lambda target_id, request: unreachable(target_id)
+            call = Call("/o/1")
+            await service.application(call.scope, call.receive, call.send)
+            self.assertEqual(call.outcome, Outcome.NOT_RUN.value)
+
+        self.run_with(script)
+
+    def test_status_request_is_made_again_elsewhere(self) -> None:
+        for failure in (broken, unreachable, not_run):
+            with self.subTest(failure=failure.__name__):
+                self._check_second_try(failure)
+
+    def _check_second_try(self, failure: Callable[[str], Any]) -> None:
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            def answer(target_id: str, request: Any) -> Any:
+                first = len(dialer.sent) == 1
+                return failure(target_id) if first else FakeResponse([b"found"])
+
+            dialer.script = answer
+            call = Call("/s/1", "GET")
+            await service.application(call.scope, call.receive, call.send)
+            self.assertEqual((call.status, call.body), (200, b"found"))
+            self.assertEqual({name for name, _ in dialer.sent}, {"o1", "o2"})
+
+        self.run_with(script)
+
+    def test_answer_that_breaks_off_is_never_passed_on_as_whole(self) -> None:
+        # A target's answer is cut.  An order's caller must not take half for whole.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            dialer.script = lambda target_id, request: FakeResponse(
+                [b"half", broken(target_id)]
+            )
+            call = Call("/o/1")
+            await service.application(call.scope, call.receive, call.send)
+            self.assertEqual(call.outcome, Outcome.UNKNOWN.value)
+            self.assertNotIn(b"half", call.body)
+
+        self.run_with(script)
+
+    def test_route_timeout_ends_a_request_at_once(self) -> None:
+        # A target hangs.  The caller is told at the route's timeout, not later.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            dialer.script = lambda target_id, request: 9.0
+            call = Call("/o/1", x_allowed_s="0.3")
+            started_s = anyio.current_time()
+            await service.application(call.scope, call.receive, call.send)
+            self.assertLess(anyio.current_time() - started_s, 0.6)
+            self.assertEqual(call.outcome, Outcome.UNKNOWN.value)
+            self.assertAlmostEqual(dialer.sent[0][1].timeout_s, 0.3, delta=0.1)
+
+        self.run_with(script)
+
+    def test_request_at_a_silent_target_is_made_elsewhere(self) -> None:
+        # A connection goes silent for good, without a reset.  Waiting for it, the
+        # caller would give up though another target is free.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            dialer.script = lambda target_id, request: (
+                9.0 if len(dialer.sent) == 1 else FakeResponse([b"found"])
+            )
+            call = Call("/s/1", "GET")
+            await service.application(call.scope, call.receive, call.send)
+            self.assertEqual((call.status, call.body), (200, b"found"))
+
+        self.run_with(script)
+
+    def test_caller_that_leaves_frees_its_target(self) -> None:
+        # A shop hangs up.  A target that works on for nobody is lost to others.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            dialer.script = lambda target_id, request: 9.0
+            call = Call("/q/1", x_model="m")
+            call.gone.set()
+            await service.application(call.scope, call.receive, call.send)
+            await anyio.sleep(0.05)
+            self.assertEqual(len(dialer.closed), 1)
+            self.assertEqual(service.client.open_count, 0)
+
+        self.run_with(script)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/reedspar/direct/tests/test_streams.py
@@ -0,0 +1,114 @@
+"""Tests of streams that go straight to targets, over ASGI."""
+
+import unittest
+from typing import Any
+
+from reedspar.direct import DirectService
+from reedspar.direct.tests.cases import (
+    EVENTS,
+    PAUSE_S,
+    Call,
+    DirectTestCase,
+    event,
+)
+from reedspar.direct.tests.fakes import (
+    FakeDialer,
+    FakeResponse,
+    broken,
+    make_engine_target,
+)
+from reedspar.fleet import (
+    FleetView,
+    TargetChange,
+)
+
+
+class StreamTest(DirectTestCase):
+    def test_stream_goes_on_at_another_target(self) -> None:
+        # A target dies in the middle of an event.  The caller gets every event
+        # once, under the first target's headers.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            def answer(target_id: str, request: Any) -> Any:
+                if len(dialer.sent) == 1:
+                    pieces = [
+                        event(1),
+                        event(2) + b"id: 3\nda",
+                        PAUSE_S,
+                        broken(target_id),
+                    ]
+                    return FakeResponse(pieces, content_type=EVENTS)
+                return FakeResponse([event(3), event(4)], content_type=EVENTS)
+
+            dialer.script = answer
+            call = Call("/q/1", x_model="m")
+            await service.application(call.scope, call.receive, call.send)
+            self.assertEqual(call.body, b"".join(map(event, (1, 2, 3, 4))))
+            self.assertTrue(call.is_whole)
+            second = dict(dialer.sent[1][1].headers)
+            self.assertEqual(second["last-event-id"], "2")
+            self.assertNotEqual(dialer.sent[0][0], dialer.sent[1][0])
+
+        self.run_with(script)
+
+    def test_stream_never_goes_on_with_other_weights(self) -> None:
+        # The only other target holds a newer version.  An answer joined from two
+        # versions would be from neither; the caller sees that it was cut.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            newer = make_engine_target("q2", weights={"m": 2})
+            older = make_engine_target("q1", weights={"m": 1})
+            view.apply(TargetChange("q2", newer))
+
+            def answer(target_id: str, request: Any) -> Any:
+                version = {"q1": "1", "q2": "2"}[target_id]
+                pieces = [event(1), PAUSE_S, broken(target_id)]
+                return FakeResponse(pieces, content_type=EVENTS, weights=version)
+
+            dialer.script = answer
+            self.assertEqual(older.weights, {"m": 1})
+            call = Call("/q/1", x_model="m")
+            await service.application(call.scope, call.receive, call.send)
+            self.assertEqual(call.body, event(1))
+            self.assertFalse(call.is_whole)
+            self.assertEqual(len(dialer.sent), 1)
+
+        self.run_with(script)
+
+    def test_stream_that_may_not_resume_is_cut(self) -> None:
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            dialer.script = lambda target_id, request: FakeResponse(
+                [event(1), PAUSE_S, broken(target_id)], content_type=EVENTS
+            )
+            call = Call("/once/1", x_model="m")
+            await service.application(call.scope, call.receive, call.send)
+            self.assertFalse(call.is_whole)
+            self.assertEqual(len(dialer.sent), 1)
+
+        self.run_with(script)
+
+    def test_stream_that_breaks_before_its_first_event_starts_anew(self) -> None:
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            def answer(target_id: str, request: Any) -> Any:
+                if len(dialer.sent) == 1:
+                    return FakeResponse(
+                        [b"id: 1\n", broken(target_id)], content_type=EVENTS
+                    )
+                return FakeResponse([event(1)], content_type=EVENTS)
+
+            dialer.script = answer
+            call = Call("/q/1", x_model="m")
+            await service.application(call.scope, call.receive, call.send)
+            self.assertEqual((call.body, call.is_whole), (event(1), True))
+
+        self.run_with(script)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/reedspar/weights/controller.py
+++ b/reedspar/weights/controller.py
@@ -10,35 +10,21 @@
 
 from reedspar.attempts import LoadedWeights
 from reedspar.configuration import ConfigurationDocument, ModelVersion
-from reedspar.errors import Failure, Reason, is_failure
-from reedspar.links import Network, Priority
+from reedspar.errors import Failure, Reason
+from reedspar.links import Network
 from reedspar.messages import Sender
 from reedspar.platform import EngineState, ModelEngine, WeightSource
 from reedspar.timers import TimerService
 
 from .activation import SwitchGate
-from .distribution import (
-    Distribution,
-    ObjectReady,
-    ReadOrigin,
-    SendMessage,
-    WeightPeer,
-)
+from .distribution import Distribution, WeightPeer
 from .fencing import FencingNumbers
 from .limits import create_swarm_limits
 from .loading import Loader
 from .manifest import Manifest, decode_manifest
-from .messages import (
-    ChunkCancel,
-    ChunkPiece,
-    ChunkRefused,
-    ChunkRequest,
-    HaveMap,
-    HaveUpdate,
-    VersionNotice,
-    VersionPhase,
-)
+from .messages import DISTRIBUTION_MESSAGES, VersionNotice, VersionPhase
 from .offers import OfferBook
+from .pump import TICK_S, DistributionPump
 from .rollout import Rollout
 from .staged import StagedReader, recover_staged
 from .stager import Stager
@@ -48,17 +34,7 @@
 
 __all__ = ["WeightController", "create_weight_controller"]
 
-TICK_S = 0.05
 PEER_REFRESH_S = 0.5
-PACE_MIN_S = 0.002
-DISTRIBUTION_MESSAGES = (
-    ChunkRequest,
-    ChunkPiece,
-    ChunkRefused,
-    ChunkCancel,
-    HaveMap,
-    HaveUpdate,
-)
 RECOVER_RETRY_S = 0.2
 CHUNKS_LOST = (Reason.INVALID, Reason.NOT_FOUND, Reason.CORRUPT)
 """Refusals of a load after which the engine is given every chunk again."""
@@ -92,7 +68,6 @@
         self._network = network
         self._timers = timers
         self._tasks = tasks
-        self._origin = origin
         self._engine = engine
         self._peers = peers
         self._configuration = configuration
@@ -122,8 +97,9 @@
             self._note_staged,
         )
         self._listeners: list[Callable[[], None]] = []
-        self._is_pacing = False
-        self._origin_reads = 0
+        self._pump = DistributionPump(
+            distribution, network, origin, timers, tasks, self._take_object
+        )
         self._has_recovered = False
         self._last_offered: tuple[LoadedWeights, ...] = ()
 
@@ -157,14 +133,14 @@
     def hold_object(self, digest: str, data: bytes) -> None:
         """Take a checked object that did not come from a peer or the origin."""
         self._distribution.hold_object(digest, data, self._timers.now_s())
-        self._pump()
+        self._pump.run()
 
     def prefetch(self, manifest: Manifest) -> None:
         """Get the chunks of a version that is to be loaded after the present one."""
         now_s = self._timers.now_s()
         self._distribution.know_version(manifest, now_s)
         self._distribution.want_chunks(manifest, now_s)
-        self._pump()
+        self._pump.run()
 
     def note_engine_state(self, state: EngineState) -> None:
         """Take what the agent's poll has read; call it with every report."""
@@ -175,7 +151,7 @@
             is_lost = is_lost and not self._book.is_confirmed(staged.model)
             if is_new_boot or is_lost:
                 self._restage(staged)
-        self._pump()
+        self._pump.run()
         self._advance()
         self._notify()
 
@@ -198,7 +174,7 @@
         for model, version in wanted.items():
             if model not in self._staged:
                 self._get(model, version)
-        self._pump()
+        self._pump.run()
         self._notify()
 
     def _get(self, model: str, version: ModelVersion) -> None:
@@ -228,14 +204,14 @@
 
     def _receive(self, sender: Sender, message: Any) -> None:
         self._distribution.receive(sender.name, message, self._timers.now_s())
-        self._pump()
+        self._pump.run()
 
     def _tick(self) -> None:
         self._distribution.tick(self._timers.now_s())
-        self._pump()
+        self._pump.run()
         self._advance()
         for action in self._rollout.tick(self._timers.now_s()):
-            self._send(action)
+            self._pump.send(action)
 
     def _refresh_peers(self) -> None:
         for model in self._staged:
@@ -254,43 +230,6 @@
         self._distribution.lapse(self._timers.now_s())
         self._rollout.lapse(self._timers.now_s())
 
-    def _pump(self) -> None:
-        """Carry out what the distribution has decided."""
-        while actions := self._distribution.take_actions():
-            for action in actions:
-                if isinstance(action, SendMessage):
-                    self._send(action)
-                elif isinstance(action, ReadOrigin):
-                    self._tasks.start_soon(self._read_origin, action.digest)
-                elif isinstance(action, ObjectReady):
-                    self._take_object(action.digest)
-        now_s = self._timers.now_s()
-        delay_s = self._distribution.due_s(now_s) - now_s
-        if delay_s < TICK_S and not self._is_pacing:
-            self._is_pacing = True
-            self._tasks.start_soon(self._pace, max(delay_s, PACE_MIN_S))
-
-    async def _pace(self, delay_s: float) -> None:
-        """Go on between two ticks of the timers, which are too far apart for links."""
-        await anyio.sleep(delay_s)
-        self._is_pacing = False
-        self._distribution.tick(self._timers.now_s())
-        self._pump()
-
-    def _send(self, action: SendMessage) -> None:
-        now_s = self._timers.now_s()
-        is_bulk = isinstance(action.message, ChunkPiece)
-        priority = Priority.BULK if is_bulk else Priority.LIVE
-        failure = self._network.send(action.peer, action.message, priority)
-        if is_failure(failure):
-            self._distribution.note_unsent(action.peer, action.message, now_s)
-
-    async def _read_origin(self, digest: str) -> None:
-        self._origin_reads += 1
-        result = await self._origin.read(digest, 0, 0)
-        self._distribution.complete_read(digest, result, self._timers.now_s())
-        self._pump()
-
     def _take_object(self, digest: str) -> None:
         orders = []
         for staged in list(self._staged.values()):
@@ -333,7 +272,7 @@
             await anyio.sleep(RECOVER_RETRY_S)
         if self._staged.get(staged.model) is staged:
             self._want_chunks(staged)
-            self._pump()
+            self._pump.run()
 
     def left_s(self, model: str) -> float | None:
         """Return when a version on its way will have come; None if none is."""
@@ -352,12 +291,12 @@
                 "weights staged",
                 extra={
                     "version": staged.version.sequence,
-                    "origin_reads": self._origin_reads,
+                    "origin_reads": self._pump.origin_reads,
                 },
             )
         if not any(s.needs(order.digest) for s in self._staged.values()):
             self._distribution.release(order.digest, self._timers.now_s())
-            self._pump()
+            self._pump.run()
         self._advance()
 
     def _advance(self) -> None:
@@ -391,7 +330,7 @@
     def _take_notice(self, sender: Sender, notice: VersionNotice) -> None:
         now_s = self._timers.now_s()
         for action in self._rollout.receive(sender.name, notice, now_s):
-            self._send(action)
+            self._pump.send(action)
 
     async def _switch(self, staged: StagedVersion) -> None:
         failure = await self._loader.load(staged)
@@ -403,7 +342,7 @@
         is_current = self._staged.get(staged.model) is staged
         if is_current and failure.reason in CHUNKS_LOST:
             self._restage(staged)
-            self._pump()
+            self._pump.run()
 
     def _notify(self) -> None:
         offered = self.offered()
--- a/reedspar/weights/fetches.py
+++ b/reedspar/weights/fetches.py
@@ -77,6 +77,9 @@
 
     def note_stalled(self, peer: str, now_s: float) -> None:
         """Leave a peer alone that sent nothing in time."""
+        if peer == ORIGIN:
+            self.note_origin_failed(now_s)
+            return
         self._strike(peer, AVOID_STALLED_S, AVOID_SCARCE_MAX_S, now_s)
 
     def note_origin_failed(self, now_s: float) -> None:
--- a/reedspar/weights/messages.py
+++ b/reedspar/weights/messages.py
@@ -6,6 +6,7 @@
 from reedspar.messages import MessageRegistry, load_schema
 
 __all__ = [
+    "DISTRIBUTION_MESSAGES",
     "PIECE_SIZE_BYTES",
     "ChunkCancel",
     "ChunkPiece",
@@ -129,6 +130,16 @@
     | VersionNotice
 )
 
+DISTRIBUTION_MESSAGES = (
+    ChunkRequest,
+    ChunkPiece,
+    ChunkRefused,
+    ChunkCancel,
+    HaveMap,
+    HaveUpdate,
+)
+"""What agents exchange about chunks; a notice is about turns."""
+
 
 def register_messages(registry: MessageRegistry) -> None:
     """Add these message types to `registry`."""
--- a/reedspar/weights/serving.py
+++ b/reedspar/weights/serving.py
@@ -5,7 +5,7 @@
 from .distribution import Action, SendMessage
 from .limits import SwarmLimits
 from .memory import ChunkMemory
-from .messages import ChunkRefused, ChunkRequest, RefusalCause
+from .messages import ChunkPiece, ChunkRefused, ChunkRequest, RefusalCause
 from .uploads import UploadQueue, WaitingRequests
 
 __all__ = ["ChunkServer"]
@@ -57,6 +57,15 @@
         self._uploads.cancel(peer, request_id)
         self._waiting.cancel(peer, request_id)
 
+    def break_off(self, peer: str, piece: ChunkPiece) -> None:
+        """Refuse the rest of a chunk of which one piece could not be sent.
+
+        The receiver can do nothing with a chunk that lacks a piece, and would wait
+        for it until its request times out, three seconds later.
+        """
+        self.cancel(peer, piece.request_id)
+        self._refuse(peer, piece.request_id, piece.digest, RefusalCause.BUSY)
+
     def drop_peer(self, peer: str) -> None:
         """Drop every request of a peer that is gone."""
         self._uploads.drop_peer(peer)
--- a/reedspar/weights/swarm.py
+++ b/reedspar/weights/swarm.py
@@ -129,11 +129,7 @@
     def left_s(self, root_digest: str) -> float:
         """Return how long the missing chunks take over this machine's link."""
         transfer = self._transfers.get(root_digest)
-        if transfer is None or transfer.is_complete:
-            return 0.0
-        missing_bytes = sum(
-            transfer.sizes[transfer.digests[index]] for index in transfer.missing
-        )
+        missing_bytes = transfer.missing_bytes if transfer is not None else 0
         return missing_bytes / self._limits.machine_bytes_per_s
 
     def forget(self, root_digest: str, now_s: float) -> None:
@@ -213,6 +209,8 @@
                 self._fetches.close(fetch, request, is_cancelled=False)
                 fetch.not_before_s = now_s + TICK_S
                 self._peers.note_busy(peer, now_s + self._limits.link_wait_s)
+        elif isinstance(message, ChunkPiece):
+            self._server.break_off(peer, message)
         elif isinstance(message, HaveMap):
             announcer = self._announcers.get(message.root_digest)
             if announcer is not None:
@@ -224,7 +222,7 @@
         for fetch, request in self._fetches.iterate():
             waited_s = now_s - request.progress_s
             if waited_s >= request.timeout_s:
-                self._note_stalled(request.peer, now_s)
+                self._peers.note_stalled(request.peer, now_s)
                 self._fail(fetch, request, now_s)
             elif waited_s >= self._limits.stall_s and not request.region:
                 self._pulling.overtake(fetch, request, self._transfers.values(), now_s)
@@ -233,12 +231,6 @@
                 self._announcers[transfer.root_digest].ask_again(now_s)
         self._settle(now_s)
 
-    def _note_stalled(self, peer: str, now_s: float) -> None:
-        if peer == ORIGIN:
-            self._peers.note_origin_failed(now_s)
-        else:
-            self._peers.note_stalled(peer, now_s)
-
     def due_s(self, now_s: float) -> float:
         """Return when `tick` should be called next."""
         times = [now_s + TICK_S]
--- a/reedspar/weights/transfers.py
+++ b/reedspar/weights/transfers.py
@@ -62,6 +62,11 @@
         """Return the chunks still to be got, in random order."""
         return self._missing
 
+    @property
+    def missing_bytes(self) -> int:
+        """Return the size of the chunks still to be got."""
+        return sum(self.sizes[self.digests[index]] for index in self._missing)
+
     def want(self, now_s: float) -> None:
         """Get every chunk, also those that were got before."""
         self.is_wanted = True
