--- a/reedspar/weights/limits.py
+++ b/reedspar/weights/limits.py
@@ -64,6 +64,11 @@
     map_wait_s: float = 0.25
     busy_s: float = 0.02
     link_wait_s: float = 0.2
+    near_patience_s: float = 0.4
+    """How long a request of the own region waits here for an object that is coming.
+
+    Those that wait take up what their sender may ask of this agent.  While the origin
+    was away all of it was taken for 6 s: chunks that came could not be asked for."""
     near_queue: int = 4
     """Requests of the own region that wait for the link; more go elsewhere."""
     same_chunk: int = 2
@@ -81,9 +86,9 @@
         return min(self.machine_bytes_per_s, self.region_bytes_per_s)
 
     @property
-    def patience_s(self) -> float:
-        """Return how long a request waits here for an object that is coming."""
-        return 4 * self.request_timeout_s
+    def far_patience_s(self) -> float:
+        """Return how long another region's request waits here for a chunk."""
+        return self.request_timeout_s
 
     @property
     def region_slots(self) -> int:
--- a/reedspar/weights/serving.py
+++ b/reedspar/weights/serving.py
@@ -25,7 +25,8 @@
         self._memory = memory
         self._actions = actions
         self._uploads = UploadQueue(memory, limits)
-        self._waiting = WaitingRequests(limits.patience_s, self._refuse)
+        self._limits = limits
+        self._waiting = WaitingRequests(self._refuse)
 
     @property
     def sent_bytes(self) -> int:
@@ -41,12 +42,19 @@
             self._queue(peer, request.request_id, digest, region)
         elif not request.may_draw:
             self._refuse(peer, request.request_id, digest)
-        elif self._waiting.add(peer, request.request_id, digest, now_s):
+        elif self._waiting.add(
+            peer, request.request_id, digest, now_s + self._patience_s(region)
+        ):
             return True
         else:
             self._refuse(peer, request.request_id, digest, RefusalCause.BUSY)
         return False
 
+    def _patience_s(self, region: str) -> float:
+        is_near = region == self._region
+        limits = self._limits
+        return limits.near_patience_s if is_near else limits.far_patience_s
+
     def note_held(self, digest: str, region_of: Callable[[str], str]) -> None:
         """Serve the requests that have waited for an object."""
         for peer, request_id in self._waiting.take(digest):
--- a/reedspar/weights/uploads.py
+++ b/reedspar/weights/uploads.py
@@ -148,16 +148,15 @@
 class WaitingRequests:
     """Requests for objects that this agent is getting, or will soon know of."""
 
-    def __init__(self, patience_s: float, refuse: Callable[[str, int, str], None]):
-        self._patience_s = patience_s
+    def __init__(self, refuse: Callable[[str, int, str], None]) -> None:
         self._refuse = refuse
         self._waiting: OrderedDict[tuple[str, int], tuple[str, float]] = OrderedDict()
 
-    def add(self, peer: str, request_id: int, digest: str, now_s: float) -> bool:
+    def add(self, peer: str, request_id: int, digest: str, until_s: float) -> bool:
         """Keep a request for later; False if there are too many."""
         if len(self._waiting) >= WAITING_LIMIT:
             return False
-        self._waiting[peer, request_id] = (digest, now_s + self._patience_s)
+        self._waiting[peer, request_id] = (digest, until_s)
         return True
 
     def cancel(self, peer: str, request_id: int) -> None:
@@ -173,9 +172,11 @@
 
     def expire(self, now_s: float) -> None:
         """Refuse the requests that have waited too long."""
-        while self._waiting:
-            (peer, request_id), (digest, until_s) = next(iter(self._waiting.items()))
-            if until_s > now_s:
-                return
+        late = [
+            (key, digest)
+            for key, (digest, until_s) in self._waiting.items()
+            if until_s <= now_s
+        ]
+        for (peer, request_id), digest in late:
             del self._waiting[peer, request_id]
             self._refuse(peer, request_id, digest)
