Build both roles of a site from one base; test that the page lists each setting

An entry and an agent made their view, feed, registration and links twice over, and the start of each role read its settings twice over.

--- a/reedspar/daemon/site_agent.py
+++ b/reedspar/daemon/site_agent.py
@@ -11,15 +11,7 @@
 from starlette.types import ASGIApp
 
 from reedspar.errors import Failure
-from reedspar.fleet import (
-    DaemonRecord,
-    FleetFeed,
-    FleetView,
-    Registration,
-    create_fleet_exchange,
-    create_fleet_feed,
-    create_registration,
-)
+from reedspar.fleet import FleetView
 from reedspar.platform import ModelEngine, WeightSource
 from reedspar.settings import SiteSettings
 from reedspar.timers import TimerService
@@ -35,8 +27,7 @@
 
 from .load_news import LoadNews
 from .serving import PortDispatcher, serve_http
-from .site_links import SiteLinks, create_site_links
-from .site_parts import SiteParts
+from .site_parts import SiteBase, SiteParts, create_site_base
 
 __all__ = ["AgentBorders", "SiteAgent", "create_site_agent"]
 
@@ -105,10 +96,7 @@
     """The parts of a running agent."""
 
     settings: SiteSettings
-    view: FleetView
-    feed: FleetFeed
-    registration: Registration
-    links: SiteLinks
+    base: SiteBase
     catalog: VersionCatalog
     engine: SiteEngine
     create_weights: Callable[[SiteSettings], WeightController]
@@ -120,12 +108,12 @@
     async def run(self, stop: anyio.Event, application: ASGIApp) -> None:
         """Run until `stop` is set."""
         self.tasks.start_soon(self.timers.run)
-        await self.tasks.start(self.links.transport.run)
-        self.tasks.start_soon(self.feed.run)
+        await self.tasks.start(self.base.links.transport.run)
+        self.tasks.start_soon(self.base.feed.run)
         self.tasks.start_soon(self._serve, application)
         self.tasks.start_soon(self._start_weights)
         await stop.wait()
-        await self.registration.withdraw()
+        await self.base.registration.withdraw()
         self._stop_serving.set()
 
     async def _serve(self, application: ASGIApp) -> None:
@@ -146,27 +134,29 @@
             controller.hold_object, controller.left_s, controller.prefetch
         )
         controller.start()
-        self.view.on_change(lambda change: self._name_versions())
+        self.base.view.on_change(lambda change: self._name_versions())
         self._name_versions()
         self.tasks.start_soon(self.catalog.run)
         await self._poll_engine(controller)
 
     async def _register(self) -> None:
-        await self.feed.wait_seeded()
-        await self.registration.run()
+        await self.base.feed.wait_seeded()
+        await self.base.registration.run()
 
     async def _wait_for_routes(self) -> None:
         """Return once the configuration is known: it says where the origin is."""
-        await self.feed.wait_seeded()
+        await self.base.feed.wait_seeded()
         known = anyio.Event()
-        self.view.on_change(lambda change: known.set())
-        while self.view.routes is None:
+        self.base.view.on_change(lambda change: known.set())
+        while self.base.view.routes is None:
             await known.wait()
             known = anyio.Event()
 
     def _with_origin_region(self) -> SiteSettings:
         """Return the settings with the region of the origin that is configured."""
-        terms = self.view.routes.origin if self.view.routes is not None else None
+        terms = (
+            self.base.view.routes.origin if self.base.view.routes is not None else None
+        )
         if terms is None or terms.origin is None:
             return self.settings
         region = self.settings.zones.get(terms.origin.zone, "")
@@ -175,12 +165,12 @@
 
     def _name_versions(self) -> None:
         """Take the versions that this agent's engine is to serve."""
-        routes = self.view.routes
+        routes = self.base.view.routes
         terms = routes.services.get(self.settings.pool) if routes else None
         if terms is None or terms.engine is None:
             return
         for model in terms.engine.models:
-            named = self.view.version_of(model)
+            named = self.base.view.version_of(model)
             self.catalog.name(model, named.version if named else FIRST_VERSION)
 
     async def _poll_engine(self, controller: WeightController) -> None:
@@ -189,8 +179,8 @@
         news = LoadNews(
             address.host,
             address.port,
-            self.view,
-            self.links.on_demand("loads"),
+            self.base.view,
+            self.base.links.on_demand("loads"),
             self.timers.now_s,
             lambda: not controller.is_switching,
         )
@@ -221,25 +211,8 @@
     rng: random.Random,
 ) -> tuple[SiteAgent, ASGIApp]:
     """Build an agent, and the application of its port for metrics."""
-    view = FleetView(timers)
-    feed = create_fleet_feed(
-        parts.store, view, parts.codec, timers, parts.prefixes, rng
-    )
-    record = DaemonRecord(
-        settings.name,
-        settings.role.value,
-        settings.zone,
-        settings.region,
-        settings.host,
-        settings.listen.peers_port,
-        pool=settings.pool,
-    )
-    key, value = parts.encode_daemon(record)
-    registration = create_registration(key, value, parts.store, timers)
-    site_links = create_site_links(settings, incarnation, view, timers, rng)
-    create_fleet_exchange(
-        settings.name, feed, view, site_links.on_demand("fleet"), timers, rng
-    )
+    base = create_site_base(settings, incarnation, parts, timers, rng)
+    view = base.view
     origin = borders.create_origin(view)
     catalog = VersionCatalog(
         settings.pool,
@@ -254,7 +227,7 @@
     def create_weights(own: SiteSettings) -> WeightController:
         return create_weight_controller(
             own,
-            network=site_links.on_demand("weights"),
+            network=base.links.on_demand("weights"),
             timers=timers,
             tasks=tasks,
             origin=origin,
@@ -269,10 +242,7 @@
 
     agent = SiteAgent(
         settings,
-        view,
-        feed,
-        registration,
-        site_links,
+        base,
         catalog,
         engine,
         create_weights,
--- a/reedspar/daemon/site_entry.py
+++ b/reedspar/daemon/site_entry.py
@@ -18,15 +18,7 @@
 from reedspar.direct.directory import home_regions
 from reedspar.direct.news import create_load_listener
 from reedspar.direct.request_log import RequestLog
-from reedspar.fleet import (
-    DaemonRecord,
-    FleetFeed,
-    FleetView,
-    Registration,
-    create_fleet_exchange,
-    create_fleet_feed,
-    create_registration,
-)
+from reedspar.fleet import DaemonRecord, FleetView
 from reedspar.requests.border import CallerBorder
 from reedspar.requests.draining import DrainTerms, run_drain
 from reedspar.routes import CallerLimits
@@ -35,8 +27,7 @@
 from reedspar.timers import TimerService
 
 from .serving import PortDispatcher, serve_http
-from .site_links import SiteLinks, create_site_links
-from .site_parts import SiteParts
+from .site_parts import SiteBase, SiteParts, create_site_base
 
 __all__ = ["EntryBorders", "SiteEntry", "create_site_entry"]
 
@@ -68,11 +59,8 @@
     """The parts of a running entry."""
 
     settings: SiteSettings
-    view: FleetView
-    feed: FleetFeed
-    registration: Registration
+    base: SiteBase
     service: DirectService
-    links: SiteLinks
     timers: TimerService
     tasks: TaskGroup
     is_leaving: bool = False
@@ -82,15 +70,15 @@
     @property
     def is_ready(self) -> bool:
         """Tell whether callers may be sent here."""
-        is_known = self.feed.is_seeded and self.view.routes is not None
+        is_known = self.base.feed.is_seeded and self.base.view.routes is not None
         return is_known and not self.is_leaving
 
     def list_addresses(self, host: str, zone: str, region: str) -> list[DaemonRecord]:
         """Return the entries that a caller may use for a host."""
-        entries = self.view.daemons(self.settings.role.value)
+        entries = self.base.view.daemons(self.settings.role.value)
         own = self.settings.name
         usable = [e for e in entries if e.name != own or not self.is_leaving]
-        homes = home_regions(self.view.routes, host)
+        homes = home_regions(self.base.view.routes, host)
         return choose_addresses(usable, zone, region, homes)
 
     def apply_settings(self, settings: SiteSettings) -> None:
@@ -101,18 +89,18 @@
     async def run(self, stop: anyio.Event, application: ASGIApp) -> None:
         """Serve until `stop` is set, then leave gracefully."""
         self.tasks.start_soon(self.timers.run)
-        await self.tasks.start(self.links.transport.run)
-        self.tasks.start_soon(self.feed.run)
+        await self.tasks.start(self.base.links.transport.run)
+        self.tasks.start_soon(self.base.feed.run)
         self.tasks.start_soon(self._serve, application)
         self.tasks.start_soon(self._register)
         await stop.wait()
         await self._leave()
 
     async def _register(self) -> None:
-        await self.feed.wait_seeded()
+        await self.base.feed.wait_seeded()
         self.service.versions.note_seeded()
-        _logger.info("ready", extra={"targets": self.view.target_count()})
-        await self.registration.run()
+        _logger.info("ready", extra={"targets": self.base.view.target_count()})
+        await self.base.registration.run()
 
     async def _serve(self, application: ASGIApp) -> None:
         idle_s = CallerLimits().idle_timeout_s
@@ -133,7 +121,7 @@
         """Be named no more, outlast kept addresses, finish, stop."""
         self.is_leaving = True
         grace_s = self.settings.bounds.grace_ms / 1000 - STOP_MARGIN_S
-        self.tasks.start_soon(self.registration.withdraw)
+        self.tasks.start_soon(self.base.registration.withdraw)
         application = self.service.application
         application.close_connections()
         terms = DrainTerms(FINISH_PART * grace_s, grace_s)
@@ -162,22 +150,9 @@
     """Build an entry, and the application that serves all its ports."""
     listen = settings.listen
     assert listen.callers is not None
-    view = FleetView(timers)
-    feed = create_fleet_feed(
-        parts.store, view, parts.codec, timers, parts.prefixes, rng
-    )
-    record = DaemonRecord(
-        settings.name,
-        settings.role.value,
-        settings.zone,
-        settings.region,
-        settings.host,
-        listen.peers_port,
-        listen.callers.port,
-    )
-    key, value = parts.encode_daemon(record)
-    registration = create_registration(key, value, parts.store, timers)
-    links = create_site_links(settings, incarnation, view, timers, rng)
+    base = create_site_base(settings, incarnation, parts, timers, rng)
+    view = base.view
+    links = base.links
     service = create_direct_service(
         settings=settings,
         incarnation=incarnation,
@@ -191,11 +166,8 @@
         rng=rng,
         first_filters=(RequestLog(view, timers, borders.metrics),),
     )
-    create_fleet_exchange(
-        settings.name, feed, view, links.on_demand("fleet"), timers, rng
-    )
     create_load_listener(view, service.chooser, links.transport)
-    entry = SiteEntry(settings, view, feed, registration, service, links, timers, tasks)
+    entry = SiteEntry(settings, base, service, timers, tasks)
     directory = borders.create_directory(entry)
     by_port: dict[int, ASGIApp] = dict.fromkeys(_list_ports(settings), directory)
     by_port[listen.metrics_port] = borders.metrics_app
--- a/reedspar/daemon/site_parts.py
+++ b/reedspar/daemon/site_parts.py
@@ -1,5 +1,6 @@
-"""What a site's platform brings for every role."""
+"""What a site's platform brings for every role, and what every role makes of it."""
 
+import random
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -7,12 +8,22 @@
 from reedspar.fleet import (
     DaemonRecord,
     FleetCodec,
+    FleetFeed,
     FleetPrefix,
+    FleetView,
     LeasingStore,
+    Registration,
     WatchableStore,
+    create_fleet_exchange,
+    create_fleet_feed,
+    create_registration,
 )
+from reedspar.settings import SiteSettings
+from reedspar.timers import TimerService
 
-__all__ = ["SiteCodec", "SiteParts", "SiteStore"]
+from .site_links import SiteLinks, create_site_links
+
+__all__ = ["SiteBase", "SiteCodec", "SiteParts", "SiteStore", "create_site_base"]
 
 
 class SiteStore(LeasingStore, WatchableStore, Protocol):
@@ -38,3 +49,49 @@
     def encode_daemon(self, record: DaemonRecord) -> tuple[str, bytes]:
         """Return the key and the value of a daemon's registration."""
         return self.codec.encode_daemon(record)
+
+
+@dataclass(frozen=True, slots=True)
+class SiteBase:
+    """What a daemon of either role has."""
+
+    view: FleetView
+    feed: FleetFeed
+    registration: Registration
+    links: SiteLinks
+
+
+def create_site_base(
+    settings: SiteSettings,
+    incarnation: int,
+    parts: SiteParts,
+    timers: TimerService,
+    rng: random.Random,
+) -> SiteBase:
+    """Connect a daemon with the store and with its peers."""
+    view = FleetView(timers)
+    feed = create_fleet_feed(
+        parts.store, view, parts.codec, timers, parts.prefixes, rng
+    )
+    key, value = parts.encode_daemon(_describe(settings))
+    registration = create_registration(key, value, parts.store, timers)
+    links = create_site_links(settings, incarnation, view, timers, rng)
+    create_fleet_exchange(
+        settings.name, feed, view, links.on_demand("fleet"), timers, rng
+    )
+    return SiteBase(view, feed, registration, links)
+
+
+def _describe(settings: SiteSettings) -> DaemonRecord:
+    """Return what the other daemons learn of this one."""
+    listen = settings.listen
+    return DaemonRecord(
+        settings.name,
+        settings.role.value,
+        settings.zone,
+        settings.region,
+        settings.host,
+        listen.peers_port,
+        listen.callers.port if listen.callers is not None else 0,
+        pool=settings.pool,
+    )
--- a/reedspar/settings/site.py
+++ b/reedspar/settings/site.py
@@ -46,10 +46,14 @@
 class ListenSettings(SiteSection):
     """Where the daemon listens; an address that is missing is not served."""
 
-    callers: SocketAddress | None = Field(None, description="Requests of callers.")
-    ready: SocketAddress | None = Field(None, description="The platform's check.")
+    callers: SocketAddress | None = Field(
+        None, description="Requests of callers, `ip:port`."
+    )
+    ready: SocketAddress | None = Field(
+        None, description="The platform's check, `ip:port`."
+    )
     directory: SocketAddress | None = Field(
-        None, description="Callers that ask which address to use."
+        None, description="Callers that ask which address to use, `ip:port`."
     )
     peers_port: Port = Field(description="Port for other daemons.")
     metrics_port: Port = Field(description="Port for metrics.")
@@ -69,13 +73,14 @@
     """Times and shares that the platform holds the system to."""
 
     drain_ms: Milliseconds = Field(
-        2000, description="From a target's leaving to the last request it may get."
+        2000, description="From a target's leaving to the last request it may get, ms."
     )
     grace_ms: Milliseconds = Field(
-        8000, description="From the signal to stop to the end by force."
+        8000, description="From the signal to stop to the end by force, ms."
     )
     version_ms: Milliseconds = Field(
-        8000, description="From a named version to the last request on an older one."
+        8000,
+        description="From a named version to the last request on an older one, ms.",
     )
     retry_share: float = Field(
         0.2, ge=0, description="Retries of all entries as a share of requests."
@@ -84,7 +89,7 @@
         100.0, ge=0, description="Retries of all entries beyond the share, a window."
     )
     address_ttl_ms: Milliseconds = Field(
-        2000, description="How long callers keep the addresses they were told."
+        2000, description="How long callers keep the addresses they were told, ms."
     )
 
 
@@ -97,12 +102,12 @@
     zone: Name = Field(description="Availability zone.")
     region: Name = Field(description="Region of the availability zone.")
     zones: dict[str, str] = Field(description="Region of each availability zone.")
-    store: SocketAddress = Field(description="The platform's store.")
+    store: SocketAddress = Field(description="The platform's store, `ip:port`.")
     listen: ListenSettings
     bounds: BoundSettings = BoundSettings()
-    link_mbps: float = Field(1000.0, gt=0, description="This instance's link.")
+    link_mbps: float = Field(1000.0, gt=0, description="This instance's link, Mbit/s.")
     region_link_mbps: float = Field(
-        10.0, gt=0, description="The link between two regions, for all traffic."
+        10.0, gt=0, description="The link between two regions, all traffic, Mbit/s."
     )
     link_share: float = Field(
         0.88,
@@ -111,7 +116,7 @@
         description="Part of a link that weights may take; the rest is for requests.",
     )
     target_address: SocketAddress | None = Field(
-        None, description="Where the target beside an agent listens."
+        None, description="Where the target beside an agent listens, `ip:port`."
     )
     pool: str = Field("", description="Service of the target beside an agent.")
     weights: WeightSettings = WeightSettings()
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -12,7 +12,8 @@
 import cappa
 from pydantic import BaseModel
 
-from reedspar.settings import DaemonSettings
+from reedspar.settings import DaemonSettings, SiteSettings
+from reedspar.settings.site import SocketAddress
 from reedspar.telemetry.metrics import list_instruments
 from reedspar.timeline import EventKind
 from reedspar.tool import ExitCode
@@ -172,10 +173,21 @@
             self.assertIn(line, page)
         self.assertEqual(named, keys)
 
+    def test_every_key_of_a_site_is_there(self) -> None:
+        page = read_page("site.md").split("## Settings")[1]
+        named = set(re.findall(r"^\| `([\w.]+)` \|", page, re.MULTILINE))
+        keys = set()
+        for key, line in self.describe(SiteSettings, ""):
+            if key.startswith("weights."):
+                continue  # The page of all settings has them.
+            keys.add(key)
+            self.assertIn(f"| `{key}` {line}", page)
+        self.assertEqual(named, keys)
+
     def describe(self, model, prefix: str) -> Iterator[tuple[str, str]]:
         for name, field in model.model_fields.items():
             section = find_model(field.annotation)
-            if section is not None:
+            if section is not None and section is not SocketAddress:
                 yield from self.describe(section, f"{prefix}{name}.")
                 continue
             key = prefix + name
