--- a/reedspar/weights/pulling.py
+++ b/reedspar/weights/pulling.py
@@ -5,13 +5,16 @@
 
 from reedspar.utils import TokenBucket
 
-from .fetches import Fetch, FetchBook, PeerBook, Request
+from .fetches import ORIGIN, Fetch, FetchBook, PeerBook, Request
 from .limits import SwarmLimits
 from .selection import pick_pull
 from .transfers import Transfer
 
 __all__ = ["Pulling"]
 
+ORIGIN_LINKS = 2.0
+"""The origin's link, in links of a machine, as on the sites that were measured."""
+
 
 class Pulling:
     """Decide on requests to neighbours."""
@@ -43,7 +46,7 @@
         """Ask neighbours for as much as the window and the link allow."""
         limits = self._limits
         limit = limits.limit(transfer, now_s)
-        window = limits.window_while_drawing if transfer.draws else limits.window
+        window = self._window(transfer)
         while self._fetches.near_open < window:
             if not self._downloads.is_ready(now_s):
                 return
@@ -60,6 +63,22 @@
             if not self._ask_near(transfer, index, peer, now_s):
                 return
 
+    def _window(self, transfer: Transfer) -> int:
+        """Return how many chunks may be asked of neighbours at a time.
+
+        While the origin answers, draws come first: it may go away, and neighbours
+        can exchange what the region has without it.  With two agents at a link of
+        3.65 Mbit/s, 0.88 of a copy instead of 0.81 has left the origin after 2.45 s,
+        in simulation; the whole distribution takes as long as before.
+        """
+        limits = self._limits
+        if not transfer.draws:
+            return limits.window
+        if not self._fetches.far_open(ORIGIN):
+            return limits.window_while_drawing
+        drawn = min(1.0, ORIGIN_LINKS * transfer.draw_share)
+        return round(limits.window * (1 - drawn))
+
     def _load_of(self, name: str, now_s: float) -> int | None:
         if self._peers.is_avoided(name, now_s):
             return None
--- a/reedspar/weights/tests/test_swarm.py
+++ b/reedspar/weights/tests/test_swarm.py
@@ -13,8 +13,10 @@
 
 from bench.paced_links import LinkRates
 from bench.weight_agents import Fleet, FleetAgent, make_weights
+from reedspar.links.messages import Role
+from reedspar.settings import SiteSettings
 from reedspar.weights import WeightPeer
-from reedspar.weights.limits import SwarmLimits
+from reedspar.weights.limits import SwarmLimits, create_swarm_limits
 from reedspar.weights.swarm import SwarmDistribution
 
 MODEL = "quotes"
@@ -56,13 +58,52 @@
     return fleet
 
 
+def create_narrow_fleet(sizes: dict[str, int]) -> Fleet:
+    """Return targets with links of 3.65 Mbit/s, and an origin with twice that."""
+    settings = SiteSettings(
+        name="agent-0",
+        role=Role.ENTRY,
+        host="10.1.0.1",
+        zone="centro-a",
+        region=REGIONS[0],
+        zones={"centro-a": REGIONS[0]},
+        store="10.200.0.1:8007",
+        listen={"callers": "10.1.0.1:1", "peers_port": 2, "metrics_port": 3},
+        link_mbps=3.65,
+        region_link_mbps=10.0,
+    )
+    limits = create_swarm_limits(settings)
+    peers = [
+        WeightPeer(f"{region}-{i}", region, f"{region}-a")
+        for region, size in sizes.items()
+        for i in range(size)
+    ]
+    rates = LinkRates(
+        machine=limits.machine_bytes_per_s,
+        region=limits.region_bytes_per_s,
+        origin=912_500,
+    )
+    return Fleet(
+        peers,
+        rates,
+        limits.piece_bytes,
+        lambda peer: SwarmDistribution(peer, limits, random.Random(peer.name)),
+    )
+
+
 class History:
     """A distribution, and the faults that befall it."""
 
-    def __init__(self, fleet: Fleet, seed: int) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        seed: int,
+        chunks: int = CHUNKS,
+        chunk_bytes: int = CHUNK_BYTES,
+    ) -> None:
         self.fleet = fleet
         self.rng = random.Random(seed)
-        self.manifest, fleet.objects = make_weights(CHUNKS, CHUNK_BYTES)
+        self.manifest, fleet.objects = make_weights(chunks, chunk_bytes)
         fleet.set_views(MODEL)
         for agent in fleet.live:
             agent.want(self.manifest)
@@ -157,6 +198,21 @@
         self.assertTrue(history.finish())
         self.assertLess(fleet.events.now_s, 30.0)
 
+    def test_the_first_copy_leaves_the_origin_before_neighbours_exchange(self) -> None:
+        # Two targets are near the origin, and their links together carry just
+        # what the origin sends.  While they also sent each other what they had
+        # drawn, a fifth of the copy was still at the origin when it went away:
+        # every request was refused until the origin was back and all had the rest.
+        fleet = create_narrow_fleet({"centro": 2, "occidente": 4, "oriente": 3})
+        history = History(fleet, 1, chunks=96, chunk_bytes=24_576)
+        history.run_for(2.45)
+        self.assertGreater(fleet.origin_bytes, 0.85 * history.manifest.size_bytes)
+        fleet.origin_is_away = True
+        history.run_for(6.05)
+        fleet.origin_is_away = False
+        self.assertTrue(history.finish())
+        self.assertLess(fleet.events.now_s, 11.0)
+
     @settings(max_examples=15, derandomize=True, deadline=None)
     @given(
         st.integers(1, 9),
--- a/reedspar/weights/transfers.py
+++ b/reedspar/weights/transfers.py
@@ -36,6 +36,8 @@
         self.obtained = 0
         self.is_wanted = False
         self.draws: list[int] = []
+        self.draw_share = 0.0
+        """Part of what is missing that is this agent's to draw."""
         self.started_s = 0.0
         self.progress_s = 0.0
         self.gained: set[int] = set()
@@ -133,3 +135,4 @@
             for index in sorted(self._missing, reverse=True)
             if placement.drawer(index) == me
         ]
+        self.draw_share = len(self.draws) / max(1, len(self._missing))
