--- a/reedspar/daemon/site_entry.py
+++ b/reedspar/daemon/site_entry.py
@@ -163,6 +163,7 @@
         dialer=borders.create_dialer(view),
         border=borders.border,
         others=borders.metrics_app,
+        is_in_doubt=lambda: base.registration.speed.is_in_doubt,
         rng=rng,
         first_filters=(RequestLog(view, timers, borders.metrics),),
     )
--- a/reedspar/direct/filters.py
+++ b/reedspar/direct/filters.py
@@ -1,6 +1,7 @@
 """The first filters of requests by routes: whose they are, how long they may take."""
 
 import random
+from collections.abc import Callable
 
 from reedspar.errors import Failure, Reason, Step
 from reedspar.fleet import FleetView
@@ -19,13 +20,18 @@
 
 AUTHORIZATION_HEADER = "authorization"
 NOT_READY_RETRY_S = 0.5
+DOUBT_RETRY_S = 1.0
+"""By then the next renewal has told whether the store still is slow."""
 
 
 class IdentifyRoute:
     """Find the route, the workspace and the service of a request."""
 
-    def __init__(self, view: FleetView, rng: random.Random) -> None:
+    def __init__(
+        self, view: FleetView, is_in_doubt: Callable[[], bool], rng: random.Random
+    ) -> None:
         self._view = view
+        self._is_in_doubt = is_in_doubt
         self._rng = rng
 
     async def apply(self, request: Request, proceed: Proceed) -> Answer:
@@ -37,16 +43,22 @@
             )
         route = find_route(table, request.host, request.path)
         if route is None:
-            return _refuse(Reason.NOT_FOUND, "no route")
+            return self._deny(Reason.NOT_FOUND, "no route")
         workspace: WorkspaceAccess | None = None
         if table.has_workspaces and not route.is_public:
             authorization = request.header_map.get(AUTHORIZATION_HEADER, "")
             workspace = find_workspace(table.workspaces, authorization)
             if workspace is None:
-                return _refuse(Reason.UNAUTHENTICATED, "no workspace holds this key")
+                return self._deny(Reason.UNAUTHENTICATED, "no workspace holds this key")
         self._fill(request, route, workspace)
         return await proceed(request)
 
+    def _deny(self, reason: Reason, detail: str) -> Answer:
+        """Refuse for good, or only for now while news of the store may be late."""
+        if not self._is_in_doubt():
+            return _refuse(reason, detail)
+        return _refuse(Reason.STALE, f"{detail}, but the store is slow", DOUBT_RETRY_S)
+
     def _fill(
         self, request: Request, route: Route, workspace: WorkspaceAccess | None
     ) -> None:
--- a/reedspar/direct/service.py
+++ b/reedspar/direct/service.py
@@ -1,6 +1,7 @@
 """Composition of an entry whose requests go straight to targets."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from anyio.abc import TaskGroup
@@ -122,6 +123,7 @@
     dialer: TargetDialer,
     border: CallerBorder,
     others: ASGIApp,
+    is_in_doubt: Callable[[], bool],
     rng: random.Random,
     first_filters: tuple[Filter, ...] = (),
 ) -> DirectService:
@@ -159,7 +161,7 @@
     terms = RelayTerms(retry_wait_s=0.0, verdict_margin_s=0.0)
     filters: list[Filter] = [
         *first_filters,
-        IdentifyRoute(view, rng),
+        IdentifyRoute(view, is_in_doubt, rng),
         BoundByRoute(),
         Guard(quarantine, timers),
         Relay(client, chooser, budgets, quarantine, timers, terms),
--- a/reedspar/direct/tests/fakes.py
+++ b/reedspar/direct/tests/fakes.py
@@ -241,6 +241,7 @@
         dialer=dialer,
         border=HostBorder(),
         others=Starlette(),
+        is_in_doubt=lambda: False,
         rng=random.Random(1),
     )
     return service, dialer, view
--- /dev/null
+++ b/reedspar/direct/tests/test_identify.py
@@ -0,0 +1,55 @@
+"""Tests of finding a request's route and workspace."""
+
+import random
+import unittest
+from typing import Any
+
+import anyio
+
+from reedspar.direct.filters import IdentifyRoute
+from reedspar.direct.tests.fakes import make_table
+from reedspar.errors import Reason
+from reedspar.fleet import FleetView, RoutesChange
+from reedspar.requests.request import Answer, Request
+from reedspar.timers import TimerService, VirtualClock
+
+
+class IdentifyRouteTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.view = FleetView(TimerService(VirtualClock()))
+        self.view.apply(RoutesChange(make_table()))
+        self.is_in_doubt = False
+        self.filter = IdentifyRoute(
+            self.view, lambda: self.is_in_doubt, random.Random(1)
+        )
+
+    def ask(self, host: str) -> Answer:
+        responder: Any = None
+        request = Request("", "", "GET", "", "/", (), b"", responder, 0.0)
+        request.host = host
+
+        async def proceed(request: Request) -> Answer:
+            raise AssertionError("a request without a route was passed on")
+
+        async def run() -> Answer:
+            return await self.filter.apply(request, proceed)
+
+        return anyio.run(run)
+
+    def test_unknown_route_is_refused_for_good(self) -> None:
+        failure = self.ask("nobody.example").failure
+        assert failure is not None
+        self.assertIs(failure.reason, Reason.NOT_FOUND)
+
+    def test_unknown_route_is_refused_for_now_while_the_store_is_slow(self) -> None:
+        # Operators add a route while the store answers late.  An entry that has
+        # not heard of it yet told callers for good that there is no such route.
+        self.is_in_doubt = True
+        failure = self.ask("nobody.example").failure
+        assert failure is not None
+        self.assertIs(failure.reason, Reason.STALE)
+        self.assertIsNotNone(failure.retry_after_s)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/reedspar/fleet/registration.py
+++ b/reedspar/fleet/registration.py
@@ -8,6 +8,7 @@
 from reedspar.timers import TimerService
 
 from .store import LeasingStore
+from .store_speed import StoreSpeed
 
 __all__ = ["LEASE_TTL_S", "Registration", "create_registration"]
 
@@ -33,7 +34,7 @@
         self._key = key
         self._value = value
         self._store = store
-        self._timers = timers
+        self._speed = StoreSpeed(timers)
         self._lease_id = ""
         self._is_leaving = False
         self._wakeup = anyio.Event()
@@ -44,10 +45,16 @@
         """Tell whether the entry stands, as far as is known."""
         return bool(self._lease_id)
 
+    @property
+    def speed(self) -> StoreSpeed:
+        """Return how fast the store answers the renewals."""
+        return self._speed
+
     async def run(self) -> None:
         """Keep the entry until cancelled or withdrawn."""
         while not self._is_leaving:
-            failure = await (self._renew() if self._lease_id else self._register())
+            with self._speed.measure():
+                failure = await (self._renew() if self._lease_id else self._register())
             if failure is not None:
                 _logger.warning("registration failed", extra={"failure": str(failure)})
             self._wakeup = anyio.Event()
