--- a/reedspar/platform/http_body.py
+++ b/reedspar/platform/http_body.py
@@ -6,24 +6,12 @@
 import httpx
 
 from reedspar.errors import Failure, Reason, Step
+from reedspar.utils import HOP_BY_HOP
 
-__all__ = ["HOP_BY_HOP", "HttpTargetResponse"]
+__all__ = ["LEFT_OUT", "HttpTargetResponse"]
 
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "content-length",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-"""Headers of one connection (RFC 9110, section 7.6.1), and its framing."""
+LEFT_OUT = HOP_BY_HOP | {"host"}
+"""Headers that a connection to a target has of its own."""
 STREAM_TYPE = "text/event-stream"
 STREAM_END = b"data: [DONE]"
 
@@ -47,7 +35,7 @@
         self.headers: tuple[tuple[str, str], ...] = tuple(
             (name, value)
             for name, value in response.headers.multi_items()
-            if name.lower() not in HOP_BY_HOP
+            if name.lower() not in LEFT_OUT
         )
         self.weights_digest = response.headers.get("x-weights-digest", "")
 
--- a/reedspar/platform/http_target.py
+++ b/reedspar/platform/http_target.py
@@ -13,7 +13,7 @@
 
 from reedspar.errors import Failure, Reason, Step
 
-from .http_body import HOP_BY_HOP, HttpTargetResponse
+from .http_body import LEFT_OUT, HttpTargetResponse
 from .http_client import (
     PLAIN_BODIES,
     HttpAdapter,
@@ -188,7 +188,7 @@
     headers = [
         (name, value)
         for name, value in request.headers
-        if name.lower() not in HOP_BY_HOP
+        if name.lower() not in LEFT_OUT
         and name.lower() not in {"x-request-id", "x-priority", "accept-encoding"}
     ]
     headers.extend(PLAIN_BODIES.items())
--- a/reedspar/requests/endings.py
+++ b/reedspar/requests/endings.py
@@ -10,6 +10,7 @@
 
 from reedspar.attempts import Header
 from reedspar.errors import Failure, Reason, Step
+from reedspar.utils import HOP_BY_HOP
 
 from .request import Answer, Outcome
 
@@ -29,21 +30,6 @@
 WEIGHTS_HEADER = "x-weights-digest"
 
 DEFAULT_RETRY_AFTER_S = 1.0
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "content-length",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-"""Headers that end at each hop (RFC 9110, section 7.6.1), and the length, which
-is set anew."""
 OWN_HEADERS = frozenset({OUTCOME_HEADER, REQUEST_ID_HEADER, WEIGHTS_HEADER})
 
 STATUS_BY_STEP_AND_REASON = {
