Answer a peer's question without looking at every entry

Since one peer is asked always, each question went through all entries twice, to find the newest revision and to find none newer. The newest one is remembered now. The test asks for the entries after revision 0, which are all.

--- a/reedspar/fleet/entries.py
+++ b/reedspar/fleet/entries.py
@@ -29,6 +29,8 @@
     revision: int = 0
     _entries: dict[str, WatchedEntry] = field(default_factory=dict)
     _held: dict[str, WatchedEntry] = field(default_factory=dict)
+    _newest_revision: int = 0
+    """Of the entries that hold, and the removals that are remembered."""
     _is_away: bool = False
     _returned_s: float = float("-inf")
 
@@ -40,12 +42,17 @@
     @property
     def seen_revision(self) -> int:
         """Return the newest revision of any entry, whoever has told of it."""
-        newest = max((e.revision for e in self._entries.values()), default=0)
-        return max(newest, self.revision)
+        return max(self._newest_revision, self.revision)
 
-    def entries(self) -> tuple[WatchedEntry, ...]:
-        """Return the entries, and the removals that are remembered."""
-        return tuple(self._entries.values())
+    def entries_after(self, revision: int) -> list[WatchedEntry]:
+        """Return the entries and removals that are newer, the oldest first.
+
+        Peers ask for them all the time, and hardly ever is there any.
+        """
+        if revision >= self._newest_revision:
+            return []
+        newer = [e for e in self._entries.values() if e.revision > revision]
+        return sorted(newer, key=lambda entry: entry.revision)
 
     def note_away(self) -> bool:
         """Note that a call failed; tell whether that is news."""
@@ -84,7 +91,7 @@
                 self._held[entry.key] = entry
                 continue
             self._held.pop(entry.key, None)
-            self._entries[entry.key] = entry
+            self._keep(entry)
             changed.append(entry)
         self.revision = max(self.revision, revision)
         return changed
@@ -96,9 +103,13 @@
         due = list(self._held.values())
         self._held.clear()
         for entry in due:
-            self._entries[entry.key] = entry
+            self._keep(entry)
         return due
 
+    def _keep(self, entry: WatchedEntry) -> None:
+        self._entries[entry.key] = entry
+        self._newest_revision = max(self._newest_revision, entry.revision)
+
     def _is_to_hold(
         self, entry: WatchedEntry, known: WatchedEntry | None, now_s: float
     ) -> bool:
--- a/reedspar/fleet/exchange.py
+++ b/reedspar/fleet/exchange.py
@@ -83,10 +83,9 @@
         book = self._feed.books.get(request.prefix)
         if book is None:
             return
-        newer = [e for e in book.entries() if e.revision > request.after_revision]
+        newer = book.entries_after(request.after_revision)
         if not newer:
             return
-        newer.sort(key=lambda entry: entry.revision)
         entries = tuple(_encode(entry) for entry in newer[:ENTRIES_MAX])
         message = FleetEntries(request.prefix, book.revision, entries)
         self._network.send(sender.name, message)
--- a/reedspar/fleet/tests/test_entries.py
+++ b/reedspar/fleet/tests/test_entries.py
@@ -39,7 +39,7 @@
         for revision in order:
             value = None if revision in removed else b"%d" % revision
             book.take([WatchedEntry("t/1", value, revision)], revision, 0.0)
-        (entry,) = book.entries()
+        (entry,) = book.entries_after(0)
         self.assertEqual(entry.revision, 8)
 
 
