--- a/reedspar/daemon/load_news.py
+++ b/reedspar/daemon/load_news.py
@@ -3,12 +3,11 @@
 from collections.abc import Callable
 
 from reedspar.fleet import FleetView, TargetLoadNews
-from reedspar.links import Network
+from reedspar.links import Network, Role
 from reedspar.platform import EngineState
 
 __all__ = ["LoadNews"]
 
-ENTRY_ROLE = "entry"
 REPEAT_S = 1.0
 """Between two reports of an unchanged load, so that entries don't take it for gone."""
 
@@ -53,5 +52,5 @@
             return
         self._last = news
         self._sent_s = self._now_s()
-        for entry in self._view.daemons(ENTRY_ROLE):
+        for entry in self._view.daemons(Role.ENTRY.value):
             self._network.send(entry.name, news)
--- a/reedspar/direct/service.py
+++ b/reedspar/direct/service.py
@@ -8,7 +8,7 @@
 from starlette.types import ASGIApp
 
 from reedspar.fleet import DaemonChange, FleetChange, FleetView, TargetChange
-from reedspar.links import Network
+from reedspar.links import Network, Role
 from reedspar.requests.application import RequestApplication, RequestIds
 from reedspar.requests.attempting import RelayTerms
 from reedspar.requests.border import CallerBorder
@@ -33,7 +33,6 @@
 
 __all__ = ["DirectService", "create_direct_service"]
 
-ENTRY_ROLE = "entry"
 SLACK_PART = 0.7
 """Part of the slack for retries that the entries share out among themselves.
 
@@ -101,7 +100,7 @@
             self._loads.forget_restarted(record.id)
 
     def _note_entries(self) -> None:
-        entries = self._view.daemons(ENTRY_ROLE)
+        entries = self._view.daemons(Role.ENTRY.value)
         self._cold.set_entries(entry.name for entry in entries)
         count = max(ENTRIES_MIN, len(entries))
         self._budgets.set_burst(SLACK_PART * self._retry_slack / count)
@@ -139,7 +138,7 @@
         network,
         timers,
         rng,
-        lambda: [entry.name for entry in view.daemons(ENTRY_ROLE)],
+        lambda: [entry.name for entry in view.daemons(Role.ENTRY.value)],
     )
     crashes = CrashWatch(settings.name, timers, gossip.note_crash)
     chooser = DirectChooser(
--- a/reedspar/fleet/view.py
+++ b/reedspar/fleet/view.py
@@ -106,10 +106,6 @@
         """Return the versions of a model in the order in which they were named."""
         return tuple(self._versions.get(model, ()))
 
-    def versions(self) -> tuple[NamedVersion, ...]:
-        """Return the newest named versions of all models."""
-        return tuple(named[-1] for named in self._versions.values())
-
     def apply(self, change: FleetChange) -> None:
         """Take a change in; one that goes back or changes nothing is dropped."""
         if isinstance(change, RoutesChange):
