Fill the engine's report by names, and let nobody fill it by places

Cause: two fields came before the last one of EngineState, and the stand-in engine filled it by place, so its fencing number lay in a flag.

--- a/reedspar/platform/models.py
+++ b/reedspar/platform/models.py
@@ -1,6 +1,6 @@
 """What the platform's services take and return."""
 
-from dataclasses import dataclass, field
+from dataclasses import KW_ONLY, dataclass, field
 from enum import Enum
 
 __all__ = [
@@ -52,6 +52,7 @@
 
     boot_id: str
     """Changes whenever the target's process starts."""
+    _: KW_ONLY
     is_cold: bool = False
     in_flight: int = 0
     queued: int = 0
--- a/stand_ins/engine_model.py
+++ b/stand_ins/engine_model.py
@@ -102,11 +102,11 @@
         is_cold, in_flight, queued = self._load.get()
         return EngineState(
             self.boot_id,
-            is_cold,
-            in_flight,
-            queued,
-            dict(self.weights.loaded),
-            self.weights.fencing_number,
+            is_cold=is_cold,
+            in_flight=in_flight,
+            queued=queued,
+            loaded=dict(self.weights.loaded),
+            fencing_number=self.weights.fencing_number,
         )
 
     def _boot(self) -> None:
--- a/stand_ins/tests/test_states.py
+++ b/stand_ins/tests/test_states.py
@@ -2,6 +2,11 @@
 
 import unittest
 
+from pydantic import TypeAdapter
+
+from reedspar.platform import EngineState
+from stand_ins.engine_model import EngineModel
+from stand_ins.engine_settings import EngineOptions
 from stand_ins.key_value_state import KeyValueState
 from stand_ins.rate import RateLimit
 
@@ -35,6 +40,19 @@
         self.assertIsNone(state.compare_and_swap("k", b"paused", old, ""))
 
 
+class EngineModelTest(unittest.TestCase):
+    def test_report_after_the_second_load_can_be_read(self) -> None:
+        # Each load comes under a higher fencing number.  The report gave the number
+        # in another field, where agents could not read 2; an agent that had ordered
+        # its second version waited for a report for ever, and all others for it.
+        model = EngineModel(EngineOptions())
+        model.weights.fencing_number = 2
+        adapter = TypeAdapter(EngineState)
+        report = adapter.validate_json(adapter.dump_json(model.read_state()))
+        self.assertEqual(report.fencing_number, 2)
+        self.assertTrue(report.is_taking)
+
+
 class RateLimitTest(unittest.TestCase):
     def test_waits_add_up_over_all_readers(self) -> None:
         limit = RateLimit(100.0)
