Let all agents choose alike which of two versions comes first

The choice now goes by the times at which the two were named, which all know alike; a version that would come too late to serve at all is dropped. Ruled out: the origin's outage alone (one version was whole at 27.9 s on the same pattern).

--- a/reedspar/weights/catalog.py
+++ b/reedspar/weights/catalog.py
@@ -23,7 +23,7 @@
 from reedspar.utils import digest_bytes
 
 from .manifest import Manifest, encode_manifest
-from .succession import Succession, should_finish_first
+from .succession import LOAD_S, Succession, should_finish_first
 
 __all__ = ["KnownVersion", "ManifestReader", "VersionCatalog"]
 
@@ -175,14 +175,20 @@
         next_named_s = self._named_s.get((model, version))
         if named_s is None or next_named_s is None:
             return False
+        copy_s = current.manifest.size_bytes / self._link_bytes_per_s
+        current_until_s = next_named_s + self._bound_s
+        # By what this agent lacks, half of the fleet would drop a version and the
+        # others keep to it, and neither would come in time.  The times at which the
+        # two were named are the same everywhere.
         succession = Succession(
-            self._timers.now_s(),
-            left_s,
-            current.manifest.size_bytes / self._link_bytes_per_s,
+            next_named_s,
+            max(0.0, named_s + copy_s - next_named_s),
+            copy_s,
             named_s + self._bound_s,
-            next_named_s + self._bound_s,
+            current_until_s,
         )
-        return should_finish_first(succession)
+        is_in_time = self._timers.now_s() + left_s + LOAD_S < current_until_s
+        return is_in_time and should_finish_first(succession)
 
     def _unpublished(self) -> list[tuple[str, int]]:
         return [
--- a/reedspar/weights/succession.py
+++ b/reedspar/weights/succession.py
@@ -7,17 +7,15 @@
 
 from dataclasses import dataclass
 
-__all__ = ["SWITCH_S", "Succession", "should_finish_first"]
+__all__ = ["LOAD_S", "SWITCH_S", "Succession", "should_finish_first"]
 
 SWITCH_S = 1.5
 """Time in which a target switches: what runs ends, 1.2 s, and 0.3 s of loading."""
 LOAD_S = 0.3
 """Time in which a target loads that has nothing left to end."""
 ALIKE_S = 0.5
-"""Difference below which the version on its way is finished.
-
-The targets decide by themselves, each by what it still lacks.  If half of them drop
-a version, the others get it from fewer, and half of the fleet serves with none."""
+"""Difference below which the version on its way is finished: it may come sooner than
+reckoned, and the next one later."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,8 +23,9 @@
     """A version on its way, and the next one; times in seconds."""
 
     now_s: float
+    """When the next one was named."""
     left_s: float
-    """Until the version on its way has arrived."""
+    """From then until the version on its way has arrived, if nothing hinders it."""
     copy_s: float
     """For a whole copy of the next version."""
     served_until_s: float
--- a/reedspar/weights/tests/test_succession.py
+++ b/reedspar/weights/tests/test_succession.py
@@ -40,6 +40,7 @@
 class FakeReader:
     def __init__(self) -> None:
         self.failures = 0
+        self.chunks = 4
         self.reads: list[int] = []
 
     async def read_manifest(self, model: str, version: int) -> Manifest | Failure:
@@ -47,7 +48,7 @@
         if self.failures:
             self.failures -= 1
             return Failure(Reason.UNAVAILABLE, Step.MANIFEST)
-        return make_manifest(version)
+        return make_manifest(version, self.chunks)
 
 
 class CatalogTest(unittest.TestCase):
@@ -138,6 +139,52 @@
         anyio.run(run)
         self.assertEqual(self.versions(), [1, 2, 3])
 
+    def test_agents_that_lack_more_or_less_choose_alike(self) -> None:
+        # The third version is named two seconds after the second.  One agent has half
+        # of the second, another one nearly all.  One dropped it and the other did not:
+        # neither version came to the whole fleet, and callers were refused for 8 s.
+        self.reader.chunks = 6
+
+        async def run(left_s: float) -> list[int]:
+            self.documents = []
+            self.left_s = left_s
+            catalog = self.make_catalog()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(catalog.run)
+                catalog.name("m", 1)
+                await self.settle()
+                catalog.name("m", 2)
+                await self.settle()
+                self.clock.advance(2.0)
+                catalog.name("m", 3)
+                await self.settle()
+                tasks.cancel_scope.cancel()
+            return self.versions()
+
+        self.assertEqual(anyio.run(run, 4.35), anyio.run(run, 2.5))
+
+    def test_version_that_comes_too_late_to_serve_is_dropped(self) -> None:
+        # The origin went away while the second version was on its way.  When it is
+        # back, the second one could serve for no moment before the third is due.
+        async def run() -> None:
+            catalog = self.make_catalog()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(catalog.run)
+                for version in (1, 2):
+                    catalog.name("m", version)
+                    await self.settle()
+                self.left_s = 1.0
+                self.clock.advance(4.0)
+                catalog.name("m", 3)
+                await self.settle()
+                self.assertEqual(self.versions(), [1, 2])
+                self.clock.advance(BOUND_S - 1.0)
+                await self.settle()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+        self.assertEqual(self.versions(), [1, 2, 3])
+
 
 class DeadlineTest(unittest.TestCase):
     def test_turns_fit_into_the_time_that_is_left(self) -> None:
