--- a/reedspar/weights/limits.py
+++ b/reedspar/weights/limits.py
@@ -34,11 +34,12 @@
 
 The first copy is to leave the origin at the full rate of its link: it may go away,
 and what the fleet has then is all that it can go on with."""
-ORIGIN_WINDOW_OF_MANY = 1
+ORIGIN_WINDOW_OF_MANY = 2
 """The same where agents of all regions draw.
 
-Eight reads at a time keep the origin's link full.  All get on alike, and all are lost
-when the origin goes away: with 24 at a time 12 chunks of 96 more were still there."""
+A read shares its agent's link with what comes from other agents, chunk by chunk.  With
+one read at a time 25 chunks a second left an origin that can send 37, with two or three
+35.  All that are open are lost when the origin goes away: no more than needed."""
 FAR_PATIENCE_S = 0.5
 """How long a request of another region waits, where agents of all regions draw.
 
--- a/reedspar/weights/pulling.py
+++ b/reedspar/weights/pulling.py
@@ -81,7 +81,7 @@
         limits = self._limits
         if not transfer.draws or now_s - self._drawn_s > SILENT_S:
             return limits.window
-        if not self._fetches.far_open(ORIGIN):
+        if limits.draws_everywhere or not self._fetches.far_open(ORIGIN):
             return limits.window_while_drawing
         drawn = min(1.0, ORIGIN_LINKS * transfer.draw_share)
         return round(limits.window * (1 - drawn))
