--- a/reedspar/fleet/feed.py
+++ b/reedspar/fleet/feed.py
@@ -49,6 +49,8 @@
 
     prefix: str
     is_kept_over_outage: bool = False
+    gather_s: float = GATHER_S
+    """Pause between two watches, in which changes gather for one call."""
 
 
 class FleetFeed:
@@ -68,6 +70,7 @@
         self._codec = codec
         self._timers = timers
         self._rng = rng
+        self._gather_s = {item.prefix: item.gather_s for item in prefixes}
         self._books = {
             item.prefix: EntryBook(item.prefix, item.is_kept_over_outage)
             for item in prefixes
@@ -144,7 +147,7 @@
             if isinstance(result, WatchedChanges):
                 self._note_answer(book, now_s)
                 self._apply(book.take(result.entries, result.revision, now_s))
-                await anyio.sleep(GATHER_S)
+                await anyio.sleep(self._gather_s[book.prefix])
             elif result.reason is Reason.EXPIRED:
                 _logger.warning(
                     "history of the store is gone; listing again",
--- a/reedspar/fleet/tests/test_feed.py
+++ b/reedspar/fleet/tests/test_feed.py
@@ -2,7 +2,7 @@
 
 import random
 import unittest
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 import anyio
 
@@ -11,6 +11,7 @@
 from reedspar.timers import TimerService, VirtualClock
 
 PREFIXES = (FleetPrefix("zones/"), FleetPrefix("targets/", is_kept_over_outage=True))
+GATHER_S = 0.3
 SETTLE_S = 0.1
 
 
@@ -20,13 +21,17 @@
         self.timers = TimerService(self.clock)
         self.view = FleetView(self.timers)
 
-    def follow(self, script: Callable[[FakeStore, FleetFeed], Awaitable[None]]) -> None:
+    def follow(
+        self,
+        script: Callable[[FakeStore, FleetFeed], Awaitable[None]],
+        prefixes: Sequence[FleetPrefix] = PREFIXES,
+    ) -> None:
         async def run() -> None:
             store = FakeStore()
             store.put("targets/t1", b"{}")
             store.put("zones/b", b"{}")
             feed = create_fleet_feed(
-                store, self.view, FakeCodec(), self.timers, PREFIXES, random.Random(1)
+                store, self.view, FakeCodec(), self.timers, prefixes, random.Random(1)
             )
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(feed.run)
@@ -52,6 +57,20 @@
 
         self.follow(script)
 
+    def test_changes_that_may_wait_share_a_call(self) -> None:
+        # All daemons start at once.  With a call for each start of each other one,
+        # 24 of them made hundreds of calls, all of which are paid for.
+        async def script(store: FakeStore, feed: FleetFeed) -> None:
+            before = store.calls.count("watch")
+            for i in range(10):
+                store.put(f"daemons/d{i}", b"{}")
+                await anyio.sleep(0.02)
+            await anyio.sleep(GATHER_S)
+            self.assertLessEqual(store.calls.count("watch") - before, 3)
+
+        prefix = FleetPrefix("daemons/", gather_s=GATHER_S)
+        self.follow(script, [prefix])
+
     def test_lists_again_once_the_history_is_gone(self) -> None:
         # The store drops its history while a target leaves.  A watch that went on
         # from the old place would never tell of it.
