--- a/reedspar/weights/tests/test_succession.py
+++ b/reedspar/weights/tests/test_succession.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from collections.abc import Awaitable, Callable
 
 import anyio
 
@@ -82,62 +83,61 @@
     async def settle(self) -> None:
         await anyio.sleep(0.25)
 
-    def test_named_versions_become_documents(self) -> None:
+    def follow(self, script: Callable[[VersionCatalog], Awaitable[None]]) -> list[int]:
+        """Let a catalog run while a script names versions; return what it made."""
+
         async def run() -> None:
             catalog = self.make_catalog()
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(catalog.run)
-                catalog.name("m", 1)
-                await self.settle()
-                catalog.name("m", 2)
-                catalog.name("m", 1)
-                await self.settle()
+                await script(catalog)
                 tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+        return self.versions()
+
+    async def name_in_turn(self, catalog: VersionCatalog, *versions: int) -> None:
+        for version in versions:
+            catalog.name("m", version)
+            await self.settle()
+
+    def test_named_versions_become_documents(self) -> None:
+        async def script(catalog: VersionCatalog) -> None:
+            await self.name_in_turn(catalog, 1)
+            catalog.name("m", 2)
+            catalog.name("m", 1)
+            await self.settle()
             digest = make_manifest(2).root_digest
             self.assertEqual(catalog.number_of(digest), ("m", 2))
             self.assertEqual(catalog.root_digest_of("m", 2), digest)
 
-        anyio.run(run)
-        self.assertEqual(self.versions(), [1, 2])
+        self.assertEqual(self.follow(script), [1, 2])
 
     def test_origin_that_fails_is_asked_again(self) -> None:
         self.reader.failures = 2
 
-        async def run() -> None:
-            catalog = self.make_catalog()
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(catalog.run)
-                catalog.name("m", 1)
-                await anyio.sleep(1.2)
-                tasks.cancel_scope.cancel()
+        async def script(catalog: VersionCatalog) -> None:
+            catalog.name("m", 1)
+            await anyio.sleep(1.2)
 
-        anyio.run(run)
-        self.assertEqual(self.versions(), [1])
+        self.assertEqual(self.follow(script), [1])
 
     def test_next_version_is_fetched_ahead_while_the_present_one_loads(self) -> None:
         # The third version is named while the second is on its way.  Its chunks
         # come as soon as the second's are there; it is loaded after the second.
-        async def run() -> None:
-            catalog = self.make_catalog()
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(catalog.run)
-                for version in (1, 2):
-                    catalog.name("m", version)
-                    await self.settle()
-                self.left_s = 2.0
-                self.clock.advance(4.0)
-                catalog.name("m", 3)
-                await self.settle()
-                self.assertEqual((self.versions(), self.prefetched), ([1, 2], []))
-                self.left_s = 0.0
-                await self.settle()
-                self.assertEqual((self.versions(), self.prefetched), ([1, 2], [3]))
-                self.left_s = None
-                await self.settle()
-                tasks.cancel_scope.cancel()
-
-        anyio.run(run)
-        self.assertEqual(self.versions(), [1, 2, 3])
+        async def script(catalog: VersionCatalog) -> None:
+            await self.name_in_turn(catalog, 1, 2)
+            self.left_s = 2.0
+            self.clock.advance(4.0)
+            await self.name_in_turn(catalog, 3)
+            self.assertEqual((self.versions(), self.prefetched), ([1, 2], []))
+            self.left_s = 0.0
+            await self.settle()
+            self.assertEqual((self.versions(), self.prefetched), ([1, 2], [3]))
+            self.left_s = None
+            await self.settle()
+
+        self.assertEqual(self.follow(script), [1, 2, 3])
 
     def test_agents_that_lack_more_or_less_choose_alike(self) -> None:
         # The third version is named two seconds after the second.  One agent has half
@@ -145,45 +145,30 @@
         # neither version came to the whole fleet, and callers were refused for 8 s.
         self.reader.chunks = 6
 
-        async def run(left_s: float) -> list[int]:
-            self.documents = []
-            self.left_s = left_s
-            catalog = self.make_catalog()
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(catalog.run)
-                catalog.name("m", 1)
-                await self.settle()
-                catalog.name("m", 2)
-                await self.settle()
-                self.clock.advance(2.0)
-                catalog.name("m", 3)
-                await self.settle()
-                tasks.cancel_scope.cancel()
-            return self.versions()
+        async def script(catalog: VersionCatalog) -> None:
+            await self.name_in_turn(catalog, 1, 2)
+            self.clock.advance(2.0)
+            await self.name_in_turn(catalog, 3)
 
-        self.assertEqual(anyio.run(run, 4.35), anyio.run(run, 2.5))
+        made = []
+        for self.left_s in (4.35, 2.5):
+            self.documents = []
+            made.append(self.follow(script))
+        self.assertEqual(made[0], made[1])
 
     def test_version_that_comes_too_late_to_serve_is_dropped(self) -> None:
         # The origin went away while the second version was on its way.  When it is
         # back, the second one could serve for no moment before the third is due.
-        async def run() -> None:
-            catalog = self.make_catalog()
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(catalog.run)
-                for version in (1, 2):
-                    catalog.name("m", version)
-                    await self.settle()
-                self.left_s = 1.0
-                self.clock.advance(4.0)
-                catalog.name("m", 3)
-                await self.settle()
-                self.assertEqual(self.versions(), [1, 2])
-                self.clock.advance(BOUND_S - 1.0)
-                await self.settle()
-                tasks.cancel_scope.cancel()
-
-        anyio.run(run)
-        self.assertEqual(self.versions(), [1, 2, 3])
+        async def script(catalog: VersionCatalog) -> None:
+            await self.name_in_turn(catalog, 1, 2)
+            self.left_s = 1.0
+            self.clock.advance(4.0)
+            await self.name_in_turn(catalog, 3)
+            self.assertEqual(self.versions(), [1, 2])
+            self.clock.advance(BOUND_S - 1.0)
+            await self.settle()
+
+        self.assertEqual(self.follow(script), [1, 2, 3])
 
 
 class DeadlineTest(unittest.TestCase):
