Explain a failed request from logs alone

reedspar explain REQUEST LOG... shows the lines that name a request, the last word of each process on what matters to it, and where to read on. The reader of log lines is shared with the time line's.

--- a/reedspar/timeline/__init__.py
+++ b/reedspar/timeline/__init__.py
@@ -2,9 +2,11 @@
 
 from .events import Event, EventKind, event_from_json, event_to_json
 from .filters import EventFilter, format_caller_id
+from .log_lines import LogLine, parse_log_line, read_log_lines
 from .merging import merge_events
 from .picture import render_picture
 from .recorder import EventPage, EventRecorder, create_event_recorder
+from .story import Story, count_left_out, tell_story
 from .text import render_text
 
 __all__ = [
@@ -13,11 +15,17 @@
     "EventKind",
     "EventPage",
     "EventRecorder",
+    "LogLine",
+    "Story",
+    "count_left_out",
     "create_event_recorder",
     "event_from_json",
     "event_to_json",
     "format_caller_id",
     "merge_events",
+    "parse_log_line",
+    "read_log_lines",
     "render_picture",
     "render_text",
+    "tell_story",
 ]
--- /dev/null
+++ b/reedspar/timeline/log_lines.py
@@ -0,0 +1,69 @@
+"""Reading the JSON lines that processes log, whoever collected them."""
+
+import json
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from datetime import datetime
+from pathlib import Path
+from typing import Any
+
+from reedspar.errors import Failure, Reason, Step
+
+from .events import Event, event_from_json
+
+__all__ = ["LogLine", "parse_log_line", "read_log_lines"]
+
+COMMON_NAMES = frozenset({"time", "level", "logger", "message", "process", "zone"})
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One line of one process."""
+
+    time_s: float
+    """By the process's own wall clock, seconds since the Unix epoch."""
+    process: str
+    level: str
+    message: str
+    fields: Mapping[str, Any] = field(default_factory=dict)
+
+    @property
+    def event(self) -> Event | None:
+        """Return the event that the line records, if it does."""
+        document = self.fields.get("event")
+        return event_from_json(document) if isinstance(document, dict) else None
+
+
+def parse_log_line(text: str) -> LogLine | None:
+    """Return the line, or None for anything else.
+
+    A collector may put words of its own before the object, such as a time and a name.
+    """
+    start = text.find("{")
+    if start < 0:
+        return None
+    try:
+        document = json.loads(text[start:])
+        time = document.get("time") or document["event"]["time"]
+        return LogLine(
+            datetime.fromisoformat(time).timestamp(),
+            str(document.get("process", "")),
+            str(document.get("level", "")),
+            str(document["message"]),
+            {k: v for k, v in document.items() if k not in COMMON_NAMES},
+        )
+    except (AttributeError, KeyError, TypeError, ValueError):
+        return None
+
+
+def read_log_lines(files: Iterable[Path]) -> tuple[LogLine, ...] | Failure:
+    """Return the lines of all files; what is no line of ours is passed over."""
+    lines: list[LogLine] = []
+    for file in files:
+        try:
+            texts = file.read_text(errors="replace").splitlines()
+        except OSError as error:
+            detail = f"{file}: {error.strerror}"
+            return Failure(Reason.NOT_FOUND, Step.SETTINGS, detail=detail)
+        lines += [line for text in texts if (line := parse_log_line(text))]
+    return tuple(lines)
--- /dev/null
+++ b/reedspar/tool/explain_command.py
@@ -0,0 +1,70 @@
+"""``reedspar explain``: one request's story from the logs of all processes."""
+
+import json
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from reedspar.errors import Failure, Reason, Step
+from reedspar.timeline import LogLine, count_left_out, read_log_lines, tell_story
+from reedspar.timeline.events import format_time
+from reedspar.timeline.text import make_printable
+
+from .exit_codes import ExitCode
+from .session import Session
+
+__all__ = ["Explain"]
+
+TIME_SLICE = slice(11, 23)
+
+
+@cappa.command(name="explain")
+@dataclass
+class Explain:
+    """Tell from logs alone what became of a request, and why.
+
+    Shows the lines that name it, the last word of each process on what matters to it,
+    and where to read on.
+    """
+
+    request: Annotated[str, cappa.Arg(help="The caller's id, or the system's.")]
+    logs: Annotated[
+        list[Path],
+        cappa.Arg(num_args=-1, required=True, help="Log files of all processes."),
+    ]
+
+    async def run(self, session: Session) -> ExitCode:
+        """Read, select and show."""
+        lines = read_log_lines(self.logs)
+        if isinstance(lines, Failure):
+            return session.fail(lines)
+        story = tell_story(lines, self.request)
+        if story is None:
+            return session.fail(self._explain_silence(lines))
+        if session.is_json:
+            session.show_json(asdict(story))
+            return ExitCode.OK
+        session.show_line("Known before it ended:")
+        self._show_lines(session, story.known)
+        session.show_line("The request:")
+        self._show_lines(session, story.own)
+        session.show_line(make_printable(story.conclusion))
+        return ExitCode.OK
+
+    def _show_lines(self, session: Session, lines: Sequence[LogLine]) -> None:
+        for line in lines:
+            clock = format_time(line.time_s)[TIME_SLICE]
+            fields = json.dumps(line.fields, ensure_ascii=False)
+            text = f"{clock}  {line.process}  {line.message}  {fields}"
+            session.show_line(f"  {make_printable(text)}")
+
+    def _explain_silence(self, lines: Sequence[LogLine]) -> Failure:
+        detail = (
+            f"no line of {len(lines)} names request {self.request}: it reached none of "
+            "these processes, or it was answered (one answer in 50 has a line), or it "
+            f"is among the {count_left_out(lines)} that summaries count as left out"
+        )
+        return Failure(Reason.NOT_FOUND, Step.SETTINGS, detail=detail)
--- a/reedspar/tool/main.py
+++ b/reedspar/tool/main.py
@@ -12,6 +12,7 @@
 
 from .config_commands import Config
 from .exit_codes import ExitCode
+from .explain_command import Explain
 from .fleet_commands import Entries, Targets
 from .publish_command import Publish
 from .session import Command, Session, create_session
@@ -34,7 +35,7 @@
     """
 
     command: cappa.Subcommands[
-        Config | Zone | Publish | Watch | Targets | Entries | Timeline
+        Config | Zone | Publish | Watch | Targets | Entries | Timeline | Explain
     ]
     entry: Annotated[
         str,
@@ -62,6 +63,8 @@
 
 def needs_entry(command: object) -> bool:
     """Tell whether a command asks processes at all."""
+    if isinstance(command, Explain):
+        return False
     return not (isinstance(command, Timeline) and command.from_logs)
 
 
--- a/reedspar/tool/timeline_command.py
+++ b/reedspar/tool/timeline_command.py
@@ -1,6 +1,5 @@
 """``reedspar timeline``: the events of all processes in one order."""
 
-import json
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field, replace
 from pathlib import Path
@@ -16,6 +15,7 @@
     event_from_json,
     event_to_json,
     merge_events,
+    read_log_lines,
     render_picture,
     render_text,
 )
@@ -41,24 +41,11 @@
 
 def read_logs(files: Iterable[Path]) -> Collected | Failure:
     """Return the events in JSON-line logs; other lines are passed over."""
-    events = []
-    for file in files:
-        try:
-            lines = file.read_text(errors="replace").splitlines()
-        except OSError as error:
-            detail = f"{file}: {error.strerror}"
-            return Failure(Reason.NOT_FOUND, Step.SETTINGS, detail=detail)
-        events += [event for line in lines if (event := _parse_line(line))]
-    return Collected(tuple(events))
-
-
-def _parse_line(line: str) -> Event | None:
-    try:
-        document = json.loads(line)
-    except ValueError:
-        return None
-    found = document.get("event") if isinstance(document, dict) else None
-    return event_from_json(found) if isinstance(found, dict) else None
+    lines = read_log_lines(files)
+    if isinstance(lines, Failure):
+        return lines
+    events = (line.event for line in lines)
+    return Collected(tuple(event for event in events if event is not None))
 
 
 async def read_process(
