--- a/reedspar/direct/choice.py
+++ b/reedspar/direct/choice.py
@@ -188,11 +188,24 @@
         now_s = self._timers.now_s()
         if answer.outcome is Outcome.UNKNOWN:
             self._crashes.note_broken(chosen.name, request.fingerprint)
-        if failure.step is Step.LINK or answer.outcome is Outcome.UNKNOWN:
+        if failure.reason is Reason.CONFLICT:
+            self._note_replaced(chosen.name)
+        elif failure.step is Step.LINK or answer.outcome is Outcome.UNKNOWN:
             load.note_unreachable(now_s)
         elif answer.outcome is Outcome.NOT_RUN:
             load.note_full(now_s)
 
+    def _note_replaced(self, target_id: str) -> None:
+        """Send nothing more to a target that is gone: its address has another one.
+
+        The store may tell of it for seconds.  After a loss of power all targets are
+        new ones; each request went to two of the old, and was refused: 200 in three
+        seconds, a twelfth of a day's.
+        """
+        known = self._view.target(target_id)
+        if known is not None:
+            self._loads.of(target_id).replaced_boot = known.record.boot_id
+
     def on_refused(self, chosen: ChosenTarget, failure: Failure) -> None:
         """Leave a target alone that has no address any more."""
         self._loads.of(chosen.name).note_unreachable(self._timers.now_s())
@@ -211,6 +224,8 @@
             return False
         if record.zone in self._view.zones_out:
             return False
+        if self._loads.of(record.id).replaced_boot == record.boot_id:
+            return False
         region = self._regions.get(record.zone)
         if request.regions is not None and region not in request.regions:
             return False
--- a/reedspar/direct/loads.py
+++ b/reedspar/direct/loads.py
@@ -58,6 +58,8 @@
     rest_until_s: float = float("-inf")
     failures: int = 0
     cold_bucket: TokenBucket | None = None
+    replaced_boot: str = ""
+    """The start of the target after which another one was found at its address."""
     closed_until_s: float = float("-inf")
     """Until when the target takes nothing, by its agent's last word."""
 
--- a/reedspar/direct/tests/test_choice.py
+++ b/reedspar/direct/tests/test_choice.py
@@ -1,8 +1,12 @@
 """Tests of which target a direct request goes to, over ASGI."""
 
 import unittest
+from typing import Any
+
+import anyio
 
 from reedspar.direct import DirectService, LoadReport
+from reedspar.direct.loads import FULL_REST_S
 from reedspar.direct.tests.cases import (
     Call,
     DirectTestCase,
@@ -10,10 +14,11 @@
 )
 from reedspar.direct.tests.fakes import (
     FakeDialer,
+    FakeResponse,
     make_engine_target,
     make_table,
 )
-from reedspar.errors import Failure
+from reedspar.errors import Failure, Reason, Step
 from reedspar.fleet import (
     FleetView,
     RoutesChange,
@@ -21,6 +26,7 @@
     TargetState,
     ZoneChange,
 )
+from reedspar.platform import TargetRequest
 from reedspar.requests.request import Request
 from reedspar.routes import WorkspaceAccess
 from reedspar.timers import create_timer_service
@@ -75,6 +81,34 @@
 
         self.run_with(script)
 
+    def test_target_that_another_one_has_replaced_gets_nothing_more(self) -> None:
+        # Power is lost and every target comes back under another id.  The store tells
+        # of the old ones for seconds.  Each request went to two of them, which sent
+        # it away, and its caller was refused.
+        def answer(target_id: str, request: TargetRequest) -> Any:
+            if target_id == "q2":
+                return FakeResponse([b"ok"])
+            detail = "421, it is 'q9'"
+            return Failure(Reason.CONFLICT, Step.TARGET_CALL, target_id, detail)
+
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            dialer.script = answer
+            for _ in range(10):
+                call = await self.send(service, Call("/q/1", x_model="m"))
+                self.assertEqual(call.status, 200)
+                await anyio.sleep(FULL_REST_S)
+            self.assertEqual([name for name, _ in dialer.sent].count("q1"), 1)
+            again = make_engine_target("q1", started_ms=7)
+            view.apply(TargetChange("q1", again))
+            dialer.script = lambda target_id, request: FakeResponse([b"ok"])
+            for _ in range(20):
+                await self.send(service, Call("/q/1", x_model="m"))
+            self.assertGreater([name for name, _ in dialer.sent].count("q1"), 1)
+
+        self.run_with(script)
+
     def test_full_engines_are_not_sent_more(self) -> None:
         # Every engine has long prompts before it.  The caller is refused at once,
         # and told when the first event could come in time.
