--- a/reedspar/direct/estimate.py
+++ b/reedspar/direct/estimate.py
@@ -25,13 +25,12 @@
 """Weight of one request in the calibration: about three seconds' worth of an entry's
 requests at six a second."""
 FACTOR_MIN = 0.7
-FACTOR_MAX = 6.0
+FACTOR_MAX = 2.5
 """Bounds of the calibration.
 
-With 46 entries each one sees a fortieth of what an engine has before it: at 2.5 they
-never refused, and half of the answers came late.  At 6 a third of the late ones came
-in time or were refused at once, 0.69 instead of 0.60 of the worth; with nine entries
-it makes no difference (`python -m bench.many_deciders`)."""
+Engines that switch their weights, or come back cold, hold up a few first events by many
+times the estimate.  With a bound of 6 entries refused four times as many requests in
+the seconds after that, which engines would have borne."""
 
 
 @dataclass(frozen=True, slots=True)
