Let the receiver of chunks grant bytes, at the rate of its link

Cause as supposed: with chunks of 48 KB up to 0.46 s of the link are under way together. Ruled out: a narrower window (the link idles, weights come later). Now a request lets its sender send one piece; the rest goes as the receiver grants it, oldest request first, two pieces at a time, at the rate of its link over all senders. One read at a time at the origin where eight agents draw.

--- /dev/null
+++ b/bench/inbound_queues.py
@@ -0,0 +1,168 @@
+"""What a prompt waits before a target's link while a version arrives there.
+
+Agents as light objects over links that queue: the real decisions, virtual time.  A
+prompt that came to a target now would wait for all that is queued before its machine's
+link; that is noted every 10 ms at each target that still lacks chunks.
+
+Run ``python -m bench.inbound_queues``; the last line is one JSON object.
+"""
+
+import json
+import random
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass
+
+from reedspar.links.messages import Role
+from reedspar.settings import SiteSettings
+from reedspar.weights import WeightPeer
+from reedspar.weights.limits import SwarmLimits, create_swarm_limits
+from reedspar.weights.swarm import SwarmDistribution
+
+from .paced_links import LinkRates
+from .weight_agents import Fleet, make_weights
+
+__all__ = ["CASES", "Case", "Outcome", "play"]
+
+MODEL = "quotes"
+REGIONS = ("centro", "occidente", "oriente")
+BYTES_PER_S = 1_000_000 / 8
+"""Of one Mbit/s."""
+PACKET_BYTES = 1460
+PROBE_S = 0.01
+TIME_LIMIT_S = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """Targets by region, their links in Mbit/s, and a copy."""
+
+    name: str
+    targets: Mapping[str, int]
+    link_mbps: float
+    region_mbps: float
+    origin_mbps: float
+    chunk_count: int
+    chunk_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """Times in seconds; waits are those of prompts at targets that lack chunks."""
+
+    name: str
+    bound_s: float
+    """A copy over one target's link."""
+    first_s: float
+    last_s: float
+    mean_wait_s: float
+    worst_wait_s: float
+
+    @property
+    def over_bound(self) -> float:
+        """Return how many times the bound passed until all targets were whole."""
+        return self.last_s / self.bound_s
+
+
+CASES = (
+    Case(
+        "large chunks",
+        {"centro": 6, "occidente": 5, "oriente": 4},
+        link_mbps=4.7,
+        region_mbps=13.0,
+        origin_mbps=15.0,
+        chunk_count=48,
+        chunk_bytes=49_152,
+    ),
+    Case(
+        "small chunks",
+        {"centro": 2, "occidente": 4, "oriente": 4},
+        link_mbps=3.65,
+        region_mbps=10.0,
+        origin_mbps=7.3,
+        chunk_count=96,
+        chunk_bytes=24_576,
+    ),
+)
+
+
+def create_fleet(case: Case) -> Fleet:
+    """Return the agents of a case, and their links."""
+    limits = _create_limits(case, case.link_mbps)
+    peers = [
+        WeightPeer(f"{region}-{i}", region, f"{region}-a")
+        for region, count in case.targets.items()
+        for i in range(count)
+    ]
+    rates = LinkRates(
+        machine=case.link_mbps * BYTES_PER_S,
+        region=case.region_mbps * BYTES_PER_S,
+        origin=case.origin_mbps * BYTES_PER_S,
+    )
+    return Fleet(
+        peers,
+        rates,
+        PACKET_BYTES,
+        lambda peer: SwarmDistribution(peer, limits, random.Random(peer.name)),
+        origin_region=REGIONS[0],
+    )
+
+
+def _create_limits(case: Case, link_mbps: float) -> SwarmLimits:
+    settings = SiteSettings(
+        name="agent-0",
+        role=Role.ENTRY,
+        host="10.1.0.1",
+        zone="centro-a",
+        region=REGIONS[0],
+        zones={"centro-a": REGIONS[0]},
+        store="10.200.0.1:8007",
+        listen={"callers": "10.1.0.1:1", "peers_port": 2, "metrics_port": 3},
+        link_mbps=link_mbps,
+        region_link_mbps=case.region_mbps,
+    )
+    return create_swarm_limits(settings)
+
+
+def play(case: Case) -> Outcome:
+    """Bring a version to every target, and return what prompts would have waited."""
+    fleet = create_fleet(case)
+    manifest, fleet.objects = make_weights(case.chunk_count, case.chunk_bytes)
+    fleet.set_views(MODEL)
+    for agent in fleet.live:
+        agent.want(manifest)
+    targets = list(fleet.live)
+    waits: list[float] = []
+
+    def probe() -> None:
+        waits.extend(agent.down.wait_s() for agent in targets if agent.missing)
+        fleet.events.at(fleet.events.now_s + PROBE_S, probe)
+
+    probe()
+    if not fleet.events.run(fleet.is_finished, TIME_LIMIT_S):
+        raise RuntimeError(f"{case.name}: not every target has the version")
+    times = [agent.finished_s or 0.0 for agent in targets]
+    return Outcome(
+        case.name,
+        manifest.size_bytes / (case.link_mbps * BYTES_PER_S),
+        min(times),
+        max(times),
+        sum(waits) / len(waits),
+        max(waits),
+    )
+
+
+def main() -> None:
+    """Play every case."""
+    outcomes = [play(case) for case in CASES]
+    for outcome in outcomes:
+        print(
+            f"{outcome.name:16} all whole {outcome.last_s:.2f} s, "
+            f"{outcome.over_bound:.2f} of the bound; a prompt waits "
+            f"{outcome.mean_wait_s * 1000:.0f} ms, "
+            f"{outcome.worst_wait_s * 1000:.0f} at worst"
+        )
+    print(json.dumps([asdict(outcome) for outcome in outcomes]))
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/paced_links.py
+++ b/bench/paced_links.py
@@ -53,6 +53,10 @@
         self._free_s = 0.0
         self.sent_bytes = 0
 
+    def wait_s(self) -> float:
+        """Return how long a message would wait that came now."""
+        return max(0.0, self._free_s - self._events.now_s)
+
     def send(self, size_bytes: int, delay_s: float, call: Callable[[], None]) -> None:
         """Call once the message has gone over the link."""
         start_s = max(self._events.now_s, self._free_s)
--- a/reedspar/weights/assembly.py
+++ b/reedspar/weights/assembly.py
@@ -20,11 +20,21 @@
         self._size_bytes = size_bytes
         self._data = bytearray()
 
+    @property
+    def digest(self) -> str:
+        """Return the digest of the whole."""
+        return self._digest
+
     @property
     def received_bytes(self) -> int:
         """Return how much has arrived."""
         return len(self._data)
 
+    @property
+    def size_bytes(self) -> int | None:
+        """Return the size of the whole, None until it is known."""
+        return self._size_bytes
+
     def add(self, piece: ChunkPiece, peer: str) -> bytes | Failure | None:
         """Take the next piece; return the checked object once it is whole.
 
--- a/reedspar/weights/fetches.py
+++ b/reedspar/weights/fetches.py
@@ -38,10 +38,23 @@
     assembly: Assembly
     progress_s: float
     timeout_s: float
+    granted_bytes: int
+    """How far the peer may go on; at the origin, everything."""
     region: str
     """Empty within the own region; `ORIGIN` for the origin."""
     is_overtaken: bool = False
 
+    @property
+    def has_begun(self) -> bool:
+        """Tell whether a part of the object has arrived."""
+        return self.assembly.received_bytes > 0
+
+    @property
+    def expected_bytes(self) -> int:
+        """Return what the peer may send and has not arrived."""
+        size_bytes = self.assembly.size_bytes or self.granted_bytes
+        return min(self.granted_bytes, size_bytes) - self.assembly.received_bytes
+
 
 @dataclass(slots=True)
 class Fetch:
@@ -118,8 +131,13 @@
     """Every object that is being got."""
 
     def __init__(
-        self, memory: ChunkMemory, peers: PeerBook, actions: list[Action]
+        self,
+        memory: ChunkMemory,
+        peers: PeerBook,
+        actions: list[Action],
+        piece_bytes: int,
     ) -> None:
+        self._piece_bytes = piece_bytes
         self._memory = memory
         self._peers = peers
         self._actions = actions
@@ -183,6 +201,7 @@
             Assembly(fetch.digest, fetch.size_bytes),
             now_s,
             timeout_s,
+            size_bytes if peer == ORIGIN else self._piece_bytes,
             region,
         )
         fetch.requests.append(request)
@@ -190,7 +209,9 @@
         if peer == ORIGIN:
             self._actions.append(ReadOrigin(fetch.digest))
         else:
-            message = ChunkRequest(fetch.digest, request.request_id, may_draw)
+            message = ChunkRequest(
+                fetch.digest, request.request_id, may_draw, request.granted_bytes
+            )
             self._actions.append(SendMessage(peer, message))
         return True
 
--- a/reedspar/weights/limits.py
+++ b/reedspar/weights/limits.py
@@ -20,36 +20,29 @@
 Answers leave a target over the same link.  Behind a whole chunk of 24 KB they
 would wait 54 ms at 3.65 Mbit/s, and several chunks would make each event late."""
 PIECE_MIN_BYTES = 4096
-IN_FLIGHT_S = 0.3
-"""Chunks asked of neighbours may keep the machine's link busy for so long.
-
-What is asked for beyond that only queues before the link.  Prompts for the target
-wait there, too, and reads of the origin take a round trip more of it: with six
-chunks of 24 KB in flight at 3.65 Mbit/s, first answers came 0.2 s later and the
-origin's link was half idle."""
-WINDOW_MIN = 2
-WINDOW_MAX = 6
+WINDOW = 5
+"""Chunks asked of neighbours at a time: so many senders are ready to go on when the
+machine's link has room.  What is under way is bounded in bytes, by grants."""
+FAR_WINDOW = 3
 ORIGIN_WINDOW = 3
 """Chunks that an agent reads at the origin at a time.
 
 The first copy is to leave the origin at the full rate of its link: it may go away,
 and what the fleet has then is all that it can go on with."""
-ORIGIN_WINDOW_OF_MANY = 2
+ORIGIN_WINDOW_OF_MANY = 1
 """The same where agents of all regions draw.
 
-A read shares its agent's link with what comes from other agents, chunk by chunk.  With
-one read at a time 25 chunks a second left an origin that can send 37, with two or three
-35.  All that are open are lost when the origin goes away: no more than needed."""
+Eight agents that read one chunk each fill the origin's link, and the first chunks are
+whole, and handed on, in half the time of sixteen.  All that are open are lost when the
+origin goes away."""
 FAR_PATIENCE_S = 0.5
 """How long a request of another region waits, where agents of all regions draw.
 
 The asker can turn to another region then.  In simulation, with the origin away for
 6 s and an agent gone, all were whole 0.3 s sooner than with waits of 3 s.
 """
-FAR_WINDOW_MIN = 2
-FAR_WINDOW_MAX = 4
-USUAL_CHUNK_BYTES = 24 * 1024
-DOWNLOAD_BURST_PIECES = 12
+UNDER_WAY_PIECES = 8
+"""Two at each of four senders: one on its way, one that waits for the sender's link."""
 SLOT_SHARE = 0.25
 """Share of a machine's link that one slot of a narrow link takes at most."""
 
@@ -67,14 +60,12 @@
     draws_everywhere: bool = False
     """Agents of all regions draw from the origin."""
     origin_slots: int = SLOTS_MAX
-    window: int = 6
+    window: int = WINDOW
     requests_per_peer: int = 2
     """So that the next one is there when a chunk has gone out.  With one, uplinks stood
     idle for a third of the time while the answer was on its way."""
     origin_window: int = 2
-    far_window: int = 4
-    window_while_drawing: int = 6
-    """Window while the agent draws over a narrow link: that fills its own, too."""
+    far_window: int = FAR_WINDOW
     stall_s: float = 0.6
     seek_s: float = 1.0
     map_wait_s: float = 0.25
@@ -85,16 +76,16 @@
 
     Those that wait take up what their sender may ask of this agent.  While the origin
     was away all of it was taken for 6 s: chunks that came could not be asked for."""
-    near_queue: int = 4
+    near_queue: int = 5
     """Requests of the own region that wait for the link; more go elsewhere."""
     same_chunk: int = 2
     """Requests for one chunk that wait at a time: the first receivers hand it on."""
     piece_bytes: int = PIECE_SIZE_BYTES
 
     @property
-    def download_burst_bytes(self) -> int:
-        """Return how far requests may run ahead of the machine's link."""
-        return DOWNLOAD_BURST_PIECES * self.piece_bytes
+    def under_way_bytes(self) -> int:
+        """Return what peers together may have under way to this agent."""
+        return UNDER_WAY_PIECES * self.piece_bytes
 
     @property
     def slowest_bytes_per_s(self) -> float:
@@ -148,7 +139,6 @@
 def create_swarm_limits(settings: AgentSettings) -> SwarmLimits:
     """Return the limits that the settings ask for."""
     machine_bytes_per_s = settings.links.machine_bytes_per_s
-    window = _choose_window(machine_bytes_per_s)
     piece_bytes = max(PIECE_MIN_BYTES, round(machine_bytes_per_s * PIECE_TIME_S))
     return SwarmLimits(
         origin_region=settings.weights.origin_region or settings.region,
@@ -159,10 +149,7 @@
         request_timeout_s=settings.weights.request_timeout_s,
         draws_everywhere=settings.weights.draws_everywhere,
         piece_bytes=min(PIECE_SIZE_BYTES, piece_bytes),
-        window=window,
-        window_while_drawing=max(1, window // 2),
         origin_window=_choose_origin_window(settings),
-        far_window=max(FAR_WINDOW_MIN, min(FAR_WINDOW_MAX, window // 2)),
     )
 
 
@@ -171,9 +158,3 @@
     if settings.weights.draws_everywhere:
         return ORIGIN_WINDOW_OF_MANY
     return ORIGIN_WINDOW
-
-
-def _choose_window(machine_bytes_per_s: float) -> int:
-    """Return how many chunks may be asked of neighbours at a time."""
-    count = machine_bytes_per_s * IN_FLIGHT_S / USUAL_CHUNK_BYTES
-    return round(min(max(count, WINDOW_MIN), WINDOW_MAX))
--- a/reedspar/weights/messages.py
+++ b/reedspar/weights/messages.py
@@ -9,6 +9,7 @@
     "DISTRIBUTION_MESSAGES",
     "PIECE_SIZE_BYTES",
     "ChunkCancel",
+    "ChunkGrant",
     "ChunkPiece",
     "ChunkRefused",
     "ChunkRequest",
@@ -49,12 +50,23 @@
     """Asks for an object (a chunk or a manifest) by its digest.
 
     `may_draw` asks a receiver that lacks the object to get it, and to answer
-    then; without it the receiver refuses at once.
+    then; without it the receiver refuses at once.  `granted_bytes` may be sent
+    at once, the rest as `ChunkGrant` allows.
     """
 
     digest: str
     request_id: int
     may_draw: bool = False
+    granted_bytes: int = PIECE_SIZE_BYTES
+
+
+@dataclass(frozen=True, slots=True)
+class ChunkGrant:
+    """Lets the sender of an object go on to its first `granted_bytes` in all."""
+
+    digest: str
+    request_id: int
+    granted_bytes: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,6 +134,7 @@
 
 WeightMessage = (
     ChunkRequest
+    | ChunkGrant
     | ChunkPiece
     | ChunkRefused
     | ChunkCancel
@@ -132,6 +145,7 @@
 
 DISTRIBUTION_MESSAGES = (
     ChunkRequest,
+    ChunkGrant,
     ChunkPiece,
     ChunkRefused,
     ChunkCancel,
@@ -147,6 +161,7 @@
     registry.add_all(
         schema,
         ChunkRequest,
+        ChunkGrant,
         ChunkPiece,
         ChunkRefused,
         ChunkCancel,
--- a/reedspar/weights/pulling.py
+++ b/reedspar/weights/pulling.py
@@ -3,8 +3,6 @@
 import random
 from collections.abc import Iterable
 
-from reedspar.utils import TokenBucket
-
 from .fetches import ORIGIN, Fetch, FetchBook, PeerBook, Request
 from .limits import SwarmLimits
 from .selection import pick_pull
@@ -36,27 +34,17 @@
         self._peers = peers
         self._rng = rng
         self._drawn_s = float("-inf")
-        self._downloads = TokenBucket(
-            limits.machine_bytes_per_s, limits.download_burst_bytes
-        )
-
-    def give_back(self, size_bytes: int) -> None:
-        """Take back a request that was refused."""
-        self._downloads.give_back(size_bytes)
 
-    def note_drawn(self, size_bytes: int, now_s: float) -> None:
-        """Count what came over a narrow link: it came over the machine's link, too."""
-        self._downloads.take(size_bytes, now_s)
+    def note_drawn(self, now_s: float) -> None:
+        """Note that a chunk came over a narrow link."""
         self._drawn_s = now_s
 
     def pull(self, transfer: Transfer, now_s: float) -> None:
-        """Ask neighbours for as much as the window and the link allow."""
+        """Ask neighbours for as much as the window allows."""
         limits = self._limits
         limit = limits.limit(transfer, now_s)
         window = self._window(transfer, now_s)
         while self._fetches.near_open < window:
-            if not self._downloads.is_ready(now_s):
-                return
             choice = pick_pull(
                 transfer,
                 lambda digest: not self._fetches.is_blocked(digest, now_s),
@@ -73,16 +61,14 @@
     def _window(self, transfer: Transfer, now_s: float) -> int:
         """Return how many chunks may be asked of neighbours at a time.
 
-        While draws get on, they come first: the origin may go away, and neighbours
-        can exchange what the region has without it.  With two agents at a link of
-        3.65 Mbit/s, 0.88 of a copy instead of 0.81 has left the origin after 2.45 s,
-        in simulation; the whole distribution takes as long as before.
+        Where few agents draw, their draws come first while they get on: the origin may
+        go away, and neighbours can exchange what the region has without it.
         """
         limits = self._limits
+        if limits.draws_everywhere or not self._fetches.far_open(ORIGIN):
+            return limits.window
         if not transfer.draws or now_s - self._drawn_s > SILENT_S:
             return limits.window
-        if limits.draws_everywhere or not self._fetches.far_open(ORIGIN):
-            return limits.window_while_drawing
         drawn = min(1.0, ORIGIN_LINKS * transfer.draw_share)
         return round(limits.window * (1 - drawn))
 
@@ -99,10 +85,7 @@
         size_bytes = transfer.sizes[digest]
         fetch = self._fetches.ensure(digest, size_bytes)
         timeout_s = self._limits.request_timeout_s
-        if not self._fetches.ask(fetch, peer, now_s, timeout_s):
-            return False
-        self._downloads.take(size_bytes, now_s)
-        return True
+        return self._fetches.ask(fetch, peer, now_s, timeout_s)
 
     def overtake(
         self,
--- a/reedspar/weights/serving.py
+++ b/reedspar/weights/serving.py
@@ -5,7 +5,13 @@
 from .distribution import Action, SendMessage
 from .limits import SwarmLimits
 from .memory import ChunkMemory
-from .messages import ChunkPiece, ChunkRefused, ChunkRequest, RefusalCause
+from .messages import (
+    ChunkGrant,
+    ChunkPiece,
+    ChunkRefused,
+    ChunkRequest,
+    RefusalCause,
+)
 from .uploads import UploadQueue, WaitingRequests
 
 __all__ = ["ChunkServer"]
@@ -39,12 +45,10 @@
         """Take a request; True if it waits for an object that is to be got."""
         digest = request.digest
         if digest in self._memory:
-            self._queue(peer, request.request_id, digest, region)
+            self._queue(peer, request, region)
         elif not request.may_draw:
             self._refuse(peer, request.request_id, digest)
-        elif self._waiting.add(
-            peer, request.request_id, digest, now_s + self._patience_s(region)
-        ):
+        elif self._waiting.add(peer, request, now_s + self._patience_s(region)):
             return True
         else:
             self._refuse(peer, request.request_id, digest, RefusalCause.BUSY)
@@ -57,8 +61,12 @@
 
     def note_held(self, digest: str, region_of: Callable[[str], str]) -> None:
         """Serve the requests that have waited for an object."""
-        for peer, request_id in self._waiting.take(digest):
-            self._queue(peer, request_id, digest, region_of(peer))
+        for peer, request in self._waiting.take(digest):
+            self._queue(peer, request, region_of(peer))
+
+    def grant(self, peer: str, message: ChunkGrant) -> None:
+        """Go on with an object as far as its receiver has room."""
+        self._uploads.grant(peer, message.request_id, message.granted_bytes)
 
     def cancel(self, peer: str, request_id: int) -> None:
         """Drop a request."""
@@ -90,9 +98,11 @@
         """Return when the next piece may go, or None if there is none to send."""
         return self._uploads.due_s(now_s)
 
-    def _queue(self, peer: str, request_id: int, digest: str, region: str) -> None:
+    def _queue(self, peer: str, request: ChunkRequest, region: str) -> None:
         far_region = region if region != self._region else ""
-        if not self._uploads.add(peer, request_id, digest, far_region):
+        request_id, digest = request.request_id, request.digest
+        granted_bytes = request.granted_bytes
+        if not self._uploads.add(peer, request_id, digest, far_region, granted_bytes):
             self._refuse(peer, request_id, digest, RefusalCause.BUSY)
 
     def _refuse(
--- a/reedspar/weights/swarm.py
+++ b/reedspar/weights/swarm.py
@@ -17,11 +17,13 @@
 from .distribution import Action, ObjectReady, WeightPeer
 from .drawing import Drawing
 from .fetches import ORIGIN, Fetch, FetchBook, PeerBook, Request
+from .inbound import InboundCredit
 from .limits import SwarmLimits
 from .manifest import Manifest
 from .memory import ChunkMemory
 from .messages import (
     ChunkCancel,
+    ChunkGrant,
     ChunkPiece,
     ChunkRefused,
     ChunkRequest,
@@ -54,7 +56,10 @@
             limits.memory_bytes, self._rank_victim, self._note_evicted
         )
         self._peers = PeerBook()
-        self._fetches = FetchBook(self._memory, self._peers, self._actions)
+        self._fetches = FetchBook(
+            self._memory, self._peers, self._actions, limits.piece_bytes
+        )
+        self._credit = InboundCredit(limits, self._fetches, self._actions)
         self._server = ChunkServer(me.region, self._memory, limits, self._actions)
         self._pulling = Pulling(limits, self._fetches, self._peers, rng)
         self._placements: dict[str, Placement] = {}
@@ -151,6 +156,8 @@
             self._take_piece(peer, message, now_s)
         elif isinstance(message, ChunkRequest):
             self._serve(peer, message, now_s)
+        elif isinstance(message, ChunkGrant):
+            self._server.grant(peer, message)
         elif isinstance(message, ChunkRefused):
             self._take_refusal(peer, message, now_s)
         elif isinstance(message, ChunkCancel):
@@ -220,6 +227,9 @@
         """Act on whatever has become due."""
         self._server.expire(now_s)
         for fetch, request in self._fetches.iterate():
+            if request.has_begun and request.expected_bytes <= 0:
+                # It waits for this agent's grant, not for its peer.
+                request.progress_s = now_s
             waited_s = now_s - request.progress_s
             if waited_s >= request.timeout_s:
                 self._peers.note_stalled(request.peer, now_s)
@@ -237,6 +247,9 @@
         upload_s = self._server.due_s(now_s)
         if upload_s is not None:
             times.append(upload_s)
+        grant_s = self._credit.due_s(now_s)
+        if grant_s is not None:
+            times.append(grant_s)
         for announcer in self._announcers.values():
             flush_s = announcer.due_s()
             if flush_s is not None:
@@ -260,6 +273,7 @@
             self._pulling.pull(transfer, now_s)
             self._drawing.seek(transfer, placement, now_s)
         self._drawing.do_duties(self._placements, now_s)
+        self._credit.grant(now_s)
         self._server.send_pieces(now_s)
         for announcer in self._announcers.values():
             announcer.flush(now_s)
@@ -270,6 +284,8 @@
         if request is None or fetch is None:
             self.wasted_bytes += len(piece.data)
             return
+        if not request.has_begun:
+            self._credit.note_arrived(len(piece.data), now_s)
         request.progress_s = now_s
         result = request.assembly.add(piece, peer)
         if isinstance(result, Failure):
@@ -287,7 +303,6 @@
         self._fetches.close(fetch, request, is_cancelled=False)
         if message.cause is RefusalCause.BUSY:
             self._peers.note_busy(peer, now_s + self._limits.busy_s)
-            self._pulling.give_back(request.size_bytes)
         elif message.cause is RefusalCause.LEAVING:
             self._peers.note_busy(peer, now_s + self._limits.request_timeout_s)
         else:
@@ -304,7 +319,9 @@
     def _finish(self, digest: str, data: bytes, request: Request, now_s: float) -> None:
         self._fetches.finish(digest, request)
         if request.region:
-            self._pulling.note_drawn(len(data), now_s)
+            self._pulling.note_drawn(now_s)
+        if request.region == ORIGIN:
+            self._credit.note_arrived(len(data), now_s)
         self._take_object(digest, data, now_s)
 
     def _take_object(self, digest: str, data: bytes, now_s: float) -> None:
--- a/reedspar/weights/weights.capnp
+++ b/reedspar/weights/weights.capnp
@@ -5,6 +5,13 @@
   digest @0 :Text;
   requestId @1 :UInt64;
   mayDraw @2 :Bool;
+  grantedBytes @3 :UInt32;
+}
+
+struct ChunkGrant {
+  digest @0 :Text;
+  requestId @1 :UInt64;
+  grantedBytes @2 :UInt32;
 }
 
 struct ChunkPiece {
