--- a/bench/hashed.py
+++ b/bench/hashed.py
@@ -128,6 +128,9 @@
     def note_unsent(self, peer: str, message: WeightMessage, now_s: float) -> None:
         """Do nothing: the deadline covers it."""
 
+    def note_link_lost(self, peer: str, now_s: float) -> None:
+        """Do nothing: the view tells of it later."""
+
     def lapse(self, now_s: float) -> None:
         """Ask again for whatever is open: answers may have been missed."""
         for want in self._wants.values():
--- a/bench/inbound_queues.py
+++ b/bench/inbound_queues.py
@@ -10,7 +10,7 @@
 import json
 import random
 from collections.abc import Mapping
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, field, replace
 
 from reedspar.links.messages import Role
 from reedspar.settings import SiteSettings
@@ -21,7 +21,7 @@
 from .paced_links import LinkRates
 from .weight_agents import Fleet, make_weights
 
-__all__ = ["CASES", "Case", "Outcome", "play"]
+__all__ = ["CACHED_CASES", "CASES", "Case", "Outcome", "play"]
 
 MODEL = "quotes"
 REGIONS = ("centro", "occidente", "oriente")
@@ -43,6 +43,9 @@
     origin_mbps: float
     chunk_count: int
     chunk_bytes: int
+    caches: Mapping[str, int] = field(default_factory=dict)
+    """Entries by region that hold copies for the targets."""
+    cache_mbps: float = 1000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,12 +86,38 @@
         chunk_bytes=24_576,
     ),
 )
+CACHED_CASES = (
+    replace(
+        CASES[0],
+        name="large chunks, caches",
+        caches={"centro": 1, "occidente": 3, "oriente": 2},
+    ),
+    replace(
+        CASES[1],
+        name="small chunks, caches",
+        caches={"centro": 2, "occidente": 4, "oriente": 3},
+    ),
+    replace(
+        CASES[0],
+        name="many, narrow caches",
+        targets={"centro": 10, "occidente": 10, "oriente": 10},
+        caches={"centro": 4, "occidente": 4, "oriente": 4},
+        region_mbps=16.0,
+        cache_mbps=20.0,
+    ),
+)
 
 
 def create_fleet(case: Case) -> Fleet:
     """Return the agents of a case, and their links."""
     limits = _create_limits(case, case.link_mbps)
-    peers = [
+    cache_limits = _create_limits(case, case.cache_mbps)
+    caches = [
+        WeightPeer(f"{region}-cache-{i}", region, f"{region}-a", is_cache=True)
+        for region, count in case.caches.items()
+        for i in range(count)
+    ]
+    targets = [
         WeightPeer(f"{region}-{i}", region, f"{region}-a")
         for region, count in case.targets.items()
         for i in range(count)
@@ -98,13 +127,18 @@
         region=case.region_mbps * BYTES_PER_S,
         origin=case.origin_mbps * BYTES_PER_S,
     )
-    return Fleet(
-        peers,
-        rates,
-        PACKET_BYTES,
-        lambda peer: SwarmDistribution(peer, limits, random.Random(peer.name)),
-        origin_region=REGIONS[0],
+
+    def create(peer: WeightPeer) -> SwarmDistribution:
+        own = cache_limits if peer.is_cache else limits
+        return SwarmDistribution(peer, own, random.Random(peer.name))
+
+    fleet = Fleet(
+        [*caches, *targets], rates, PACKET_BYTES, create, origin_region=REGIONS[0]
     )
+    for agent in fleet.live:
+        if agent.peer.is_cache:
+            agent.set_link(case.cache_mbps * BYTES_PER_S)
+    return fleet
 
 
 def _create_limits(case: Case, link_mbps: float) -> SwarmLimits:
@@ -123,14 +157,23 @@
     return create_swarm_limits(settings)
 
 
-def play(case: Case) -> Outcome:
-    """Bring a version to every target, and return what prompts would have waited."""
+def play(case: Case, lost_cache: str = "", lost_s: float = 0.0) -> Outcome:
+    """Bring a version to every target, and return what prompts would have waited.
+
+    `lost_cache` is killed at `lost_s`.
+    """
     fleet = create_fleet(case)
     manifest, fleet.objects = make_weights(case.chunk_count, case.chunk_bytes)
     fleet.set_views(MODEL)
     for agent in fleet.live:
-        agent.want(manifest)
-    targets = list(fleet.live)
+        if agent.peer.is_cache:
+            agent.decide.know_version(manifest, 0.0)
+        else:
+            agent.want(manifest)
+    targets = [agent for agent in fleet.live if not agent.peer.is_cache]
+    if lost_cache:
+        lost = fleet.agents[lost_cache]
+        fleet.events.at(lost_s, lambda: fleet.kill([lost], MODEL))
     waits: list[float] = []
 
     def probe() -> None:
@@ -153,10 +196,10 @@
 
 def main() -> None:
     """Play every case."""
-    outcomes = [play(case) for case in CASES]
+    outcomes = [play(case) for case in (*CASES, *CACHED_CASES)]
     for outcome in outcomes:
         print(
-            f"{outcome.name:16} all whole {outcome.last_s:.2f} s, "
+            f"{outcome.name:20} all whole {outcome.last_s:.2f} s, "
             f"{outcome.over_bound:.2f} of the bound; a prompt waits "
             f"{outcome.mean_wait_s * 1000:.0f} ms, "
             f"{outcome.worst_wait_s * 1000:.0f} at worst"
--- a/bench/origin_only.py
+++ b/bench/origin_only.py
@@ -63,6 +63,9 @@
     def note_unsent(self, peer: str, message: WeightMessage, now_s: float) -> None:
         """Do nothing: the deadline covers it."""
 
+    def note_link_lost(self, peer: str, now_s: float) -> None:
+        """Do nothing: the view tells of it later."""
+
     def lapse(self, now_s: float) -> None:
         """Do nothing."""
 
--- a/bench/weight_agents.py
+++ b/bench/weight_agents.py
@@ -42,6 +42,11 @@
         self.control_bytes = 0
         self._next_tick_s = -1.0
 
+    def set_link(self, bytes_per_s: float) -> None:
+        """Give this agent's machine a link of its own rate."""
+        self.up = QueueLink(self.fleet.events, bytes_per_s)
+        self.down = QueueLink(self.fleet.events, bytes_per_s)
+
     def want(self, manifest: Manifest) -> None:
         """Start to get a version."""
         self.missing = set(manifest.chunk_digests)
@@ -172,6 +177,10 @@
         """Kill agents; the others' views learn of it later."""
         for agent in agents:
             agent.is_dead = True
+        for other in self.live:
+            for agent in agents:
+                other.decide.note_link_lost(agent.peer.name, self.events.now_s)
+            other.pump()
         lag_s = self.events.now_s + VIEW_LAG_S
         self.events.at(lag_s, lambda: self.set_views(model))
 
--- a/reedspar/daemon/site_agent.py
+++ b/reedspar/daemon/site_agent.py
@@ -12,27 +12,25 @@
 
 from reedspar.errors import Failure
 from reedspar.fleet import FleetView
-from reedspar.platform import ModelEngine, WeightSource
+from reedspar.platform import ModelEngine
 from reedspar.settings import SiteSettings
 from reedspar.timers import TimerService
 from reedspar.weights import (
+    CacheOrigin,
     LocalFencing,
-    ManifestReader,
     StagedReader,
     VersionCatalog,
     WeightController,
-    WeightPeer,
     create_weight_controller,
 )
 
 from .load_news import LoadNews
 from .serving import PortDispatcher, serve_http
 from .site_parts import SiteBase, SiteParts, create_site_base
+from .site_weights import SitePeers, find_origin_region, list_named, wait_routes
 
 __all__ = ["AgentBorders", "SiteAgent", "create_site_agent"]
 
-FIRST_VERSION = 1
-"""What targets serve before any version was named."""
 POLL_S = 0.2
 """Between two reads of the engine's state; on its own machine they cost nothing but
 two milliseconds of the processor.  Entries hear of the load as often."""
@@ -49,15 +47,11 @@
     """An engine that also tells what lies staged beside it."""
 
 
-class SiteOrigin(WeightSource, ManifestReader, Protocol):
-    """An origin that also reads manifests by version."""
-
-
 @dataclass(frozen=True, slots=True)
 class AgentBorders:
     """What the site's wire brings for an agent."""
 
-    create_origin: Callable[[FleetView], SiteOrigin]
+    create_origin: Callable[[FleetView], CacheOrigin]
     create_engine: Callable[[VersionCatalog], SiteEngine]
     metrics: ASGIApp
 
@@ -73,24 +67,6 @@
         """Do nothing: the engine takes new work again by itself."""
 
 
-class _PeerAgents:
-    """The other agents of this pool (see `PeerView`)."""
-
-    def __init__(self, view: FleetView, settings: SiteSettings) -> None:
-        self._view = view
-        self._settings = settings
-
-    def agents_of(self, model: str) -> tuple[WeightPeer, ...]:
-        """Return the live agents whose targets serve a model."""
-        routes = self._view.routes
-        pools = routes.pools_of(model) if routes is not None else ()
-        return tuple(
-            WeightPeer(record.name, record.region, record.zone, record.pool)
-            for record in self._view.daemons(self._settings.role.value)
-            if record.pool in pools and record.name != self._settings.name
-        )
-
-
 @dataclass
 class SiteAgent:
     """The parts of a running agent."""
@@ -127,8 +103,9 @@
 
     async def _start_weights(self) -> None:
         self.tasks.start_soon(self._register)
-        await self._wait_for_routes()
-        controller = self.create_weights(self._with_origin_region())
+        await wait_routes(self.base)
+        settings = find_origin_region(self.base.view, self.settings)
+        controller = self.create_weights(settings)
         self._weights = controller
         self.catalog.follow(
             controller.hold_object, controller.left_s, controller.prefetch
@@ -143,35 +120,10 @@
         await self.base.feed.wait_seeded()
         await self.base.registration.run()
 
-    async def _wait_for_routes(self) -> None:
-        """Return once the configuration is known: it says where the origin is."""
-        await self.base.feed.wait_seeded()
-        known = anyio.Event()
-        self.base.view.on_change(lambda change: known.set())
-        while self.base.view.routes is None:
-            await known.wait()
-            known = anyio.Event()
-
-    def _with_origin_region(self) -> SiteSettings:
-        """Return the settings with the region of the origin that is configured."""
-        terms = (
-            self.base.view.routes.origin if self.base.view.routes is not None else None
-        )
-        if terms is None or terms.origin is None:
-            return self.settings
-        region = self.settings.zones.get(terms.origin.zone, "")
-        changed = self.settings.weights.model_copy(update={"origin_region": region})
-        return self.settings.model_copy(update={"weights": changed})
-
     def _name_versions(self) -> None:
         """Take the versions that this agent's engine is to serve."""
-        routes = self.base.view.routes
-        terms = routes.services.get(self.settings.pool) if routes else None
-        if terms is None or terms.engine is None:
-            return
-        for model in terms.engine.models:
-            named = self.base.view.version_of(model)
-            self.catalog.name(model, named.version if named else FIRST_VERSION)
+        for named in list_named(self.base.view, self.settings.pool):
+            self.catalog.name(named.model, named.version)
 
     async def _poll_engine(self, controller: WeightController) -> None:
         address = self.settings.target_address
@@ -232,7 +184,7 @@
             tasks=tasks,
             origin=origin,
             engine=engine,
-            peers=_PeerAgents(view, own),
+            peers=SitePeers(view, own),
             configuration=catalog,
             fencing=LocalFencing(),
             gate=_EngineDrains(),
--- a/reedspar/daemon/site_entry.py
+++ b/reedspar/daemon/site_entry.py
@@ -25,9 +25,11 @@
 from reedspar.settings import SiteSettings
 from reedspar.telemetry import Metrics
 from reedspar.timers import TimerService
+from reedspar.weights import CacheOrigin, WeightCache, create_weight_cache
 
 from .serving import PortDispatcher, serve_http
 from .site_parts import SiteBase, SiteParts, create_site_base
+from .site_weights import SitePeers, find_origin_region, list_named, wait_routes
 
 __all__ = ["EntryBorders", "SiteEntry", "create_site_entry"]
 
@@ -50,6 +52,7 @@
     border: CallerBorder
     create_dialer: Callable[[FleetView], TargetDialer]
     create_directory: Callable[["SiteEntry"], ASGIApp]
+    create_origin: Callable[[FleetView], CacheOrigin]
     metrics_app: ASGIApp
     metrics: Metrics
 
@@ -61,6 +64,7 @@
     settings: SiteSettings
     base: SiteBase
     service: DirectService
+    create_cache: Callable[[SiteSettings], WeightCache]
     timers: TimerService
     tasks: TaskGroup
     is_leaving: bool = False
@@ -93,6 +97,7 @@
         self.tasks.start_soon(self.base.feed.run)
         self.tasks.start_soon(self._serve, application)
         self.tasks.start_soon(self._register)
+        self.tasks.start_soon(self._cache_weights)
         await stop.wait()
         await self._leave()
 
@@ -102,6 +107,20 @@
         _logger.info("ready", extra={"targets": self.base.view.target_count()})
         await self.base.registration.run()
 
+    async def _cache_weights(self) -> None:
+        await wait_routes(self.base)
+        view = self.base.view
+        cache = self.create_cache(find_origin_region(view, self.settings))
+        cache.start()
+
+        def name_versions() -> None:
+            for named in list_named(view):
+                cache.name(named.model, named.version)
+
+        view.on_change(lambda change: name_versions())
+        name_versions()
+        await cache.run()
+
     async def _serve(self, application: ASGIApp) -> None:
         idle_s = CallerLimits().idle_timeout_s
         await serve_http(
@@ -168,7 +187,20 @@
         first_filters=(RequestLog(view, timers, borders.metrics),),
     )
     create_load_listener(view, service.chooser, links.transport)
-    entry = SiteEntry(settings, base, service, timers, tasks)
+    origin = borders.create_origin(view)
+
+    def create_cache(own: SiteSettings) -> WeightCache:
+        return create_weight_cache(
+            own,
+            network=links.on_demand("weights"),
+            timers=timers,
+            tasks=tasks,
+            origin=origin,
+            peers=SitePeers(view, own),
+            rng=rng,
+        )
+
+    entry = SiteEntry(settings, base, service, create_cache, timers, tasks)
     directory = borders.create_directory(entry)
     by_port: dict[int, ASGIApp] = dict.fromkeys(_list_ports(settings), directory)
     by_port[listen.metrics_port] = borders.metrics_app
--- /dev/null
+++ b/reedspar/daemon/site_weights.py
@@ -0,0 +1,109 @@
+"""What both roles on a site need to take part in the distribution of weights."""
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import anyio
+
+from reedspar.fleet import DaemonRecord, FleetView
+from reedspar.links import Role
+from reedspar.settings import SiteSettings
+from reedspar.utils import rank_by_rendezvous
+from reedspar.weights import WeightPeer
+
+from .site_parts import SiteBase
+
+__all__ = ["NamedModel", "SitePeers", "find_origin_region", "list_named", "wait_routes"]
+
+CACHE_KEY = "weights cache"
+CACHES_PER_REGION = 4
+"""Entries that hold copies: two may restart, and more would mostly send each other."""
+FIRST_VERSION = 1
+"""What targets serve before any version was named."""
+
+
+@dataclass(frozen=True, slots=True)
+class NamedModel:
+    """A model, and the version that its targets are to serve."""
+
+    model: str
+    version: int
+
+
+class SitePeers:
+    """The other daemons that hold a model's weights (see `PeerView`)."""
+
+    def __init__(self, view: FleetView, settings: SiteSettings) -> None:
+        self._view = view
+        self._settings = settings
+
+    def agents_of(self, model: str) -> tuple[WeightPeer, ...]:
+        """Return the live agents whose targets serve a model, and the entries."""
+        routes = self._view.routes
+        pools = routes.pools_of(model) if routes is not None else ()
+        agents = [
+            record
+            for record in self._view.daemons(Role.AGENT.value)
+            if record.pool in pools
+        ]
+        return tuple(
+            _describe(record)
+            for record in (*agents, *self._list_caches())
+            if record.name != self._settings.name
+        )
+
+    def is_cache(self) -> bool:
+        """Tell whether this entry is to hold copies for the agents of its region."""
+        return any(r.name == self._settings.name for r in self._list_caches())
+
+    def _list_caches(self) -> Iterator[DaemonRecord]:
+        """Yield the entries that hold copies: the first few of each region."""
+        entries = {e.name: e for e in self._view.daemons(Role.ENTRY.value)}
+        counts: Counter[str] = Counter()
+        for name in rank_by_rendezvous(CACHE_KEY, entries):
+            entry = entries[name]
+            counts[entry.region] += 1
+            if counts[entry.region] <= CACHES_PER_REGION:
+                yield entry
+
+
+def _describe(record: DaemonRecord) -> WeightPeer:
+    return WeightPeer(
+        record.name,
+        record.region,
+        record.zone,
+        record.pool,
+        is_cache=record.role == Role.ENTRY.value,
+    )
+
+
+def list_named(view: FleetView, pool: str | None = None) -> Iterator[NamedModel]:
+    """Yield the models of a pool, or of all, with the versions to serve."""
+    routes = view.routes
+    for name, terms in routes.services.items() if routes is not None else ():
+        if terms.engine is None or pool not in (None, name):
+            continue
+        for model in terms.engine.models:
+            named = view.version_of(model)
+            yield NamedModel(model, named.version if named else FIRST_VERSION)
+
+
+async def wait_routes(base: SiteBase) -> None:
+    """Return once the configuration is known: it says where the origin is."""
+    await base.feed.wait_seeded()
+    known = anyio.Event()
+    base.view.on_change(lambda change: known.set())
+    while base.view.routes is None:
+        await known.wait()
+        known = anyio.Event()
+
+
+def find_origin_region(view: FleetView, settings: SiteSettings) -> SiteSettings:
+    """Return the settings with the region of the origin that is configured."""
+    terms = view.routes.origin if view.routes is not None else None
+    if terms is None or terms.origin is None:
+        return settings
+    region = settings.zones.get(terms.origin.zone, "")
+    changed = settings.weights.model_copy(update={"origin_region": region})
+    return settings.model_copy(update={"weights": changed})
--- a/reedspar/direct/loads.py
+++ b/reedspar/direct/loads.py
@@ -158,7 +158,7 @@
 
 
 def average_load(loads: Iterable[TargetLoad], now_s: float) -> UsualLoad:
-    """Return the average of the reports by their weight; what is unknown counts as 0."""
+    """Return the average of the reports, each by its weight."""
     others = waiting = 0.0
     weight = UNKNOWN_WEIGHT
     for load in loads:
--- a/reedspar/settings/site.py
+++ b/reedspar/settings/site.py
@@ -110,7 +110,7 @@
         10.0, gt=0, description="The link between two regions, all traffic, Mbit/s."
     )
     link_share: float = Field(
-        0.88,
+        0.9,
         gt=0,
         le=1,
         description="Part of a link that weights may take; the rest is for requests.",
--- a/reedspar/weights/__init__.py
+++ b/reedspar/weights/__init__.py
@@ -1,6 +1,7 @@
 """Weights: manifests, their distribution among agents, and activation in engines."""
 
 from .activation import SwitchGate
+from .cache import CacheOrigin, WeightCache, create_weight_cache
 from .catalog import KnownVersion, ManifestReader, VersionCatalog
 from .controller import WeightController, create_weight_controller
 from .distribution import WeightPeer
@@ -19,6 +20,7 @@
 
 __all__ = [
     "AgentSettings",
+    "CacheOrigin",
     "Chunk",
     "ConfigurationView",
     "FencingNumbers",
@@ -33,11 +35,13 @@
     "StagedReader",
     "SwitchGate",
     "VersionCatalog",
+    "WeightCache",
     "WeightController",
     "WeightPeer",
     "WeightSink",
     "build_manifest",
     "create_fencing_numbers",
+    "create_weight_cache",
     "create_weight_controller",
     "decode_manifest",
     "encode_manifest",
--- a/reedspar/weights/announcing.py
+++ b/reedspar/weights/announcing.py
@@ -1,36 +1,71 @@
 """Keeping few neighbours told of what an agent holds, in batches."""
 
-from collections.abc import Iterable
+from collections import OrderedDict
 
 from .distribution import Action, SendMessage
 from .messages import HaveMap, HaveUpdate
 from .neighbours import Neighbour, choose_neighbours, decode_map, encode_map
+from .placement import Placement
 from .transfers import Transfer
 
-__all__ = ["Announcer"]
+__all__ = ["Announcer", "EarlyMaps"]
 
 ASK_AGAIN_S = 1.0
 LINK_WAIT_S = 0.2
+EARLY_MAX = 64
+"""Maps kept of versions that this agent does not know yet."""
+
+
+class EarlyMaps:
+    """Maps of versions that this agent does not know yet.
+
+    A version is named to all at once, and some read its manifest sooner.  Dropped, the
+    map of one that asks would be sent again after a second, a fifth of a transfer.
+    """
+
+    def __init__(self) -> None:
+        self._maps: OrderedDict[tuple[str, str], HaveMap] = OrderedDict()
+
+    def keep(self, peer: str, message: HaveMap | HaveUpdate) -> None:
+        """Keep a peer's map until its version is known."""
+        if isinstance(message, HaveMap):
+            self._maps[message.root_digest, peer] = message
+            while len(self._maps) > EARLY_MAX:
+                self._maps.popitem(last=False)
+
+    def take(self, root_digest: str) -> list[tuple[str, HaveMap]]:
+        """Return and forget the maps of a version, by peer."""
+        found = [key for key in self._maps if key[0] == root_digest]
+        return [(peer, self._maps.pop((root, peer))) for root, peer in found]
 
 
 class Announcer:
     """Exchange maps of one version with its neighbours."""
 
-    def __init__(self, transfer: Transfer, me: str, actions: list[Action]) -> None:
+    def __init__(
+        self, transfer: Transfer, placement: Placement, actions: list[Action]
+    ) -> None:
         self._transfer = transfer
-        self._me = me
+        self._placement = placement
         self._actions = actions
 
-    def set_names(self, names: Iterable[str], now_s: float, *, is_asking: bool) -> None:
+    def join(self, now_s: float, *, is_asking: bool) -> None:
         """Take the live agents of the region, and ask the chosen ones for maps."""
         table = self._transfer.table
-        live = set(names)
+        placement = self._placement
+        live = set(placement.region_names)
         for name in list(table.neighbours):
             if name not in live:
                 table.remove(name)
         if not is_asking:
             return
-        for name in choose_neighbours(self._me, self._transfer.root_digest, live):
+        names = placement.region_names if placement.pulls else [placement.me]
+        for name in choose_neighbours(
+            placement.me,
+            self._transfer.root_digest,
+            names,
+            [name for name in names if placement.is_cache(name)],
+        ):
             neighbour = table.add(name)
             if neighbour is not None and not neighbour.asked_s:
                 self.send_map(neighbour, now_s, is_reply_wanted=True)
@@ -76,7 +111,7 @@
     def take_map(self, peer: str, message: HaveMap, now_s: float) -> None:
         """Take a peer's maps, and answer with the own ones if it asks."""
         table = self._transfer.table
-        neighbour = table.add(peer)
+        neighbour = table.add(peer, is_source=self._placement.pulls)
         if neighbour is None:
             return
         neighbour.seen_sequence = message.sequence
@@ -102,6 +137,12 @@
         if table.update(neighbour, message.gained, message.dropped, now_s):
             self._transfer.note_progress(now_s)
 
+    def is_lacking(self, peer: str) -> bool:
+        """Tell whether a neighbour still needs a chunk."""
+        table = self._transfer.table
+        neighbour = table.neighbours.get(peer)
+        return neighbour is not None and neighbour.obtained != table.full_map
+
     def flush(self, now_s: float) -> None:
         """Tell the neighbours that still lack chunks what has changed."""
         transfer = self._transfer
--- a/reedspar/weights/controller.py
+++ b/reedspar/weights/controller.py
@@ -228,7 +228,9 @@
         # Another pool may serve the model, too.  Counted together, a small pool
         # could switch as a whole while the larger one's share allows it.
         pool = self._target.pool
-        same_pool = [peer.name for peer in peers if peer.pool in ("", pool)]
+        same_pool = [
+            peer.name for peer in peers if peer.pool in ("", pool) and not peer.is_cache
+        ]
         self._rollout.set_peers(model, same_pool)
 
     def _lapse(self, gap_s: float) -> None:
--- a/reedspar/weights/distribution.py
+++ b/reedspar/weights/distribution.py
@@ -31,6 +31,8 @@
     region: str
     zone: str
     pool: str = ""
+    is_cache: bool = False
+    """Holds copies for others, on a wide link, and has no target of its own."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +114,10 @@
         """Take back a message for which no link is open yet."""
         ...
 
+    def note_link_lost(self, peer: str, now_s: float) -> None:
+        """Give up what a peer was asked for: the link to it is gone."""
+        ...
+
     def lapse(self, now_s: float) -> None:
         """Drop every timed claim after a pause of the process."""
         ...
--- a/reedspar/weights/drawing.py
+++ b/reedspar/weights/drawing.py
@@ -66,7 +66,9 @@
 
     def seek(self, transfer: Transfer, placement: Placement, now_s: float) -> None:
         """Ask the keepers for chunks that no neighbour holds, if nothing moves."""
-        if now_s < transfer.seek_at_s or not self._knows_neighbours(transfer, now_s):
+        if not placement.pulls or now_s < transfer.seek_at_s:
+            return
+        if not self._knows_neighbours(transfer, now_s):
             return
         transfer.seek_at_s = now_s + SEEK_INTERVAL_S
         is_stuck = now_s - transfer.progress_s >= self._limits.seek_s
@@ -153,16 +155,16 @@
         turn = fetch.attempts - len(names)
         roots = placement.roots(fetch.digest)
         if placement.is_in_origin_region or not roots:
-            self._ask_origin(fetch, now_s)
+            self._ask_origin(fetch, placement, now_s)
             return
         peer = roots[turn % len(roots)]
         region = placement.region_of(peer)
         self._fetches.ask(fetch, peer, now_s, timeout_s, region=region, may_draw=True)
 
-    def _ask_origin(self, fetch: Fetch, now_s: float) -> bool:
+    def _ask_origin(self, fetch: Fetch, placement: Placement, now_s: float) -> bool:
         if self._peers.is_avoided(ORIGIN, now_s):
             return False
-        if self._fetches.far_open(ORIGIN) >= self._limits.origin_window:
+        if self._fetches.far_open(ORIGIN) >= self._limits.origin_window(placement):
             return False
         timeout_s = 2 * self._limits.request_timeout_s
         return self._fetches.ask(fetch, ORIGIN, now_s, timeout_s, region=ORIGIN)
@@ -174,7 +176,7 @@
             return self._start_at_origin(fetch, index, placement, now_s)
         sources = placement.sources(index, fetch.digest)
         if not sources:
-            return self._ask_origin(fetch, now_s)
+            return self._ask_origin(fetch, placement, now_s)
         return self._ask_across(fetch, sources, placement, now_s, may_draw=True)
 
     def _start_at_origin(
@@ -187,7 +189,7 @@
         the origin is back, though the others hold it.
         """
         if not self._peers.is_avoided(ORIGIN, now_s):
-            return self._ask_origin(fetch, now_s)
+            return self._ask_origin(fetch, placement, now_s)
         holders = placement.holders_across(index, fetch.digest)
         if not holders:
             return False
@@ -247,7 +249,7 @@
         is_avoided = self._peers.is_avoided(ORIGIN, now_s)
         if placement.draws_everywhere:
             open_reads = self._fetches.far_open(ORIGIN)
-            if not is_avoided and open_reads < self._limits.origin_window:
+            if not is_avoided and open_reads < self._limits.origin_window(placement):
                 return False
         elif placement.is_in_origin_region and not is_avoided:
             return True
--- a/reedspar/weights/limits.py
+++ b/reedspar/weights/limits.py
@@ -24,23 +24,23 @@
 """Chunks asked of neighbours at a time: so many senders are ready to go on when the
 machine's link has room.  What is under way is bounded in bytes, by grants."""
 FAR_WINDOW = 3
-ORIGIN_WINDOW = 3
-"""Chunks that an agent reads at the origin at a time.
+ORIGIN_READS = 4
+"""Chunks that all agents together read at the origin at a time, at least one each.
 
-The first copy is to leave the origin at the full rate of its link: it may go away,
-and what the fleet has then is all that it can go on with."""
-ORIGIN_WINDOW_OF_MANY = 1
-"""The same where agents of all regions draw.
-
-Eight agents that read one chunk each fill the origin's link, and the first chunks are
-whole, and handed on, in half the time of sixteen.  All that are open are lost when the
-origin goes away."""
+So many fill the origin's link, which may go away: what the fleet has then is all that
+it can go on with.  More would share the link, and the first chunks be whole, and handed
+on, later.  All that are open are lost when the origin goes away."""
 FAR_PATIENCE_S = 0.5
 """How long a request of another region waits, where agents of all regions draw.
 
 The asker can turn to another region then.  In simulation, with the origin away for
 6 s and an agent gone, all were whole 0.3 s sooner than with waits of 3 s.
 """
+QUEUED_PER_BYTES_PER_S = 1 / 100_000
+"""Requests that wait at a sender, by its link: each is worked off in half a second."""
+QUEUE_MIN = 5
+QUEUE_MAX = 64
+SAME_CHUNK = 2
 UNDER_WAY_PIECES = 8
 """Two at each of four senders: one on its way, one that waits for the sender's link."""
 SLOT_SHARE = 0.25
@@ -64,7 +64,6 @@
     requests_per_peer: int = 2
     """So that the next one is there when a chunk has gone out.  With one, uplinks stood
     idle for a third of the time while the answer was on its way."""
-    origin_window: int = 2
     far_window: int = FAR_WINDOW
     stall_s: float = 0.6
     seek_s: float = 1.0
@@ -76,9 +75,9 @@
 
     Those that wait take up what their sender may ask of this agent.  While the origin
     was away all of it was taken for 6 s: chunks that came could not be asked for."""
-    near_queue: int = 5
+    near_queue: int = QUEUE_MIN
     """Requests of the own region that wait for the link; more go elsewhere."""
-    same_chunk: int = 2
+    same_chunk: int = SAME_CHUNK
     """Requests for one chunk that wait at a time: the first receivers hand it on."""
     piece_bytes: int = PIECE_SIZE_BYTES
 
@@ -92,14 +91,24 @@
         """Return the rate at which a copy can come at most."""
         return min(self.machine_bytes_per_s, self.region_bytes_per_s)
 
-    @property
-    def far_patience_s(self) -> float:
-        """Return how long another region's request waits here for a chunk."""
-        return FAR_PATIENCE_S if self.draws_everywhere else self.request_timeout_s
+    def patience_s(self, placement: Placement, *, is_near: bool) -> float:
+        """Return how long a request waits here for a chunk that is coming."""
+        if is_near:
+            return self.near_patience_s
+        return FAR_PATIENCE_S if placement.draws_everywhere else self.request_timeout_s
+
+    def origin_window(self, placement: Placement) -> int:
+        """Return how many chunks may be read at the origin at a time."""
+        return math.ceil(ORIGIN_READS / max(1, placement.origin_drawers))
 
     @property
     def region_slots(self) -> int:
-        """Return how many agents of a region draw over each of its links."""
+        """Return how many agents of a region draw over each of its links.
+
+        Where entries hold copies their links differ, and all daemons must reckon alike.
+        """
+        if self.draws_everywhere:
+            return SLOTS_MAX
         count = self.region_bytes_per_s / (self.machine_bytes_per_s * SLOT_SHARE)
         return min(max(math.ceil(count), SLOTS_MIN), SLOTS_MAX)
 
@@ -139,6 +148,8 @@
 def create_swarm_limits(settings: AgentSettings) -> SwarmLimits:
     """Return the limits that the settings ask for."""
     machine_bytes_per_s = settings.links.machine_bytes_per_s
+    queue = round(machine_bytes_per_s * QUEUED_PER_BYTES_PER_S)
+    queue = min(max(queue, QUEUE_MIN), QUEUE_MAX)
     piece_bytes = max(PIECE_MIN_BYTES, round(machine_bytes_per_s * PIECE_TIME_S))
     return SwarmLimits(
         origin_region=settings.weights.origin_region or settings.region,
@@ -149,12 +160,6 @@
         request_timeout_s=settings.weights.request_timeout_s,
         draws_everywhere=settings.weights.draws_everywhere,
         piece_bytes=min(PIECE_SIZE_BYTES, piece_bytes),
-        origin_window=_choose_origin_window(settings),
+        near_queue=queue,
+        same_chunk=max(SAME_CHUNK, queue // 2),
     )
-
-
-def _choose_origin_window(settings: AgentSettings) -> int:
-    """Return how many chunks may be read at the origin at a time."""
-    if settings.weights.draws_everywhere:
-        return ORIGIN_WINDOW_OF_MANY
-    return ORIGIN_WINDOW
--- a/reedspar/weights/neighbours.py
+++ b/reedspar/weights/neighbours.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
-from reedspar.utils import rendezvous_score
+from reedspar.utils import rank_by_rendezvous, rendezvous_score
 
 __all__ = [
     "HaveTable",
@@ -15,6 +15,8 @@
 ]
 
 NEIGHBOUR_DISTANCES = 5
+CACHES_ASKED = 4
+"""Caches among an agent's neighbours, at most; each holds a part of a version."""
 STILL_AFTER_S = 3.0
 """A neighbour that has gained nothing for so long is not waited for."""
 SOON = 64
@@ -28,6 +30,8 @@
     """A neighbour's maps, one bit per chunk, and the order of their changes."""
 
     name: str
+    is_source: bool = True
+    """False for one that is told what is here, but asked for nothing."""
     held: int = 0
     obtained: int = 0
     has_answered: bool = False
@@ -108,11 +112,11 @@
         ]
         return min([place for place in places if place >= first - reach] + [first])
 
-    def add(self, name: str) -> Neighbour | None:
+    def add(self, name: str, *, is_source: bool = True) -> Neighbour | None:
         """Return a neighbour, made if there is room for it."""
         neighbour = self._neighbours.get(name)
         if neighbour is None and len(self._neighbours) < NEIGHBOUR_LIMIT:
-            neighbour = self._neighbours[name] = Neighbour(name)
+            neighbour = self._neighbours[name] = Neighbour(name, is_source)
         return neighbour
 
     def remove(self, name: str) -> None:
@@ -125,14 +129,15 @@
         self, neighbour: Neighbour, held: int, obtained: int, now_s: float
     ) -> None:
         """Take a neighbour's whole maps."""
-        held &= self.full_map
+        held &= self.full_map if neighbour.is_source else 0
         if held & ~neighbour.held or not neighbour.has_answered:
             neighbour.last_gain_s = now_s
         self._recount(neighbour.held, held)
         neighbour.held = held
         neighbour.obtained = obtained & self.full_map
         neighbour.has_answered = True
-        self._seen |= held | neighbour.obtained
+        if neighbour.is_source:
+            self._seen |= held | neighbour.obtained
 
     def update(
         self,
@@ -155,11 +160,13 @@
 
     def _gain(self, neighbour: Neighbour, index: int, now_s: float) -> None:
         bit = 1 << index
+        neighbour.obtained |= bit
+        neighbour.last_gain_s = now_s
+        if not neighbour.is_source:
+            return
         if not neighbour.held & bit:
             self._change_count(index, 1)
         neighbour.held |= bit
-        neighbour.obtained |= bit
-        neighbour.last_gain_s = now_s
         self._seen |= bit
 
     def _recount(self, before: int, after: int) -> None:
@@ -192,8 +199,10 @@
     return int.from_bytes(data, "little")
 
 
-def choose_neighbours(me: str, root_digest: str, names: Iterable[str]) -> list[str]:
-    """Return the agents whose maps to ask for.
+def choose_neighbours(
+    me: str, root_digest: str, names: Iterable[str], caches: Iterable[str] = ()
+) -> list[str]:
+    """Return the agents whose maps to ask for; some of the caches come first.
 
     The agents form a ring in the order of a hash, and each one's neighbours
     lie at distances that grow by a constant factor.  So all have as many, any
@@ -201,7 +210,8 @@
     """
     ring = sorted(names, key=lambda name: (rendezvous_score(root_digest, name), name))
     place = ring.index(me)
-    chosen = []
+    others = [name for name in caches if name != me]
+    chosen = rank_by_rendezvous(me, others)[:CACHES_ASKED]
     for i in range(NEIGHBOUR_DISTANCES):
         distance = round(len(ring) ** (i / NEIGHBOUR_DISTANCES))
         chosen.append(ring[(place + distance) % len(ring)])
--- a/reedspar/weights/placement.py
+++ b/reedspar/weights/placement.py
@@ -44,6 +44,8 @@
         self._agents: frozenset[WeightPeer] = frozenset([me])
         self._names: dict[str, list[str]] = {me.region: [me.name]}
         self._regions: dict[str, str] = {me.name: me.region}
+        self._caches = frozenset([me.name] if me.is_cache else [])
+        self._has_cache_near_origin = me.is_cache and me.region == origin_region
         self._ranked: dict[tuple[str, str], list[str]] = {}
         self._slots: dict[str, list[str]] = {}
 
@@ -54,8 +56,19 @@
 
     @property
     def draws_everywhere(self) -> bool:
-        """Tell whether agents of all regions draw from the origin."""
-        return self._draws_everywhere
+        """Tell whether agents of all regions draw from the origin.
+
+        A cache near the origin fills the origin's link alone.  What is drawn there
+        crosses to each other region once; drawn elsewhere, it crosses once more.
+        """
+        return self._draws_everywhere and not self._has_cache_near_origin
+
+    @property
+    def origin_drawers(self) -> int:
+        """Return how many agents draw from the origin."""
+        if self.draws_everywhere:
+            return len(set(self._slots_of_all()))
+        return len(set(self._slots_of(self._origin_region)))
 
     @property
     def is_in_origin_region(self) -> bool:
@@ -68,7 +81,7 @@
 
     def is_drawn_here(self, index: int) -> bool:
         """Tell whether this region gets a chunk from the origin, not from a region."""
-        if self._draws_everywhere:
+        if self.draws_everywhere:
             return self._home(index) == self._me.region
         return self.is_in_origin_region
 
@@ -97,10 +110,28 @@
         for agent in sorted(agents):
             self._names.setdefault(agent.region, []).append(agent.name)
         self._regions = {agent.name: agent.region for agent in agents}
+        self._caches = frozenset(a.name for a in agents if a.is_cache)
+        self._has_cache_near_origin = any(
+            a.is_cache and a.region == self._origin_region for a in agents
+        )
         self._ranked.clear()
         self._slots.clear()
         return True
 
+    def is_cache(self, name: str) -> bool:
+        """Tell whether a peer holds copies for others, on a wide link."""
+        return name in self._caches
+
+    @property
+    def pulls(self) -> bool:
+        """Tell whether this agent gets all chunks, and not only those it draws.
+
+        The caches of a region hold the parts that they draw.  Copies that they sent
+        each other would take the links from which the agents get theirs, and one that
+        restarts would fill itself over the agents' narrow links.
+        """
+        return not self._me.is_cache
+
     def region_of(self, name: str) -> str:
         """Return an agent's region, empty if it is not live."""
         return self._regions.get(name, "")
@@ -111,7 +142,7 @@
         region = region or self._me.region
         key = (region, bucket)
         if key not in self._ranked:
-            names = self._names.get(region, [])
+            names = self._prefer_caches(self._names.get(region, []))
             self._ranked[key] = heapq.nlargest(
                 RANKED_LIMIT, names, lambda name: (rendezvous_score(bucket, name), name)
             )
@@ -120,7 +151,7 @@
     def drawer(self, index: int, region: str = "") -> str:
         """Return who draws a chunk into a region (this one), by the chunk's index."""
         region = region or self._me.region
-        if self._draws_everywhere and region == self._home(index):
+        if self.draws_everywhere and region == self._home(index):
             return self._origin_drawer(index)
         slots = self._slots_of(region)
         # The homes take turns by index, too: were the slots to take turns with
@@ -139,7 +170,7 @@
         which hands it on: so every link between regions carries a part.
         """
         home = self._home(index)
-        if self._draws_everywhere:
+        if self.draws_everywhere:
             names = [self._origin_drawer(index), *self.holders_across(index, digest)]
             return [name for name in dict.fromkeys(names) if name]
         near = [self.drawer(index, self._origin_region)]
@@ -177,7 +208,7 @@
         return rank_by_rendezvous(digest, names)[:RANKED_LIMIT]
 
     def _home(self, index: int) -> str:
-        if self._draws_everywhere:
+        if self.draws_everywhere:
             return self._regions[self._origin_drawer(index)]
         others = self._far_regions()
         return others[index % len(others)] if others else self._origin_region
@@ -189,11 +220,14 @@
         read 10 chunks a second each, where it carries 37.  And what one that leaves
         takes with it is a tenth of the copy, not a third.
         """
+        slots = self._slots_of_all()
+        return slots[index % len(slots)]
+
+    def _slots_of_all(self) -> list[str]:
         if ALL_REGIONS not in self._slots:
-            names = sorted(self._regions)
+            names = self._prefer_caches(sorted(self._regions))
             self._slots[ALL_REGIONS] = self._assign_slots(names, self._origin_slots)
-        slots = self._slots[ALL_REGIONS]
-        return slots[index % len(slots)]
+        return self._slots[ALL_REGIONS]
 
     def _far_regions(self) -> list[str]:
         return sorted(r for r in self._names if r != self._origin_region)
@@ -203,9 +237,18 @@
             count = self._region_slots
             if region == self._origin_region:
                 count = self._origin_slots
-            self._slots[region] = self._assign_slots(self._names.get(region, []), count)
+            names = self._prefer_caches(self._names.get(region, []))
+            self._slots[region] = self._assign_slots(names, count)
         return self._slots[region]
 
+    def _prefer_caches(self, names: list[str]) -> list[str]:
+        """Return the caches among some agents, or all if there is none.
+
+        What a cache draws takes nothing of a link that a target's answers share, and
+        many can have it from there at once.
+        """
+        return [name for name in names if name in self._caches] or names
+
     def _assign_slots(self, names: list[str], count: int) -> list[str]:
         slots: list[str] = []
         free = set(names)
--- a/reedspar/weights/pulling.py
+++ b/reedspar/weights/pulling.py
@@ -1,10 +1,10 @@
 """Pulling chunks from neighbours, within the machine's link."""
 
 import random
-from collections.abc import Iterable
 
 from .fetches import ORIGIN, Fetch, FetchBook, PeerBook, Request
 from .limits import SwarmLimits
+from .placement import Placement
 from .selection import pick_pull
 from .transfers import Transfer
 
@@ -39,16 +39,18 @@
         """Note that a chunk came over a narrow link."""
         self._drawn_s = now_s
 
-    def pull(self, transfer: Transfer, now_s: float) -> None:
+    def pull(self, transfer: Transfer, placement: Placement, now_s: float) -> None:
         """Ask neighbours for as much as the window allows."""
+        if not placement.pulls:
+            return
         limits = self._limits
         limit = limits.limit(transfer, now_s)
-        window = self._window(transfer, now_s)
+        window = self._window(transfer, placement, now_s)
         while self._fetches.near_open < window:
             choice = pick_pull(
                 transfer,
                 lambda digest: not self._fetches.is_blocked(digest, now_s),
-                lambda name: self._load_of(name, now_s),
+                lambda name: self._load_of(name, placement, now_s),
                 self._rng,
                 limit,
             )
@@ -58,24 +60,31 @@
             if not self._ask_near(transfer, index, peer, now_s):
                 return
 
-    def _window(self, transfer: Transfer, now_s: float) -> int:
+    def _window(self, transfer: Transfer, placement: Placement, now_s: float) -> int:
         """Return how many chunks may be asked of neighbours at a time.
 
         Where few agents draw, their draws come first while they get on: the origin may
         go away, and neighbours can exchange what the region has without it.
         """
         limits = self._limits
-        if limits.draws_everywhere or not self._fetches.far_open(ORIGIN):
+        if placement.draws_everywhere or not self._fetches.far_open(ORIGIN):
             return limits.window
         if not transfer.draws or now_s - self._drawn_s > SILENT_S:
             return limits.window
         drawn = min(1.0, ORIGIN_LINKS * transfer.draw_share)
         return round(limits.window * (1 - drawn))
 
-    def _load_of(self, name: str, now_s: float) -> int | None:
+    def _load_of(self, name: str, placement: Placement, now_s: float) -> int | None:
+        """Return what a peer was asked for; None if it is not to be asked now.
+
+        Any load of a cache is less than an agent's: what an agent sends shares a
+        narrow link with its target's answers.
+        """
         if self._peers.is_avoided(name, now_s):
             return None
         load = self._peers.outstanding[name]
+        if placement.is_cache(name):
+            return load - self._limits.window
         return load if load < self._limits.requests_per_peer else None
 
     def _ask_near(
@@ -91,18 +100,17 @@
         self,
         fetch: Fetch,
         request: Request,
-        transfers: Iterable[Transfer],
+        transfer: Transfer,
+        placement: Placement,
         now_s: float,
     ) -> None:
         """Ask a second holder for what the first is slow to send."""
         if request.is_overtaken or len(fetch.requests) > 1:
             return
-        for transfer in transfers:
-            index = transfer.index_of.get(fetch.digest)
-            if index is None:
-                continue
-            for name in transfer.table.holders(index):
-                if name != request.peer and self._load_of(name, now_s) is not None:
-                    request.is_overtaken = True
-                    self._ask_near(transfer, index, name, now_s)
-                    return
+        index = transfer.index_of[fetch.digest]
+        for name in transfer.table.holders(index):
+            is_other = name != request.peer
+            if is_other and self._load_of(name, placement, now_s) is not None:
+                request.is_overtaken = True
+                self._ask_near(transfer, index, name, now_s)
+                return
--- a/reedspar/weights/pump.py
+++ b/reedspar/weights/pump.py
@@ -6,7 +6,7 @@
 from anyio.abc import TaskGroup
 
 from reedspar.errors import is_failure
-from reedspar.links import Network, Priority
+from reedspar.links import LinkChange, LinkEvent, Network, Priority
 from reedspar.platform import WeightSource
 from reedspar.timers import TimerService
 
@@ -39,6 +39,7 @@
         self._take_object = take_object
         self._is_pacing = False
         self.origin_reads = 0
+        network.on_link_event(self._note_link)
 
     def run(self) -> None:
         """Carry out what the distribution has decided."""
@@ -65,6 +66,11 @@
         if is_failure(failure):
             self._distribution.note_unsent(action.peer, action.message, now_s)
 
+    def _note_link(self, event: LinkEvent) -> None:
+        if event.change is LinkChange.DOWN:
+            self._distribution.note_link_lost(event.peer, self._timers.now_s())
+            self.run()
+
     async def _pace(self, delay_s: float) -> None:
         """Go on between two ticks of the timers, which are too far apart for links."""
         await anyio.sleep(delay_s)
--- a/reedspar/weights/serving.py
+++ b/reedspar/weights/serving.py
@@ -40,7 +40,7 @@
         return self._uploads.sent_bytes
 
     def serve(
-        self, peer: str, request: ChunkRequest, region: str, now_s: float
+        self, peer: str, request: ChunkRequest, region: str, until_s: float
     ) -> bool:
         """Take a request; True if it waits for an object that is to be got."""
         digest = request.digest
@@ -48,17 +48,12 @@
             self._queue(peer, request, region)
         elif not request.may_draw:
             self._refuse(peer, request.request_id, digest)
-        elif self._waiting.add(peer, request, now_s + self._patience_s(region)):
+        elif self._waiting.add(peer, request, until_s):
             return True
         else:
             self._refuse(peer, request.request_id, digest, RefusalCause.BUSY)
         return False
 
-    def _patience_s(self, region: str) -> float:
-        is_near = region == self._region
-        limits = self._limits
-        return limits.near_patience_s if is_near else limits.far_patience_s
-
     def note_held(self, digest: str, region_of: Callable[[str], str]) -> None:
         """Serve the requests that have waited for an object."""
         for peer, request in self._waiting.take(digest):
--- a/reedspar/weights/swarm.py
+++ b/reedspar/weights/swarm.py
@@ -13,7 +13,7 @@
 from reedspar.errors import Failure
 from reedspar.utils import digest_bytes
 
-from .announcing import Announcer
+from .announcing import Announcer, EarlyMaps
 from .distribution import Action, ObjectReady, WeightPeer
 from .drawing import Drawing
 from .fetches import ORIGIN, Fetch, FetchBook, PeerBook, Request
@@ -67,6 +67,7 @@
         self._announcers: dict[str, Announcer] = {}
         self._objects: dict[str, str] = {}
         self._ready: set[str] = set()
+        self._early_maps = EarlyMaps()
         self._drawing = Drawing(limits, self._fetches, self._peers, self._memory)
         self._now_s = 0.0
         self.wasted_bytes = 0
@@ -119,7 +120,10 @@
 
     def want_chunks(self, manifest: Manifest, now_s: float) -> None:
         """Get every chunk of a version, also those that were got before."""
-        transfer = self._transfer_of(manifest, now_s)
+        self._want(self._transfer_of(manifest, now_s), now_s)
+        self._settle(now_s)
+
+    def _want(self, transfer: Transfer, now_s: float) -> None:
         transfer.want(now_s)
         for index, digest in enumerate(transfer.digests):
             if digest in self._memory:
@@ -129,7 +133,6 @@
         announcer = self._announcers[transfer.root_digest]
         for neighbour in transfer.table.neighbours.values():
             announcer.send_map(neighbour, now_s, is_reply_wanted=True)
-        self._settle(now_s)
 
     def left_s(self, root_digest: str) -> float:
         """Return how long the missing chunks take over this machine's link."""
@@ -163,11 +166,21 @@
         elif isinstance(message, ChunkCancel):
             self._server.cancel(peer, message.request_id)
         elif isinstance(message, HaveMap | HaveUpdate):
-            announcer = self._announcers.get(message.root_digest)
-            if announcer is not None:
-                announcer.take(peer, message, now_s)
+            self._take_announcement(peer, message, now_s)
         self._settle(now_s)
 
+    def _take_announcement(
+        self, peer: str, message: HaveMap | HaveUpdate, now_s: float
+    ) -> None:
+        announcer = self._announcers.get(message.root_digest)
+        if announcer is None:
+            self._early_maps.keep(peer, message)
+            return
+        announcer.take(peer, message, now_s)
+        transfer = self._transfers[message.root_digest]
+        if self._me.is_cache and not transfer.is_wanted and announcer.is_lacking(peer):
+            self._want(transfer, now_s)
+
     def complete_read(self, digest: str, result: bytes | Failure, now_s: float) -> None:
         """Take the outcome of a read from the origin."""
         request = self._fetches.find_read(digest)
@@ -197,6 +210,17 @@
             self._memory.unpin(digest)
             self._settle(now_s)
 
+    def note_link_lost(self, peer: str, now_s: float) -> None:
+        """Give up what a peer was asked for, and leave it alone for a moment.
+
+        The view keeps a daemon that was killed until its lease ends.  Chunks that it
+        was asked for would come that much later, and the version with them.
+        """
+        self._server.drop_peer(peer)
+        self._drop_requests(peer)
+        self._peers.note_busy(peer, now_s + self._limits.link_wait_s)
+        self._settle(now_s)
+
     def lapse(self, now_s: float) -> None:
         """Start every deadline again, and ask for all maps, after a pause."""
         for _, request in self._fetches.iterate():
@@ -235,12 +259,18 @@
                 self._peers.note_stalled(request.peer, now_s)
                 self._fail(fetch, request, now_s)
             elif waited_s >= self._limits.stall_s and not request.region:
-                self._pulling.overtake(fetch, request, self._transfers.values(), now_s)
+                self._overtake(fetch, request, now_s)
         for transfer in self._transfers.values():
             if not transfer.is_complete:
                 self._announcers[transfer.root_digest].ask_again(now_s)
         self._settle(now_s)
 
+    def _overtake(self, fetch: Fetch, request: Request, now_s: float) -> None:
+        for transfer in self._transfers.values():
+            if fetch.digest in transfer.index_of:
+                placement = self._placements[transfer.model]
+                self._pulling.overtake(fetch, request, transfer, placement, now_s)
+
     def due_s(self, now_s: float) -> float:
         """Return when `tick` should be called next."""
         times = [now_s + TICK_S]
@@ -270,7 +300,7 @@
         for transfer in sorted(transfers, key=lambda t: len(t.missing)):
             placement = self._placements[transfer.model]
             self._drawing.draw(transfer, placement, now_s)
-            self._pulling.pull(transfer, now_s)
+            self._pulling.pull(transfer, placement, now_s)
             self._drawing.seek(transfer, placement, now_s)
         self._drawing.do_duties(self._placements, now_s)
         self._credit.grant(now_s)
@@ -346,7 +376,15 @@
 
     def _serve(self, peer: str, request: ChunkRequest, now_s: float) -> None:
         region = self._region_of(peer)
-        if not self._server.serve(peer, request, region, now_s):
+        is_near = region == self._me.region
+        patience_s = max(
+            (
+                self._limits.patience_s(placement, is_near=is_near)
+                for placement in self._placements.values()
+            ),
+            default=0.0,
+        )
+        if not self._server.serve(peer, request, region, now_s + patience_s):
             return
         for transfer in self._transfers.values():
             self._drawing.note_asked(
@@ -354,7 +392,7 @@
                 self._placements[transfer.model],
                 request.digest,
                 now_s,
-                is_near=region == self._me.region,
+                is_near=is_near,
             )
 
     def _region_of(self, peer: str) -> str:
@@ -373,30 +411,33 @@
         if root_digest not in self._transfers:
             transfer = Transfer(manifest, self._limits.slowest_bytes_per_s, self._rng)
             self._transfers[root_digest] = transfer
+            placement = self._placement_of(manifest.model)
             self._announcers[root_digest] = Announcer(
-                transfer, self._me.name, self._actions
+                transfer, placement, self._actions
             )
-            self._placement_of(manifest.model)
             for index, digest in enumerate(transfer.digests):
                 if digest in self._memory:
                     transfer.mark_ready(index, True, now_s)
+            for peer, message in self._early_maps.take(root_digest):
+                self._take_announcement(peer, message, now_s)
         return self._transfers[root_digest]
 
     def _join(self, transfer: Transfer, now_s: float) -> None:
         """Take the live agents into a transfer."""
-        placement = self._placements[transfer.model]
         announcer = self._announcers[transfer.root_digest]
-        names = placement.region_names
-        announcer.set_names(names, now_s, is_asking=not transfer.is_complete)
-        transfer.assign(placement)
+        announcer.join(now_s, is_asking=not transfer.is_complete)
+        transfer.assign(self._placements[transfer.model])
 
     def _drop_peer(self, name: str, now_s: float) -> None:
         self._server.drop_peer(name)
+        self._drop_requests(name)
+        self._peers.forget(name)
+
+    def _drop_requests(self, peer: str) -> None:
         for fetch, request in self._fetches.iterate():
-            if request.peer == name:
+            if request.peer == peer:
                 self._fetches.close(fetch, request, is_cancelled=False)
                 fetch.attempts += 1
-        self._peers.forget(name)
 
     def _rank_victim(self, digest: str) -> tuple[bool, bool, bool, int]:
         """Return an object's place in the order of eviction, the lowest first."""
--- a/reedspar/weights/tests/fakes.py
+++ b/reedspar/weights/tests/fakes.py
@@ -188,6 +188,7 @@
         self.queue: deque[tuple[str, str, Any]] = deque()
         self.sent: Counter[str] = Counter()
         self.dead: set[str] = set()
+        self.link_listeners: dict[str, Any] = {}
 
     def forget(self, name: str) -> None:
         """Drop the handlers of an agent that died."""
@@ -219,6 +220,9 @@
     def subscribe(self, message_class: type, handler: Any) -> None:
         self._links.handlers[self._name, message_class] = handler
 
+    def on_link_event(self, listener: Any) -> None:
+        self._links.link_listeners[self._name] = listener
+
     def peers(self) -> tuple[str, ...]:
         return ()
 
--- a/reedspar/weights/tests/test_beside_answers.py
+++ b/reedspar/weights/tests/test_beside_answers.py
@@ -7,15 +7,19 @@
 
 import unittest
 
-from bench.inbound_queues import CASES, Case, Outcome, play
+from bench.inbound_queues import CACHED_CASES, CASES, Case, Outcome, play
 
+OVER_BOUND = 1.2
+"""Times the bound within which every target is to have a version."""
+VIEW_LAG_S = 3.0
+"""After a daemon was killed, until the others' view has lost it."""
 MEAN_WAIT_S = 0.02
 WORST_WAIT_S = 0.2
 
 
 class BesideAnswersTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.cases = {case.name: case for case in CASES}
+        self.cases = {case.name: case for case in (*CASES, *CACHED_CASES)}
 
     def assert_short_waits(self, case: Case) -> Outcome:
         outcome = play(case)
@@ -33,6 +37,29 @@
         # The same over a narrower link, with chunks of half the size.
         self.assert_short_waits(self.cases["small chunks"])
 
+    def test_copies_come_in_time_beside_answers(self) -> None:
+        # Agents on narrow links send each other a version.  They fill their links in
+        # both directions, the last targets have it 1.4 times the bound later, and too
+        # little of the time is left in which targets can take turns to switch.
+        for name in ("large chunks, caches", "small chunks, caches"):
+            with self.subTest(name):
+                outcome = self.assert_short_waits(self.cases[name])
+                self.assertLess(outcome.over_bound, OVER_BOUND)
+
+    def test_copies_come_in_time_from_entries_on_narrow_links(self) -> None:
+        # Thirty targets get a version from entries whose links carry four copies at a
+        # time.  Were all to ask the same few, those would hold up the rest.
+        outcome = self.assert_short_waits(self.cases["many, narrow caches"])
+        self.assertLess(outcome.over_bound, OVER_BOUND)
+
+    def test_entry_that_dies_costs_no_more_than_its_lease(self) -> None:
+        # The one entry near the origin is killed while it draws a new version.  The
+        # chunks that it was to draw are missing everywhere until others draw them.
+        case = self.cases["large chunks, caches"]
+        outcome = play(case, "centro-cache-0", 0.5)
+        limit_s = OVER_BOUND * outcome.bound_s + VIEW_LAG_S
+        self.assertLess(outcome.last_s, limit_s)
+
 
 if __name__ == "__main__":
     unittest.main()
