--- a/reedspar/weights/swarm.py
+++ b/reedspar/weights/swarm.py
@@ -11,12 +11,11 @@
 from collections.abc import Iterable
 
 from reedspar.errors import Failure
-from reedspar.utils import digest_bytes
 
 from .announcing import Announcer, EarlyMaps
 from .distribution import Action, ObjectReady, WeightPeer
 from .drawing import Drawing
-from .fetches import ORIGIN, Fetch, FetchBook, PeerBook, Request
+from .fetches import Fetch, FetchBook, PeerBook, Request
 from .inbound import InboundCredit
 from .limits import SwarmLimits
 from .manifest import Manifest
@@ -29,19 +28,17 @@
     ChunkRequest,
     HaveMap,
     HaveUpdate,
-    RefusalCause,
     WeightMessage,
 )
 from .placement import Placement
 from .pulling import Pulling
+from .receiving import ChunkReceiver
 from .serving import ChunkServer
 from .transfers import Transfer
 
 __all__ = ["SwarmDistribution"]
 
 TICK_S = 0.05
-ORIGIN_RETRY_S = 0.1
-"""Pause before the origin is asked for the same chunk again."""
 
 
 class SwarmDistribution:
@@ -69,8 +66,10 @@
         self._ready: set[str] = set()
         self._early_maps = EarlyMaps()
         self._drawing = Drawing(limits, self._fetches, self._peers, self._memory)
+        self._receiver = ChunkReceiver(
+            limits, self._fetches, self._peers, self._credit, self._take_received
+        )
         self._now_s = 0.0
-        self.wasted_bytes = 0
 
     @property
     def memory(self) -> ChunkMemory:
@@ -156,13 +155,13 @@
     def receive(self, peer: str, message: WeightMessage, now_s: float) -> None:
         """Take a message of a peer."""
         if isinstance(message, ChunkPiece):
-            self._take_piece(peer, message, now_s)
+            self._receiver.take_piece(peer, message, now_s)
         elif isinstance(message, ChunkRequest):
             self._serve(peer, message, now_s)
         elif isinstance(message, ChunkGrant):
             self._server.grant(peer, message)
         elif isinstance(message, ChunkRefused):
-            self._take_refusal(peer, message, now_s)
+            self._receiver.take_refusal(peer, message, now_s)
         elif isinstance(message, ChunkCancel):
             self._server.cancel(peer, message.request_id)
         elif isinstance(message, HaveMap | HaveUpdate):
@@ -183,20 +182,7 @@
 
     def complete_read(self, digest: str, result: bytes | Failure, now_s: float) -> None:
         """Take the outcome of a read from the origin."""
-        request = self._fetches.find_read(digest)
-        fetch = self._fetches.get(digest)
-        if fetch is not None and request is not None:
-            if isinstance(result, Failure) or digest_bytes(result) != digest:
-                self._peers.note_origin_failed(now_s)
-                self._fail(fetch, request, now_s)
-                if isinstance(result, Failure):
-                    # Where the origin is away for one it is away for all.  Handed
-                    # on to others, a chunk came 4 s after the origin was back.
-                    fetch.has_origin_failed = False
-                    fetch.not_before_s = now_s + ORIGIN_RETRY_S
-            else:
-                self._peers.note_good(ORIGIN)
-                self._finish(digest, result, request, now_s)
+        self._receiver.complete_read(digest, result, now_s)
         self._settle(now_s)
 
     def object_bytes(self, digest: str) -> bytes | None:
@@ -250,16 +236,8 @@
     def tick(self, now_s: float) -> None:
         """Act on whatever has become due."""
         self._server.expire(now_s)
-        for fetch, request in self._fetches.iterate():
-            if request.has_begun and request.expected_bytes <= 0:
-                # It waits for this agent's grant, not for its peer.
-                request.progress_s = now_s
-            waited_s = now_s - request.progress_s
-            if waited_s >= request.timeout_s:
-                self._peers.note_stalled(request.peer, now_s)
-                self._fail(fetch, request, now_s)
-            elif waited_s >= self._limits.stall_s and not request.region:
-                self._overtake(fetch, request, now_s)
+        for fetch, request in self._receiver.expire(now_s):
+            self._overtake(fetch, request, now_s)
         for transfer in self._transfers.values():
             if not transfer.is_complete:
                 self._announcers[transfer.root_digest].ask_again(now_s)
@@ -308,50 +286,11 @@
         for announcer in self._announcers.values():
             announcer.flush(now_s)
 
-    def _take_piece(self, peer: str, piece: ChunkPiece, now_s: float) -> None:
-        request = self._fetches.find(peer, piece.digest, piece.request_id)
-        fetch = self._fetches.get(piece.digest)
-        if request is None or fetch is None:
-            self.wasted_bytes += len(piece.data)
-            return
-        if not request.has_begun:
-            self._credit.note_arrived(len(piece.data), now_s)
-        request.progress_s = now_s
-        result = request.assembly.add(piece, peer)
-        if isinstance(result, Failure):
-            self._peers.note_corrupt(peer, now_s, is_scarce=bool(request.region))
-            self._fail(fetch, request, now_s)
-        elif result is not None:
-            self._peers.note_good(peer)
-            self._finish(piece.digest, result, request, now_s)
-
-    def _take_refusal(self, peer: str, message: ChunkRefused, now_s: float) -> None:
-        request = self._fetches.find(peer, message.digest, message.request_id)
-        fetch = self._fetches.get(message.digest)
-        if request is None or fetch is None:
-            return
-        self._fetches.close(fetch, request, is_cancelled=False)
-        if message.cause is RefusalCause.BUSY:
-            self._peers.note_busy(peer, now_s + self._limits.busy_s)
-        elif message.cause is RefusalCause.LEAVING:
-            self._peers.note_busy(peer, now_s + self._limits.request_timeout_s)
-        else:
-            fetch.attempts += 1
-            fetch.not_before_s = max(fetch.not_before_s, now_s + self._limits.busy_s)
-
-    def _fail(self, fetch: Fetch, request: Request, now_s: float) -> None:
-        self._fetches.close(fetch, request, is_cancelled=True)
-        fetch.attempts += 1
-        if request.peer == ORIGIN:
-            fetch.has_origin_failed = True
-            fetch.not_before_s = now_s + self._limits.busy_s
-
-    def _finish(self, digest: str, data: bytes, request: Request, now_s: float) -> None:
-        self._fetches.finish(digest, request)
+    def _take_received(
+        self, digest: str, data: bytes, request: Request, now_s: float
+    ) -> None:
         if request.region:
             self._pulling.note_drawn(now_s)
-        if request.region == ORIGIN:
-            self._credit.note_arrived(len(data), now_s)
         self._take_object(digest, data, now_s)
 
     def _take_object(self, digest: str, data: bytes, now_s: float) -> None:
