--- a/reedspar/direct/choice.py
+++ b/reedspar/direct/choice.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from reedspar.errors import Failure, Reason, Step
-from reedspar.fleet import FleetView, KnownTarget, TargetState
+from reedspar.fleet import FleetView, KnownTarget
 from reedspar.requests.attempting import ChosenTarget
 from reedspar.requests.request import Answer, Outcome, Request
 from reedspar.routes import EngineTerms, ServiceTerms
@@ -19,6 +19,7 @@
     estimate_first_event_s,
     estimate_pause_s,
 )
+from .fitness import Fitness, cold_rate_of
 from .loads import (
     LoadReport,
     OwnAttempt,
@@ -27,45 +28,24 @@
     UsualLoad,
     average_load,
 )
+from .refusals import COME_BACK_S, Refusals
 from .versions import VersionRule
 
 __all__ = ["DirectChooser", "DirectTarget"]
 
 NEAR_BEST_S = 0.02
 """Targets within this of the best estimate are as good: the estimate is no finer,
-and drawing among them keeps nine entries from all choosing the same one."""
+and drawing among them keeps entries from all choosing the same one."""
 FAR_S = 0.03
 """What a target in another region must be better by.
 
 The links between regions are thin and shared; a usual request and its answer are
 3 KB there.  Within one region nothing is lost by it, for estimates are no finer."""
-COME_BACK_S = 1.0
-"""When a caller may come back whose request can't begin in time any more.
-
-It is late in any case then, and callers come back just once: what counts is that the
-next try is served.  Targets switch weights in 1.5 s, and a full one has worked off
-its queue in one."""
-NO_TARGET_PART = 0.27
-"""Part of the caller's time left after which it may come back if no target can serve.
-
-Such a gap takes 1.5 to 8 s: the targets have to get weights, or to start.  Callers
-come back once, and wait a third of their time at most.  Told 1 to 1.5 s of their 6 s,
-those refused at the start of a gap of 1.7 s came back into it and were lost."""
-NO_TARGET_SPREAD = 0.2
-"""Part by which that is drawn out, so that it stays below a third."""
-SOON_S = 0.15
-"""An excess over the aimed time that is over soon enough for the same caller."""
-RETRY_SPREAD = 0.5
-"""Part by which the time to come back is drawn out, so that callers refused in the
-same moment don't return in the same moment."""
 AIM_PART = 0.8
 """Part of the aimed time within which the first event must be expected.
 
-The rest is for what other entries send meanwhile.  An answer after its aim is worth a
-quarter to its caller, and delays all behind it.  With nine entries before five engines
-and a quarter more load than those bear, 0.06 instead of 0.13 of the requests are late
-and 0.74 instead of 0.72 of the worth is served, compared with 0.95; where the engines
-bear the load it makes no difference (`python -m bench.many_deciders`)."""
+The rest is for what other entries send meanwhile.  An answer after its aim is worth
+little to its caller, and delays all behind it."""
 QUEUE_SLACK_S = 0.1
 """What may wait before a request that would be late in any case: two usual prompts."""
 GAP_PART = 0.95
@@ -114,7 +94,8 @@
         self._view = view
         self._loads = loads
         self._cold = cold
-        self._versions = versions
+        self._fitness = Fitness(view, loads, cold, versions, zones)
+        self._refusals = Refusals(view, timers, rng)
         self._timers = timers
         self._regions = zones
         self._region = region
@@ -128,33 +109,32 @@
         """Return the target of the next attempt, or why there is none."""
         terms = self._terms_of(request.pool)
         now_s = self._timers.now_s()
-        fit = [
-            known
-            for known in self._view.targets(request.pool)
-            if known.record.id not in tried and self._is_fit(known, request, now_s)
-        ]
+        fit = self._fitness.list_fit(request, tried, now_s)
         if not fit:
-            return self._explain(request, tried)
+            return self._refusals.explain_none(request, tried)
         usual = average_load((self._loads.of(k.record.id) for k in fit), now_s)
         candidates = [
             self._estimate(request, terms, known, load, usual, now_s)
-            for known, load in self._open(fit, terms, now_s)
+            for known, load in self._fitness.list_open(fit, terms, now_s)
+        ]
+        candidates = [
+            i
+            for i in candidates
+            if self._fitness.is_in_time(i.known.record, request, i.expected_s)
         ]
-        candidates = [i for i in candidates if self._is_in_time(i, request)]
         if not candidates:
             detail = "every fit target is cold or about to switch"
-            return self._refuse(detail, COME_BACK_S)
+            return self._refusals.refuse(detail, COME_BACK_S)
         candidates = [i for i in candidates if _leaves_pauses(i, request)]
         if not candidates:
             detail = "one more prompt would hold up the streams beside it"
-            return self._refuse(detail, COME_BACK_S)
+            return self._refusals.refuse(detail, COME_BACK_S)
         best = min(candidates, key=lambda item: item.expected_s)
         best_s = best.expected_s
         excess_s = best_s - self._limit_s(request, best)
         if excess_s > 0:
             detail = f"the first answer is expected in {best_s:.2f} s"
-            after_s = excess_s if excess_s < SOON_S else COME_BACK_S
-            return self._refuse(detail, after_s)
+            return self._refusals.refuse_late(detail, excess_s)
         near = [i for i in candidates if i.expected_s <= best_s + NEAR_BEST_S]
         chosen = self._rng.choice(near)
         return DirectTarget(
@@ -171,7 +151,7 @@
         )
         known = self._view.target(chosen.name)
         if known is not None and known.is_cold(now_s):
-            rate_per_s = self._cold_rate(self._terms_of(request.pool))
+            rate_per_s = cold_rate_of(self._terms_of(request.pool))
             self._cold.note_sent(load, rate_per_s, now_s)
 
     def on_first_byte(self, request: Request, chosen: ChosenTarget) -> None:
@@ -226,57 +206,6 @@
         routes = self._view.routes
         return routes.services.get(pool) if routes is not None else None
 
-    def _is_fit(self, known: KnownTarget, request: Request, now_s: float) -> bool:
-        record = known.record
-        if record.state is not TargetState.READY:
-            return False
-        if record.zone in self._view.zones_out:
-            return False
-        if self._loads.of(record.id).replaced_boot == record.boot_id:
-            return False
-        region = self._regions.get(record.zone)
-        if request.regions is not None and region not in request.regions:
-            return False
-        if not request.model:
-            return True
-        version = record.weights.get(request.model)
-        if version is None or not self._versions.may_serve(request.model, version):
-            return False
-        return not request.weights_digest or request.weights_digest == str(version)
-
-    def _is_in_time(self, candidate: _Candidate, request: Request) -> bool:
-        """Tell whether the request begins before its target's version is too old."""
-        version = candidate.known.record.weights.get(request.model)
-        if version is None:
-            return True
-        return self._versions.may_serve(request.model, version, candidate.expected_s)
-
-    def _open(
-        self, fit: list[KnownTarget], terms: ServiceTerms | None, now_s: float
-    ) -> list[tuple[KnownTarget, TargetLoad]]:
-        """Return the targets that may be sent to now.
-
-        Were all that failed lately left alone, the rest would drown in what
-        they would have got.  So at least half of the targets stay in.
-        """
-        rate_per_s = self._cold_rate(terms)
-        pairs = [(known, self._loads.of(known.record.id)) for known in fit]
-        pairs = [pair for pair in pairs if now_s >= pair[1].closed_until_s]
-        pairs = [
-            (known, load)
-            for known, load in pairs
-            if not known.is_cold(now_s)
-            or self._cold.may_send(known.record.id, load, rate_per_s, now_s)
-        ]
-        rested = [pair for pair in pairs if now_s >= pair[1].rest_until_s]
-        if len(rested) * 2 >= len(pairs):
-            return rested
-        pairs.sort(key=lambda pair: pair[1].rest_until_s)
-        return pairs[: (len(pairs) + 1) // 2]
-
-    def _cold_rate(self, terms: ServiceTerms | None) -> float:
-        return terms.cold_requests_per_s if terms is not None else 0.0
-
     def _estimate(
         self,
         request: Request,
@@ -318,23 +247,6 @@
             return float("inf")
         return max(request.aim_s * AIM_PART, best.alone_s + QUEUE_SLACK_S)
 
-    def _explain(self, request: Request, tried: Collection[str]) -> Failure:
-        known = sum(1 for _ in self._view.targets(request.pool))
-        detail = f"none of {known} known targets of {request.pool} may be given work"
-        if tried:
-            detail += f", {len(tried)} were tried"
-        left_s = max(0.0, request.deadline_s - self._timers.now_s())
-        after_s = NO_TARGET_PART * left_s * (1 + NO_TARGET_SPREAD * self._rng.random())
-        return Failure(
-            Reason.NO_TARGET, Step.ROUTE, detail=detail, retry_after_s=after_s
-        )
-
-    def _refuse(self, detail: str, after_s: float) -> Failure:
-        spread_s = after_s * (1 + RETRY_SPREAD * self._rng.random())
-        return Failure(
-            Reason.OVERLOADED, Step.ROUTE, detail=detail, retry_after_s=spread_s
-        )
-
 
 def _leaves_pauses(candidate: _Candidate, request: Request) -> bool:
     """Tell whether the streams beside the request go on without a long pause."""
--- a/reedspar/direct/estimate.py
+++ b/reedspar/direct/estimate.py
@@ -19,7 +19,7 @@
 ]
 
 NETWORK_S = 0.02
-"""Connecting and two ways between zones; measured on a calm day as 12 to 25 ms."""
+"""Connecting and two ways between zones."""
 
 FACTOR_WEIGHT = 0.05
 """Weight of one request in the calibration: about three seconds' worth of an entry's
@@ -29,8 +29,7 @@
 """Bounds of the calibration.
 
 Engines that switch their weights, or come back cold, hold up a few first events by many
-times the estimate.  With a bound of 6 entries refused four times as many requests in
-the seconds after that, which engines would have borne."""
+times the estimate.  Unbounded, entries would refuse for seconds what engines bear."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +78,7 @@
     """How much longer first events take than the estimate says.
 
     Each entry knows its own requests alone, so the estimate misses what others have
-    just sent.  Measured against what came true, it is right on average again.
+    just sent.  Corrected by what came true, it is right on average again.
     """
 
     def __init__(self) -> None:
--- a/reedspar/weights/fetches.py
+++ b/reedspar/weights/fetches.py
@@ -24,8 +24,8 @@
 AVOID_ORIGIN_MAX_S = 0.25
 """There is no other origin.
 
-It was away for 6 s, and avoided by all for 8 s more, in which a version could have
-been on every target.  A question costs a refused connection, and only few ask."""
+Avoided by all for longer than it is away, it would hold up a version that could be on
+every target.  A question costs a refused connection, and only few ask."""
 
 
 @dataclass(slots=True)
--- a/reedspar/weights/limits.py
+++ b/reedspar/weights/limits.py
@@ -33,9 +33,7 @@
 FAR_PATIENCE_S = 0.5
 """How long a request of another region waits, where agents of all regions draw.
 
-The asker can turn to another region then.  In simulation, with the origin away for
-6 s and an agent gone, all were whole 0.3 s sooner than with waits of 3 s.
-"""
+The asker can turn to another region then: the origin may be away, or an agent gone."""
 QUEUED_PER_BYTES_PER_S = 1 / 100_000
 """Requests that wait at a sender, by its link: each is worked off in half a second."""
 QUEUE_MIN = 5
@@ -62,8 +60,7 @@
     origin_slots: int = SLOTS_MAX
     window: int = WINDOW
     requests_per_peer: int = 2
-    """So that the next one is there when a chunk has gone out.  With one, uplinks stood
-    idle for a third of the time while the answer was on its way."""
+    """So that the next one is there when a chunk has gone out, and uplinks don't idle."""
     far_window: int = FAR_WINDOW
     stall_s: float = 0.6
     seek_s: float = 1.0
@@ -73,8 +70,8 @@
     near_patience_s: float = 0.4
     """How long a request of the own region waits here for an object that is coming.
 
-    Those that wait take up what their sender may ask of this agent.  While the origin
-    was away all of it was taken for 6 s: chunks that came could not be asked for."""
+    Those that wait take up what their sender may ask of this agent: while the origin is
+    away it could not ask for the chunks that come."""
     near_queue: int = QUEUE_MIN
     """Requests of the own region that wait for the link; more go elsewhere."""
     same_chunk: int = SAME_CHUNK
--- a/reedspar/weights/pulling.py
+++ b/reedspar/weights/pulling.py
@@ -11,7 +11,7 @@
 __all__ = ["Pulling"]
 
 ORIGIN_LINKS = 2.0
-"""The origin's link, in links of a machine, as on the sites that were measured."""
+"""The origin's link, in links of a machine beside a target."""
 SILENT_S = 0.3
 """Draws have stopped if none has ended for so long; at work they end every 0.1 s.
 
