Draw only what agents lack, and what nobody has; read the origin after two keepers

Stuck agents asked caches that were gone, six seconds each. Ruled out: the origin's rate (35 reads a second, as before), the windows.

Caches tell each other what they hold; an agent that drops a version says so; a cache draws what some agent lacks.

--- a/reedspar/settings/site.py
+++ b/reedspar/settings/site.py
@@ -119,7 +119,9 @@
         None, description="Where the target beside an agent listens, `ip:port`."
     )
     pool: str = Field("", description="Service of the target beside an agent.")
-    weights: WeightSettings = WeightSettings(draws_everywhere=True)
+    weights: WeightSettings = WeightSettings(
+        draws_everywhere=True, request_timeout_s=1.5
+    )
 
     @model_validator(mode="before")
     @classmethod
--- a/reedspar/weights/announcing.py
+++ b/reedspar/weights/announcing.py
@@ -59,7 +59,11 @@
                 table.remove(name)
         if not is_asking:
             return
-        names = placement.region_names if placement.pulls else [placement.me]
+        names = [
+            name
+            for name in placement.region_names
+            if name == placement.me or placement.is_source(name)
+        ]
         for name in choose_neighbours(
             placement.me,
             self._transfer.root_digest,
@@ -88,6 +92,21 @@
         )
         self._actions.append(SendMessage(neighbour.name, message))
 
+    def tell_dropped(self) -> None:
+        """Tell the neighbours that nothing more of this version is needed here."""
+        transfer = self._transfer
+        chunk_count = len(transfer.digests)
+        for neighbour in transfer.table.neighbours.values():
+            neighbour.sent_sequence += 1
+            message = HaveMap(
+                transfer.root_digest,
+                neighbour.sent_sequence,
+                encode_map(transfer.held, chunk_count),
+                encode_map(transfer.table.full_map, chunk_count),
+                is_reply_wanted=False,
+            )
+            self._actions.append(SendMessage(neighbour.name, message))
+
     def note_unsent(self, peer: str) -> None:
         """Ask a neighbour again soon, as no link to it is open yet."""
         neighbour = self._transfer.table.neighbours.get(peer)
@@ -111,7 +130,7 @@
     def take_map(self, peer: str, message: HaveMap, now_s: float) -> None:
         """Take a peer's maps, and answer with the own ones if it asks."""
         table = self._transfer.table
-        neighbour = table.add(peer, is_source=self._placement.pulls)
+        neighbour = table.add(peer, is_source=self._placement.is_source(peer))
         if neighbour is None:
             return
         neighbour.seen_sequence = message.sequence
--- a/reedspar/weights/drawing.py
+++ b/reedspar/weights/drawing.py
@@ -19,6 +19,9 @@
 SEEK_INTERVAL_S = 0.05
 DUTY_LIMIT = 256
 SHORT_WAIT_S = 0.5
+KEEPERS_TRIED = 2
+KEEPER_ANSWER_S = 0.6
+"""A keeper that is there sends a chunk, or refuses, so long after its patience ends."""
 ACROSS_RETRY_S = 0.3
 """Between two questions near the origin for a chunk that another region may hold.
 
@@ -48,10 +51,13 @@
         if not self._knows_neighbours(transfer, now_s):
             return
         limit = self._limits.limit(transfer, now_s)
+        needed_map = _needed_map(transfer, placement)
         for place in range(len(transfer.draws) - 1, -1, -1):
             index = transfer.draws[place]
+            if not needed_map >> index & 1:
+                continue
             digest = transfer.digests[index]
-            if not transfer.is_missing(index) or transfer.table.seen_map >> index & 1:
+            if not transfer.is_missing(index) or _is_here(transfer, placement, index):
                 del transfer.draws[place]
             elif not self._fetches.is_blocked(digest, now_s):
                 if index >= limit:
@@ -262,6 +268,12 @@
     def _ask_keeper(
         self, fetch: Fetch, index: int, placement: Placement, now_s: float
     ) -> None:
+        has_failed = fetch.attempts >= KEEPERS_TRIED
+        if has_failed and self._is_origin_open(placement, now_s):
+            # The keeper that was asked may be gone, and the view keep it.  A version
+            # that lacks one chunk serves nobody; the origin has it.
+            self._ask_origin(fetch, placement, now_s)
+            return
         # A keeper asks only those that rank before it, and the first one draws.
         # Two that asked each other would both wait until their requests end.
         keepers = placement.keepers(fetch.digest)
@@ -276,9 +288,12 @@
         if self._peers.is_avoided(peer, now_s):
             fetch.attempts += 1
             return
-        timeout_s = 2 * self._limits.request_timeout_s
+        timeout_s = self._limits.near_patience_s + KEEPER_ANSWER_S
         self._fetches.ask(fetch, peer, now_s, timeout_s, may_draw=True)
 
+    def _is_origin_open(self, placement: Placement, now_s: float) -> bool:
+        return placement.may_read_origin and not self._peers.is_avoided(ORIGIN, now_s)
+
     def _do_duty(
         self, transfer: Transfer, placement: Placement, digest: str, now_s: float
     ) -> None:
@@ -318,3 +333,24 @@
         elif bucket.rate_per_s != rate:
             bucket.set_rate(rate, now_s)
         return bucket
+
+
+def _is_here(transfer: Transfer, placement: Placement, index: int) -> bool:
+    """Tell whether a chunk need not be drawn, for the region has it.
+
+    A cache that takes over the part of another one finds it there while that one lives.
+    """
+    table = transfer.table
+    here_map = table.seen_map if placement.pulls else table.available_map
+    return bool(here_map >> index & 1)
+
+
+def _needed_map(transfer: Transfer, placement: Placement) -> int:
+    """Return the chunks that are worth a draw now.
+
+    Before any agent has asked, a cache draws all of its part, for the origin may go
+    away.  Later the parts move as entries come and go; drawn anew for nobody, a version
+    that was replaced would hold up the one that replaced it.
+    """
+    lacked_map = None if placement.pulls else transfer.table.lacked_map
+    return transfer.table.full_map if lacked_map is None else lacked_map
--- a/reedspar/weights/limits.py
+++ b/reedspar/weights/limits.py
@@ -60,7 +60,7 @@
     origin_slots: int = SLOTS_MAX
     window: int = WINDOW
     requests_per_peer: int = 2
-    """So that the next one is there when a chunk has gone out, and uplinks don't idle."""
+    """So that the next one is there when a chunk has gone out."""
     far_window: int = FAR_WINDOW
     stall_s: float = 0.6
     seek_s: float = 1.0
--- a/reedspar/weights/neighbours.py
+++ b/reedspar/weights/neighbours.py
@@ -81,6 +81,17 @@
         """Return the chunks that some neighbour has ever obtained or held."""
         return self._seen
 
+    @property
+    def lacked_map(self) -> int | None:
+        """Return the chunks that agents lack that ask here; None if none has asked."""
+        asking = [n for n in self._neighbours.values() if not n.is_source]
+        if not asking:
+            return None
+        lacked = 0
+        for neighbour in asking:
+            lacked |= self.full_map & ~neighbour.obtained
+        return lacked
+
     def count(self, index: int) -> int:
         """Return how many neighbours hold a chunk."""
         return self._counts[index]
--- a/reedspar/weights/placement.py
+++ b/reedspar/weights/placement.py
@@ -63,6 +63,11 @@
         """
         return self._draws_everywhere and not self._has_cache_near_origin
 
+    @property
+    def may_read_origin(self) -> bool:
+        """Tell whether this agent may read the origin, in whatever region it is."""
+        return self._draws_everywhere or self.is_in_origin_region
+
     @property
     def origin_drawers(self) -> int:
         """Return how many agents draw from the origin."""
@@ -132,6 +137,13 @@
         """
         return not self._me.is_cache
 
+    def is_source(self, name: str) -> bool:
+        """Tell whether what a peer holds needs not be drawn into this region.
+
+        To a cache that is what other caches hold: agents send little over their links.
+        """
+        return self.pulls or self.is_cache(name)
+
     def region_of(self, name: str) -> str:
         """Return an agent's region, empty if it is not live."""
         return self._regions.get(name, "")
--- a/reedspar/weights/swarm.py
+++ b/reedspar/weights/swarm.py
@@ -153,7 +153,9 @@
         transfer = self._transfers.pop(root_digest, None)
         if transfer is None:
             return
-        del self._announcers[root_digest]
+        announcer = self._announcers.pop(root_digest)
+        if not transfer.is_complete:
+            announcer.tell_dropped()
         for index in transfer.missing:
             digest = transfer.digests[index]
             if not any(t.needs(digest) for t in self._transfers.values()):
@@ -278,7 +280,7 @@
         self._now_s = now_s
         self._drawing.get_objects(self._objects, self._placements, now_s)
         transfers = [t for t in self._transfers.values() if not t.is_complete]
-        for transfer in sorted(transfers, key=lambda t: len(t.missing)):
+        for transfer in sorted(transfers, key=self._count_left):
             placement = self._placements[transfer.model]
             self._drawing.draw(transfer, placement, now_s)
             self._pulling.pull(transfer, placement, now_s)
@@ -289,6 +291,10 @@
         for announcer in self._announcers.values():
             announcer.flush(now_s)
 
+    def _count_left(self, transfer: Transfer) -> int:
+        """Return how many chunks are to be got: what is nearly whole goes first."""
+        return len(transfer.draws if self._me.is_cache else transfer.missing)
+
     def _take_received(
         self, digest: str, data: bytes, request: Request, now_s: float
     ) -> None:
--- a/reedspar/weights/tests/test_caches.py
+++ b/reedspar/weights/tests/test_caches.py
@@ -2,14 +2,19 @@
 
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 from bench.inbound_queues import CACHED_CASES, MODEL, create_fleet
 from bench.weight_agents import Fleet, FleetAgent, make_weights
 from reedspar.weights import Manifest
+from reedspar.weights.limits import ORIGIN_READS
 
 TIME_LIMIT_S = 60.0
 LATE_MANIFEST_S = 0.2
 CACHE = "occidente-cache-0"
+FIRST_RESTART_S = 0.4
+RESTART_GAP_S = 0.7
+AWAY_S = 0.5
 
 
 class CacheTest(unittest.TestCase):
@@ -63,6 +68,57 @@
         copy_s = self.manifest.size_bytes / (self.case.link_mbps * 125_000)
         self.assertLess(late_s, 1.2 * copy_s + LATE_MANIFEST_S)
 
+    def test_entries_that_restart_in_turn_load_the_origin_little(self) -> None:
+        # All entries are restarted in turn while a version travels, and each time their
+        # parts go to others.  What the one entry near the origin held is lost with it;
+        # beyond that each restart may cost what was being read, and no more.
+        self.begin()
+        events = self.fleet.events
+        names = [a.peer.name for a in self.fleet.live if a.peer.is_cache]
+        for turn, name in enumerate(names):
+            events.at(
+                FIRST_RESTART_S + turn * RESTART_GAP_S,
+                lambda name=name: self.leave_and_return(name),
+            )
+        self.finish()
+        copies = self.fleet.origin_bytes / self.manifest.size_bytes
+        open_reads = ORIGIN_READS * len(names) / self.case.chunk_count
+        self.assertLess(copies, 2.0 + open_reads)
+
+    def test_version_that_was_replaced_is_drawn_no_more(self) -> None:
+        # A version is replaced before it has come, and entries restart.  The parts of
+        # those that were away went to others, which read the old version again for
+        # nobody: the new one came at two thirds of the origin's rate.
+        self.begin()
+        fleet = self.fleet
+        fleet.events.run(lambda: False, 0.6)
+        older = self.manifest
+        self.manifest, objects = make_weights(
+            self.case.chunk_count, self.case.chunk_bytes, sequence=2
+        )
+        fleet.objects.update(objects)
+        for agent in fleet.live:
+            if not agent.peer.is_cache:
+                agent.decide.forget(older.root_digest, fleet.events.now_s)
+        self.begin()
+        fleet.events.run(lambda: False, 0.8)
+        with mock.patch.object(fleet, "read_origin", wraps=fleet.read_origin) as read:
+            self.leave_and_return("centro-cache-0")
+            self.finish()
+        digests = {call.args[1] for call in read.call_args_list}
+        self.assertFalse(digests & set(older.chunk_digests))
+
+    def leave_and_return(self, name: str) -> None:
+        leaving = self.fleet.agents[name]
+        leaving.is_dead = True
+        self.fleet.set_views(MODEL)
+
+        def come_back() -> None:
+            restart(self.fleet, name, self.manifest)
+            self.fleet.set_views(MODEL)
+
+        self.fleet.events.at(self.fleet.events.now_s + AWAY_S, come_back)
+
     def test_region_without_an_entry_gets_the_version_all_the_same(self) -> None:
         # The entries of one region are all away.  Its agents draw what the others bring
         # to the links between regions, and send it to each other.
@@ -84,6 +140,7 @@
     before = fleet.agents[name]
     before.is_dead = True
     successor = FleetAgent(fleet, before.peer, fleet.create(before.peer))
+    successor.up, successor.down = before.up, before.down
     fleet.agents[name] = successor
     others = [a.peer for a in fleet.live if a is not successor]
     successor.decide.set_peers(MODEL, others, fleet.events.now_s)
