Fetch the next version beside the present one; wait for a chunk where it will come

While the first one lacks chunks that nobody has, an agent's link idles; regions that refuse are asked in turn, so no request waits where the chunk will come first, and others draw it again (2.4 copies a version); stuck agents read the origin past those that draw for all. An entry took a part that another one draws for coming.

--- a/reedspar/weights/catalog.py
+++ b/reedspar/weights/catalog.py
@@ -102,8 +102,8 @@
     ) -> None:
         """Give manifests to `hold`, and ask `left_s` how far a model's version is.
 
-        A version that has to wait for the one before it to be loaded, though
-        that one has come, goes to `prefetch`.
+        A version that has to wait for the one before it to be loaded goes to
+        `prefetch`.
         """
         self._hold = hold
         self._left_s = left_s
@@ -155,11 +155,15 @@
                 await self._wakeup.wait()
 
     def _move_on(self, model: str, version: int) -> None:
-        """Publish a version, or fetch it ahead while the one before it is loaded."""
+        """Publish a version, or fetch it ahead beside the one before it.
+
+        What is nearly whole is asked for first, so the earlier one is not held up.
+        Where it lacks chunks that nobody has, the link would idle.
+        """
         known = self._known[model, version]
         if not self._is_to_wait(model, version):
             self._publish(known)
-        elif not self._left_s(model) and (model, version) not in self._prefetched:
+        elif (model, version) not in self._prefetched:
             self._prefetched.add((model, version))
             self._hold(known.digest, known.encoded)
             self._prefetch(known.manifest)
--- a/reedspar/weights/drawing.py
+++ b/reedspar/weights/drawing.py
@@ -19,6 +19,8 @@
 SEEK_INTERVAL_S = 0.05
 DUTY_LIMIT = 256
 SHORT_WAIT_S = 0.5
+ORIGIN_RETURN_S = 2.0
+"""After a failed read, those that draw for all are left alone with the origin."""
 KEEPERS_TRIED = 2
 KEEPER_ANSWER_S = 0.6
 """A keeper that is there sends a chunk, or refuses, so long after its patience ends."""
@@ -113,7 +115,10 @@
         if index is None or len(self._duties) >= DUTY_LIMIT:
             return
         is_moving = now_s - transfer.progress_s < self._limits.seek_s
-        is_coming = transfer.is_missing(index) and is_moving
+        is_own = (
+            transfer.is_missing(index) if placement.pulls else index in transfer.draws
+        )
+        is_coming = is_own and is_moving
         if is_near or not is_coming:
             self._duties[digest] = transfer
 
@@ -292,7 +297,14 @@
         self._fetches.ask(fetch, peer, now_s, timeout_s, may_draw=True)
 
     def _is_origin_open(self, placement: Placement, now_s: float) -> bool:
-        return placement.may_read_origin and not self._peers.is_avoided(ORIGIN, now_s)
+        """Tell whether to read the origin past those that are to draw.
+
+        When it comes back, all agents lack chunks.  Were each to read its own, those
+        that draw for all would get a fraction of its link.
+        """
+        since_s = now_s - ORIGIN_RETURN_S
+        is_back = not self._peers.has_origin_failed_since(since_s)
+        return placement.may_read_origin and is_back
 
     def _do_duty(
         self, transfer: Transfer, placement: Placement, digest: str, now_s: float
--- a/reedspar/weights/fetches.py
+++ b/reedspar/weights/fetches.py
@@ -64,6 +64,7 @@
     size_bytes: int | None
     requests: list[Request] = field(default_factory=list)
     attempts: int = 0
+    refusals: int = 0
     has_origin_failed: bool = False
     not_before_s: float = 0.0
 
@@ -74,6 +75,7 @@
     def __init__(self) -> None:
         self._until_s: dict[str, float] = {}
         self._strikes: Counter[str] = Counter()
+        self._origin_failed_s = float("-inf")
         self.outstanding: Counter[str] = Counter()
 
     def is_avoided(self, peer: str, now_s: float) -> bool:
@@ -97,8 +99,13 @@
 
     def note_origin_failed(self, now_s: float) -> None:
         """Leave the origin alone for a moment."""
+        self._origin_failed_s = now_s
         self._strike(ORIGIN, AVOID_SCARCE_S, AVOID_ORIGIN_MAX_S, now_s)
 
+    def has_origin_failed_since(self, time_s: float) -> bool:
+        """Tell whether a read of the origin has failed after a time."""
+        return self._origin_failed_s > time_s
+
     def note_corrupt(self, peer: str, now_s: float, *, is_scarce: bool = False) -> None:
         """Leave a peer alone that sent wrong bytes; shortly if there are few others."""
         if is_scarce:
--- a/reedspar/weights/receiving.py
+++ b/reedspar/weights/receiving.py
@@ -15,6 +15,12 @@
 ORIGIN_RETRY_S = 0.1
 """Pause before the origin is asked for the same chunk again."""
 
+FAR_REFUSALS = 3
+"""Refusals of another region after which a chunk is asked for elsewhere.
+
+While the origin is away all regions refuse.  Asked for here and there, a chunk is not
+where it is waited for when the origin returns, and others draw it once more."""
+
 TakeObject = Callable[[str, bytes, Request, float], None]
 
 
@@ -64,7 +70,9 @@
         elif message.cause is RefusalCause.LEAVING:
             self._peers.note_busy(peer, now_s + self._limits.request_timeout_s)
         else:
-            fetch.attempts += 1
+            fetch.refusals += 1
+            is_to_turn = not request.region or fetch.refusals % FAR_REFUSALS == 0
+            fetch.attempts += is_to_turn
             fetch.not_before_s = max(fetch.not_before_s, now_s + self._limits.busy_s)
 
     def complete_read(self, digest: str, result: bytes | Failure, now_s: float) -> None:
