Let agents read the configuration at their start, and seldom after that

Cause: on the grown site every daemon downloads the whole document at each change; 96 of them over links of 16 Mbit/s between regions. Agents use the origin's address and the models of their service, which hardly change. Ruled out: the origin's limit of connections (none was reset), its link (no chunk was read).

--- a/reedspar/fleet/exchange.py
+++ b/reedspar/fleet/exchange.py
@@ -63,7 +63,7 @@
     def ask(self) -> None:
         """Ask peers for what they have heard of the store since this daemon has."""
         for peer in self._choose_peers():
-            for book in self._feed.books.values():
+            for book in self._feed.shared_books:
                 self._network.send(peer, FleetRequest(book.prefix, book.seen_revision))
 
     def _choose_peers(self) -> list[str]:
@@ -80,10 +80,18 @@
         return me is not None and peer is not None and peer.region == me.region
 
     def _answer(self, sender: Sender, request: FleetRequest) -> None:
-        book = self._feed.books.get(request.prefix)
+        """Answer from entries that cover what a peer follows, which may be a part."""
+        book = next(
+            (b for b in self._feed.shared_books if request.prefix.startswith(b.prefix)),
+            None,
+        )
         if book is None:
             return
-        newer = book.entries_after(request.after_revision)
+        newer = [
+            entry
+            for entry in book.entries_after(request.after_revision)
+            if entry.key.startswith(request.prefix)
+        ]
         if not newer:
             return
         entries = tuple(_encode(entry) for entry in newer[:ENTRIES_MAX])
--- a/reedspar/fleet/feed.py
+++ b/reedspar/fleet/feed.py
@@ -30,6 +30,9 @@
 GATHER_S = 0.03
 """Pause between two watches: changes that come in a row are fetched by one call,
 which spares about half of the calls while many targets change; adds 30 ms."""
+POLL_MIN = 0.5
+POLL_MAX = 1.5
+"""Parts of the time between two reads, drawn anew, so that daemons read in turn."""
 HELD_CHECK_S = 0.25
 
 _logger = logging.getLogger(__name__)
@@ -51,6 +54,10 @@
     is_kept_over_outage: bool = False
     gather_s: float = GATHER_S
     """Pause between two watches, in which changes gather for one call."""
+    poll_s: float | None = None
+    """Mean time between two reads of what need not be known at once, or None.
+
+    Such a prefix is not watched, and peers neither ask for it nor answer."""
 
 
 class FleetFeed:
@@ -70,7 +77,7 @@
         self._codec = codec
         self._timers = timers
         self._rng = rng
-        self._gather_s = {item.prefix: item.gather_s for item in prefixes}
+        self._prefixes = {item.prefix: item for item in prefixes}
         self._books = {
             item.prefix: EntryBook(item.prefix, item.is_kept_over_outage)
             for item in prefixes
@@ -96,6 +103,15 @@
         """Return the entries by prefix."""
         return self._books
 
+    @property
+    def shared_books(self) -> list[EntryBook]:
+        """Return the entries that peers tell each other of, by prefix."""
+        return [
+            book
+            for prefix, book in self._books.items()
+            if self._prefixes[prefix].poll_s is None
+        ]
+
     async def wait_seeded(self) -> None:
         """Return once every prefix was listed."""
         await self._seeded.wait()
@@ -139,7 +155,15 @@
                 return
             await self._wait_for_store(book, listing)
 
+    async def _poll(self, book: EntryBook, poll_s: float) -> None:
+        while True:
+            await anyio.sleep(poll_s * self._rng.uniform(POLL_MIN, POLL_MAX))
+            await self._list(book)
+
     async def _follow(self, book: EntryBook) -> None:
+        poll_s = self._prefixes[book.prefix].poll_s
+        if poll_s is not None:
+            await self._poll(book, poll_s)
         while True:
             wait_s = PROBE_S if book.is_away else WATCH_S
             result = await self._store.watch_entries(book.prefix, book.revision, wait_s)
@@ -147,7 +171,7 @@
             if isinstance(result, WatchedChanges):
                 self._note_answer(book, now_s)
                 self._apply(book.take(result.entries, result.revision, now_s))
-                await anyio.sleep(self._gather_s[book.prefix])
+                await anyio.sleep(self._prefixes[book.prefix].gather_s)
             elif result.reason is Reason.EXPIRED:
                 _logger.warning(
                     "history of the store is gone; listing again",
--- a/reedspar/fleet/tests/test_feed.py
+++ b/reedspar/fleet/tests/test_feed.py
@@ -13,6 +13,7 @@
 PREFIXES = (FleetPrefix("zones/"), FleetPrefix("targets/", is_kept_over_outage=True))
 GATHER_S = 0.3
 SETTLE_S = 0.1
+POLL_S = 0.2
 
 
 class FeedTest(unittest.TestCase):
@@ -57,6 +58,22 @@
 
         self.follow(script)
 
+    def test_document_that_may_wait_is_read_seldom(self) -> None:
+        # A document of a thousand routes changes ten times in a row.  Each daemon that
+        # needs little of it read it ten times, and the links between regions were full
+        # for as long as that took: requests and weights waited behind it.
+        async def script(store: FakeStore, feed: FleetFeed) -> None:
+            reads = len(store.calls)
+            for turn in range(10):
+                store.put("zones/b", f"{turn}".encode())
+                await anyio.sleep(POLL_S / 10)
+            await anyio.sleep(2 * POLL_S)
+            self.assertEqual(self.view.zones_out, {"b"})
+            self.assertLessEqual(len(store.calls) - reads, 6)
+            self.assertEqual(feed.shared_books, [])
+
+        self.follow(script, (FleetPrefix("zones/", poll_s=POLL_S),))
+
     def test_changes_that_may_wait_share_a_call(self) -> None:
         # All daemons start at once.  With a call for each start of each other one,
         # 24 of them made hundreds of calls, all of which are paid for.
