--- a/reedspar/fleet/feed.py
+++ b/reedspar/fleet/feed.py
@@ -155,16 +155,14 @@
                 return
             await self._wait_for_store(book, listing)
 
-    async def _poll(self, book: EntryBook, poll_s: float) -> None:
-        while True:
-            await anyio.sleep(poll_s * self._rng.uniform(POLL_MIN, POLL_MAX))
-            await self._list(book)
-
     async def _follow(self, book: EntryBook) -> None:
         poll_s = self._prefixes[book.prefix].poll_s
-        if poll_s is not None:
-            await self._poll(book, poll_s)
         while True:
+            # Until the first entry is written it is awaited like any other news.
+            if poll_s is not None and book.entries_after(0):
+                await anyio.sleep(poll_s * self._rng.uniform(POLL_MIN, POLL_MAX))
+                await self._list(book)
+                continue
             wait_s = PROBE_S if book.is_away else WATCH_S
             result = await self._store.watch_entries(book.prefix, book.revision, wait_s)
             now_s = self._timers.now_s()
--- a/reedspar/fleet/tests/test_feed.py
+++ b/reedspar/fleet/tests/test_feed.py
@@ -74,6 +74,17 @@
 
         self.follow(script, (FleetPrefix("zones/", poll_s=POLL_S),))
 
+    def test_first_document_is_taken_at_once(self) -> None:
+        # Daemons start before the operator has written anything.  Those that read the
+        # document seldom found nothing, and looked again half a minute later: until
+        # then they knew no origin, and got no weights.
+        async def script(store: FakeStore, feed: FleetFeed) -> None:
+            store.put("routes/first", b"{}")
+            await anyio.sleep(SETTLE_S)
+            self.assertTrue(feed.books["routes/"].entries_after(0))
+
+        self.follow(script, (FleetPrefix("routes/", poll_s=30.0),))
+
     def test_changes_that_may_wait_share_a_call(self) -> None:
         # All daemons start at once.  With a call for each start of each other one,
         # 24 of them made hundreds of calls, all of which are paid for.
