--- a/reedspar/weights/drawing.py
+++ b/reedspar/weights/drawing.py
@@ -93,8 +93,9 @@
             return
         if transfer.idle_since_s is None:
             transfer.idle_since_s = now_s
-        is_near = placement.is_drawn_here(0)
-        wait_s = TAKE_OVER_NEAR_S if is_near else TAKE_OVER_FAR_S
+        wait_s = TAKE_OVER_NEAR_S if placement.is_drawn_here(0) else TAKE_OVER_FAR_S
+        if transfer.table.has_silent_source:
+            wait_s = 0.0
         if now_s - transfer.idle_since_s < wait_s:
             return
         lacking_map = transfer.missing_map & ~transfer.table.available_map
--- a/reedspar/weights/neighbours.py
+++ b/reedspar/weights/neighbours.py
@@ -92,6 +92,12 @@
             lacked |= self.full_map & ~neighbour.obtained
         return lacked
 
+    @property
+    def has_silent_source(self) -> bool:
+        """Tell whether a neighbour that may hold chunks has not answered yet."""
+        neighbours = self._neighbours.values()
+        return any(n.is_source and not n.has_answered for n in neighbours)
+
     def count(self, index: int) -> int:
         """Return how many neighbours hold a chunk."""
         return self._counts[index]
