--- a/reedspar/weights/announcing.py
+++ b/reedspar/weights/announcing.py
@@ -59,13 +59,18 @@
                 table.remove(name)
         if not is_asking:
             return
+        names = [
+            name
+            for name in placement.region_names
+            if name == placement.me or placement.is_source(name)
+        ]
         for name in choose_neighbours(
             placement.me,
             self._transfer.root_digest,
-            live,
-            [name for name in placement.region_names if placement.is_cache(name)],
+            names,
+            [name for name in names if placement.is_cache(name)],
         ):
-            neighbour = table.add(name, is_source=placement.is_source(name))
+            neighbour = table.add(name)
             if neighbour is not None and not neighbour.asked_s:
                 self.send_map(neighbour, now_s, is_reply_wanted=True)
 
--- a/reedspar/weights/drawing.py
+++ b/reedspar/weights/drawing.py
@@ -8,7 +8,6 @@
 from .fetches import ORIGIN, Fetch, FetchBook, PeerBook
 from .limits import SwarmLimits
 from .memory import ChunkMemory
-from .needs import is_here, knows_neighbours, needed_map_of
 from .neighbours import iterate_bits
 from .placement import Placement
 from .transfers import Transfer
@@ -27,7 +26,6 @@
 """How long a cache that has its part waits for those of the others, from the origin or
 over a link between regions: some are slower, and a chunk drawn twice costs twice."""
 TAKE_OVER_CHUNKS = 8
-SPARE_REQUESTS = 1
 KEEPERS_TRIED = 2
 KEEPER_ANSWER_S = 0.6
 """A keeper that is there sends a chunk, or refuses, so long after its patience ends."""
@@ -57,17 +55,17 @@
 
     def draw(self, transfer: Transfer, placement: Placement, now_s: float) -> None:
         """Draw the next of the chunks that are this agent's to draw."""
-        if not knows_neighbours(transfer, self._limits.map_wait_s, now_s):
+        if not self._knows_neighbours(transfer, now_s):
             return
         self._take_over(transfer, placement, now_s)
         limit = self._limits.limit(transfer, now_s)
-        needed_map = needed_map_of(transfer, placement)
+        needed_map = _needed_map(transfer, placement)
         for place in range(len(transfer.draws) - 1, -1, -1):
             index = transfer.draws[place]
             if not needed_map >> index & 1:
                 continue
             digest = transfer.digests[index]
-            if not transfer.is_missing(index) or is_here(transfer, placement, index):
+            if not transfer.is_missing(index) or _is_here(transfer, placement, index):
                 del transfer.draws[place]
             elif not self._fetches.is_blocked(digest, now_s):
                 if index >= limit:
@@ -75,10 +73,10 @@
                 fetch = self._fetches.ensure(digest, transfer.sizes[digest])
                 if placement.is_drawn_here(index) and fetch.has_origin_failed:
                     del transfer.draws[place]
-                elif not self._start_near(transfer, fetch, index, now_s):
-                    is_started = self._start(fetch, index, placement, now_s)
-                    if not is_started and self._is_full(placement, now_s):
-                        return
+                elif not self._start(fetch, index, placement, now_s) and self._is_full(
+                    placement, now_s
+                ):
+                    return
 
     def _take_over(
         self, transfer: Transfer, placement: Placement, now_s: float
@@ -101,14 +99,14 @@
         if now_s - transfer.idle_since_s < wait_s:
             return
         lacking_map = transfer.missing_map & ~transfer.table.available_map
-        lacking_map &= needed_map_of(transfer, placement)
+        lacking_map &= _needed_map(transfer, placement)
         transfer.draws = list(islice(iterate_bits(lacking_map), TAKE_OVER_CHUNKS))
 
     def seek(self, transfer: Transfer, placement: Placement, now_s: float) -> None:
         """Ask the keepers for chunks that no neighbour holds, if nothing moves."""
         if not placement.pulls or now_s < transfer.seek_at_s:
             return
-        if not knows_neighbours(transfer, self._limits.map_wait_s, now_s):
+        if not self._knows_neighbours(transfer, now_s):
             return
         transfer.seek_at_s = now_s + SEEK_INTERVAL_S
         is_stuck = now_s - transfer.progress_s >= self._limits.seek_s
@@ -212,23 +210,6 @@
         timeout_s = 2 * self._limits.request_timeout_s
         return self._fetches.ask(fetch, ORIGIN, now_s, timeout_s, region=ORIGIN)
 
-    def _start_near(
-        self, transfer: Transfer, fetch: Fetch, index: int, now_s: float
-    ) -> bool:
-        """Ask an agent of the region for a chunk, if one has told that it has it.
-
-        What is in the region need not come over a narrow link again.  False if none has
-        it; an agent is asked for one chunk at a time.
-        """
-        holders = transfer.table.spare_holders(index) if not fetch.attempts else []
-        holders = [n for n in holders if not self._peers.is_avoided(n, now_s)]
-        if not holders:
-            return False
-        peer = min(holders, key=lambda name: self._peers.outstanding[name])
-        if self._peers.outstanding[peer] < SPARE_REQUESTS:
-            self._fetches.ask(fetch, peer, now_s, self._limits.request_timeout_s)
-        return True
-
     def _start(
         self, fetch: Fetch, index: int, placement: Placement, now_s: float
     ) -> bool:
@@ -370,6 +351,16 @@
         elif not self._start(fetch, index, placement, now_s):
             fetch.not_before_s = now_s + self._limits.busy_s
 
+    def _knows_neighbours(self, transfer: Transfer, now_s: float) -> bool:
+        """Tell whether the neighbours' maps are in, or were waited for.
+
+        An agent that draws before it knows what its region holds would bring
+        over a narrow link what is next door.
+        """
+        if now_s - transfer.started_s >= self._limits.map_wait_s:
+            return True
+        return all(n.has_answered for n in transfer.table.neighbours.values())
+
     def _bucket_of(
         self, region: str, placement: Placement, now_s: float
     ) -> TokenBucket:
@@ -384,3 +375,24 @@
         elif bucket.rate_per_s != rate:
             bucket.set_rate(rate, now_s)
         return bucket
+
+
+def _is_here(transfer: Transfer, placement: Placement, index: int) -> bool:
+    """Tell whether a chunk need not be drawn, for the region has it.
+
+    A cache that takes over the part of another one finds it there while that one lives.
+    """
+    table = transfer.table
+    here_map = table.seen_map if placement.pulls else table.available_map
+    return bool(here_map >> index & 1)
+
+
+def _needed_map(transfer: Transfer, placement: Placement) -> int:
+    """Return the chunks that are worth a draw now.
+
+    Before any agent has asked, a cache draws all of its part, for the origin may go
+    away.  Later the parts move as entries come and go; drawn anew for nobody, a version
+    that was replaced would hold up the one that replaced it.
+    """
+    lacked_map = None if placement.pulls else transfer.table.lacked_map
+    return transfer.table.full_map if lacked_map is None else lacked_map
--- a/reedspar/weights/neighbours.py
+++ b/reedspar/weights/neighbours.py
@@ -33,8 +33,6 @@
     is_source: bool = True
     """False for one that is told what is here, but asked for nothing."""
     held: int = 0
-    spare: int = 0
-    """What one that is no source holds: asked for only before a narrow link is."""
     obtained: int = 0
     has_answered: bool = False
     sent_sequence: int = 0
@@ -109,11 +107,6 @@
         bit = 1 << index
         return [n.name for n in self._neighbours.values() if n.held & bit]
 
-    def spare_holders(self, index: int) -> list[str]:
-        """Return the neighbours that hold a chunk and are no sources."""
-        bit = 1 << index
-        return [n.name for n in self._neighbours.values() if n.spare & bit]
-
     def is_needed(self, index: int, now_s: float) -> bool:
         """Tell whether a neighbour that gets on still lacks a chunk, and will soon."""
         bit = 1 << index
@@ -153,9 +146,7 @@
         self, neighbour: Neighbour, held: int, obtained: int, now_s: float
     ) -> None:
         """Take a neighbour's whole maps."""
-        held &= self.full_map
-        if not neighbour.is_source:
-            neighbour.spare, held = held, 0
+        held &= self.full_map if neighbour.is_source else 0
         if held & ~neighbour.held or not neighbour.has_answered:
             neighbour.last_gain_s = now_s
         self._recount(neighbour.held, held)
@@ -179,7 +170,6 @@
                 self._gain(neighbour, index, now_s)
         for index in dropped:
             bit = 1 << index
-            neighbour.spare &= ~bit
             if neighbour.held & bit:
                 neighbour.held &= ~bit
                 self._change_count(index, -1)
@@ -190,7 +180,6 @@
         neighbour.obtained |= bit
         neighbour.last_gain_s = now_s
         if not neighbour.is_source:
-            neighbour.spare |= bit
             return
         if not neighbour.held & bit:
             self._change_count(index, 1)
--- a/reedspar/weights/placement.py
+++ b/reedspar/weights/placement.py
@@ -138,7 +138,7 @@
         return not self._me.is_cache
 
     def is_source(self, name: str) -> bool:
-        """Tell whether what a peer holds need not be held here, too.
+        """Tell whether what a peer holds needs not be drawn into this region.
 
         To a cache that is what other caches hold: agents send little over their links.
         """
