Read past the entries one chunk at a time, and only when nothing moves

After the origin's return each agent reads many chunks past the entries; reads time out after 3 s, go on at the origin and are begun again.

--- a/reedspar/weights/drawing.py
+++ b/reedspar/weights/drawing.py
@@ -19,6 +19,10 @@
 SEEK_INTERVAL_S = 0.05
 DUTY_LIMIT = 256
 SHORT_WAIT_S = 0.5
+ORIGIN_TIMEOUT_S = 8.0
+"""Bound on a read that gets on; the client gives up a silent origin sooner.
+
+A read that is given up goes on at the origin, and the next one comes on top of it."""
 ORIGIN_RETURN_S = 2.0
 """After a failed read, those that draw for all are left alone with the origin."""
 TAKE_OVER_NEAR_S = 0.25
@@ -122,10 +126,12 @@
                 continue
             fetch = self._fetches.get(digest)
             has_failed = fetch is not None and fetch.has_origin_failed
-            was_seen = transfer.table.seen_map >> index & 1
-            if is_stuck or was_seen or has_failed:
+            if is_stuck or transfer.table.seen_map >> index & 1 or has_failed:
                 fetch = self._fetches.ensure(digest, transfer.sizes[digest])
-                self._ask_keeper(fetch, index, placement, now_s)
+                if is_stuck and self._may_read_past(fetch, placement, now_s):
+                    self._ask_origin(fetch, placement, now_s)
+                else:
+                    self._ask_keeper(fetch, index, placement, now_s)
 
     def note_asked(
         self,
@@ -207,8 +213,7 @@
             return False
         if self._fetches.far_open(ORIGIN) >= self._limits.origin_window(placement):
             return False
-        timeout_s = 2 * self._limits.request_timeout_s
-        return self._fetches.ask(fetch, ORIGIN, now_s, timeout_s, region=ORIGIN)
+        return self._fetches.ask(fetch, ORIGIN, now_s, ORIGIN_TIMEOUT_S, region=ORIGIN)
 
     def _start(
         self, fetch: Fetch, index: int, placement: Placement, now_s: float
@@ -303,12 +308,6 @@
     def _ask_keeper(
         self, fetch: Fetch, index: int, placement: Placement, now_s: float
     ) -> None:
-        has_failed = fetch.attempts >= KEEPERS_TRIED
-        if has_failed and self._is_origin_open(placement, now_s):
-            # The keeper that was asked may be gone, and the view keep it.  A version
-            # that lacks one chunk serves nobody; the origin has it.
-            self._ask_origin(fetch, placement, now_s)
-            return
         # A keeper asks only those that rank before it, and the first one draws.
         # Two that asked each other would both wait until their requests end.
         keepers = placement.keepers(fetch.digest)
@@ -326,15 +325,18 @@
         timeout_s = self._limits.near_patience_s + KEEPER_ANSWER_S
         self._fetches.ask(fetch, peer, now_s, timeout_s, may_draw=True)
 
-    def _is_origin_open(self, placement: Placement, now_s: float) -> bool:
+    def _may_read_past(self, fetch: Fetch, placement: Placement, now_s: float) -> bool:
         """Tell whether to read the origin past those that are to draw.
 
-        When it comes back, all agents lack chunks.  Were each to read its own, those
-        that draw for all would get a fraction of its link.
+        The keepers that were asked may be gone, and the view keep them; a version that
+        lacks one chunk serves nobody.  But when the origin comes back all agents lack
+        chunks: were each to read many, those that draw for all would get a fraction of
+        its link, and reads that time out would be begun again for ever.
         """
-        since_s = now_s - ORIGIN_RETURN_S
-        is_back = not self._peers.has_origin_failed_since(since_s)
-        return placement.may_read_origin and is_back
+        is_back = not self._peers.has_origin_failed_since(now_s - ORIGIN_RETURN_S)
+        is_first = not self._fetches.far_open(ORIGIN)
+        has_failed = fetch.attempts >= KEEPERS_TRIED
+        return placement.may_read_origin and has_failed and is_back and is_first
 
     def _do_duty(
         self, transfer: Transfer, placement: Placement, digest: str, now_s: float
--- a/reedspar/weights/tests/test_caches.py
+++ b/reedspar/weights/tests/test_caches.py
@@ -119,6 +119,45 @@
 
         self.fleet.events.at(self.fleet.events.now_s + AWAY_S, come_back)
 
+    def test_origin_that_returns_is_not_flooded(self) -> None:
+        # A second version is named just before the origin goes away.  When it is back
+        # all agents lack most of it, and each read large chunks past the entries: reads
+        # timed out and were begun again, thirty copies left the origin in a minute, and
+        # no target had the version.
+        case = replace(
+            self.case,
+            link_mbps=7.0,
+            region_mbps=9.0,
+            origin_mbps=9.0,
+            chunk_count=24,
+            chunk_bytes=131_072,
+        )
+        self.fleet = create_fleet(case)
+        fleet = self.fleet
+        first, objects = make_weights(case.chunk_count, case.chunk_bytes)
+        second, more = make_weights(case.chunk_count, case.chunk_bytes, sequence=2)
+        fleet.objects = objects | more
+        fleet.set_views(MODEL)
+        self.manifest = first
+        self.begin()
+        fleet.events.run(lambda: False, 2.0)
+        for agent in fleet.live:
+            agent.decide.know_version(second, fleet.events.now_s)
+            agent.decide.want_chunks(second, fleet.events.now_s)
+            agent.pump()
+        fleet.events.run(lambda: False, 2.5)
+        fleet.origin_is_away = True
+        fleet.events.run(lambda: False, 8.5)
+        fleet.origin_is_away = False
+        fleet.events.run(lambda: False, 20.0)
+        held = [
+            set(second.chunk_digests) - missing_digests(agent, second)
+            for agent in fleet.live
+            if not agent.peer.is_cache
+        ]
+        self.assertEqual({len(digests) for digests in held}, {case.chunk_count})
+        self.assertLess(fleet.origin_bytes, 4 * first.size_bytes)
+
     def test_region_without_an_entry_gets_the_version_all_the_same(self) -> None:
         # The entries of one region are all away.  Its agents draw what the others bring
         # to the links between regions, and send it to each other.
@@ -131,6 +170,10 @@
         self.assertLessEqual(self.fleet.origin_bytes, 1.1 * self.manifest.size_bytes)
 
 
+def missing_digests(agent: FleetAgent, manifest: Manifest) -> set[str]:
+    return {d for d in manifest.chunk_digests if agent.decide.object_bytes(d) is None}
+
+
 def count_across(fleet: Fleet) -> int:
     return sum(link.sent_bytes for link in fleet.regions.values())
 
