--- a/reedspar/daemon/site_agent.py
+++ b/reedspar/daemon/site_agent.py
@@ -16,10 +16,10 @@
 from reedspar.settings import SiteSettings
 from reedspar.timers import TimerService
 from reedspar.weights import (
-    CacheOrigin,
     LocalFencing,
     StagedReader,
     VersionCatalog,
+    VersionedOrigin,
     WeightController,
     create_weight_controller,
 )
@@ -51,7 +51,7 @@
 class AgentBorders:
     """What the site's wire brings for an agent."""
 
-    create_origin: Callable[[FleetView], CacheOrigin]
+    create_origin: Callable[[FleetView], VersionedOrigin]
     create_engine: Callable[[VersionCatalog], SiteEngine]
     metrics: ASGIApp
 
--- a/reedspar/daemon/site_entry.py
+++ b/reedspar/daemon/site_entry.py
@@ -25,7 +25,7 @@
 from reedspar.settings import SiteSettings
 from reedspar.telemetry import Metrics
 from reedspar.timers import TimerService
-from reedspar.weights import CacheOrigin, WeightCache, create_weight_cache
+from reedspar.weights import VersionedOrigin, WeightCache, create_weight_cache
 
 from .serving import PortDispatcher, serve_http
 from .site_parts import SiteBase, SiteParts, create_site_base
@@ -52,7 +52,7 @@
     border: CallerBorder
     create_dialer: Callable[[FleetView], TargetDialer]
     create_directory: Callable[["SiteEntry"], ASGIApp]
-    create_origin: Callable[[FleetView], CacheOrigin]
+    create_origin: Callable[[FleetView], VersionedOrigin]
     metrics_app: ASGIApp
     metrics: Metrics
 
--- a/reedspar/daemon/site_weights.py
+++ b/reedspar/daemon/site_weights.py
@@ -18,7 +18,7 @@
 
 CACHE_KEY = "weights cache"
 CACHES_PER_REGION = 4
-"""Entries that hold copies: two may restart, and more would mostly send each other."""
+"""Entries that hold a part of a version each; more would make parts of few chunks."""
 FIRST_VERSION = 1
 """What targets serve before any version was named."""
 
@@ -39,7 +39,7 @@
         self._settings = settings
 
     def agents_of(self, model: str) -> tuple[WeightPeer, ...]:
-        """Return the live agents whose targets serve a model, and the entries."""
+        """Return the live agents whose targets serve a model, and the caches."""
         routes = self._view.routes
         pools = routes.pools_of(model) if routes is not None else ()
         agents = [
--- a/reedspar/utils/pacing.py
+++ b/reedspar/utils/pacing.py
@@ -37,10 +37,6 @@
         self._refill(now_s)
         self._tokens -= size
 
-    def give_back(self, size: int) -> None:
-        """Uncount a message that will not come."""
-        self._tokens = min(self._burst, self._tokens + size)
-
     def ready_at_s(self, now_s: float) -> float:
         """Return when the next message may go, if no other goes before."""
         self._refill(now_s)
--- a/reedspar/weights/__init__.py
+++ b/reedspar/weights/__init__.py
@@ -1,7 +1,7 @@
 """Weights: manifests, their distribution among agents, and activation in engines."""
 
 from .activation import SwitchGate
-from .cache import CacheOrigin, WeightCache, create_weight_cache
+from .cache import VersionedOrigin, WeightCache, create_weight_cache
 from .catalog import KnownVersion, ManifestReader, VersionCatalog
 from .controller import WeightController, create_weight_controller
 from .distribution import WeightPeer
@@ -20,7 +20,6 @@
 
 __all__ = [
     "AgentSettings",
-    "CacheOrigin",
     "Chunk",
     "ConfigurationView",
     "FencingNumbers",
@@ -35,6 +34,7 @@
     "StagedReader",
     "SwitchGate",
     "VersionCatalog",
+    "VersionedOrigin",
     "WeightCache",
     "WeightController",
     "WeightPeer",
--- a/reedspar/weights/cache.py
+++ b/reedspar/weights/cache.py
@@ -31,7 +31,7 @@
 from .swarm import SwarmDistribution
 from .views import AgentSettings, PeerView
 
-__all__ = ["CacheOrigin", "CachePeers", "WeightCache", "create_weight_cache"]
+__all__ = ["CachePeers", "VersionedOrigin", "WeightCache", "create_weight_cache"]
 
 PEER_REFRESH_S = 0.5
 RETRY_MIN_S = 0.1
@@ -42,7 +42,7 @@
 _logger = logging.getLogger(__name__)
 
 
-class CacheOrigin(WeightSource, ManifestReader, Protocol):
+class VersionedOrigin(WeightSource, ManifestReader, Protocol):
     """An origin that also reads manifests by version."""
 
 
@@ -62,7 +62,7 @@
         network: Network,
         timers: TimerService,
         tasks: TaskGroup,
-        origin: CacheOrigin,
+        origin: VersionedOrigin,
         peers: CachePeers,
         distribution: Distribution,
         rng: random.Random,
@@ -170,7 +170,7 @@
     network: Network,
     timers: TimerService,
     tasks: TaskGroup,
-    origin: CacheOrigin,
+    origin: VersionedOrigin,
     peers: CachePeers,
     rng: random.Random,
 ) -> WeightCache:
--- a/reedspar/weights/pulling.py
+++ b/reedspar/weights/pulling.py
@@ -1,4 +1,4 @@
-"""Pulling chunks from neighbours, within the machine's link."""
+"""Pulling chunks from neighbours: caches first, and no more at a time than a window."""
 
 import random
 
