Tell where the time went of requests that began on replaced weights

Callers' requests began on version 1 up to 35 ms after its bound. Neither logs nor metrics could tell whether the news of the version came late, the connection or the link took long, or the target's queue: no line had the times of one attempt.

An entry now counts answers that begin on replaced weights (in time, in the last second before the bound, past it) and logs those of the last second and later, five lines a second at most: when the target was chosen, when the request was written and when the answer began, all since this entry heard of the newer version, and what was expected. The dialer tells when it is connected, before it writes. Nothing is decided otherwise.

--- a/bench/many_deciders.py
+++ b/bench/many_deciders.py
@@ -22,6 +22,7 @@
 from reedspar.direct.cold import ColdLimits
 from reedspar.direct.crashes import CrashWatch
 from reedspar.direct.loads import LoadReport, TargetLoads
+from reedspar.direct.replaced import ReplacedLog
 from reedspar.direct.tests.fakes import ENGINE, make_engine_target, make_table
 from reedspar.direct.versions import VersionRule
 from reedspar.errors import Failure
@@ -117,15 +118,17 @@
         for target in targets:
             view.apply(TargetChange(target, make_engine_target(target)))
         view.end_seeding()
+        versions = VersionRule(view, timers, 8.0)
         self.chooser = DirectChooser(
             view,
             TargetLoads(),
             ColdLimits(name),
-            VersionRule(view, timers, 8.0),
+            versions,
             timers,
             {"a": "ra"},
             "ra",
             CrashWatch(name, timers, lambda *crash: None),
+            ReplacedLog(versions, timers),
             random.Random(seed),
         )
 
--- a/reedspar/daemon/site_entry.py
+++ b/reedspar/daemon/site_entry.py
@@ -186,6 +186,7 @@
         rng=rng,
         first_filters=(RequestLog(view, timers, borders.metrics),),
     )
+    borders.metrics.replaced_begun.observe(service.replaced.read_counts)
     create_load_listener(view, service.chooser, links.transport)
     origin = borders.create_origin(view)
 
--- a/reedspar/direct/choice.py
+++ b/reedspar/direct/choice.py
@@ -29,6 +29,7 @@
     average_load,
 )
 from .refusals import COME_BACK_S, Refusals
+from .replaced import ReplacedLog
 from .versions import VersionRule
 
 __all__ = ["DirectChooser", "DirectTarget"]
@@ -61,6 +62,10 @@
     """When its answer would begin, from now, by the estimate before calibration."""
     weights_digest: str = ""
     incarnation: int = 0
+    version: int | None = None
+    """The version of the request's model that it had when it was chosen."""
+    wait_s: float = 0.0
+    """When its answer would begin, from now, calibrated and with the distance."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +94,7 @@
         zones: dict[str, str],
         region: str,
         crashes: CrashWatch,
+        replaced: ReplacedLog,
         rng: random.Random,
     ) -> None:
         self._view = view
@@ -100,6 +106,7 @@
         self._regions = zones
         self._region = region
         self._crashes = crashes
+        self._replaced = replaced
         self._rng = rng
         self._calibrations: dict[str, Calibration] = {}
 
@@ -138,7 +145,11 @@
         near = [i for i in candidates if i.expected_s <= best_s + NEAR_BEST_S]
         chosen = self._rng.choice(near)
         return DirectTarget(
-            chosen.known.record.id, chosen.estimated_s, request.weights_digest
+            chosen.known.record.id,
+            chosen.estimated_s,
+            request.weights_digest,
+            version=chosen.known.record.weights.get(request.model),
+            wait_s=chosen.expected_s,
         )
 
     def on_started(self, request: Request, chosen: ChosenTarget) -> None:
@@ -147,13 +158,24 @@
         load = self._loads.of(chosen.name)
         assert isinstance(chosen, DirectTarget)
         load.own[request.request_id] = OwnAttempt(
-            request.prompt_tokens, now_s, chosen.estimated_s
+            request.prompt_tokens,
+            now_s,
+            chosen.estimated_s,
+            model=request.model,
+            version=chosen.version,
+            wait_s=chosen.wait_s,
         )
         known = self._view.target(chosen.name)
         if known is not None and known.is_cold(now_s):
             rate_per_s = cold_rate_of(self._terms_of(request.pool))
             self._cold.note_sent(load, rate_per_s, now_s)
 
+    def note_handed_over(self, target_id: str, request_id: str) -> None:
+        """Note that a connection is there and the request is written now."""
+        attempt = self._loads.of(target_id).own.get(request_id)
+        if attempt is not None:
+            attempt.handed_over_s = self._timers.now_s()
+
     def on_first_byte(self, request: Request, chosen: ChosenTarget) -> None:
         """Note that the prompt was read."""
         load = self._loads.of(chosen.name)
@@ -163,6 +185,7 @@
             attempt.has_begun = True
             took_s = self._timers.now_s() - attempt.started_s
             self._calibration(request.pool).note(attempt.expected_s, took_s)
+            self._replaced.note_begun(request.request_id, chosen.name, attempt)
 
     def on_ended(
         self, request: Request, chosen: ChosenTarget, answer: Answer | None
--- a/reedspar/direct/client.py
+++ b/reedspar/direct/client.py
@@ -53,10 +53,15 @@
         ...
 
     def send(
-        self, target_id: str, request: TargetRequest
+        self,
+        target_id: str,
+        request: TargetRequest,
+        on_connected: Callable[[], None],
     ) -> AbstractAsyncContextManager[DirectResponse | Failure]:
         """Hand over a request on a connection of its own.
 
+        `on_connected` is called between connecting and writing.
+
         A failure at `Step.LINK` means that nothing reached the target; at
         `Step.TARGET_CALL` its reason says whether the target may have run it.
         """
@@ -83,11 +88,13 @@
         timers: TimerService,
         tasks: TaskGroup,
         note_report: Callable[[str, LoadReport], None],
+        note_handed_over: Callable[[str, str], None],
     ) -> None:
         self._dialer = dialer
         self._timers = timers
         self._tasks = tasks
         self._note_report = note_report
+        self._note_handed_over = note_handed_over
         self._running: dict[int, _Running] = {}
         timers.call_every(SWEEP_S, self.sweep)
 
@@ -174,7 +181,12 @@
             start.workspace,
             start.weights_digest,
         )
-        async with self._dialer.send(attempt.target, request) as response:
+        target = attempt.target
+
+        def on_connected() -> None:
+            self._note_handed_over(target, start.request_id)
+
+        async with self._dialer.send(target, request, on_connected) as response:
             if isinstance(response, Failure):
                 return response
             headers = tuple(Header(name, value) for name, value in response.headers)
@@ -218,6 +230,7 @@
     timers: TimerService,
     tasks: TaskGroup,
     note_report: Callable[[str, LoadReport], None],
+    note_handed_over: Callable[[str, str], None],
 ) -> DirectAttemptClient:
     """Make a client whose attempts run in `tasks`."""
-    return DirectAttemptClient(dialer, timers, tasks, note_report)
+    return DirectAttemptClient(dialer, timers, tasks, note_report, note_handed_over)
--- a/reedspar/direct/loads.py
+++ b/reedspar/direct/loads.py
@@ -56,6 +56,13 @@
     expected_s: float = 0.0
     """When its first event was expected, by the estimate before calibration."""
     has_begun: bool = False
+    model: str = ""
+    version: int | None = None
+    """The version of the model's weights that the target had when it was chosen."""
+    wait_s: float = 0.0
+    """When its first event was expected, calibrated and with the distance."""
+    handed_over_s: float | None = None
+    """When its request was written, once there was a connection."""
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/reedspar/direct/replaced.py
@@ -0,0 +1,64 @@
+"""Log lines and counts of requests that began on weights a newer version replaced."""
+
+import logging
+
+from reedspar.timers import TimerService
+from reedspar.utils import TokenBucket
+
+from .loads import OwnAttempt
+from .versions import VersionRule
+
+__all__ = ["ReplacedLog"]
+
+NEAR_S = 1.0
+"""Time before the bound from which such a request gets a line."""
+LINES_PER_S = 5.0
+LINES_BURST = 20.0
+
+_logger = logging.getLogger(__name__)
+
+
+class ReplacedLog:
+    """Tells requests that began close to the bound, and how their time passed."""
+
+    def __init__(self, versions: VersionRule, timers: TimerService) -> None:
+        self._versions = versions
+        self._timers = timers
+        self._bucket = TokenBucket(LINES_PER_S, LINES_BURST)
+        self._counts = dict.fromkeys(("in_time", "near", "past"), 0)
+
+    def read_counts(self) -> list[tuple[float, dict[str, str]]]:
+        """Return how many requests began on replaced weights, by when."""
+        return [(count, {"when": when}) for when, count in self._counts.items()]
+
+    def note_begun(self, request_id: str, target_id: str, attempt: OwnAttempt) -> None:
+        """Count an answer that begins now, and log it if the bound is close."""
+        if attempt.version is None:
+            return
+        named_s = self._versions.replaced_s(attempt.model, attempt.version)
+        if named_s is None:
+            return
+        now_s = self._timers.now_s()
+        left_s = named_s + self._versions.bound_s - now_s
+        when = "past" if left_s < 0 else "near" if left_s < NEAR_S else "in_time"
+        self._counts[when] += 1
+        if left_s >= NEAR_S or not self._bucket.is_ready(now_s):
+            return
+        self._bucket.take(1, now_s)
+        handed_over_s = attempt.handed_over_s
+        if handed_over_s is None:
+            handed_over_s = attempt.started_s
+        _logger.info(
+            "request begun on replaced weights",
+            extra={
+                "request": request_id,
+                "target": target_id,
+                "model": attempt.model,
+                "version": attempt.version,
+                "left_ms": round(left_s * 1000),
+                "chosen_ms": round((attempt.started_s - named_s) * 1000),
+                "handed_over_ms": round((handed_over_s - named_s) * 1000),
+                "begun_ms": round((now_s - named_s) * 1000),
+                "expected_ms": round(attempt.wait_s * 1000),
+            },
+        )
--- a/reedspar/direct/service.py
+++ b/reedspar/direct/service.py
@@ -29,6 +29,7 @@
 from .crashes import CrashWatch
 from .filters import BoundByRoute, IdentifyRoute
 from .loads import TargetLoads
+from .replaced import ReplacedLog
 from .versions import VersionRule
 
 __all__ = ["DirectService", "create_direct_service"]
@@ -50,6 +51,7 @@
     chooser: DirectChooser
     loads: TargetLoads
     versions: VersionRule
+    replaced: ReplacedLog
     follower: "_FleetFollower"
 
     def apply_bounds(self, bounds: BoundSettings) -> None:
@@ -131,6 +133,7 @@
     loads = TargetLoads()
     cold = ColdLimits(settings.name)
     versions = VersionRule(view, timers, bounds.version_ms / 1000)
+    replaced = ReplacedLog(versions, timers)
     quarantine = Quarantine()
     gossip = create_crash_gossip(
         settings.name,
@@ -150,9 +153,12 @@
         settings.zones,
         settings.region,
         crashes,
+        replaced,
         rng,
     )
-    client = create_direct_attempt_client(dialer, timers, tasks, chooser.note_report)
+    client = create_direct_attempt_client(
+        dialer, timers, tasks, chooser.note_report, chooser.note_handed_over
+    )
     budgets = RetryBudgets(bounds.retry_share)
     follower = _FleetFollower(view, loads, cold, budgets, bounds.retry_slack)
     view.on_change(follower.note)
@@ -173,4 +179,6 @@
         CallerLimits().body_bytes,
         others,
     )
-    return DirectService(application, client, chooser, loads, versions, follower)
+    return DirectService(
+        application, client, chooser, loads, versions, replaced, follower
+    )
--- a/reedspar/direct/tests/fakes.py
+++ b/reedspar/direct/tests/fakes.py
@@ -127,6 +127,7 @@
         self._view = view
         self.sent: list[tuple[str, TargetRequest]] = []
         self.closed: list[str] = []
+        self.connect_s = 0.0
         self.script: Script = lambda target_id, request: FakeResponse([b"ok"])
 
     def knows(self, target_id: str) -> bool:
@@ -134,8 +135,14 @@
 
     @asynccontextmanager
     async def send(
-        self, target_id: str, request: TargetRequest
+        self,
+        target_id: str,
+        request: TargetRequest,
+        on_connected: Callable[[], None],
     ) -> AsyncIterator[DirectResponse | Failure]:
+        if self.connect_s:
+            await anyio.sleep(self.connect_s)
+        on_connected()
         self.sent.append((target_id, request))
         answer = self.script(target_id, request)
         try:
--- a/reedspar/direct/versions.py
+++ b/reedspar/direct/versions.py
@@ -28,6 +28,11 @@
         self._bound_s = bound_s
         self._seeded_s: float | None = None
 
+    @property
+    def bound_s(self) -> float:
+        """Return the time after which a newer version must be everywhere."""
+        return self._bound_s
+
     def set_bound(self, bound_s: float) -> None:
         """Take the time after which a newer version must be everywhere."""
         self._bound_s = bound_s
@@ -36,22 +41,21 @@
         """Note that versions named from now on are named now."""
         self._seeded_s = self._timers.now_s()
 
+    def replaced_s(self, model: str, version: int) -> float | None:
+        """Return when the first version above `version` was named, if one was."""
+        newer = [v for v in self._view.versions_of(model) if v.version > version]
+        return min((item.named_s for item in newer), default=None)
+
     def may_serve(self, model: str, version: int, wait_s: float = 0.0) -> bool:
         """Tell whether a request that will wait may begin on a version."""
-        newest = self._view.version_of(model)
-        if newest is None or version >= newest.version:
+        replaced_s = self.replaced_s(model, version)
+        if replaced_s is None:
             return True
         begins_s = self._timers.now_s() + WAIT_FACTOR * wait_s
-        return begins_s < self._older_until_s(model, version)
+        return begins_s < self._older_until_s(replaced_s)
 
-    def _older_until_s(self, model: str, version: int) -> float:
+    def _older_until_s(self, named_s: float) -> float:
         """Return until when a version may serve that a newer one replaced."""
-        named_s = self._replaced_s(model, version)
         if self._seeded_s is None or named_s <= self._seeded_s:
             return named_s + min(UNSURE_S, self._bound_s - OLDER_MARGIN_S)
         return named_s + self._bound_s - OLDER_MARGIN_S
-
-    def _replaced_s(self, model: str, version: int) -> float:
-        """Return when the first version above `version` was named."""
-        newer = [v for v in self._view.versions_of(model) if v.version > version]
-        return min(item.named_s for item in newer)
--- a/reedspar/telemetry/metrics.py
+++ b/reedspar/telemetry/metrics.py
@@ -192,6 +192,16 @@
             "change",
         ),
     ]
+    replaced_begun: Annotated[
+        Observed,
+        observed_counter(
+            "weights.replaced_begun",
+            "{request}",
+            "Requests that began on replaced weights, by when: in_time, near (the last "
+            "second before the bound), past.",
+            "when",
+        ),
+    ]
     gate_limit: Annotated[
         Observed,
         observed_gauge(
