--- a/reedspar/direct/tests/fakes.py
+++ b/reedspar/direct/tests/fakes.py
@@ -127,6 +127,8 @@
         self._view = view
         self.sent: list[tuple[str, TargetRequest]] = []
         self.closed: list[str] = []
+        self.begun: list[tuple[str, float]] = []
+        """Targets that began to answer, and when by the event loop's time."""
         self.connect_s = 0.0
         self.script: Script = lambda target_id, request: FakeResponse([b"ok"])
 
@@ -149,6 +151,8 @@
             if isinstance(answer, float):
                 await anyio.sleep(answer)
                 answer = FakeResponse([b"late"])
+            if not isinstance(answer, Failure):
+                self.begun.append((target_id, anyio.current_time()))
             yield answer
         finally:
             self.closed.append(target_id)
--- /dev/null
+++ b/reedspar/direct/tests/test_replaced_weights.py
@@ -0,0 +1,102 @@
+"""Tests of the end of an older version's time, over ASGI and in virtual time."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from reedspar.direct import DirectService, LoadReport
+from reedspar.direct.tests.cases import Call
+from reedspar.direct.tests.fakes import (
+    FakeDialer,
+    make_direct_service,
+    make_engine_target,
+)
+from reedspar.fleet import FleetView, WeightsChange
+from reedspar.requests.tests.virtual import LoopClock, run_virtual
+from reedspar.timers import TimerService
+
+BOUND_S = 10.0
+SOON_S = 0.05
+BUSY = LoadReport(6, 2, 16)
+IDLE = LoadReport(0, 0, 16)
+Script = Callable[[DirectService, FakeDialer, float], Awaitable[None]]
+
+
+class ReplacedWeightsTest(unittest.TestCase):
+    """One target has the version before, and a busier one the version just named."""
+
+    targets = [
+        make_engine_target("older"),
+        make_engine_target("newer", weights={"m": 2}),
+    ]
+
+    def run_with(self, script: Script) -> None:
+        """Run `script` with the time at which the second version is named."""
+
+        async def run() -> None:
+            timers = TimerService(LoopClock())
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(timers.run)
+                made = make_direct_service(timers, tasks, self.targets)
+                service, dialer, view = made
+                service.versions.set_bound(BOUND_S)
+                service.versions.note_seeded()
+                await anyio.sleep(1.0)
+                _name_version(view, 2)
+                await script(service, dialer, anyio.current_time())
+                tasks.cancel_scope.cancel()
+
+        run_virtual(run)
+
+    async def call_at(
+        self, service: DirectService, at_s: float, path: str = "/q/1", **headers: str
+    ) -> Call:
+        """Have a request come in at a time at which `newer` is busy."""
+        await anyio.sleep_until(at_s)
+        service.chooser.note_report("older", IDLE)
+        service.chooser.note_report("newer", BUSY)
+        call = Call(path, x_model="m", **headers)
+        await service.application(call.scope, call.receive, call.send)
+        return call
+
+    def test_request_whose_connection_takes_long_begins_on_the_newer_version(
+        self,
+    ) -> None:
+        # The target was chosen in time.  Then the connection took 0.39 s and the link
+        # 0.2 s, and the older version began the request past its bound.
+        async def script(
+            service: DirectService, dialer: FakeDialer, named_s: float
+        ) -> None:
+            dialer.connect_s = 0.39
+            dialer.script = lambda target_id, request: (
+                0.2 if target_id == "older" else SOON_S
+            )
+            call = await self.call_at(service, named_s + 9.42)
+            self.assertEqual(call.status, 200)
+            self.assertEqual([name for name, _ in dialer.begun], ["newer"])
+
+        self.run_with(script)
+
+    def test_request_that_waits_at_the_bound_begins_on_the_newer_version(self) -> None:
+        # Handed over in time, a request waited in its target's queue for longer than
+        # expected, and the older version began it past its bound.
+        async def script(
+            service: DirectService, dialer: FakeDialer, named_s: float
+        ) -> None:
+            dialer.script = lambda target_id, request: (
+                1.2 if target_id == "older" else SOON_S
+            )
+            call = await self.call_at(service, named_s + 9.0)
+            self.assertEqual(call.status, 200)
+            self.assertEqual([name for name, _ in dialer.begun], ["newer"])
+
+        self.run_with(script)
+
+
+def _name_version(view: FleetView, version: int) -> None:
+    view.apply(WeightsChange("m", version))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/reedspar/fleet/tests/fakes.py
+++ b/reedspar/fleet/tests/fakes.py
@@ -12,6 +12,7 @@
     TargetRecord,
     WatchedChanges,
     WatchedEntry,
+    WeightsChange,
     ZoneChange,
 )
 from reedspar.platform import KeyValueEntry
@@ -145,7 +146,7 @@
 
 
 class FakeCodec:
-    """Reads ``targets/ID`` and ``zones/NAME``."""
+    """Reads ``targets/ID``, ``zones/NAME`` and ``versions/MODEL``."""
 
     def decode(self, entry: WatchedEntry) -> FleetChange | None:
         kind, _, name = entry.key.partition("/")
@@ -153,4 +154,6 @@
             return ZoneChange(name, entry.value is not None)
         if entry.value is None:
             return TargetChange(name, None)
+        if kind == "versions":
+            return WeightsChange(name, int(entry.value))
         return TargetChange(name, make_target(name, **json.loads(entry.value)))
--- a/reedspar/fleet/tests/test_exchange.py
+++ b/reedspar/fleet/tests/test_exchange.py
@@ -18,7 +18,7 @@
 from reedspar.requests.tests.fakes import FakeNetwork
 from reedspar.timers import TimerService, VirtualClock
 
-PREFIXES = (FleetPrefix("zones/"), FleetPrefix("targets/"))
+PREFIXES = (FleetPrefix("zones/"), FleetPrefix("targets/"), FleetPrefix("versions/"))
 
 
 class Daemon:
@@ -118,6 +118,24 @@
         self.cut_off.network.deliver("e3", late)
         self.assertEqual(self.cut_off.view.zones_out, frozenset())
 
+    def test_version_that_was_heard_late_counts_from_when_a_peer_heard(self) -> None:
+        # A machine's link is busy and the store's news of a version comes three seconds
+        # late.  Counted from then, the older version began requests past its bound.
+        named = WatchedEntry("versions/m", b"2", 9)
+        self.served.hear_store("versions/", named)
+        for _ in range(6):
+            self.served.tick()
+            self.cut_off.tick()
+        self.cut_off.network.sent.clear()
+        self.cut_off.hear_store("versions/", named)
+        for _ in range(4):
+            self.cut_off.tick()
+            self.served.tick()
+            self.pass_on()
+        version = self.cut_off.view.version_of("m")
+        assert version is not None
+        self.assertLess(version.named_s, 1.0)
+
     def test_own_watch_goes_on_where_it_stood(self) -> None:
         # A peer's entries may leave gaps; a watch that went on after them would
         # never hear what lies between.
