Look again before a request is written: the older version's time may be over

Callers' requests began on version 1 up to 35 ms after the 10 s in which version 2 had to be everywhere. Whether a request may still begin on an older version was decided once, when its target was chosen; the connection, up to 0.4 s, and whatever held the entry up lay in between.

The dialer now asks between connecting and writing, and the same rule answers: now, and twice the time in which the first event is expected. If it says no, nothing is written (`superseded` at `link`): the relay chooses anew without spending a retry, the target is not taken for broken, and a caller for whom no other target is left is told, truly, that the request has not run.

--- a/reedspar/direct/choice.py
+++ b/reedspar/direct/choice.py
@@ -170,12 +170,6 @@
             rate_per_s = cold_rate_of(self._terms_of(request.pool))
             self._cold.note_sent(load, rate_per_s, now_s)
 
-    def note_handed_over(self, target_id: str, request_id: str) -> None:
-        """Note that a connection is there and the request is written now."""
-        attempt = self._loads.of(target_id).own.get(request_id)
-        if attempt is not None:
-            attempt.handed_over_s = self._timers.now_s()
-
     def on_first_byte(self, request: Request, chosen: ChosenTarget) -> None:
         """Note that the prompt was read."""
         load = self._loads.of(chosen.name)
@@ -194,7 +188,7 @@
         load = self._loads.of(chosen.name)
         load.own.pop(request.request_id, None)
         failure = answer.failure if answer is not None else None
-        if answer is None or failure is None:
+        if answer is None or failure is None or failure.reason is Reason.SUPERSEDED:
             return
         now_s = self._timers.now_s()
         if answer.outcome is Outcome.UNKNOWN:
--- a/reedspar/direct/client.py
+++ b/reedspar/direct/client.py
@@ -21,6 +21,7 @@
 from reedspar.requests.attempt_client import OpenAttempt
 from reedspar.timers import TimerService
 
+from .limits import AttemptLimits
 from .loads import LoadReport
 
 __all__ = [
@@ -56,11 +57,12 @@
         self,
         target_id: str,
         request: TargetRequest,
-        on_connected: Callable[[], None],
+        may_write: Callable[[], Failure | None],
     ) -> AbstractAsyncContextManager[DirectResponse | Failure]:
         """Hand over a request on a connection of its own.
 
-        `on_connected` is called between connecting and writing.
+        `may_write` is called between connecting and writing; a failure of it is
+        yielded, and nothing is written.
 
         A failure at `Step.LINK` means that nothing reached the target; at
         `Step.TARGET_CALL` its reason says whether the target may have run it.
@@ -88,13 +90,13 @@
         timers: TimerService,
         tasks: TaskGroup,
         note_report: Callable[[str, LoadReport], None],
-        note_handed_over: Callable[[str, str], None],
+        limits: AttemptLimits,
     ) -> None:
         self._dialer = dialer
         self._timers = timers
         self._tasks = tasks
         self._note_report = note_report
-        self._note_handed_over = note_handed_over
+        self._limits = limits
         self._running: dict[int, _Running] = {}
         timers.call_every(SWEEP_S, self.sweep)
 
@@ -183,10 +185,10 @@
         )
         target = attempt.target
 
-        def on_connected() -> None:
-            self._note_handed_over(target, start.request_id)
+        def may_write() -> Failure | None:
+            return self._limits.check_hand_over(target, start.request_id)
 
-        async with self._dialer.send(target, request, on_connected) as response:
+        async with self._dialer.send(target, request, may_write) as response:
             if isinstance(response, Failure):
                 return response
             headers = tuple(Header(name, value) for name, value in response.headers)
@@ -230,7 +232,7 @@
     timers: TimerService,
     tasks: TaskGroup,
     note_report: Callable[[str, LoadReport], None],
-    note_handed_over: Callable[[str, str], None],
+    limits: AttemptLimits,
 ) -> DirectAttemptClient:
     """Make a client whose attempts run in `tasks`."""
-    return DirectAttemptClient(dialer, timers, tasks, note_report, note_handed_over)
+    return DirectAttemptClient(dialer, timers, tasks, note_report, limits)
--- /dev/null
+++ b/reedspar/direct/limits.py
@@ -0,0 +1,48 @@
+"""Decision: until when an attempt may still be handed to its target."""
+
+from reedspar.errors import Failure, Reason, Step
+from reedspar.fleet import FleetView
+from reedspar.timers import TimerService
+
+from .loads import OwnAttempt, TargetLoads
+from .refusals import COME_BACK_S
+from .versions import VersionRule
+
+__all__ = ["AttemptLimits"]
+
+
+class AttemptLimits:
+    """Looks again at what a target was chosen by, where the attempt takes effect."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        loads: TargetLoads,
+        versions: VersionRule,
+        timers: TimerService,
+    ) -> None:
+        self._view = view
+        self._loads = loads
+        self._versions = versions
+        self._timers = timers
+
+    def check_hand_over(self, target_id: str, request_id: str) -> Failure | None:
+        """Return why a request must not be written now; None and note it if it may."""
+        attempt = self._loads.of(target_id).own.get(request_id)
+        if attempt is None:
+            return None
+        version = self._version_of(target_id, attempt)
+        if version is not None and not self._versions.may_serve(
+            attempt.model, version, attempt.wait_s
+        ):
+            detail = f"connected too late to begin on version {version}"
+            return Failure(Reason.SUPERSEDED, Step.LINK, target_id, detail, COME_BACK_S)
+        attempt.handed_over_s = self._timers.now_s()
+        return None
+
+    def _version_of(self, target_id: str, attempt: OwnAttempt) -> int | None:
+        """Return the version of the attempt's model that its target has by now."""
+        known = self._view.target(target_id)
+        if known is None:
+            return attempt.version
+        return known.record.weights.get(attempt.model, attempt.version)
--- a/reedspar/direct/service.py
+++ b/reedspar/direct/service.py
@@ -28,6 +28,7 @@
 from .cold import ColdLimits
 from .crashes import CrashWatch
 from .filters import BoundByRoute, IdentifyRoute
+from .limits import AttemptLimits
 from .loads import TargetLoads
 from .replaced import ReplacedLog
 from .versions import VersionRule
@@ -156,8 +157,9 @@
         replaced,
         rng,
     )
+    limits = AttemptLimits(view, loads, versions, timers)
     client = create_direct_attempt_client(
-        dialer, timers, tasks, chooser.note_report, chooser.note_handed_over
+        dialer, timers, tasks, chooser.note_report, limits
     )
     budgets = RetryBudgets(bounds.retry_share)
     follower = _FleetFollower(view, loads, cold, budgets, bounds.retry_slack)
--- a/reedspar/direct/tests/fakes.py
+++ b/reedspar/direct/tests/fakes.py
@@ -140,11 +140,14 @@
         self,
         target_id: str,
         request: TargetRequest,
-        on_connected: Callable[[], None],
+        may_write: Callable[[], Failure | None],
     ) -> AsyncIterator[DirectResponse | Failure]:
         if self.connect_s:
             await anyio.sleep(self.connect_s)
-        on_connected()
+        failure = may_write()
+        if failure is not None:
+            yield failure
+            return
         self.sent.append((target_id, request))
         answer = self.script(target_id, request)
         try:
--- a/reedspar/direct/tests/test_replaced_weights.py
+++ b/reedspar/direct/tests/test_replaced_weights.py
@@ -12,7 +12,7 @@
     make_direct_service,
     make_engine_target,
 )
-from reedspar.fleet import FleetView, WeightsChange
+from reedspar.fleet import FleetView, TargetChange, WeightsChange
 from reedspar.requests.tests.virtual import LoopClock, run_virtual
 from reedspar.timers import TimerService
 
@@ -31,6 +31,8 @@
         make_engine_target("newer", weights={"m": 2}),
     ]
 
+    view: FleetView
+
     def run_with(self, script: Script) -> None:
         """Run `script` with the time at which the second version is named."""
 
@@ -39,11 +41,11 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(timers.run)
                 made = make_direct_service(timers, tasks, self.targets)
-                service, dialer, view = made
+                service, dialer, self.view = made
                 service.versions.set_bound(BOUND_S)
                 service.versions.note_seeded()
                 await anyio.sleep(1.0)
-                _name_version(view, 2)
+                self.view.apply(WeightsChange("m", 2))
                 await script(service, dialer, anyio.current_time())
                 tasks.cancel_scope.cancel()
 
@@ -78,6 +80,23 @@
 
         self.run_with(script)
 
+    def test_request_that_was_not_written_was_not_run(self) -> None:
+        # No target has the newer version.  The caller is told that nothing ran, and
+        # the sound target, whose connection came too late, is not left alone for it.
+        async def script(
+            service: DirectService, dialer: FakeDialer, named_s: float
+        ) -> None:
+            self.view.apply(TargetChange("newer", None))
+            dialer.connect_s = 0.39
+            call = await self.call_at(service, named_s + 9.42, "/once/1")
+            self.assertEqual(call.outcome, "not-run")
+            self.assertIn("retry-after", call.headers)
+            self.assertEqual(dialer.sent, [])
+            load = service.loads.of("older")
+            self.assertEqual((load.failures, len(load.own)), (0, 0))
+
+        self.run_with(script)
+
     def test_request_that_waits_at_the_bound_begins_on_the_newer_version(self) -> None:
         # Handed over in time, a request waited in its target's queue for longer than
         # expected, and the older version began it past its bound.
@@ -94,9 +113,5 @@
         self.run_with(script)
 
 
-def _name_version(view: FleetView, version: int) -> None:
-    view.apply(WeightsChange("m", version))
-
-
 if __name__ == "__main__":
     unittest.main()
--- a/reedspar/errors.py
+++ b/reedspar/errors.py
@@ -31,6 +31,8 @@
     ZONE_OUT = "zone_out"
     STALE = "stale"
     """The sender or receiver has no fresh confirmation of the configuration."""
+    SUPERSEDED = "superseded"
+    """The time is over in which an older version may still begin work."""
     FENCED = "fenced"
     """A newer holder exists; the order carried an old fencing number."""
     QUARANTINED = "quarantined"
