--- a/reedspar/direct/choice.py
+++ b/reedspar/direct/choice.py
@@ -29,6 +29,7 @@
     average_load,
 )
 from .refusals import COME_BACK_S, Refusals
+from .replaced import ReplacedLog
 from .versions import VersionRule
 
 __all__ = ["DirectChooser", "DirectTarget"]
@@ -61,6 +62,10 @@
     """When its answer would begin, from now, by the estimate before calibration."""
     weights_digest: str = ""
     incarnation: int = 0
+    version: int | None = None
+    """The version of the request's model that it had when it was chosen."""
+    wait_s: float = 0.0
+    """When its answer would begin, from now, calibrated and with the distance."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +94,7 @@
         zones: dict[str, str],
         region: str,
         crashes: CrashWatch,
+        replaced: ReplacedLog,
         rng: random.Random,
     ) -> None:
         self._view = view
@@ -100,6 +106,7 @@
         self._regions = zones
         self._region = region
         self._crashes = crashes
+        self._replaced = replaced
         self._rng = rng
         self._calibrations: dict[str, Calibration] = {}
 
@@ -138,7 +145,11 @@
         near = [i for i in candidates if i.expected_s <= best_s + NEAR_BEST_S]
         chosen = self._rng.choice(near)
         return DirectTarget(
-            chosen.known.record.id, chosen.estimated_s, request.weights_digest
+            chosen.known.record.id,
+            chosen.estimated_s,
+            request.weights_digest,
+            version=chosen.known.record.weights.get(request.model),
+            wait_s=chosen.expected_s,
         )
 
     def on_started(self, request: Request, chosen: ChosenTarget) -> None:
@@ -147,7 +158,12 @@
         load = self._loads.of(chosen.name)
         assert isinstance(chosen, DirectTarget)
         load.own[request.request_id] = OwnAttempt(
-            request.prompt_tokens, now_s, chosen.estimated_s
+            request.prompt_tokens,
+            now_s,
+            chosen.estimated_s,
+            model=request.model,
+            version=chosen.version,
+            wait_s=chosen.wait_s,
         )
         known = self._view.target(chosen.name)
         if known is not None and known.is_cold(now_s):
@@ -163,6 +179,7 @@
             attempt.has_begun = True
             took_s = self._timers.now_s() - attempt.started_s
             self._calibration(request.pool).note(attempt.expected_s, took_s)
+            self._replaced.note_begun(request.request_id, chosen.name, attempt)
 
     def on_ended(
         self, request: Request, chosen: ChosenTarget, answer: Answer | None
@@ -171,7 +188,7 @@
         load = self._loads.of(chosen.name)
         load.own.pop(request.request_id, None)
         failure = answer.failure if answer is not None else None
-        if answer is None or failure is None:
+        if answer is None or failure is None or failure.reason is Reason.SUPERSEDED:
             return
         now_s = self._timers.now_s()
         if answer.outcome is Outcome.UNKNOWN:
--- a/reedspar/direct/client.py
+++ b/reedspar/direct/client.py
@@ -21,6 +21,7 @@
 from reedspar.requests.attempt_client import OpenAttempt
 from reedspar.timers import TimerService
 
+from .limits import AttemptLimits
 from .loads import LoadReport
 
 __all__ = [
@@ -53,10 +54,16 @@
         ...
 
     def send(
-        self, target_id: str, request: TargetRequest
+        self,
+        target_id: str,
+        request: TargetRequest,
+        may_write: Callable[[], Failure | None],
     ) -> AbstractAsyncContextManager[DirectResponse | Failure]:
         """Hand over a request on a connection of its own.
 
+        `may_write` is called between connecting and writing; a failure of it is
+        yielded, and nothing is written.
+
         A failure at `Step.LINK` means that nothing reached the target; at
         `Step.TARGET_CALL` its reason says whether the target may have run it.
         """
@@ -83,11 +90,13 @@
         timers: TimerService,
         tasks: TaskGroup,
         note_report: Callable[[str, LoadReport], None],
+        limits: AttemptLimits,
     ) -> None:
         self._dialer = dialer
         self._timers = timers
         self._tasks = tasks
         self._note_report = note_report
+        self._limits = limits
         self._running: dict[int, _Running] = {}
         timers.call_every(SWEEP_S, self.sweep)
 
@@ -174,7 +183,12 @@
             start.workspace,
             start.weights_digest,
         )
-        async with self._dialer.send(attempt.target, request) as response:
+        target = attempt.target
+
+        def may_write() -> Failure | None:
+            return self._limits.check_hand_over(target, start.request_id)
+
+        async with self._dialer.send(target, request, may_write) as response:
             if isinstance(response, Failure):
                 return response
             headers = tuple(Header(name, value) for name, value in response.headers)
@@ -218,6 +232,7 @@
     timers: TimerService,
     tasks: TaskGroup,
     note_report: Callable[[str, LoadReport], None],
+    limits: AttemptLimits,
 ) -> DirectAttemptClient:
     """Make a client whose attempts run in `tasks`."""
-    return DirectAttemptClient(dialer, timers, tasks, note_report)
+    return DirectAttemptClient(dialer, timers, tasks, note_report, limits)
--- a/reedspar/direct/tests/fakes.py
+++ b/reedspar/direct/tests/fakes.py
@@ -127,6 +127,9 @@
         self._view = view
         self.sent: list[tuple[str, TargetRequest]] = []
         self.closed: list[str] = []
+        self.begun: list[tuple[str, float]] = []
+        """Targets that began to answer, and when by the event loop's time."""
+        self.connect_s = 0.0
         self.script: Script = lambda target_id, request: FakeResponse([b"ok"])
 
     def knows(self, target_id: str) -> bool:
@@ -134,14 +137,25 @@
 
     @asynccontextmanager
     async def send(
-        self, target_id: str, request: TargetRequest
+        self,
+        target_id: str,
+        request: TargetRequest,
+        may_write: Callable[[], Failure | None],
     ) -> AsyncIterator[DirectResponse | Failure]:
+        if self.connect_s:
+            await anyio.sleep(self.connect_s)
+        failure = may_write()
+        if failure is not None:
+            yield failure
+            return
         self.sent.append((target_id, request))
         answer = self.script(target_id, request)
         try:
             if isinstance(answer, float):
                 await anyio.sleep(answer)
                 answer = FakeResponse([b"late"])
+            if not isinstance(answer, Failure):
+                self.begun.append((target_id, anyio.current_time()))
             yield answer
         finally:
             self.closed.append(target_id)
