Hand nothing over to a target whose leaving was heard while connecting

Requests were written to targets after this entry had heard that they leave, that they are gone or that their zone is out.

Readiness and zone were looked at when the target was chosen and not where the request takes effect. The look between connecting and writing now asks for them, too; the request goes to another target without spending a retry, or is refused as not run.

Ruled out: looking at route and key again.

The tests failed before with ['first'] != ['second'] and 'answered' != 'not-run'.

--- a/reedspar/direct/fitness.py
+++ b/reedspar/direct/fitness.py
@@ -10,7 +10,7 @@
 from .loads import TargetLoad, TargetLoads
 from .versions import VersionRule
 
-__all__ = ["Fitness", "cold_rate_of"]
+__all__ = ["Fitness", "cold_rate_of", "why_closed"]
 
 
 class Fitness:
@@ -74,11 +74,7 @@
 
     def _is_fit(self, known: KnownTarget, request: Request, now_s: float) -> bool:
         record = known.record
-        if record.state is not TargetState.READY:
-            return False
-        if record.zone in self._view.zones_out:
-            return False
-        if self._loads.of(record.id).replaced_boot == record.boot_id:
+        if why_closed(record, self._view, self._loads):
             return False
         region = self._regions.get(record.zone)
         if request.regions is not None and region not in request.regions:
@@ -91,6 +87,17 @@
         return not request.weights_digest or request.weights_digest == str(version)
 
 
+def why_closed(record: TargetRecord, view: FleetView, loads: TargetLoads) -> str:
+    """Return why a target may get nothing, whatever the request; empty if it may."""
+    if record.state is not TargetState.READY:
+        return "it leaves"
+    if record.zone in view.zones_out:
+        return "its zone is out"
+    if loads.of(record.id).replaced_boot == record.boot_id:
+        return "another target has its address"
+    return ""
+
+
 def cold_rate_of(terms: ServiceTerms | None) -> float:
     """Return the requests a second that a cold target bears; 0 if unbounded."""
     return terms.cold_requests_per_s if terms is not None else 0.0
--- a/reedspar/direct/limits.py
+++ b/reedspar/direct/limits.py
@@ -4,6 +4,7 @@
 from reedspar.fleet import FleetView
 from reedspar.timers import TimerService
 
+from .fitness import why_closed
 from .loads import OwnAttempt, TargetLoads
 from .refusals import COME_BACK_S
 from .versions import VersionRule
@@ -28,6 +29,12 @@
 
     def check_hand_over(self, target_id: str, request_id: str) -> Failure | None:
         """Return why a request must not be written now; None and note it if it may."""
+        known = self._view.target(target_id)
+        closed = (
+            why_closed(known.record, self._view, self._loads) if known else "it is gone"
+        )
+        if closed:
+            return _refuse(target_id, f"while connecting was found: {closed}")
         attempt = self._loads.of(target_id).own.get(request_id)
         if attempt is None:
             return None
@@ -36,7 +43,7 @@
             attempt.model, version, attempt.wait_s
         ):
             detail = f"connected too late to begin on version {version}"
-            return Failure(Reason.SUPERSEDED, Step.LINK, target_id, detail, COME_BACK_S)
+            return _refuse(target_id, detail)
         attempt.handed_over_s = self._timers.now_s()
         return None
 
@@ -46,3 +53,7 @@
         if known is None:
             return attempt.version
         return known.record.weights.get(attempt.model, attempt.version)
+
+
+def _refuse(target_id: str, detail: str) -> Failure:
+    return Failure(Reason.SUPERSEDED, Step.LINK, target_id, detail, COME_BACK_S)
--- /dev/null
+++ b/reedspar/direct/tests/test_hand_over.py
@@ -0,0 +1,75 @@
+"""Tests of news that come while an attempt connects, over ASGI and in virtual time."""
+
+import unittest
+
+import anyio
+
+from reedspar.direct import DirectService
+from reedspar.direct.tests.cases import Call, make_order_target
+from reedspar.direct.tests.fakes import FakeDialer, make_direct_service
+from reedspar.fleet import FleetChange, TargetChange, TargetState, ZoneChange
+from reedspar.requests.tests.virtual import LoopClock, run_virtual
+from reedspar.timers import TimerService
+
+CONNECT_S = 0.39
+NEWS_S = 0.2
+
+
+class HandOverTest(unittest.TestCase):
+    """News come while a request is on its way to `first`."""
+
+    def send(self, path: str, *news: FleetChange) -> tuple[Call, FakeDialer]:
+        """Return a call during whose connection the news came."""
+        return run_virtual(self._send, path, news)
+
+    async def _send(
+        self, path: str, news: tuple[FleetChange, ...]
+    ) -> tuple[Call, FakeDialer]:
+        timers = TimerService(LoopClock())
+        call = Call(path)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(timers.run)
+            first = make_order_target("first")
+            service, dialer, view = make_direct_service(timers, tasks, [first])
+            dialer.connect_s = CONNECT_S
+            tasks.start_soon(self._call, service, call)
+            await anyio.sleep(NEWS_S)
+            for change in news:
+                view.apply(change)
+            await anyio.sleep(2 * CONNECT_S)
+            tasks.cancel_scope.cancel()
+        return call, dialer
+
+    async def _call(self, service: DirectService, call: Call) -> None:
+        await service.application(call.scope, call.receive, call.send)
+
+    def check_moved(self, *news: FleetChange) -> None:
+        second = make_order_target("second", zone="b")
+        for path in ("/s/1", "/o/1"):
+            call, dialer = self.send(path, TargetChange("second", second), *news)
+            self.assertEqual(call.status, 200)
+            self.assertEqual([name for name, _ in dialer.sent], ["second"])
+
+    def test_target_that_announces_its_leaving_meanwhile_gets_nothing(self) -> None:
+        # A target says that it leaves while a connection to it is being made.  The
+        # request was written all the same, up to 0.4 s nearer to the target's end.
+        leaving = make_order_target("first", state=TargetState.LEAVING)
+        self.check_moved(TargetChange("first", leaving))
+
+    def test_target_whose_entry_is_removed_meanwhile_gets_nothing(self) -> None:
+        # A target is removed without a word while a connection to it is being made.
+        self.check_moved(TargetChange("first", None))
+
+    def test_zone_that_is_taken_out_meanwhile_gets_nothing(self) -> None:
+        # Operators empty a zone.  Nothing may be sent there from now on.
+        self.check_moved(ZoneChange("a", True))
+
+    def test_order_that_was_not_written_is_told_as_not_run(self) -> None:
+        # The only target leaves.  The order reached nobody and may be placed again.
+        call, dialer = self.send("/o/1", TargetChange("first", None))
+        self.assertEqual(call.outcome, "not-run")
+        self.assertEqual(dialer.sent, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/reedspar/errors.py
+++ b/reedspar/errors.py
@@ -32,7 +32,7 @@
     STALE = "stale"
     """The sender or receiver has no fresh confirmation of the configuration."""
     SUPERSEDED = "superseded"
-    """The time is over in which an older version may still begin work."""
+    """What was chosen may not begin work any more: news or time have overtaken it."""
     FENCED = "fenced"
     """A newer holder exists; the order carried an old fencing number."""
     QUARANTINED = "quarantined"
--- a/reedspar/timeline/story.py
+++ b/reedspar/timeline/story.py
@@ -61,8 +61,8 @@
     "tells when the first answer would have come.",
     "quarantined": "Requests of this kind crashed targets: look for `target crashed`.",
     "stale": "News of the store was late at this entry: look for `store lost`.",
-    "superseded": "The target's version was replaced, and connecting took so long that "
-    "the request would have begun too late: look for `weights named`.",
+    "superseded": "While it connected, its target left, or its zone was taken out, or "
+    "the version there was too old: see `target changed`, `zone` and `weights named`.",
     "timeout": "No whole answer came in the time that it had.  Look for the target's "
     "last state, and whether it started anew.",
     "unauthenticated": "Compare `routes in force` with the time the key was given.",
