Cut a begun stream when its next target breaks before its head

A stream that had begun went on at a second target, and that one broke off before its head: the ending did not say that a part was sent, so the head of a refusal followed in the middle of the stream. The server refuses a second head and drops the connection with an error in the log; callers saw a cut stream either way.

The new test counted two heads before and counts one now.

--- a/reedspar/direct/tests/test_streams.py
+++ b/reedspar/direct/tests/test_streams.py
@@ -77,6 +77,27 @@
 
         self.run_with(script)
 
+    def test_stream_whose_next_target_breaks_before_its_head_is_cut(self) -> None:
+        # The head of a refusal was sent in the middle of the stream.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            def answer(target_id: str, request: Any) -> Any:
+                if len(dialer.sent) > 1:
+                    return broken(target_id)
+                pieces = [event(1), PAUSE_S, broken(target_id)]
+                return FakeResponse(pieces, content_type=EVENTS)
+
+            dialer.script = answer
+            call = Call("/q/1", x_model="m")
+            await service.application(call.scope, call.receive, call.send)
+            starts = [m for m in call.messages if m["type"] == "http.response.start"]
+            self.assertEqual(len(starts), 1)
+            self.assertEqual(call.body, event(1))
+            self.assertFalse(call.is_whole)
+
+        self.run_with(script)
+
     def test_stream_that_may_not_resume_is_cut(self) -> None:
         async def script(
             service: DirectService, dialer: FakeDialer, view: FleetView
--- a/reedspar/requests/relay.py
+++ b/reedspar/requests/relay.py
@@ -17,7 +17,7 @@
 from .assembly import Verdict
 from .attempt_client import OpenAttempt
 from .attempting import AttemptOpener, ChosenTarget, RelayTerms, TargetChooser
-from .endings import make_not_run, make_unknown
+from .endings import make_not_run
 from .passing import StreamPasser, is_streamed
 from .quarantine import Quarantine, Standing
 from .request import Answer, Outcome, Proceed, Request
@@ -212,7 +212,7 @@
         head = assembly.head
         if course.passer.is_begun and head is not None:
             return await course.passer.pass_on(attempt, head)
-        return _conclude(attempt)
+        return _conclude(attempt, is_begun=course.passer.is_begun)
 
     def _may_retry(self, request: Request, course: _Course, latest: Answer) -> bool:
         if latest.outcome is Outcome.ANSWERED:
@@ -265,7 +265,7 @@
     return is_at_target and failure.reason not in UNBROKEN_REASONS
 
 
-def _conclude(attempt: OpenAttempt) -> Answer:
+def _conclude(attempt: OpenAttempt, *, is_begun: bool) -> Answer:
     assembly = attempt.assembly
     head = assembly.head
     if assembly.verdict is Verdict.WHOLE and head is not None:
@@ -279,7 +279,7 @@
     failure = assembly.failure or Failure(Reason.OUTCOME_UNKNOWN, Step.RELAY)
     if assembly.verdict is Verdict.NOT_RUN:
         return make_not_run(failure)
-    return make_unknown(failure)
+    return Answer(Outcome.UNKNOWN, failure=failure, is_sent=is_begun, is_cut=is_begun)
 
 
 def _join(earlier: Answer | None, latest: Answer) -> Answer:
