Withdraw requests that wait at a target when its version's time ends

Callers' requests began on version 1 up to 35 ms after the 10 s in which version 2 had to be everywhere. Handed over in time, a request may wait in its target's queue, or on a link that chunks share, for longer than expected; in the users' record two took 89 and 209 ms from reaching the target to their beginning. Nothing looked at a request again once it was handed over.

Ten times a second an entry now looks at its attempts that were written and of whose answer nothing has come. When the time of the target's version is over, less the time that this attempt's connection took (0.4 s at most), for so long the target takes to hear of it, the connection is closed, on which most targets drop what waits. What may be repeated goes to another target as a retry of the budget; what may not ends as unknown, never as not run. The target is not taken for broken. A target that has switched meanwhile keeps its requests.

--- a/reedspar/direct/choice.py
+++ b/reedspar/direct/choice.py
@@ -49,6 +49,8 @@
 little to its caller, and delays all behind it."""
 QUEUE_SLACK_S = 0.1
 """What may wait before a request that would be late in any case: two usual prompts."""
+OWN_REASONS = frozenset({Reason.SUPERSEDED, Reason.CANCELLED})
+"""Ends that this entry decided on, which say nothing about the target."""
 GAP_PART = 0.95
 """Part of the pause between events that callers bear which one prompt may make."""
 
@@ -188,7 +190,7 @@
         load = self._loads.of(chosen.name)
         load.own.pop(request.request_id, None)
         failure = answer.failure if answer is not None else None
-        if answer is None or failure is None or failure.reason is Reason.SUPERSEDED:
+        if answer is None or failure is None or failure.reason in OWN_REASONS:
             return
         now_s = self._timers.now_s()
         if answer.outcome is Outcome.UNKNOWN:
--- a/reedspar/direct/client.py
+++ b/reedspar/direct/client.py
@@ -130,12 +130,16 @@
             running.scope.cancel()
 
     def sweep(self) -> None:
-        """Give up idempotent attempts that went silent.
+        """Withdraw attempts that may not begin any more; give up silent ones.
 
         A connection can go silent for good without a reset, and a target can
         hang; the caller would wait until it gives up by itself.
         """
         now_s = self._timers.now_s()
+        waiting = [r for r in self._running.values() if _is_waiting(r)]
+        withdrawn = sum(self._withdraw(running) for running in waiting)
+        if withdrawn:
+            _logger.info("attempts withdrawn", extra={"count": withdrawn})
         for running in list(self._running.values()):
             attempt = running.attempt
             silent_s = now_s - attempt.heard_s
@@ -143,6 +147,17 @@
             if is_waiting and silent_s >= SILENT_S:
                 self._give_up(running, f"silent for {silent_s:.1f} s")
 
+    def _withdraw(self, running: _Running) -> bool:
+        """End an attempt that may not begin any more; tell whether it was one."""
+        attempt = running.attempt
+        request_id = attempt.assembly.start.request_id
+        failure = self._limits.check_waiting(attempt.target, request_id, SWEEP_S)
+        if failure is None:
+            return False
+        running.failure = failure
+        running.scope.cancel()
+        return True
+
     def _give_up(self, running: _Running, detail: str) -> None:
         attempt = running.attempt
         if not attempt.assembly.start.is_idempotent or running.failure is not None:
@@ -227,6 +242,12 @@
         attempt.wake()
 
 
+def _is_waiting(running: _Running) -> bool:
+    """Tell whether nothing has come of an answer, and the attempt goes on."""
+    assembly = running.attempt.assembly
+    return assembly.is_open and assembly.head is None and running.failure is None
+
+
 def create_direct_attempt_client(
     dialer: TargetDialer,
     timers: TimerService,
--- a/reedspar/direct/limits.py
+++ b/reedspar/direct/limits.py
@@ -1,4 +1,4 @@
-"""Decision: until when an attempt may still be handed to its target."""
+"""Decision: until when an attempt may be handed to its target, and may wait there."""
 
 from reedspar.errors import Failure, Reason, Step
 from reedspar.fleet import FleetView
@@ -10,6 +10,9 @@
 
 __all__ = ["AttemptLimits"]
 
+LINK_MAX_S = 0.4
+"""Most that the way to a target is taken to last."""
+
 
 class AttemptLimits:
     """Looks again at what a target was chosen by, where the attempt takes effect."""
@@ -40,6 +43,27 @@
         attempt.handed_over_s = self._timers.now_s()
         return None
 
+    def check_waiting(
+        self, target_id: str, request_id: str, next_s: float
+    ) -> Failure | None:
+        """Return why a request that has not begun must be withdrawn now, if it must.
+
+        The next look is `next_s` later.  The target hears of the withdrawal after a
+        time that is taken to be that of the connection, back and forth.
+        """
+        attempt = self._loads.of(target_id).own.get(request_id)
+        if attempt is None or attempt.handed_over_s is None:
+            return None
+        version = self._version_of(target_id, attempt)
+        if version is None:
+            return None
+        link_s = min(LINK_MAX_S, attempt.handed_over_s - attempt.started_s)
+        heard_s = self._timers.now_s() + next_s + link_s
+        if heard_s < self._versions.until_s(attempt.model, version):
+            return None
+        detail = f"withdrawn before it began on version {version}"
+        return Failure(Reason.CANCELLED, Step.TARGET_CALL, target_id, detail)
+
     def _version_of(self, target_id: str, attempt: OwnAttempt) -> int | None:
         """Return the version of the attempt's model that its target has by now."""
         known = self._view.target(target_id)
--- a/reedspar/direct/tests/test_replaced_weights.py
+++ b/reedspar/direct/tests/test_replaced_weights.py
@@ -6,9 +6,11 @@
 import anyio
 
 from reedspar.direct import DirectService, LoadReport
-from reedspar.direct.tests.cases import Call
+from reedspar.direct.tests.cases import EVENTS, Call, event
 from reedspar.direct.tests.fakes import (
     FakeDialer,
+    FakeResponse,
+    broken,
     make_direct_service,
     make_engine_target,
 )
@@ -109,6 +111,89 @@
             call = await self.call_at(service, named_s + 9.0)
             self.assertEqual(call.status, 200)
             self.assertEqual([name for name, _ in dialer.begun], ["newer"])
+            self.assertEqual(dialer.closed, ["older", "newer"])
+            self.assertEqual(service.loads.of("older").failures, 0)
+
+        self.run_with(script)
+
+    def test_withdrawn_order_is_not_sent_again_nor_called_not_run(self) -> None:
+        # What may not be repeated waits at the bound.  It may just have begun.
+        async def script(
+            service: DirectService, dialer: FakeDialer, named_s: float
+        ) -> None:
+            dialer.script = lambda target_id, request: 1.2
+            call = await self.call_at(service, named_s + 9.0, "/once/1")
+            self.assertEqual(call.outcome, "unknown")
+            self.assertEqual(len(dialer.sent), 1)
+            self.assertEqual(dialer.begun, [])
+            self.assertLess(anyio.current_time() - named_s, BOUND_S)
+
+        self.run_with(script)
+
+    def test_withdrawal_is_earlier_where_connecting_took_long(self) -> None:
+        # A link that takes 0.3 s takes as long to tell the target of the withdrawal.
+        async def script(
+            service: DirectService, dialer: FakeDialer, named_s: float
+        ) -> None:
+            dialer.connect_s = 0.3
+            dialer.script = lambda target_id, request: 1.2
+            await self.call_at(service, named_s + 8.5, "/once/1")
+            self.assertEqual(dialer.closed, ["older"])
+            self.assertLess(anyio.current_time() - named_s, BOUND_S - 0.6)
+
+        self.run_with(script)
+
+    def test_request_that_begins_in_time_is_not_withdrawn(self) -> None:
+        async def script(
+            service: DirectService, dialer: FakeDialer, named_s: float
+        ) -> None:
+            dialer.script = lambda target_id, request: FakeResponse([1.5, b"late"])
+            call = await self.call_at(service, named_s + 9.0)
+            self.assertEqual(call.body, b"late")
+            self.assertEqual([name for name, _ in dialer.begun], ["older"])
+
+        self.run_with(script)
+
+    def test_stream_that_resumes_on_its_older_version_keeps_the_bound(self) -> None:
+        # A stream broke and waits at another target of its own version.  The caller
+        # sees that it was cut, since no version may begin it.
+        async def script(
+            service: DirectService, dialer: FakeDialer, named_s: float
+        ) -> None:
+            self.view.apply(TargetChange("also", make_engine_target("also")))
+
+            def answer(target_id: str, request: object) -> object:
+                if len(dialer.sent) > 1:
+                    return 1.2
+                pieces = [event(1), SOON_S, broken(target_id)]
+                return FakeResponse(pieces, content_type=EVENTS)
+
+            dialer.script = answer
+            call = await self.call_at(service, named_s + 9.0)
+            self.assertEqual(call.body, event(1))
+            self.assertFalse(call.is_whole)
+            self.assertEqual(len(dialer.sent), 2)
+            self.assertEqual(len(dialer.begun), 1)
+
+        self.run_with(script)
+
+    def test_attempt_at_a_target_that_has_switched_meanwhile_goes_on(self) -> None:
+        async def script(
+            service: DirectService, dialer: FakeDialer, named_s: float
+        ) -> None:
+            dialer.script = lambda target_id, request: 1.2
+
+            async def switch() -> None:
+                await anyio.sleep(0.1)
+                switched = make_engine_target("older", weights={"m": 2})
+                self.view.apply(TargetChange("older", switched))
+
+            async with anyio.create_task_group() as tasks:
+                await anyio.sleep_until(named_s + 9.0)
+                tasks.start_soon(switch)
+                call = await self.call_at(service, named_s + 9.0)
+            self.assertEqual(call.status, 200)
+            self.assertEqual([name for name, _ in dialer.begun], ["older"])
 
         self.run_with(script)
 
--- a/reedspar/direct/versions.py
+++ b/reedspar/direct/versions.py
@@ -48,14 +48,14 @@
 
     def may_serve(self, model: str, version: int, wait_s: float = 0.0) -> bool:
         """Tell whether a request that will wait may begin on a version."""
-        replaced_s = self.replaced_s(model, version)
-        if replaced_s is None:
-            return True
         begins_s = self._timers.now_s() + WAIT_FACTOR * wait_s
-        return begins_s < self._older_until_s(replaced_s)
+        return begins_s < self.until_s(model, version)
 
-    def _older_until_s(self, named_s: float) -> float:
-        """Return until when a version may serve that a newer one replaced."""
+    def until_s(self, model: str, version: int) -> float:
+        """Return until when requests may begin on a version."""
+        named_s = self.replaced_s(model, version)
+        if named_s is None:
+            return float("inf")
         if self._seeded_s is None or named_s <= self._seeded_s:
             return named_s + min(UNSURE_S, self._bound_s - OLDER_MARGIN_S)
         return named_s + self._bound_s - OLDER_MARGIN_S
