Count an older version's time from when the first daemon heard of the newer one

Callers' requests began on version 1 up to 35 ms after the 10 s in which version 2 had to be everywhere. Each entry counted those 10 s from when the news reached itself, with 0.4 s to spare.

Daemons that have heard of a version now ask their peers, some of other regions, for eight seconds how long ago it was named, and keep the earliest answer. After a start, when nothing tells how old a version is, its time stays one second, or less if a peer knows better. `weights named earlier` tells in the log by how much the news was late.

--- a/reedspar/direct/tests/test_decisions.py
+++ b/reedspar/direct/tests/test_decisions.py
@@ -123,6 +123,26 @@
         self.assertFalse(self.rule.may_serve("m", 1))
         self.assertTrue(self.rule.may_serve("m", 2))
 
+    def test_peers_word_ends_the_older_versions_time_earlier(self) -> None:
+        # The news came 2 s late here; the bound counts from the naming.
+        self.rule.note_seeded()
+        self.clock.advance(1.0)
+        self.name(2)
+        self.view.note_named("m", 2, self.clock.now_s() - 2.0, "entry-2")
+        self.clock.advance(5.5)
+        self.assertTrue(self.rule.may_serve("m", 1))
+        self.clock.advance(0.2)
+        self.assertFalse(self.rule.may_serve("m", 1))
+
+    def test_peers_word_does_not_lengthen_the_time_after_a_start(self) -> None:
+        self.name(2)
+        self.rule.note_seeded()
+        self.view.note_named("m", 2, self.clock.now_s() - 0.5, "entry-2")
+        self.clock.advance(0.9)
+        self.assertTrue(self.rule.may_serve("m", 1))
+        self.clock.advance(0.2)
+        self.assertFalse(self.rule.may_serve("m", 1))
+
     def test_each_version_is_bound_by_the_one_after_it(self) -> None:
         # A third version is named while the second travels.  The first must go
         # by the second's bound, the second serves on until the third's.
--- a/reedspar/direct/versions.py
+++ b/reedspar/direct/versions.py
@@ -1,6 +1,6 @@
 """Decision: which version of a model's weights may still begin a request."""
 
-from reedspar.fleet import FleetView
+from reedspar.fleet import FleetView, NamedVersion
 from reedspar.timers import TimerService
 
 __all__ = ["VersionRule"]
@@ -8,7 +8,8 @@
 OLDER_MARGIN_S = 0.4
 """Before the bound, nothing more is sent to an older version.
 
-The news of a version takes up to a quarter of a second to come."""
+The news of a version takes up to a quarter of a second to come; of news that come
+later, peers tell by when they had them."""
 WAIT_FACTOR = 2.0
 """How many times as long as expected a request may wait before it begins to run."""
 UNSURE_S = 1.0
@@ -43,7 +44,7 @@
 
     def replaced_s(self, model: str, version: int) -> float | None:
         """Return when the first version above `version` was named, if one was."""
-        newer = [v for v in self._view.versions_of(model) if v.version > version]
+        newer = self._newer(model, version)
         return min((item.named_s for item in newer), default=None)
 
     def may_serve(self, model: str, version: int, wait_s: float = 0.0) -> bool:
@@ -53,9 +54,15 @@
 
     def until_s(self, model: str, version: int) -> float:
         """Return until when requests may begin on a version."""
-        named_s = self.replaced_s(model, version)
-        if named_s is None:
+        newer = self._newer(model, version)
+        if not newer:
             return float("inf")
-        if self._seeded_s is None or named_s <= self._seeded_s:
-            return named_s + min(UNSURE_S, self._bound_s - OLDER_MARGIN_S)
-        return named_s + self._bound_s - OLDER_MARGIN_S
+        named_s = min(item.named_s for item in newer)
+        until_s = named_s + self._bound_s - OLDER_MARGIN_S
+        heard_s = min(item.heard_s for item in newer)
+        if self._seeded_s is None or heard_s <= self._seeded_s:
+            return min(until_s, heard_s + UNSURE_S)
+        return until_s
+
+    def _newer(self, model: str, version: int) -> list[NamedVersion]:
+        return [v for v in self._view.versions_of(model) if v.version > version]
--- a/reedspar/fleet/exchange.py
+++ b/reedspar/fleet/exchange.py
@@ -12,6 +12,7 @@
 from reedspar.messages import Sender
 from reedspar.timers import TimerService
 
+from .ages import VersionAges
 from .feed import FleetFeed
 from .messages import FleetEntries, FleetEntry, FleetRequest
 from .store import WatchedEntry
@@ -59,12 +60,15 @@
         network.subscribe(FleetRequest, self._answer)
         network.subscribe(FleetEntries, self._take)
         timers.call_every(ASK_S, self.ask)
+        self._ages = VersionAges(name, view, network, timers, rng)
 
     def ask(self) -> None:
         """Ask peers for what they have heard of the store since this daemon has."""
-        for peer in self._choose_peers():
+        peers = self._choose_peers()
+        for peer in peers:
             for book in self._feed.shared_books:
                 self._network.send(peer, FleetRequest(book.prefix, book.seen_revision))
+        self._ages.ask(peers)
 
     def _choose_peers(self) -> list[str]:
         names = [name for name in self._view.daemon_names() if name != self._name]
--- a/reedspar/fleet/fleet.capnp
+++ b/reedspar/fleet/fleet.capnp
@@ -19,6 +19,17 @@
   entries @2 :List(FleetEntry);
 }
 
+struct VersionAgeRequest {
+  model @0 :Text;
+  version @1 :UInt64;
+}
+
+struct VersionAge {
+  model @0 :Text;
+  version @1 :UInt64;
+  ageMs @2 :UInt64;
+}
+
 struct TargetLoadNews {
   host @0 :Text;
   port @1 :UInt32;
--- a/reedspar/fleet/messages.py
+++ b/reedspar/fleet/messages.py
@@ -9,6 +9,8 @@
     "FleetEntry",
     "FleetRequest",
     "TargetLoadNews",
+    "VersionAge",
+    "VersionAgeRequest",
     "register_messages",
 ]
 
@@ -40,6 +42,23 @@
     entries: tuple[FleetEntry, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class VersionAgeRequest:
+    """Asks how long ago a version of a model was named."""
+
+    model: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class VersionAge:
+    """Answers: by all that the sender knows, it was named at least so long ago."""
+
+    model: str
+    version: int
+    age_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class TargetLoadNews:
     """Tells entries of the load of the target beside an agent."""
@@ -58,4 +77,11 @@
 def register_messages(registry: MessageRegistry) -> None:
     """Add these message types to `registry`."""
     schema = load_schema(__file__, "fleet.capnp")
-    registry.add_all(schema, FleetRequest, FleetEntries, TargetLoadNews)
+    registry.add_all(
+        schema,
+        FleetRequest,
+        FleetEntries,
+        VersionAgeRequest,
+        VersionAge,
+        TargetLoadNews,
+    )
--- a/reedspar/fleet/records.py
+++ b/reedspar/fleet/records.py
@@ -62,5 +62,7 @@
 
     model: str
     version: int
-    named_s: float
+    heard_s: float
     """When this daemon learned of it, by its monotonic clock."""
+    named_s: float
+    """By when it was named: when the first daemon, as peers tell, had learned of it."""
--- a/reedspar/fleet/view.py
+++ b/reedspar/fleet/view.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 
 from reedspar.routes import RouteTable
 from reedspar.timers import TimerService
@@ -20,6 +21,8 @@
 
 VERSIONS_KEPT = 4
 """Versions of a model whose naming is remembered; the origin keeps two."""
+LATE_S = 0.1
+"""A correction that is told in the log."""
 
 _logger = logging.getLogger(__name__)
 Listener = Callable[[FleetChange], None]
@@ -106,6 +109,28 @@
         """Return the versions of a model in the order in which they were named."""
         return tuple(self._versions.get(model, ()))
 
+    def all_versions(self) -> Iterator[NamedVersion]:
+        """Yield the named versions of every model."""
+        for named in self._versions.values():
+            yield from named
+
+    def note_named(self, model: str, version: int, named_s: float, peer: str) -> None:
+        """Take a peer's word that a version was named by then; none is put later."""
+        for i, known in enumerate(named := self._versions.get(model, [])):
+            if known.version != version or named_s >= known.named_s:
+                continue
+            named[i] = replace(known, named_s=named_s)
+            if known.named_s - named_s >= LATE_S:
+                _logger.info(
+                    "weights named earlier",
+                    extra={
+                        "model": model,
+                        "version": version,
+                        "peer": peer,
+                        "late_ms": round((known.heard_s - named_s) * 1000),
+                    },
+                )
+
     def apply(self, change: FleetChange) -> None:
         """Take a change in; one that goes back or changes nothing is dropped."""
         if isinstance(change, RoutesChange):
@@ -201,7 +226,7 @@
         if named and change.version <= named[-1].version:
             return False
         now_s = self._timers.now_s()
-        named.append(NamedVersion(change.model, change.version, now_s))
+        named.append(NamedVersion(change.model, change.version, now_s, now_s))
         del named[:-VERSIONS_KEPT]
         _logger.info(
             "weights named", extra={"model": change.model, "version": change.version}
