Have two daemons of a region read the configuration for the others

Callers saw work on the wrong version and too little served after a large change of the configuration. Each of 15 entries of a region read the document of 530 kB at the store; the link between the regions was full for seconds, and news of versions, of targets that leave, and renewals of leases waited behind it.

Two entries of each region, by rendezvous hashing, read the document now. They tell the others of each revision at once and every 0.4 s; those ask the one that told them and get it compressed. While no reader is heard of that the store serves, the next in rank stand in, two at a time. Readers ask an entry of another region every 0.8 s, for the case that the store has forgotten their watches. Regions of three entries go on as before.

--- a/reedspar/fleet/entries.py
+++ b/reedspar/fleet/entries.py
@@ -48,6 +48,11 @@
         """Tell whether the store does not answer."""
         return self._is_away
 
+    @property
+    def newest_revision(self) -> int:
+        """Return the revision of the newest entry or removal that holds."""
+        return self._newest_revision
+
     @property
     def seen_revision(self) -> int:
         """Return the newest revision of any entry, whoever has told of it."""
@@ -69,6 +74,15 @@
         self._is_away = True
         return is_news
 
+    def note_left(self) -> None:
+        """Note that nobody asks the store for these entries any longer."""
+        self._is_away = False
+
+    def note_covered(self, newest: int, covered: int) -> None:
+        """Take a peer's word that after its newest entry nothing has changed."""
+        if newest <= self._newest_revision:
+            self.revision = max(self.revision, covered)
+
     def note_served(self, now_s: float) -> None:
         """Note that the store has answered a call, for whatever prefix."""
         is_first = self._served_s == float("-inf") and not self._is_away
--- a/reedspar/fleet/exchange.py
+++ b/reedspar/fleet/exchange.py
@@ -13,9 +13,11 @@
 from reedspar.timers import TimerService
 
 from .ages import VersionAges
+from .entries import EntryBook
 from .feed import FleetFeed
-from .messages import FleetEntries, FleetEntry, FleetRequest
-from .store import WatchedEntry
+from .messages import FleetEntries, FleetRequest
+from .packing import EntryPacker, unpack_entry
+from .relay import DocumentRelay
 from .view import FleetView
 
 __all__ = ["FleetExchange", "create_fleet_exchange"]
@@ -61,15 +63,25 @@
         network.subscribe(FleetEntries, self._take)
         timers.call_every(ASK_S, self.ask)
         self._ages = VersionAges(name, view, network, timers, rng)
+        self._packer = EntryPacker()
+        self._relays = {
+            book.prefix: DocumentRelay(name, book, feed, view, network, timers, rng)
+            for book in feed.relayed_books
+        }
 
     def ask(self) -> None:
         """Ask peers for what they have heard of the store since this daemon has."""
         peers = self._choose_peers()
+        books = [book for book in self._feed.shared_books if self._is_asked(book)]
         for peer in peers:
-            for book in self._feed.shared_books:
+            for book in books:
                 self._network.send(peer, FleetRequest(book.prefix, book.seen_revision))
         self._ages.ask(peers)
 
+    def _is_asked(self, book: EntryBook) -> bool:
+        relay = self._relays.get(book.prefix)
+        return relay is None or relay.is_asking
+
     def _choose_peers(self) -> list[str]:
         names = [name for name in self._view.daemon_names() if name != self._name]
         if self._feed.is_store_away:
@@ -98,17 +110,12 @@
         ]
         if not newer:
             return
-        entries = tuple(_encode(entry) for entry in newer[:ENTRIES_MAX])
+        entries = tuple(self._packer.pack(entry) for entry in newer[:ENTRIES_MAX])
         message = FleetEntries(request.prefix, book.revision, entries)
         self._network.send(sender.name, message)
 
     def _take(self, sender: Sender, message: FleetEntries) -> None:
-        entries = [
-            WatchedEntry(
-                entry.key, None if entry.is_removed else entry.value, entry.revision
-            )
-            for entry in message.entries
-        ]
+        entries = [e for e in map(unpack_entry, message.entries) if e is not None]
         news = self._feed.take_from_peer(message.prefix, entries)
         if news:
             _logger.info(
@@ -122,11 +129,6 @@
             )
 
 
-def _encode(entry: WatchedEntry) -> FleetEntry:
-    is_removed = entry.value is None
-    return FleetEntry(entry.key, entry.value or b"", entry.revision, is_removed)
-
-
 def create_fleet_exchange(
     name: str,
     feed: FleetFeed,
--- a/reedspar/fleet/feed.py
+++ b/reedspar/fleet/feed.py
@@ -2,7 +2,7 @@
 
 import logging
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -13,6 +13,7 @@
 
 from .changes import FleetChange
 from .entries import EntryBook
+from .gate import WatchGate
 from .store import WatchableStore, WatchedChanges, WatchedEntry
 from .view import FleetView
 
@@ -58,6 +59,8 @@
     """Mean time between two reads of what need not be known at once, or None.
 
     Such a prefix is not watched, and peers neither ask for it nor answer."""
+    is_relayed: bool = False
+    """A large document: a few daemons of each region watch it for the others."""
 
 
 class FleetFeed:
@@ -82,6 +85,8 @@
             item.prefix: EntryBook(item.prefix, item.is_kept_over_outage)
             for item in prefixes
         }
+        self._gates = {item.prefix: WatchGate() for item in prefixes}
+        self._taken_listeners: list[Callable[[str], None]] = []
         self._listed: set[str] = set()
         self._asking: EntryBook | None = None
         self._answered = anyio.Event()
@@ -112,6 +117,31 @@
             if self._prefixes[prefix].poll_s is None
         ]
 
+    @property
+    def relayed_books(self) -> list[EntryBook]:
+        """Return the entries that a few daemons of each region watch."""
+        return [b for p, b in self._books.items() if self._prefixes[p].is_relayed]
+
+    def on_taken(self, listener: Callable[[str], None]) -> None:
+        """Call `listener` with the prefix whose entries have changed."""
+        self._taken_listeners.append(listener)
+
+    def set_watched(self, prefix: str, is_watched: bool) -> bool:
+        """Watch a prefix at the store, or leave it to peers; tell if that is news."""
+        gate = self._gates[prefix]
+        if gate.is_open == is_watched:
+            return False
+        gate.set_open(is_watched)
+        _logger.info(
+            "turn to watch", extra={"prefix": prefix, "is_watched": is_watched}
+        )
+        if not is_watched:
+            book = self._books[prefix]
+            book.note_left()
+            if self._asking is book:
+                self._let_others_ask()
+        return True
+
     def note_served(self) -> None:
         """Note that the store has answered some call of this daemon."""
         now_s = self._timers.now_s()
@@ -143,7 +173,7 @@
         # The own watch goes on from the revision that it has reached itself:
         # a peer's entries may leave gaps below the peer's revision.
         changed = book.take(entries, book.revision, self._timers.now_s())
-        self._apply(changed)
+        self._take_in(book, changed)
         return len(changed)
 
     async def _list_and_follow(self, book: EntryBook) -> None:
@@ -156,7 +186,7 @@
             now_s = self._timers.now_s()
             if not isinstance(listing, Failure):
                 self._note_answer(book, now_s)
-                self._apply(book.take_listing(listing, now_s))
+                self._take_in(book, book.take_listing(listing, now_s))
                 self._note_listed(book)
                 return
             await self._wait_for_store(book, listing)
@@ -169,12 +199,14 @@
                 await anyio.sleep(poll_s * self._rng.uniform(POLL_MIN, POLL_MAX))
                 await self._list(book)
                 continue
-            wait_s = PROBE_S if book.is_away else WATCH_S
-            result = await self._store.watch_entries(book.prefix, book.revision, wait_s)
+            result = await self._gates[book.prefix].run(lambda: self._watch(book))
             now_s = self._timers.now_s()
+            if result is None:
+                continue
             if isinstance(result, WatchedChanges):
                 self._note_answer(book, now_s)
-                self._apply(book.take(result.entries, result.revision, now_s))
+                changed = book.take(result.entries, result.revision, now_s)
+                self._take_in(book, changed)
                 await anyio.sleep(self._prefixes[book.prefix].gather_s)
             elif result.reason is Reason.EXPIRED:
                 _logger.warning(
@@ -185,6 +217,10 @@
             else:
                 await self._wait_for_store(book, result)
 
+    async def _watch(self, book: EntryBook) -> WatchedChanges | Failure:
+        wait_s = PROBE_S if book.is_away else WATCH_S
+        return await self._store.watch_entries(book.prefix, book.revision, wait_s)
+
     async def _wait_for_store(self, book: EntryBook, failure: Failure) -> None:
         """Return when it is time to call again."""
         if book.note_away():
@@ -203,9 +239,12 @@
         if book.note_returned(now_s):
             _logger.info("store regained", extra={"prefix": book.prefix})
         if self._asking is not None:
-            self._asking = None
-            self._answered.set()
-            self._answered = anyio.Event()
+            self._let_others_ask()
+
+    def _let_others_ask(self) -> None:
+        self._asking = None
+        self._answered.set()
+        self._answered = anyio.Event()
 
     def _note_listed(self, book: EntryBook) -> None:
         self._listed.add(book.prefix)
@@ -213,6 +252,12 @@
             self._view.end_seeding()
             self._seeded.set()
 
+    def _take_in(self, book: EntryBook, changed: Sequence[WatchedEntry]) -> None:
+        self._apply(changed)
+        if changed:
+            for listener in self._taken_listeners:
+                listener(book.prefix)
+
     def _apply(self, entries: Iterable[WatchedEntry]) -> None:
         for entry in entries:
             change = self._codec.decode(entry)
--- a/reedspar/fleet/fleet.capnp
+++ b/reedspar/fleet/fleet.capnp
@@ -11,6 +11,7 @@
   value @1 :Data;
   revision @2 :UInt64;
   isRemoved @3 :Bool;
+  isPacked @4 :Bool;
 }
 
 struct FleetEntries {
@@ -19,6 +20,13 @@
   entries @2 :List(FleetEntry);
 }
 
+struct DocumentNews {
+  prefix @0 :Text;
+  newestRevision @1 :UInt64;
+  coveredRevision @2 :UInt64;
+  isServed @3 :Bool;
+}
+
 struct VersionAgeRequest {
   model @0 :Text;
   version @1 :UInt64;
--- a/reedspar/fleet/messages.py
+++ b/reedspar/fleet/messages.py
@@ -5,6 +5,7 @@
 from reedspar.messages import MessageRegistry, load_schema
 
 __all__ = [
+    "DocumentNews",
     "FleetEntries",
     "FleetEntry",
     "FleetRequest",
@@ -31,6 +32,8 @@
     value: bytes
     revision: int
     is_removed: bool
+    is_packed: bool = False
+    """The value is compressed."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +45,19 @@
     entries: tuple[FleetEntry, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class DocumentNews:
+    """Tells a region's daemons how far the sender knows a document."""
+
+    prefix: str
+    newest_revision: int
+    """Of the entry that the sender has."""
+    covered_revision: int
+    """Up to here the sender has missed no change."""
+    is_served: bool
+    """True while the store answers the sender."""
+
+
 @dataclass(frozen=True, slots=True)
 class VersionAgeRequest:
     """Asks how long ago a version of a model was named."""
@@ -81,6 +97,7 @@
         schema,
         FleetRequest,
         FleetEntries,
+        DocumentNews,
         VersionAgeRequest,
         VersionAge,
         TargetLoadNews,
--- /dev/null
+++ b/reedspar/fleet/packing.py
@@ -0,0 +1,47 @@
+"""Entries as peers send them: large values are compressed."""
+
+import zlib
+
+from .messages import FleetEntry
+from .store import WatchedEntry
+
+__all__ = ["EntryPacker", "unpack_entry"]
+
+PACKED_MIN_BYTES = 1024
+UNPACKED_MAX_BYTES = 4 * 1024 * 1024
+LEVEL = 1
+
+
+class EntryPacker:
+    """Packs entries; many peers ask for the same large one in a row."""
+
+    def __init__(self) -> None:
+        self._last: FleetEntry | None = None
+
+    def pack(self, entry: WatchedEntry) -> FleetEntry:
+        """Return the entry as it is sent."""
+        last = self._last
+        if last and (last.key, last.revision) == (entry.key, entry.revision):
+            return last
+        value = entry.value or b""
+        if len(value) < PACKED_MIN_BYTES:
+            return FleetEntry(entry.key, value, entry.revision, entry.value is None)
+        packed = zlib.compress(value, LEVEL)
+        self._last = FleetEntry(entry.key, packed, entry.revision, False, True)
+        return self._last
+
+
+def unpack_entry(entry: FleetEntry) -> WatchedEntry | None:
+    """Return an entry that was sent, None if it can't be read."""
+    if entry.is_removed:
+        return WatchedEntry(entry.key, None, entry.revision)
+    if not entry.is_packed:
+        return WatchedEntry(entry.key, entry.value, entry.revision)
+    inflater = zlib.decompressobj()
+    try:
+        value = inflater.decompress(entry.value, UNPACKED_MAX_BYTES)
+    except zlib.error:
+        return None
+    if not inflater.eof:
+        return None
+    return WatchedEntry(entry.key, value, entry.revision)
--- /dev/null
+++ b/reedspar/fleet/reading_turn.py
@@ -0,0 +1,83 @@
+"""Decision: whether this daemon reads a document for the others of its region."""
+
+from collections.abc import Iterable
+
+from reedspar.utils import rank_by_rendezvous
+
+__all__ = ["NEWS_S", "READERS", "ReadingTurn"]
+
+READERS = 2
+"""Daemons of a region that read a document of the store."""
+READ_BY_ALL = 3
+"""In a region of so few daemons each reads by itself."""
+NEWS_S = 0.4
+"""Between two news of a reader."""
+SILENT_S = 1.1
+"""Without news of any reader for so long, the next daemons in rank read."""
+STEP_S = 0.25
+"""Until those after them do, who else would all read at once."""
+
+
+class ReadingTurn:
+    """Follows who reads in this region.
+
+    The first daemons in rank read.  The others stand in, group by group, while no
+    reader of an earlier group is heard of that the store serves.
+    """
+
+    def __init__(self, key: str, now_s: float) -> None:
+        self._key = key
+        self._names: tuple[str, ...] = ()
+        self._ranked: list[str] = []
+        self._rank = 0
+        self._alive_s = now_s
+        self._served_s = now_s
+
+    @property
+    def is_first(self) -> bool:
+        """Tell whether this daemon is one of those that always read."""
+        return self._rank < READERS
+
+    @property
+    def listeners(self) -> list[str]:
+        """Return the daemons of this region that are told what readers know."""
+        return self._ranked[READERS:] if len(self._ranked) > READ_BY_ALL else []
+
+    @property
+    def _group(self) -> int:
+        return self._rank // READERS
+
+    def place(self, own_name: str, names: Iterable[str]) -> None:
+        """Take the daemons of this region; one that isn't known yet reads."""
+        self._names, before = tuple(names), self._names
+        if self._names != before:
+            self._ranked = rank_by_rendezvous(self._key, self._names)
+        is_alone = len(self._names) <= READ_BY_ALL or own_name not in self._names
+        self._rank = 0 if is_alone else self._ranked.index(own_name)
+
+    def note_news(self, now_s: float, reader: str, is_served: bool) -> None:
+        """Note that a reader of this region is there, and if the store serves it."""
+        if reader in self._ranked and self._group_of(reader) >= self._group:
+            return
+        self._alive_s = now_s
+        if is_served:
+            self._served_s = now_s
+
+    def note_away(self, now_s: float) -> None:
+        """Note that the store doesn't answer this daemon: it can't stand in."""
+        self._served_s = max(self._served_s, now_s)
+
+    def is_reading(self, now_s: float) -> bool:
+        """Tell whether this daemon watches the document."""
+        return self.is_first or now_s - self._served_s >= self._patience_s()
+
+    def is_asking(self, now_s: float) -> bool:
+        """Tell whether this daemon asks peers for the document unprompted."""
+        is_alone = now_s - self._alive_s >= self._patience_s()
+        return is_alone or self.is_reading(now_s)
+
+    def _patience_s(self) -> float:
+        return SILENT_S + (self._group - 1) * STEP_S
+
+    def _group_of(self, name: str) -> int:
+        return self._ranked.index(name) // READERS
--- /dev/null
+++ b/reedspar/fleet/relay.py
@@ -0,0 +1,113 @@
+"""Passing a large document on within a region, so that few daemons read it."""
+
+import random
+
+from reedspar.links import Network
+from reedspar.messages import Sender
+from reedspar.timers import TimerService
+
+from .entries import EntryBook
+from .feed import FleetFeed
+from .messages import DocumentNews, FleetRequest
+from .reading_turn import NEWS_S, ReadingTurn
+from .records import DaemonRecord
+from .view import FleetView
+
+__all__ = ["DocumentRelay"]
+
+CHECK_S = 0.1
+FAR_ASK_S = 0.8
+"""Between two questions of a reader to another region: the store may have forgotten
+the watches of all readers of this one."""
+ANSWER_S = 0.6
+"""After an unanswered question the next news of a reader is reason for another."""
+
+
+class DocumentRelay:
+    """Reads a document when it is this daemon's turn, and tells the region of it."""
+
+    def __init__(
+        self,
+        name: str,
+        book: EntryBook,
+        feed: FleetFeed,
+        view: FleetView,
+        network: Network,
+        timers: TimerService,
+        rng: random.Random,
+    ) -> None:
+        self._name = name
+        self._book = book
+        self._feed = feed
+        self._view = view
+        self._network = network
+        self._timers = timers
+        self._rng = rng
+        self._asked_s = float("-inf")
+        self._turn = ReadingTurn(book.prefix, timers.now_s())
+        network.subscribe(DocumentNews, self._hear)
+        feed.on_taken(self._note_taken)
+        timers.call_every(CHECK_S, self._check)
+        timers.call_every(NEWS_S, self._tell)
+        timers.call_every(FAR_ASK_S, self._ask_far)
+
+    @property
+    def is_asking(self) -> bool:
+        """Tell whether this daemon asks peers for the document unprompted."""
+        return self._turn.is_asking(self._timers.now_s())
+
+    def _check(self) -> None:
+        now_s = self._timers.now_s()
+        near = [record.name for record in self._others() if self._is_near(record)]
+        is_known = self._view.daemon(self._name) is not None
+        self._turn.place(self._name, [self._name, *near] if is_known else [])
+        if self._feed.is_store_away:
+            self._turn.note_away(now_s)
+        is_reading = self._turn.is_reading(now_s)
+        if self._feed.set_watched(self._book.prefix, is_reading) and is_reading:
+            # Before the next in rank lose their patience, too.
+            self._tell()
+
+    def _note_taken(self, prefix: str) -> None:
+        if prefix == self._book.prefix:
+            self._tell()
+
+    def _tell(self) -> None:
+        """Tell the daemons of this region that don't read what is known here."""
+        is_reading = self._turn.is_reading(self._timers.now_s())
+        if not is_reading:
+            return
+        book = self._book
+        is_served = not self._feed.is_store_away
+        news = DocumentNews(book.prefix, book.newest_revision, book.revision, is_served)
+        for name in self._turn.listeners:
+            if name != self._name:
+                self._network.send(name, news)
+
+    def _hear(self, sender: Sender, news: DocumentNews) -> None:
+        if news.prefix != self._book.prefix:
+            return
+        now_s = self._timers.now_s()
+        self._turn.note_news(now_s, sender.name, news.is_served)
+        self._book.note_covered(news.newest_revision, news.covered_revision)
+        newest = self._book.newest_revision
+        if news.newest_revision > newest and now_s - self._asked_s >= ANSWER_S:
+            self._asked_s = now_s
+            self._network.send(sender.name, FleetRequest(self._book.prefix, newest))
+
+    def _ask_far(self) -> None:
+        far = [record for record in self._others() if not self._is_near(record)]
+        if far and self.is_asking:
+            request = FleetRequest(self._book.prefix, self._book.seen_revision)
+            self._network.send(self._rng.choice(far).name, request)
+
+    def _others(self) -> list[DaemonRecord]:
+        """Return the other daemons of this one's role."""
+        me = self._view.daemon(self._name)
+        if me is None:
+            return []
+        return [r for r in self._view.daemons(me.role) if r.name != self._name]
+
+    def _is_near(self, record: DaemonRecord) -> bool:
+        me = self._view.daemon(self._name)
+        return me is not None and record.region == me.region
--- a/reedspar/fleet/tests/test_entries.py
+++ b/reedspar/fleet/tests/test_entries.py
@@ -33,6 +33,16 @@
         changed = book.take_listing(Listing((PUT,), 8), 0.0)
         self.assertEqual(changed, [WatchedEntry("t/2", None, 8)])
 
+    def test_own_watch_goes_on_after_what_a_peer_has_covered(self) -> None:
+        # A daemon has a document from a peer.  Its own watch went on from before, and
+        # the store sent the whole document once more.
+        book = EntryBook("t/")
+        book.take([PUT], 5, 0.0)
+        book.note_covered(newest=9, covered=12)
+        self.assertEqual(book.revision, 5)
+        book.note_covered(newest=5, covered=8)
+        self.assertEqual(book.revision, 8)
+
     @given(st.permutations(list(range(1, 9))), st.sets(st.integers(1, 8)))
     def test_any_order_of_news_ends_alike(self, order: list, removed: set) -> None:
         book = EntryBook("t/")
--- a/reedspar/fleet/tests/test_feed.py
+++ b/reedspar/fleet/tests/test_feed.py
@@ -131,6 +131,27 @@
 
         self.follow(script)
 
+    def test_prefix_that_is_left_to_peers_holds_up_no_other(self) -> None:
+        # A daemon asked the store for all its prefixes by that of a document when it
+        # was no longer its turn to read it.  The others waited for good.
+        async def script(store: FakeStore, feed: FleetFeed) -> None:
+            store.is_away = True
+            store.put("zones/c", b"{}")
+            await anyio.sleep(SETTLE_S)
+            self.assertIs(feed._asking, feed.books["zones/"])
+            feed.set_watched("zones/", False)
+            store.is_away = False
+            store.put("targets/t2", b"{}")
+            await anyio.sleep(2 * RETRY_MAX_S)
+            self.assertEqual(self.ids(), ["t1", "t2"])
+            self.assertEqual(self.view.zones_out, {"b"})
+            self.assertFalse(feed.is_store_away)
+            feed.set_watched("zones/", True)
+            await anyio.sleep(SETTLE_S)
+            self.assertEqual(self.view.zones_out, {"b", "c"})
+
+        self.follow(script)
+
     def test_goes_on_by_what_is_known_while_the_store_is_away(self) -> None:
         # The store is down.  Requests go on to the targets that are known.
         async def script(store: FakeStore, feed: FleetFeed) -> None:
--- /dev/null
+++ b/reedspar/fleet/tests/test_gate.py
@@ -0,0 +1,42 @@
+"""Tests of a watch that is broken off and taken up again."""
+
+import unittest
+
+import anyio
+
+from reedspar.fleet.gate import WatchGate
+from reedspar.requests.tests.virtual import run_virtual
+
+
+class GateTest(unittest.TestCase):
+    def test_call_is_broken_off_and_waits_until_the_gate_opens(self) -> None:
+        run_virtual(self._check)
+
+    async def _check(self) -> None:
+        gate = WatchGate()
+        results: list[str | None] = []
+
+        async def call() -> str:
+            await anyio.sleep(1.0)
+            return "news"
+
+        async def follow() -> None:
+            while len(results) < 2:
+                results.append(await gate.run(call))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follow)
+            await anyio.sleep(0.5)
+            gate.set_open(False)
+            await anyio.sleep(5.0)
+            self.assertEqual(results, [None])
+            gate.set_open(True)
+            gate.set_open(False)
+            await anyio.sleep(5.0)
+            self.assertEqual(results, [None])
+            gate.set_open(True)
+        self.assertEqual(results, [None, "news"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/reedspar/fleet/tests/test_reading_turn.py
@@ -0,0 +1,91 @@
+"""Tests of who reads a document for a region."""
+
+import unittest
+
+from reedspar.fleet.reading_turn import (
+    NEWS_S,
+    READ_BY_ALL,
+    READERS,
+    SILENT_S,
+    STEP_S,
+    ReadingTurn,
+)
+
+KEY = "doc"
+MANY = [f"e{i}" for i in range(15)]
+LONG_S = 60.0
+
+
+def make_turns(names: list[str]) -> dict[str, ReadingTurn]:
+    turns = {name: ReadingTurn(KEY, 0.0) for name in names}
+    for name, turn in turns.items():
+        turn.place(name, names)
+    return turns
+
+
+class ReadingTurnTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.turns = make_turns(MANY)
+        order = sorted(MANY, key=lambda name: self.turns[name]._rank)
+        self.ranked = [self.turns[name] for name in order]
+        self.order = order
+
+    def reading(self, now_s: float) -> list[str]:
+        return [name for name in self.order if self.turns[name].is_reading(now_s)]
+
+    def test_few_read_and_tell_all_others(self) -> None:
+        self.assertEqual(self.reading(NEWS_S), self.order[:READERS])
+        self.assertEqual(self.ranked[0].listeners, self.order[READERS:])
+
+    def test_each_reads_in_a_small_region(self) -> None:
+        turns = make_turns(MANY[:READ_BY_ALL])
+        self.assertTrue(all(turn.is_reading(0.0) for turn in turns.values()))
+        self.assertEqual(turns["e0"].listeners, [])
+
+    def test_daemon_that_is_not_known_yet_reads(self) -> None:
+        turn = ReadingTurn(KEY, 0.0)
+        self.assertTrue(turn.is_reading(0.0))
+        turn.place("new", MANY)
+        self.assertTrue(turn.is_reading(0.0))
+
+    def test_others_stand_in_group_by_group_while_no_reader_is_heard(self) -> None:
+        # All readers of a region died.  Read by each of the others at once, the
+        # document would fill the link to the store for as long as it did before.
+        self.assertEqual(self.reading(SILENT_S), self.order[: 2 * READERS])
+        self.assertEqual(self.reading(SILENT_S + STEP_S), self.order[: 3 * READERS])
+
+    def test_stand_ins_do_not_send_each_other_back(self) -> None:
+        # Two stood in for readers that had died, each heard of the other, and both
+        # stopped reading: the document came past its bound.
+        first, second = self.ranked[READERS : 2 * READERS]
+        first.note_news(SILENT_S, self.order[READERS + 1], True)
+        second.note_news(SILENT_S, self.order[READERS], True)
+        self.assertTrue(first.is_reading(SILENT_S))
+        self.assertTrue(second.is_reading(SILENT_S))
+
+    def test_later_groups_wait_for_a_stand_in(self) -> None:
+        last = self.ranked[-1]
+        last.note_news(SILENT_S, self.order[READERS], True)
+        self.assertFalse(last.is_reading(2 * SILENT_S))
+
+    def test_reader_that_the_store_turns_away_does_not_count(self) -> None:
+        # The store refuses the readers and serves the others of their region.
+        turn = self.ranked[READERS]
+        turn.note_news(LONG_S, self.order[0], False)
+        self.assertTrue(turn.is_reading(LONG_S))
+        turn.note_news(LONG_S, self.order[0], True)
+        self.assertFalse(turn.is_reading(LONG_S))
+
+    def test_daemon_that_the_store_turns_away_does_not_stand_in(self) -> None:
+        # The store is back after it turned a whole region away.  Had each daemon stood
+        # in meanwhile, all would read the document at that moment.
+        turn = self.ranked[READERS]
+        turn.note_away(LONG_S)
+        self.assertFalse(turn.is_reading(LONG_S))
+        self.assertTrue(turn.is_asking(LONG_S))
+        turn.note_news(LONG_S, self.order[0], False)
+        self.assertFalse(turn.is_asking(LONG_S))
+
+
+if __name__ == "__main__":
+    unittest.main()
