Let an entry that starts read the configuration from its region

Entries that are stopped and started in turn, as in a roll-out, each read the whole document over the link between the regions: 15 starts took 8.1 MB of it, as the test failed before. An entry asks two entries of its region first, and the store if neither answers within 0.3 s. Its watch goes on from what the answer covers, so that the store does not send the document again.

--- a/reedspar/fleet/document_poll.py
+++ b/reedspar/fleet/document_poll.py
@@ -15,11 +15,14 @@
 __all__ = ["DocumentPoll"]
 
 ANSWER_S = 0.6
+"""How long each of them has, one after the other."""
+FIRST_ANSWER_S = 0.3
+"""How long they have together while nothing is known here."""
 PEERS_ASKED = 2
 
 
 class DocumentPoll:
-    """Asks one entry of the region after the other for a document."""
+    """Asks entries of the region for a document."""
 
     def __init__(
         self,
@@ -42,14 +45,24 @@
     async def poll(self) -> bool:
         """Tell whether a peer has answered, and what is known is what it knows."""
         for peer in self._choose_peers():
-            self._answered = anyio.Event()
-            request = DocumentRequest(self._book.prefix, self._book.newest_revision)
+            if await self._ask([peer], ANSWER_S):
+                return True
+        return False
+
+    async def poll_first(self) -> bool:
+        """Do the same at a start, which may not wait for peers that are gone."""
+        return await self._ask(self._choose_peers(), FIRST_ANSWER_S)
+
+    async def _ask(self, peers: list[str], timeout_s: float) -> bool:
+        self._answered = anyio.Event()
+        request = DocumentRequest(self._book.prefix, self._book.newest_revision)
+        for peer in peers:
             self._network.send(peer, request)
-            with anyio.move_on_after(ANSWER_S):
+        if peers:
+            with anyio.move_on_after(timeout_s):
                 await self._answered.wait()
-                # A peer that knows nothing yet is no reason to wait for it.
-                return self._book.newest_revision > 0
-        return False
+        # A peer that knows nothing yet is no reason to wait for it.
+        return self._answered.is_set() and self._book.newest_revision > 0
 
     def _choose_peers(self) -> list[str]:
         entries = self._view.daemons(Role.ENTRY.value)
--- a/reedspar/fleet/exchange.py
+++ b/reedspar/fleet/exchange.py
@@ -67,13 +67,18 @@
         self._ages = VersionAges(name, view, network, timers, rng)
         self._packer = EntryPacker()
         self._relays = {
-            book.prefix: DocumentRelay(name, book, feed, view, network, timers, rng)
+            book.prefix: DocumentRelay(
+                name, region, book, feed, view, network, timers, rng
+            )
             for book in feed.relayed_books
         }
         network.subscribe(DocumentRequest, self._answer_document)
+        for book in feed.relayed_books:
+            document = DocumentPoll(region, book, feed, view, network, rng)
+            feed.set_poller(book.prefix, document.poll_first)
         for book in feed.polled_books:
-            poll = DocumentPoll(region, book, feed, view, network, rng)
-            feed.set_poller(book.prefix, poll.poll)
+            document = DocumentPoll(region, book, feed, view, network, rng)
+            feed.set_poller(book.prefix, document.poll)
 
     def ask(self) -> None:
         """Ask peers for what they have heard of the store since this daemon has."""
@@ -135,6 +140,9 @@
     def _take(self, sender: Sender, message: FleetEntries) -> None:
         entries = [e for e in map(unpack_entry, message.entries) if e is not None]
         news = self._feed.take_from_peer(message.prefix, entries)
+        if message.prefix in self._relays and entries:
+            book = self._feed.books[message.prefix]
+            book.note_covered(entries[-1].revision, message.revision)
         if news:
             _logger.info(
                 "heard from a peer",
--- a/reedspar/fleet/feed.py
+++ b/reedspar/fleet/feed.py
@@ -170,14 +170,18 @@
     async def run(self) -> None:
         """Follow every prefix until cancelled.
 
-        The first prefix is listed before the others: what its entries say
-        decides how those of the others are read.
+        The first prefixes, up to the last document, are read before the others: what
+        their entries say decides how those of the others are read.
         """
-        first, *others = self._books.values()
-        await self._list(first)
+        documents = [n for n, p in enumerate(self._books) if p in self._pollers]
+        books = list(self._books.values())
+        first_count = max(documents, default=0) + 1
+        for book in books[:first_count]:
+            await self._read(book)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._follow, first)
-            for book in others:
+            for book in books[:first_count]:
+                tasks.start_soon(self._follow, book)
+            for book in books[first_count:]:
                 tasks.start_soon(self._list_and_follow, book)
 
     def take_from_peer(self, prefix: str, entries: Iterable[WatchedEntry]) -> int:
@@ -192,7 +196,7 @@
         return len(changed)
 
     async def _list_and_follow(self, book: EntryBook) -> None:
-        await self._read(book)
+        await self._list(book)
         await self._follow(book)
 
     async def _read(self, book: EntryBook) -> None:
@@ -242,7 +246,9 @@
 
     async def _watch(self, book: EntryBook) -> WatchedChanges | Failure:
         wait_s = PROBE_S if book.is_away else WATCH_S
-        return await self._store.watch_entries(book.prefix, book.revision, wait_s)
+        is_document = self._prefixes[book.prefix].is_relayed
+        after = book.seen_revision if is_document else book.revision
+        return await self._store.watch_entries(book.prefix, after, wait_s)
 
     async def _wait_for_store(self, book: EntryBook, failure: Failure) -> None:
         """Return when it is time to call again."""
--- a/reedspar/fleet/reading_turn.py
+++ b/reedspar/fleet/reading_turn.py
@@ -48,12 +48,12 @@
         return self._rank // READERS
 
     def place(self, own_name: str, names: Iterable[str]) -> None:
-        """Take the daemons of this region; one that isn't known yet reads."""
+        """Take the daemons of this region, this one among them."""
         self._names, before = tuple(names), self._names
         if self._names != before:
             self._ranked = rank_by_rendezvous(self._key, self._names)
-        is_alone = len(self._names) <= READ_BY_ALL or own_name not in self._names
-        self._rank = 0 if is_alone else self._ranked.index(own_name)
+        is_small = len(self._names) <= READ_BY_ALL
+        self._rank = 0 if is_small else self._ranked.index(own_name)
 
     def note_news(self, now_s: float, reader: str, is_served: bool) -> None:
         """Note that a reader of this region is there, and if the store serves it."""
--- a/reedspar/fleet/relay.py
+++ b/reedspar/fleet/relay.py
@@ -2,7 +2,7 @@
 
 import random
 
-from reedspar.links import Network
+from reedspar.links import Network, Role
 from reedspar.messages import Sender
 from reedspar.timers import TimerService
 
@@ -29,6 +29,7 @@
     def __init__(
         self,
         name: str,
+        region: str,
         book: EntryBook,
         feed: FleetFeed,
         view: FleetView,
@@ -37,6 +38,7 @@
         rng: random.Random,
     ) -> None:
         self._name = name
+        self._region = region
         self._book = book
         self._feed = feed
         self._view = view
@@ -59,8 +61,7 @@
     def _check(self) -> None:
         now_s = self._timers.now_s()
         near = [record.name for record in self._others() if self._is_near(record)]
-        is_known = self._view.daemon(self._name) is not None
-        self._turn.place(self._name, [self._name, *near] if is_known else [])
+        self._turn.place(self._name, [self._name, *near])
         if self._feed.is_store_away:
             self._turn.note_away(now_s)
         is_reading = self._turn.is_reading(now_s)
@@ -102,12 +103,8 @@
             self._network.send(self._rng.choice(far).name, request)
 
     def _others(self) -> list[DaemonRecord]:
-        """Return the other daemons of this one's role."""
-        me = self._view.daemon(self._name)
-        if me is None:
-            return []
-        return [r for r in self._view.daemons(me.role) if r.name != self._name]
+        entries = self._view.daemons(Role.ENTRY.value)
+        return [record for record in entries if record.name != self._name]
 
     def _is_near(self, record: DaemonRecord) -> bool:
-        me = self._view.daemon(self._name)
-        return me is not None and record.region == me.region
+        return record.region == self._region
