Ask for the next configuration while the answer about the last one is on its way

Configurations come in a row. A daemon that had just asked for one waited up to a second before it asked for the next. Found by reading the code; the test test_listener_asks_for_the_next_change_at_once fails without the change.

--- a/reedspar/fleet/relay.py
+++ b/reedspar/fleet/relay.py
@@ -46,6 +46,7 @@
         self._timers = timers
         self._rng = rng
         self._asked_s = float("-inf")
+        self._asked_revision = 0
         self._turn = ReadingTurn(book.prefix, timers.now_s())
         network.subscribe(DocumentNews, self._hear)
         feed.on_taken(self._note_taken)
@@ -92,8 +93,11 @@
         self._turn.note_news(now_s, sender.name, news.is_served)
         self._book.note_covered(news.newest_revision, news.covered_revision)
         newest = self._book.newest_revision
-        if news.newest_revision > newest and now_s - self._asked_s >= ANSWER_S:
+        is_asked = news.newest_revision <= self._asked_revision
+        is_awaited = is_asked and now_s - self._asked_s < ANSWER_S
+        if news.newest_revision > newest and not is_awaited:
             self._asked_s = now_s
+            self._asked_revision = news.newest_revision
             self._network.send(sender.name, FleetRequest(self._book.prefix, newest))
 
     def _ask_far(self) -> None:
--- /dev/null
+++ b/reedspar/fleet/tests/test_relay.py
@@ -0,0 +1,133 @@
+"""Tests of passing a document on within a region."""
+
+import random
+import unittest
+
+from reedspar.fleet import (
+    DaemonChange,
+    DaemonRecord,
+    FleetPrefix,
+    FleetView,
+    Listing,
+    WatchedEntry,
+    create_fleet_exchange,
+    create_fleet_feed,
+)
+from reedspar.fleet.messages import DocumentNews, FleetEntries, FleetEntry, FleetRequest
+from reedspar.fleet.reading_turn import READERS, ReadingTurn
+from reedspar.fleet.relay import ANSWER_S
+from reedspar.fleet.tests.fakes import FakeCodec, FakeStore
+from reedspar.requests.tests.fakes import FakeNetwork
+from reedspar.timers import TimerService, VirtualClock
+
+PREFIX = "versions/"
+NEAR = [f"e{i}" for i in range(5)]
+FAR = "f0"
+TICK_S = 0.1
+
+
+class RelayTest(unittest.TestCase):
+    def setUp(self) -> None:
+        turn = ReadingTurn(PREFIX, 0.0)
+        turn.place(NEAR[0], NEAR)
+        self.listeners = turn.listeners
+        self.readers = [name for name in NEAR if name not in self.listeners]
+
+    def create(self, name: str) -> None:
+        self.clock = VirtualClock()
+        timers = TimerService(self.clock)
+        self.timers = timers
+        view = FleetView(timers)
+        self.network = FakeNetwork()
+        rng = random.Random(1)
+        self.feed = create_fleet_feed(
+            FakeStore(),
+            view,
+            FakeCodec(),
+            timers,
+            [FleetPrefix(PREFIX, is_relayed=True)],
+            rng,
+        )
+        create_fleet_exchange(
+            name,
+            self.feed,
+            view,
+            self.network,  # type: ignore[arg-type]
+            timers,
+            rng,
+            "r",
+        )
+        for other in [*NEAR, FAR]:
+            region = "r" if other in NEAR else "s"
+            record = DaemonRecord(other, "entry", "a", region, "10.0.0.1", 1, 2)
+            view.apply(DaemonChange(other, record))
+        book = self.feed.books[PREFIX]
+        book.take_listing(Listing((WatchedEntry("versions/m", b"1", 5),), 5), 0.0)
+        self.tick()
+        self.network.sent.clear()
+
+    def tick(self) -> None:
+        self.clock.advance(TICK_S)
+        self.timers.run_due()
+
+    def hear(self, revision: int, sender: str = "") -> None:
+        news = DocumentNews(PREFIX, revision, revision, True)
+        self.network.deliver(sender or self.readers[0], news)
+
+    def asked(self) -> list[str]:
+        return [p for p, m in self.network.sent if isinstance(m, FleetRequest)]
+
+    def test_reader_tells_the_others_of_a_change_at_once(self) -> None:
+        self.create(self.readers[0])
+        self.feed.take_from_peer(PREFIX, [WatchedEntry("versions/m", b"2", 8)])
+        told = [p for p, m in self.network.sent if isinstance(m, DocumentNews)]
+        self.assertEqual(told, self.listeners)
+        self.assertEqual(len(self.readers), READERS)
+
+    def test_listener_asks_the_one_that_told_it(self) -> None:
+        self.create(self.listeners[0])
+        self.hear(8)
+        self.hear(8, self.readers[1])
+        self.assertEqual(self.asked(), [self.readers[0]])
+
+    def test_listener_asks_another_if_no_answer_comes(self) -> None:
+        # A reader froze after it had told of a change.
+        self.create(self.listeners[0])
+        self.hear(8)
+        for _ in range(round(ANSWER_S / TICK_S) + 1):
+            self.tick()
+        self.hear(8, self.readers[1])
+        self.assertEqual(self.asked(), self.readers[:2])
+
+    def test_listener_asks_for_the_next_change_at_once(self) -> None:
+        # Configurations come in a row, and the answer about the first is on its way.
+        self.create(self.listeners[0])
+        self.hear(8)
+        self.hear(9)
+        self.assertEqual(len(self.asked()), 2)
+
+    def test_listener_asks_nobody_unprompted_while_readers_are_heard(self) -> None:
+        self.create(self.listeners[0])
+        for _ in range(50):
+            self.tick()
+            self.hear(5)
+        self.assertEqual(self.asked(), [])
+        self.assertEqual(self.feed.books[PREFIX].revision, 5)
+
+    def test_reader_asks_other_regions_too(self) -> None:
+        # The store leaves the watches of a region's readers without any answer.
+        self.create(self.readers[0])
+        for _ in range(50):
+            self.tick()
+        self.assertIn(FAR, self.asked())
+
+    def test_answer_moves_the_own_watch_on(self) -> None:
+        # Went it on from before, the store would send the document once more.
+        self.create(self.listeners[0])
+        entry = FleetEntry("versions/m", b"2", 8, False)
+        self.network.deliver(self.readers[0], FleetEntries(PREFIX, 12, (entry,)))
+        self.assertEqual(self.feed.books[PREFIX].revision, 12)
+
+
+if __name__ == "__main__":
+    unittest.main()
