Take a peer's word of a removal for certain

An entry that the store had turned away went on sending to a target that was gone: worked out, up to 3.9 s after the store's return (1.65 s until a hung call has failed and the next one goes well, 2 s of grace, a check each 0.25 s). Such a machine counts as in touch again 3 s after the return on the small deployments, and drainMs there is 2 s.

The grace was counted from when this daemon noticed the store's return, although peers had told it of the removal long before. It protects from lapses in an outage; but peers pass on only removals that they hold for good themselves, after their own grace if they had an outage.

Ruled out: probing faster (each call of 46 entries counts); a shorter grace.

Before, test_removal_that_a_peer_holds_for_certain_is_not_kept_back failed: the target was still known. Its neighbour holds that what a peer keeps back is not passed on.

--- a/reedspar/fleet/entries.py
+++ b/reedspar/fleet/entries.py
@@ -96,15 +96,23 @@
         return self.take([*listing.entries, *removed], listing.revision, now_s)
 
     def take(
-        self, entries: Iterable[WatchedEntry], revision: int, now_s: float
+        self,
+        entries: Iterable[WatchedEntry],
+        revision: int,
+        now_s: float,
+        *,
+        is_certain: bool = False,
     ) -> list[WatchedEntry]:
-        """Take in news; return the entries that changed and hold from now on."""
+        """Take in news; return the entries that changed and hold from now on.
+
+        No removal is kept back if the news are certain.
+        """
         changed = []
         for entry in entries:
             known = self._entries.get(entry.key)
             if known is not None and entry.revision <= known.revision:
                 continue
-            if self._is_to_hold(entry, known, now_s):
+            if not is_certain and self._is_to_hold(entry, known, now_s):
                 self._held[entry.key] = entry
                 continue
             self._held.pop(entry.key, None)
--- a/reedspar/fleet/feed.py
+++ b/reedspar/fleet/feed.py
@@ -142,7 +142,9 @@
             return 0
         # The own watch goes on from the revision that it has reached itself:
         # a peer's entries may leave gaps below the peer's revision.
-        changed = book.take(entries, book.revision, self._timers.now_s())
+        # Peers pass on no removal that they keep back themselves.
+        now_s = self._timers.now_s()
+        changed = book.take(entries, book.revision, now_s, is_certain=True)
         self._apply(changed)
         return len(changed)
 
--- a/reedspar/fleet/tests/test_exchange.py
+++ b/reedspar/fleet/tests/test_exchange.py
@@ -13,12 +13,17 @@
     create_fleet_exchange,
     create_fleet_feed,
 )
+from reedspar.fleet.entries import LAPSE_MIN_S
 from reedspar.fleet.messages import FleetEntries, FleetRequest
 from reedspar.fleet.tests.fakes import FakeCodec, FakeStore
 from reedspar.requests.tests.fakes import FakeNetwork
 from reedspar.timers import TimerService, VirtualClock
 
-PREFIXES = (FleetPrefix("zones/"), FleetPrefix("targets/"), FleetPrefix("versions/"))
+PREFIXES = (
+    FleetPrefix("zones/"),
+    FleetPrefix("targets/", is_kept_over_outage=True),
+    FleetPrefix("versions/"),
+)
 
 
 class Daemon:
@@ -136,6 +141,31 @@
         assert version is not None
         self.assertLess(version.named_s, 1.0)
 
+    def test_removal_that_a_peer_holds_for_certain_is_not_kept_back(self) -> None:
+        # The store turns one machine away for nine seconds, and a target leaves.  Its
+        # removal was kept back there until 2 s after the store's return, though the
+        # peer that told of it had been served all the while.
+        self.cut_off.feed.books["targets/"].note_away()
+        self.cut_off.clock.advance(LAPSE_MIN_S)
+        gone = WatchedEntry("targets/t1", None, 9)
+        self.served.feed.books["targets/"].take([gone], 9, 0.0)
+        self.cut_off.tick()
+        self.pass_on()
+        self.assertIsNone(self.cut_off.view.target("t1"))
+
+    def test_removal_that_a_peer_keeps_back_is_not_passed_on(self) -> None:
+        # The store is away for everyone and the leases lapse.  A peer that hears of it
+        # first must not spread what may be back in a moment.
+        for daemon in (self.cut_off, self.served):
+            daemon.feed.books["targets/"].note_away()
+            daemon.clock.advance(LAPSE_MIN_S)
+        gone = WatchedEntry("targets/t1", None, 9)
+        now_s = self.served.clock.now_s()
+        self.served.feed.books["targets/"].take([gone], 9, now_s)
+        self.cut_off.tick()
+        self.pass_on()
+        self.assertIsNotNone(self.cut_off.view.target("t1"))
+
     def test_own_watch_goes_on_where_it_stood(self) -> None:
         # A peer's entries may leave gaps; a watch that went on after them would
         # never hear what lies between.
