Read the configuration with three entries of a region, for the others

Cause: news that come late shift every bound that they start. Each of 46 entries read the whole document over the thin links between regions, 15 to 16 copies a region at each change.

Three entries of a region, the same for all that know the same entries, read it from the store; the others ask one of them every 0.4 s. A reader that the store serves answers even if there is nothing new; after a second without such an answer an entry reads by itself. Readers ask each other, at times those of another region, in case the store has forgotten their watch. Where a region has three entries or fewer, all go on reading.

Ruled out: watching with a longer pause (storms of changes come together already); a revision of its own in the store (a write a change, and nothing if its writer dies).

Without it test_few_entries_of_a_region_read_a_document_and_all_have_it failed: none of 15 entries had the last of four versions 1.5 s after it.

--- a/reedspar/fleet/messages.py
+++ b/reedspar/fleet/messages.py
@@ -40,6 +40,8 @@
     prefix: str
     revision: int
     entries: tuple[FleetEntry, ...]
+    is_reader: bool = False
+    """The store serves the sender, which reads this document for its region."""
 
 
 @dataclass(frozen=True, slots=True)
