--- a/reedspar/fleet/messages.py
+++ b/reedspar/fleet/messages.py
@@ -31,6 +31,8 @@
     value: bytes
     revision: int
     is_removed: bool
+    is_packed: bool = False
+    """The value is compressed."""
 
 
 @dataclass(frozen=True, slots=True)
