--- a/reedspar/daemon/site_parts.py
+++ b/reedspar/daemon/site_parts.py
@@ -70,11 +70,10 @@
 ) -> SiteBase:
     """Connect a daemon with the store and with its peers."""
     view = FleetView(timers)
-    me = _describe(settings)
     feed = create_fleet_feed(
-        parts.store, view, parts.codec, timers, parts.prefixes, rng, me
+        parts.store, view, parts.codec, timers, parts.prefixes, rng, settings.name
     )
-    key, value = parts.encode_daemon(me)
+    key, value = parts.encode_daemon(_describe(settings))
     registration = create_registration(
         key, value, parts.store, timers, feed.note_served
     )
--- a/reedspar/fleet/documents.py
+++ b/reedspar/fleet/documents.py
@@ -22,12 +22,6 @@
 """How often a reader of any region is asked: the store may have forgotten the watches
 of all readers of a region.  More often, a document that is on its way would cross the
 link between the regions once more."""
-FIRST_SPREAD_S = 1.0
-"""Time over which daemons that start together and know of no other read a document."""
-HEAR_MIN_S = 1.0
-HEAR_SPREAD_S = 1.5
-"""How long a daemon waits for a reader's answer, drawn anew: readers that have started
-with it read the document meanwhile."""
 SILENT_S = 1.0
 """Time without a reader's word after which an entry reads by itself: two questions."""
 
@@ -36,32 +30,14 @@
     """Tells whether this daemon reads a document, or hears of it from its readers."""
 
     def __init__(
-        self,
-        me: DaemonRecord,
-        view: FleetView,
-        timers: TimerService,
-        rng: random.Random,
+        self, name: str, view: FleetView, timers: TimerService, rng: random.Random
     ) -> None:
-        self._me = me
+        self._name = name
         self._view = view
         self._timers = timers
         self._rng = rng
         self._heard_s: dict[str, float] = {}
 
-    def has_heard(self, prefix: str, since_s: float) -> bool:
-        """Tell whether a reader that the store serves has answered since a time."""
-        return self._heard_s.get(prefix, float("-inf")) >= since_s
-
-    def learn_wait_s(self, prefix: str, draw: float) -> float:
-        """Return how long to wait for a reader's answer before a document is listed.
-
-        `draw` is a number from 0 to 1 that spreads daemons that begin together.
-        """
-        if self._is_reader(prefix):
-            is_alone = self._names(self._me.region) == {self._me.name}
-            return draw * FIRST_SPREAD_S if is_alone else 0.0
-        return HEAR_MIN_S + draw * HEAR_SPREAD_S
-
     def must_read(self, prefix: str) -> bool:
         """Tell whether this daemon is a reader, or hears of none."""
         if self._is_reader(prefix):
@@ -75,24 +51,22 @@
 
     def choose_peers(self, prefix: str) -> list[str]:
         """Return whom to ask next: a reader, and of another region at times."""
-        is_far = self._rng.random() < FAR_PART
-        regions = {e.region for e in self._entries()} if is_far else {self._me.region}
-        names = [n for r in sorted(regions) for n in self._list_readers(prefix, r)]
-        names = [name for name in names if name != self._me.name]
+        me = self._view.daemon(self._name)
+        if me is None or self._rng.random() < FAR_PART:
+            regions = {entry.region for entry in self._entries()}
+        else:
+            regions = {me.region}
+        names = [n for r in sorted(regions) for n in self._readers(prefix, r)]
+        names = [name for name in names if name != self._name]
         return [self._rng.choice(names)] if names else []
 
     def _is_reader(self, prefix: str) -> bool:
-        return self._me.name in self._list_readers(prefix, self._me.region)
-
-    def _list_readers(self, prefix: str, region: str) -> list[str]:
-        return rank_by_rendezvous(prefix, self._names(region))[:READERS_PER_REGION]
+        me = self._view.daemon(self._name)
+        return me is None or self._name in self._readers(prefix, me.region)
 
-    def _names(self, region: str) -> set[str]:
-        """Return the entries of a region; this one counts before it is registered."""
-        names = {entry.name for entry in self._entries() if entry.region == region}
-        if self._me.role == Role.ENTRY.value and region == self._me.region:
-            names.add(self._me.name)
-        return names
+    def _readers(self, prefix: str, region: str) -> list[str]:
+        names = (e.name for e in self._entries() if e.region == region)
+        return rank_by_rendezvous(prefix, names)[:READERS_PER_REGION]
 
     def _entries(self) -> Iterable[DaemonRecord]:
         return self._view.daemons(Role.ENTRY.value)
--- a/reedspar/fleet/exchange.py
+++ b/reedspar/fleet/exchange.py
@@ -7,8 +7,6 @@
 
 import logging
 import random
-import zlib
-from functools import lru_cache
 
 from reedspar.links import Network
 from reedspar.messages import Sender
@@ -39,10 +37,6 @@
 store had taken it."""
 ENTRIES_MAX = 400
 """Entries in one answer; the rest comes with the next one."""
-PACK_MIN_BYTES = 16 * 1024
-"""Values from this size on are compressed between peers: one goes to several of them
-at once, over the sender's own link."""
-PACK_LEVEL = 1
 
 _logger = logging.getLogger(__name__)
 
@@ -67,7 +61,6 @@
         network.subscribe(FleetRequest, self._answer)
         network.subscribe(FleetEntries, self._take)
         timers.call_every(ASK_S, self.ask)
-        feed.on_learning(self._ask_reader)
         self._ages = VersionAges(name, view, network, timers, rng)
 
     def ask(self) -> None:
@@ -79,12 +72,6 @@
                 self._network.send(peer, request)
         self._ages.ask(peers)
 
-    def _ask_reader(self, prefix: str) -> None:
-        """Ask a reader for a document that this daemon is to learn."""
-        book = self._feed.books[prefix]
-        for peer in self._feed.readers.choose_peers(prefix):
-            self._network.send(peer, FleetRequest(prefix, book.seen_revision))
-
     def _choose_for(self, book: EntryBook, peers: list[str]) -> list[str]:
         """Return whom to ask for a prefix: of a document, those that read it."""
         if not self._feed.is_document(book.prefix):
@@ -131,7 +118,7 @@
     def _take(self, sender: Sender, message: FleetEntries) -> None:
         entries = [
             WatchedEntry(
-                entry.key, None if entry.is_removed else _unpack(entry), entry.revision
+                entry.key, None if entry.is_removed else entry.value, entry.revision
             )
             for entry in message.entries
         ]
@@ -150,25 +137,8 @@
 
 
 def _encode(entry: WatchedEntry) -> FleetEntry:
-    value = entry.value or b""
-    is_packed = len(value) >= PACK_MIN_BYTES
-    return FleetEntry(
-        entry.key,
-        _pack(value) if is_packed else value,
-        entry.revision,
-        entry.value is None,
-        is_packed,
-    )
-
-
-@lru_cache(maxsize=2)
-def _pack(value: bytes) -> bytes:
-    """Return a large value as it goes to peers; the same one goes to several."""
-    return zlib.compress(value, PACK_LEVEL)
-
-
-def _unpack(entry: FleetEntry) -> bytes:
-    return zlib.decompress(entry.value) if entry.is_packed else entry.value
+    is_removed = entry.value is None
+    return FleetEntry(entry.key, entry.value or b"", entry.revision, is_removed)
 
 
 def create_fleet_exchange(
--- a/reedspar/fleet/feed.py
+++ b/reedspar/fleet/feed.py
@@ -2,7 +2,7 @@
 
 import logging
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -14,7 +14,6 @@
 from .changes import FleetChange
 from .documents import DocumentReaders
 from .entries import EntryBook
-from .records import DaemonRecord
 from .store import WatchableStore, WatchedChanges, WatchedEntry
 from .view import FleetView
 
@@ -40,10 +39,6 @@
 """How long one watch of a document waits; who reads it may change meanwhile."""
 READER_CHECK_S = 0.2
 """Between two looks at whether this daemon must read a document by itself."""
-LEARN_POLL_S = 0.3
-"""Between two questions for a document that is to be learned."""
-NOBODY = DaemonRecord("", "", "", "", "", 0)
-"""Stands for a daemon that reads every document by itself."""
 
 _logger = logging.getLogger(__name__)
 
@@ -67,7 +62,7 @@
     poll_s: float | None = None
     """Mean time between two reads of what need not be known at once, or None.
 
-    Such a prefix is not watched; only readers of a document are asked for it."""
+    Such a prefix is not watched, and peers neither ask for it nor answer."""
     is_document: bool = False
     """One large value: few entries of a region read it for the others."""
 
@@ -83,7 +78,7 @@
         timers: TimerService,
         prefixes: Sequence[FleetPrefix],
         rng: random.Random,
-        me: DaemonRecord,
+        name: str,
     ) -> None:
         self._store = store
         self._view = view
@@ -95,8 +90,7 @@
             item.prefix: EntryBook(item.prefix, item.is_kept_over_outage)
             for item in prefixes
         }
-        self._readers = DocumentReaders(me, view, timers, rng)
-        self._ask_for: Callable[[str], None] = lambda prefix: None
+        self._readers = DocumentReaders(name, view, timers, rng)
         self._listed: set[str] = set()
         self._asking: EntryBook | None = None
         self._answered = anyio.Event()
@@ -141,10 +135,6 @@
         is_heard = self.is_document(prefix) and not self._readers.must_read(prefix)
         return not is_heard and not self._books[prefix].is_away
 
-    def on_learning(self, ask_for: Callable[[str], None]) -> None:
-        """Call `ask_for` with the prefix of a document that is to be learned."""
-        self._ask_for = ask_for
-
     def note_served(self) -> None:
         """Note that the store has answered some call of this daemon."""
         now_s = self._timers.now_s()
@@ -159,17 +149,12 @@
         """Follow every prefix until cancelled.
 
         The first prefix is listed before the others: what its entries say
-        decides how those of the others are read.  A document is an exception, for
-        the others tell who has it.
+        decides how those of the others are read.
         """
         first, *others = self._books.values()
-        if not self.is_document(first.prefix):
-            await self._list(first)
+        await self._list(first)
         async with anyio.create_task_group() as tasks:
-            if self.is_document(first.prefix):
-                tasks.start_soon(self._learn_and_follow, first)
-            else:
-                tasks.start_soon(self._follow, first)
+            tasks.start_soon(self._follow, first)
             for book in others:
                 tasks.start_soon(self._list_and_follow, book)
 
@@ -203,23 +188,6 @@
         await self._list(book)
         await self._follow(book)
 
-    async def _learn_and_follow(self, book: EntryBook) -> None:
-        await self._learn(book)
-        await self._follow(book)
-
-    async def _learn(self, book: EntryBook) -> None:
-        """Hear of a document from a reader, or list it when it is this one's turn."""
-        started_s = self._timers.now_s()
-        draw = self._rng.random()
-        while not self._readers.has_heard(book.prefix, started_s):
-            wait_s = self._readers.learn_wait_s(book.prefix, draw)
-            if self._timers.now_s() - started_s >= wait_s:
-                await self._list(book)
-                return
-            self._ask_for(book.prefix)
-            await anyio.sleep(LEARN_POLL_S)
-        self._note_listed(book)
-
     async def _list(self, book: EntryBook) -> None:
         while True:
             listing = await self._store.list_entries(book.prefix)
@@ -237,13 +205,14 @@
         watch_s = DOCUMENT_WATCH_S if is_document else WATCH_S
         while True:
             # Once it was lost the store is asked on: others wait for its answer.
-            if poll_s is None and not self.reads(book.prefix) and not book.is_away:
+            is_heard = is_document and not self._readers.must_read(book.prefix)
+            if is_heard and not book.is_away:
                 await anyio.sleep(READER_CHECK_S)
                 continue
             # Until the first entry is written it is awaited like any other news.
             if poll_s is not None and book.entries_after(0):
                 await anyio.sleep(poll_s * self._rng.uniform(POLL_MIN, POLL_MAX))
-                await (self._learn(book) if is_document else self._list(book))
+                await self._list(book)
                 continue
             wait_s = PROBE_S if book.is_away else watch_s
             result = await self._store.watch_entries(book.prefix, book.revision, wait_s)
@@ -307,8 +276,8 @@
     timers: TimerService,
     prefixes: Sequence[FleetPrefix],
     rng: random.Random | None = None,
-    me: DaemonRecord = NOBODY,
+    name: str = "",
 ) -> FleetFeed:
     """Make the feed of a daemon; the first of the prefixes is read first."""
     rng = rng or random.Random()
-    return FleetFeed(store, view, codec, timers, prefixes, rng, me)
+    return FleetFeed(store, view, codec, timers, prefixes, rng, name)
--- a/reedspar/fleet/fleet.capnp
+++ b/reedspar/fleet/fleet.capnp
@@ -11,7 +11,6 @@
   value @1 :Data;
   revision @2 :UInt64;
   isRemoved @3 :Bool;
-  isPacked @4 :Bool;
 }
 
 struct FleetEntries {
--- a/reedspar/fleet/messages.py
+++ b/reedspar/fleet/messages.py
@@ -31,8 +31,6 @@
     value: bytes
     revision: int
     is_removed: bool
-    is_packed: bool = False
-    """The value is compressed."""
 
 
 @dataclass(frozen=True, slots=True)
