--- a/reedspar/daemon/site_parts.py
+++ b/reedspar/daemon/site_parts.py
@@ -71,7 +71,7 @@
     """Connect a daemon with the store and with its peers."""
     view = FleetView(timers)
     feed = create_fleet_feed(
-        parts.store, view, parts.codec, timers, parts.prefixes, rng, settings.name
+        parts.store, view, parts.codec, timers, parts.prefixes, rng
     )
     key, value = parts.encode_daemon(_describe(settings))
     registration = create_registration(
--- a/reedspar/fleet/exchange.py
+++ b/reedspar/fleet/exchange.py
@@ -13,7 +13,6 @@
 from reedspar.timers import TimerService
 
 from .ages import VersionAges
-from .entries import EntryBook
 from .feed import FleetFeed
 from .messages import FleetEntries, FleetEntry, FleetRequest
 from .store import WatchedEntry
@@ -66,19 +65,11 @@
     def ask(self) -> None:
         """Ask peers for what they have heard of the store since this daemon has."""
         peers = self._choose_peers()
-        for book in self._feed.shared_books:
-            request = FleetRequest(book.prefix, book.seen_revision)
-            for peer in self._choose_for(book, peers):
-                self._network.send(peer, request)
+        for peer in peers:
+            for book in self._feed.shared_books:
+                self._network.send(peer, FleetRequest(book.prefix, book.seen_revision))
         self._ages.ask(peers)
 
-    def _choose_for(self, book: EntryBook, peers: list[str]) -> list[str]:
-        """Return whom to ask for a prefix: of a document, those that read it."""
-        if not self._feed.is_document(book.prefix):
-            return peers
-        readers = self._feed.readers.choose_peers(book.prefix)
-        return [*peers, *readers] if self._feed.is_store_away else readers or peers
-
     def _choose_peers(self) -> list[str]:
         names = [name for name in self._view.daemon_names() if name != self._name]
         if self._feed.is_store_away:
@@ -105,14 +96,10 @@
             for entry in book.entries_after(request.after_revision)
             if entry.key.startswith(request.prefix)
         ]
-        # Those that do not read a document themselves must hear that somebody does.
-        is_reader = self._feed.is_document(book.prefix) and self._feed.reads(
-            book.prefix
-        )
-        if not newer and not is_reader:
+        if not newer:
             return
         entries = tuple(_encode(entry) for entry in newer[:ENTRIES_MAX])
-        message = FleetEntries(request.prefix, book.revision, entries, is_reader)
+        message = FleetEntries(request.prefix, book.revision, entries)
         self._network.send(sender.name, message)
 
     def _take(self, sender: Sender, message: FleetEntries) -> None:
@@ -122,8 +109,7 @@
             )
             for entry in message.entries
         ]
-        reader_revision = message.revision if message.is_reader else 0
-        news = self._feed.take_from_peer(message.prefix, entries, reader_revision)
+        news = self._feed.take_from_peer(message.prefix, entries)
         if news:
             _logger.info(
                 "heard from a peer",
--- a/reedspar/fleet/feed.py
+++ b/reedspar/fleet/feed.py
@@ -12,7 +12,6 @@
 from reedspar.timers import TimerService
 
 from .changes import FleetChange
-from .documents import DocumentReaders
 from .entries import EntryBook
 from .store import WatchableStore, WatchedChanges, WatchedEntry
 from .view import FleetView
@@ -35,10 +34,6 @@
 POLL_MAX = 1.5
 """Parts of the time between two reads, drawn anew, so that daemons read in turn."""
 HELD_CHECK_S = 0.25
-DOCUMENT_WATCH_S = 5.0
-"""How long one watch of a document waits; who reads it may change meanwhile."""
-READER_CHECK_S = 0.2
-"""Between two looks at whether this daemon must read a document by itself."""
 
 _logger = logging.getLogger(__name__)
 
@@ -63,8 +58,6 @@
     """Mean time between two reads of what need not be known at once, or None.
 
     Such a prefix is not watched, and peers neither ask for it nor answer."""
-    is_document: bool = False
-    """One large value: few entries of a region read it for the others."""
 
 
 class FleetFeed:
@@ -78,7 +71,6 @@
         timers: TimerService,
         prefixes: Sequence[FleetPrefix],
         rng: random.Random,
-        name: str,
     ) -> None:
         self._store = store
         self._view = view
@@ -90,7 +82,6 @@
             item.prefix: EntryBook(item.prefix, item.is_kept_over_outage)
             for item in prefixes
         }
-        self._readers = DocumentReaders(name, view, timers, rng)
         self._listed: set[str] = set()
         self._asking: EntryBook | None = None
         self._answered = anyio.Event()
@@ -112,11 +103,6 @@
         """Return the entries by prefix."""
         return self._books
 
-    @property
-    def readers(self) -> DocumentReaders:
-        """Return who reads documents from the store."""
-        return self._readers
-
     @property
     def shared_books(self) -> list[EntryBook]:
         """Return the entries that peers tell each other of, by prefix."""
@@ -126,15 +112,6 @@
             if self._prefixes[prefix].poll_s is None
         ]
 
-    def is_document(self, prefix: str) -> bool:
-        """Tell whether few entries of a region read a prefix for the others."""
-        return self._prefixes[prefix].is_document
-
-    def reads(self, prefix: str) -> bool:
-        """Tell whether this daemon reads a prefix from a store that serves it."""
-        is_heard = self.is_document(prefix) and not self._readers.must_read(prefix)
-        return not is_heard and not self._books[prefix].is_away
-
     def note_served(self) -> None:
         """Note that the store has answered some call of this daemon."""
         now_s = self._timers.now_s()
@@ -158,29 +135,16 @@
             for book in others:
                 tasks.start_soon(self._list_and_follow, book)
 
-    def take_from_peer(
-        self,
-        prefix: str,
-        entries: Iterable[WatchedEntry],
-        reader_revision: int = 0,
-    ) -> int:
-        """Take in what a peer has heard from the store; return how much was news.
-
-        `reader_revision` is how far a reader of a document has read, 0 of any other.
-        """
+    def take_from_peer(self, prefix: str, entries: Iterable[WatchedEntry]) -> int:
+        """Take in what a peer has heard from the store; return how much was news."""
         book = self._books.get(prefix)
         if book is None:
             return 0
         # The own watch goes on from the revision that it has reached itself:
-        # a peer's entries may leave gaps below the peer's revision.  A document is
-        # one entry and leaves none.
-        revision = book.revision
-        if self.is_document(prefix) and reader_revision:
-            self._readers.note_heard(prefix)
-            revision = max(revision, reader_revision)
+        # a peer's entries may leave gaps below the peer's revision.
         # Peers pass on no removal that they keep back themselves.
         now_s = self._timers.now_s()
-        changed = book.take(entries, revision, now_s, is_certain=True)
+        changed = book.take(entries, book.revision, now_s, is_certain=True)
         self._apply(changed)
         return len(changed)
 
@@ -201,20 +165,13 @@
 
     async def _follow(self, book: EntryBook) -> None:
         poll_s = self._prefixes[book.prefix].poll_s
-        is_document = self.is_document(book.prefix)
-        watch_s = DOCUMENT_WATCH_S if is_document else WATCH_S
         while True:
-            # Once it was lost the store is asked on: others wait for its answer.
-            is_heard = is_document and not self._readers.must_read(book.prefix)
-            if is_heard and not book.is_away:
-                await anyio.sleep(READER_CHECK_S)
-                continue
             # Until the first entry is written it is awaited like any other news.
             if poll_s is not None and book.entries_after(0):
                 await anyio.sleep(poll_s * self._rng.uniform(POLL_MIN, POLL_MAX))
                 await self._list(book)
                 continue
-            wait_s = PROBE_S if book.is_away else watch_s
+            wait_s = PROBE_S if book.is_away else WATCH_S
             result = await self._store.watch_entries(book.prefix, book.revision, wait_s)
             now_s = self._timers.now_s()
             if isinstance(result, WatchedChanges):
@@ -276,8 +233,6 @@
     timers: TimerService,
     prefixes: Sequence[FleetPrefix],
     rng: random.Random | None = None,
-    name: str = "",
 ) -> FleetFeed:
-    """Make the feed of a daemon; the first of the prefixes is read first."""
-    rng = rng or random.Random()
-    return FleetFeed(store, view, codec, timers, prefixes, rng, name)
+    """Make a feed of the prefixes, the first of which is read first."""
+    return FleetFeed(store, view, codec, timers, prefixes, rng or random.Random())
--- a/reedspar/fleet/fleet.capnp
+++ b/reedspar/fleet/fleet.capnp
@@ -17,7 +17,6 @@
   prefix @0 :Text;
   revision @1 :UInt64;
   entries @2 :List(FleetEntry);
-  isReader @3 :Bool;
 }
 
 struct VersionAgeRequest {
--- a/reedspar/fleet/messages.py
+++ b/reedspar/fleet/messages.py
@@ -40,8 +40,6 @@
     prefix: str
     revision: int
     entries: tuple[FleetEntry, ...]
-    is_reader: bool = False
-    """The store serves the sender, which reads this document for its region."""
 
 
 @dataclass(frozen=True, slots=True)
