--- a/reedspar/fleet/fleet.capnp
+++ b/reedspar/fleet/fleet.capnp
@@ -11,6 +11,7 @@
   value @1 :Data;
   revision @2 :UInt64;
   isRemoved @3 :Bool;
+  isPacked @4 :Bool;
 }
 
 struct FleetEntries {
@@ -19,6 +20,18 @@
   entries @2 :List(FleetEntry);
 }
 
+struct DocumentRequest {
+  prefix @0 :Text;
+  afterRevision @1 :UInt64;
+}
+
+struct DocumentNews {
+  prefix @0 :Text;
+  newestRevision @1 :UInt64;
+  coveredRevision @2 :UInt64;
+  isServed @3 :Bool;
+}
+
 struct VersionAgeRequest {
   model @0 :Text;
   version @1 :UInt64;
--- a/reedspar/fleet/messages.py
+++ b/reedspar/fleet/messages.py
@@ -5,6 +5,8 @@
 from reedspar.messages import MessageRegistry, load_schema
 
 __all__ = [
+    "DocumentNews",
+    "DocumentRequest",
     "FleetEntries",
     "FleetEntry",
     "FleetRequest",
@@ -31,6 +33,8 @@
     value: bytes
     revision: int
     is_removed: bool
+    is_packed: bool = False
+    """The value is compressed."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +46,27 @@
     entries: tuple[FleetEntry, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class DocumentRequest:
+    """Asks for a document; answered also if nothing is newer than the revision."""
+
+    prefix: str
+    after_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentNews:
+    """Tells how far the sender knows a document."""
+
+    prefix: str
+    newest_revision: int
+    """Of the entry that the sender has."""
+    covered_revision: int
+    """Up to here the sender has missed no change."""
+    is_served: bool
+    """True while the store answers the sender."""
+
+
 @dataclass(frozen=True, slots=True)
 class VersionAgeRequest:
     """Asks how long ago a version of a model was named."""
@@ -81,6 +106,8 @@
         schema,
         FleetRequest,
         FleetEntries,
+        DocumentNews,
+        DocumentRequest,
         VersionAgeRequest,
         VersionAge,
         TargetLoadNews,
