--- a/reedspar/direct/tests/test_hand_over.py
+++ b/reedspar/direct/tests/test_hand_over.py
@@ -6,7 +6,11 @@
 
 from reedspar.direct import DirectService
 from reedspar.direct.tests.cases import Call, make_order_target
-from reedspar.direct.tests.fakes import FakeDialer, make_direct_service
+from reedspar.direct.tests.fakes import (
+    FakeDialer,
+    make_direct_service,
+    make_engine_target,
+)
 from reedspar.fleet import FleetChange, TargetChange, TargetState, ZoneChange
 from reedspar.requests.tests.virtual import LoopClock, run_virtual
 from reedspar.timers import TimerService
@@ -18,22 +22,26 @@
 class HandOverTest(unittest.TestCase):
     """News come while a request is on its way to `first`."""
 
-    def send(self, path: str, *news: FleetChange) -> tuple[Call, FakeDialer]:
-        """Return a call during whose connection the news came."""
-        return run_virtual(self._send, path, news)
+    def send(
+        self, path: str, *news: FleetChange, is_left: bool = False
+    ) -> tuple[Call, FakeDialer]:
+        """Return a call during whose connection the news came, or its caller left."""
+        return run_virtual(self._send, path, news, is_left)
 
     async def _send(
-        self, path: str, news: tuple[FleetChange, ...]
+        self, path: str, news: tuple[FleetChange, ...], is_left: bool
     ) -> tuple[Call, FakeDialer]:
         timers = TimerService(LoopClock())
         call = Call(path)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(timers.run)
-            first = make_order_target("first")
-            service, dialer, view = make_direct_service(timers, tasks, [first])
+            targets = [make_order_target("first"), make_engine_target("engine")]
+            service, dialer, view = make_direct_service(timers, tasks, targets)
             dialer.connect_s = CONNECT_S
             tasks.start_soon(self._call, service, call)
             await anyio.sleep(NEWS_S)
+            if is_left:
+                call.gone.set()
             for change in news:
                 view.apply(change)
             await anyio.sleep(2 * CONNECT_S)
@@ -64,6 +72,17 @@
         # Operators empty a zone.  Nothing may be sent there from now on.
         self.check_moved(ZoneChange("a", True))
 
+    def test_caller_that_leaves_while_connecting_sends_nothing_to_a_target(
+        self,
+    ) -> None:
+        # A shop hangs up before its connection to a target stands.  Written then, the
+        # request would have a target work for nobody.
+        _, dialer = self.send("/q/1")
+        self.assertEqual(len(dialer.sent), 1)
+        call, dialer = self.send("/q/1", is_left=True)
+        self.assertEqual(dialer.sent, [])
+        self.assertEqual(call.messages, [])
+
     def test_order_that_was_not_written_is_told_as_not_run(self) -> None:
         # The only target leaves.  The order reached nobody and may be placed again.
         call, dialer = self.send("/o/1", TargetChange("first", None))
