Learn of versions that were replaced before this daemon heard of them

A daemon that hears of version 3 before its watch brings version 2 (its peers and a listing of the store tell only of the newest) never knows of version 2. It counted version 1's bound from when version 3 was named: with versions two seconds apart, two seconds too late. Ages were asked for the version that is known only.

Peers answer with the ages of the versions up to the one that is asked for, and one that is missing is put in its place. What the daemon serves is unchanged: the newest.

The two new tests failed before: [(2, 100.0), (4, 102.0)] without version 3, and only the newest version's age sent.

--- a/reedspar/fleet/ages.py
+++ b/reedspar/fleet/ages.py
@@ -61,11 +61,15 @@
         return [self._rng.choice(names)]
 
     def _answer(self, sender: Sender, request: VersionAgeRequest) -> None:
+        """Answer with all versions up to this one: the asker may have skipped some."""
         now_s = self._timers.now_s()
-        for named in self._view.versions_of(request.model):
-            if named.version == request.version:
+        known = self._view.versions_of(request.model)
+        if all(named.version != request.version for named in known):
+            return
+        for named in known:
+            if named.version <= request.version:
                 age_ms = round((now_s - named.named_s) * 1000)
-                age = VersionAge(request.model, request.version, age_ms)
+                age = VersionAge(request.model, named.version, age_ms)
                 self._network.send(sender.name, age)
 
     def _take(self, sender: Sender, age: VersionAge) -> None:
--- a/reedspar/fleet/tests/test_ages.py
+++ b/reedspar/fleet/tests/test_ages.py
@@ -63,6 +63,22 @@
         self.network.deliver("e3", VersionAgeRequest("m", 2))
         self.assertEqual(self.network.sent, [("e3", VersionAge("m", 2, 2700))])
 
+    def test_version_that_this_daemon_skipped_still_ends_the_one_before(self) -> None:
+        # Two versions were named before this daemon heard: the store and its peers told
+        # only of the second, and the first one's bound was counted from that.
+        self.clock.advance(2.0)
+        self.view.apply(WeightsChange("m", 4))
+        self.network.deliver("e2", VersionAge("m", 3, 1500))
+        named = [(i.version, i.named_s) for i in self.view.versions_of("m")]
+        self.assertEqual(named, [(2, START_S), (3, START_S + 0.5), (4, START_S + 2.0)])
+
+    def test_answer_tells_of_versions_that_the_asker_may_have_skipped(self) -> None:
+        self.clock.advance(1.0)
+        self.view.apply(WeightsChange("m", 3))
+        self.network.deliver("e3", VersionAgeRequest("m", 3))
+        sent = [age for _, age in self.network.sent]
+        self.assertEqual(sent, [VersionAge("m", 2, 1000), VersionAge("m", 3, 0)])
+
     def test_version_that_is_not_known_here_has_no_age(self) -> None:
         self.network.deliver("e3", VersionAgeRequest("m", 3))
         self.network.deliver("e3", VersionAge("other", 1, 10))
--- a/reedspar/fleet/view.py
+++ b/reedspar/fleet/view.py
@@ -116,7 +116,11 @@
 
     def note_named(self, model: str, version: int, named_s: float, peer: str) -> None:
         """Take a peer's word that a version was named by then; none is put later."""
-        for i, known in enumerate(named := self._versions.get(model, [])):
+        named = self._versions.get(model, [])
+        if named and version < named[-1].version:
+            now_s = self._timers.now_s()
+            _insert_skipped(named, NamedVersion(model, version, now_s, named_s))
+        for i, known in enumerate(named):
             if known.version != version or named_s >= known.named_s:
                 continue
             named[i] = replace(known, named_s=named_s)
@@ -232,3 +236,11 @@
             "weights named", extra={"model": change.model, "version": change.version}
         )
         return True
+
+
+def _insert_skipped(named: list[NamedVersion], skipped: NamedVersion) -> None:
+    """Add a version that was replaced before this daemon heard of it."""
+    if all(known.version != skipped.version for known in named):
+        named.append(skipped)
+        named.sort(key=lambda known: known.version)
+        del named[:-VERSIONS_KEPT]
