Let the next in rank after the readers ask other regions for the configuration

The next two in rank ask an entry of another region every 0.8 s, as readers do, and tell the rest what they know; not that the store serves them, so stand-ins are chosen as before.

--- a/reedspar/fleet/reading_turn.py
+++ b/reedspar/fleet/reading_turn.py
@@ -38,6 +38,11 @@
         """Tell whether this daemon is one of those that always read."""
         return self._rank < READERS
 
+    @property
+    def is_next(self) -> bool:
+        """Tell whether this daemon is among the first to stand in."""
+        return self._group == 1
+
     @property
     def listeners(self) -> list[str]:
         """Return the daemons of this region that are told what readers know."""
--- a/reedspar/fleet/relay.py
+++ b/reedspar/fleet/relay.py
@@ -17,8 +17,10 @@
 
 CHECK_S = 0.1
 FAR_ASK_S = 0.8
-"""Between two questions of a reader to another region: the store may have forgotten
-the watches of all readers of this one."""
+"""Between two questions to another region of a reader, or of one of the next in rank.
+
+The store may have forgotten the watches of all readers of this one, or their links may
+be slow."""
 ANSWER_S = 0.6
 """After an unanswered question the next news of a reader is reason for another."""
 
@@ -75,10 +77,10 @@
     def _tell(self) -> None:
         """Tell the daemons of this region that don't read what is known here."""
         is_reading = self._turn.is_reading(self._timers.now_s())
-        if not is_reading:
+        if not is_reading and not self._turn.is_next:
             return
         book = self._book
-        is_served = not self._feed.is_store_away
+        is_served = is_reading and not self._feed.is_store_away
         news = DocumentNews(book.prefix, book.newest_revision, book.revision, is_served)
         for name in self._turn.listeners:
             if name != self._name:
@@ -97,7 +99,7 @@
 
     def _ask_far(self) -> None:
         far = [record for record in self._others() if not self._is_near(record)]
-        if far and self.is_asking:
+        if far and (self.is_asking or self._turn.is_next):
             request = FleetRequest(self._book.prefix, self._book.seen_revision)
             self._network.send(self._rng.choice(far).name, request)
 
--- a/reedspar/fleet/tests/test_reading_turn.py
+++ b/reedspar/fleet/tests/test_reading_turn.py
@@ -42,6 +42,10 @@
         self.assertTrue(all(turn.is_reading(0.0) for turn in turns.values()))
         self.assertEqual(turns["e0"].listeners, [])
 
+    def test_first_to_stand_in_are_the_next_in_rank(self) -> None:
+        is_next = [turn.is_next for turn in self.ranked[: 2 * READERS + 1]]
+        self.assertEqual(is_next, [False, False, True, True, False])
+
     def test_daemon_that_is_not_known_yet_reads(self) -> None:
         turn = ReadingTurn(KEY, 0.0)
         self.assertTrue(turn.is_reading(0.0))
