Have each entry read the configuration where there is no other region to ask

In a site of one region with more than three entries, a store that forgot the watches of the two readers kept a configuration from all entries: they heard of it after 26 s in the test's virtual time. Readers ask another region for this case, and there was none.

A link between regions is what the readers spare, so without one each entry reads. The same holds while no entry of another region is registered.

The new test failed before (an entry had no such version after 3 s).

--- a/reedspar/fleet/relay.py
+++ b/reedspar/fleet/relay.py
@@ -60,9 +60,11 @@
 
     def _check(self) -> None:
         now_s = self._timers.now_s()
-        near = [record.name for record in self._others() if self._is_near(record)]
-        is_known = self._view.daemon(self._name) is not None
-        self._turn.place(self._name, [self._name, *near] if is_known else [])
+        others = self._others()
+        near = [record.name for record in others if self._is_near(record)]
+        # Without another region to ask, each reads by itself.
+        has_far = len(near) < len(others)
+        self._turn.place(self._name, [self._name, *near] if has_far else [])
         if self._feed.is_store_away:
             self._turn.note_away(now_s)
         is_reading = self._turn.is_reading(now_s)
