Hand nothing over that would be withdrawn before its answer is due

A request may be handed to an older version's target if twice its expected wait fits. The withdrawal counts with the time to the next look (0.1 s) and that of the connection (0.4 s at most). Where these are longer than the expected wait, a request was written and then withdrawn at the next look, though it went on as expected: a retry was spent, or a caller of what may not be repeated was told that it failed, while the target was at work on it. With a wait of 0.05 s and a connection of 0.2 s that holds for what is written in the last 0.35 s before the end, with 3 ms in the last 0.15 s.

The look before writing now asks for both; who is refused has not run and goes elsewhere without spending a retry.

The new test failed before ('unknown', written 9.36 s after the naming, expected in 0.05 s).

--- a/reedspar/direct/client.py
+++ b/reedspar/direct/client.py
@@ -201,7 +201,7 @@
         target = attempt.target
 
         def may_write() -> Failure | None:
-            return self._limits.check_hand_over(target, start.request_id)
+            return self._limits.check_hand_over(target, start.request_id, SWEEP_S)
 
         async with self._dialer.send(target, request, may_write) as response:
             if isinstance(response, Failure):
--- a/reedspar/direct/limits.py
+++ b/reedspar/direct/limits.py
@@ -30,8 +30,13 @@
         self._versions = versions
         self._timers = timers
 
-    def check_hand_over(self, target_id: str, request_id: str) -> Failure | None:
-        """Return why a request must not be written now; None and note it if it may."""
+    def check_hand_over(
+        self, target_id: str, request_id: str, next_s: float
+    ) -> Failure | None:
+        """Return why a request must not be written now; None and note it if it may.
+
+        Looks at what waits are `next_s` apart (see `check_waiting`).
+        """
         known = self._view.target(target_id)
         closed = (
             why_closed(known.record, self._view, self._loads) if known else "it is gone"
@@ -42,12 +47,11 @@
         if attempt is None:
             return None
         version = self._version_of(target_id, attempt)
-        if version is not None and not self._versions.may_serve(
-            attempt.model, version, attempt.wait_s
-        ):
+        now_s = self._timers.now_s()
+        if version is not None and not self._may_begin(attempt, version, now_s, next_s):
             detail = f"connected too late to begin on version {version}"
             return _refuse(target_id, detail)
-        attempt.handed_over_s = self._timers.now_s()
+        attempt.handed_over_s = now_s
         return None
 
     def check_waiting(
@@ -64,13 +68,25 @@
         version = self._version_of(target_id, attempt)
         if version is None:
             return None
-        link_s = min(LINK_MAX_S, attempt.handed_over_s - attempt.started_s)
-        heard_s = self._timers.now_s() + next_s + link_s
+        heard_s = (
+            self._timers.now_s() + next_s + _link_s(attempt, attempt.handed_over_s)
+        )
         if heard_s < self._versions.until_s(attempt.model, version):
             return None
         detail = f"withdrawn before it began on version {version}"
         return Failure(Reason.CANCELLED, Step.TARGET_CALL, target_id, detail)
 
+    def _may_begin(
+        self, attempt: OwnAttempt, version: int, now_s: float, next_s: float
+    ) -> bool:
+        """Tell whether an attempt begins in time, and before it would be withdrawn."""
+        begins_s = now_s + attempt.wait_s
+        withdrawn_s = begins_s + next_s + _link_s(attempt, now_s)
+        is_left_alone = withdrawn_s < self._versions.until_s(attempt.model, version)
+        return is_left_alone and self._versions.may_serve(
+            attempt.model, version, attempt.wait_s
+        )
+
     def _version_of(self, target_id: str, attempt: OwnAttempt) -> int | None:
         """Return the version of the attempt's model that its target has by now."""
         known = self._view.target(target_id)
@@ -79,5 +95,10 @@
         return known.record.weights.get(attempt.model, attempt.version)
 
 
+def _link_s(attempt: OwnAttempt, handed_over_s: float) -> float:
+    """Return how long the way to the target is taken to last."""
+    return min(LINK_MAX_S, handed_over_s - attempt.started_s)
+
+
 def _refuse(target_id: str, detail: str) -> Failure:
     return Failure(Reason.SUPERSEDED, Step.LINK, target_id, detail, COME_BACK_S)
--- a/reedspar/direct/tests/test_replaced_weights.py
+++ b/reedspar/direct/tests/test_replaced_weights.py
@@ -1,5 +1,6 @@
 """Tests of the end of an older version's time, over ASGI and in virtual time."""
 
+import functools
 import unittest
 from collections.abc import Awaitable, Callable
 
@@ -143,6 +144,25 @@
 
         self.run_with(script)
 
+    def test_request_that_begins_as_expected_is_not_withdrawn(self) -> None:
+        # Written in time for its version, what may not be repeated was withdrawn at the
+        # next look, before its answer was due: the caller was told that it failed.
+        for late_ms in range(0, 600, 20):
+            self.run_with(functools.partial(self.check_not_withdrawn, late_ms / 1000))
+
+    async def check_not_withdrawn(
+        self,
+        late_s: float,
+        service: DirectService,
+        dialer: FakeDialer,
+        named_s: float,
+    ) -> None:
+        self.view.apply(TargetChange("newer", None))
+        dialer.connect_s = 0.2
+        dialer.script = lambda target_id, request: SOON_S
+        call = await self.call_at(service, named_s + 9.0 + late_s, "/once/1")
+        self.assertIn(call.outcome, ("answered", "not-run"), late_s)
+
     def test_request_that_begins_in_time_is_not_withdrawn(self) -> None:
         async def script(
             service: DirectService, dialer: FakeDialer, named_s: float
