Take turns to leave a version by the bound of the one named right after it

Named faster than they travel, a second version is given up for a third. Targets that still serve the first then took turns to leave it until the third's bound, counted as if the first were served until then. No entry gives them work past the second's bound, so for up to the time between the two namings a target with the third version whole waits for its turn while it serves nobody.

Cause: the catalog counted from the naming of the published version, whatever is served. It is now asked for the end of the version that the engine reports.

The new test failed before: asked for the one end that the catalog knew, it gave that of the third version (asked without the served version, which the method did not take).

--- a/reedspar/weights/catalog.py
+++ b/reedspar/weights/catalog.py
@@ -109,13 +109,14 @@
         self._left_s = left_s
         self._prefetch = prefetch
 
-    def older_until_s(self, model: str) -> float:
-        """Return until when an older version than the published one may serve."""
-        published = self._published.get(model)
-        if published is None:
-            return float("inf")
-        key = (model, published.manifest.sequence)
-        return self._named_s.get(key, float("inf")) + self._bound_s
+    def older_until_s(self, model: str, served: int) -> float:
+        """Return until when a version may serve: the next one's naming ends it."""
+        newer = [
+            named_s
+            for (name, version), named_s in self._named_s.items()
+            if name == model and version > served
+        ]
+        return min(newer, default=float("inf")) + self._bound_s
 
     def name(self, model: str, version: int) -> None:
         """Take the version that a model is to be brought to; it only goes up."""
--- a/reedspar/weights/controller.py
+++ b/reedspar/weights/controller.py
@@ -320,7 +320,8 @@
             return True
         deadline_s = float("inf")
         if self._deadlines is not None:
-            deadline_s = self._deadlines.older_until_s(staged.model)
+            served = self._book.served_sequence(staged.model)
+            deadline_s = self._deadlines.older_until_s(staged.model, served)
         return self._rollout.may_switch(staged, self._timers.now_s(), deadline_s)
 
     def _phase_of(self, model: str) -> VersionPhase:
--- a/reedspar/weights/offers.py
+++ b/reedspar/weights/offers.py
@@ -84,6 +84,11 @@
         """Tell whether a switch would take a version from service."""
         return self._is_settled and self._is_current(model)
 
+    def served_sequence(self, model: str) -> int:
+        """Return the number of the version that the engine reports, 0 if unknown."""
+        known = self._known.get(model, {})
+        return known.get(self._reported.get(model, ""), 0)
+
     def is_forward(self, model: str, sequence: int) -> bool:
         """Tell whether a version may still be ordered."""
         return sequence >= self._highest.get(model, 0)
@@ -110,6 +115,6 @@
         """Remember the newest version that was served here."""
         if not self._is_settled:
             return
-        for model, known in self._known.items():
-            sequence = known.get(self._reported.get(model, ""), 0)
+        for model in self._known:
+            sequence = self.served_sequence(model)
             self._highest[model] = max(sequence, self._highest.get(model, 0))
--- a/reedspar/weights/tests/test_succession.py
+++ b/reedspar/weights/tests/test_succession.py
@@ -171,6 +171,20 @@
 
         self.assertEqual(self.follow(script), [1, 2, 3])
 
+    def test_version_served_ends_by_the_one_named_after_it(self) -> None:
+        # The second version was given up for the third.  Targets took turns to leave
+        # the first one until the third's bound, while it could serve nobody.
+        async def script(catalog: VersionCatalog) -> None:
+            named_s = self.clock.now_s()
+            await self.name_in_turn(catalog, 1, 2)
+            self.clock.advance(2.0)
+            await self.name_in_turn(catalog, 3)
+            self.assertEqual(catalog.older_until_s("m", 1), named_s + BOUND_S)
+            self.assertEqual(catalog.older_until_s("m", 2), named_s + 2.0 + BOUND_S)
+            self.assertEqual(catalog.older_until_s("m", 3), float("inf"))
+
+        self.assertEqual(self.follow(script), [1, 2, 3])
+
 
 class DeadlineTest(unittest.TestCase):
     def test_turns_fit_into_the_time_that_is_left(self) -> None:
