Have a paused daemon hear its readers before it reads a document

A daemon that was frozen for longer than its patience found, as it woke, that no reader had been heard of, and took up the watch of the document at once, while the readers' news lay unread in its sockets. Many are frozen and wake together; each read the document at the store if it had changed, over the link that the readers are there to spare.

After a pause the patience begins anew.

The new test failed before: 'turn to watch' twice.

--- a/reedspar/fleet/reading_turn.py
+++ b/reedspar/fleet/reading_turn.py
@@ -68,6 +68,11 @@
         if is_served:
             self._served_s = now_s
 
+    def lapse(self, now_s: float) -> None:
+        """Wait for news anew: after a pause those that came lie unread."""
+        self._alive_s = now_s
+        self._served_s = now_s
+
     def note_away(self, now_s: float) -> None:
         """Note that the store doesn't answer this daemon: it can't stand in."""
         self._served_s = max(self._served_s, now_s)
--- a/reedspar/fleet/relay.py
+++ b/reedspar/fleet/relay.py
@@ -49,6 +49,7 @@
         self._turn = ReadingTurn(book.prefix, timers.now_s())
         network.subscribe(DocumentNews, self._hear)
         feed.on_taken(self._note_taken)
+        timers.on_pause(lambda gap_s: self._turn.lapse(timers.now_s()))
         timers.call_every(CHECK_S, self._check)
         timers.call_every(NEWS_S, self._tell)
         timers.call_every(FAR_ASK_S, self._ask_far)
--- /dev/null
+++ b/reedspar/fleet/tests/test_relay_pause.py
@@ -0,0 +1,71 @@
+"""Tests of when a daemon takes up the reading of a document."""
+
+import random
+import unittest
+
+from reedspar.fleet import (
+    DaemonChange,
+    DaemonRecord,
+    FleetPrefix,
+    FleetView,
+    create_fleet_feed,
+)
+from reedspar.fleet.messages import DocumentNews
+from reedspar.fleet.relay import CHECK_S, DocumentRelay
+from reedspar.fleet.tests.fakes import FakeCodec, FakeStore
+from reedspar.requests.tests.fakes import FakeNetwork
+from reedspar.timers import TimerService, VirtualClock
+from reedspar.utils import rank_by_rendezvous
+
+KEY = "doc"
+NEAR = [f"e{i}" for i in range(9)]
+FROZEN_S = 5.0
+
+
+class RelayPauseTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = VirtualClock(100.0)
+        self.timers = TimerService(self.clock)
+        self.view = FleetView(self.timers)
+        for name, region in [*((name, "ra") for name in NEAR), ("far", "rb")]:
+            record = DaemonRecord(name, "entry", "a", region, "10.0.0.1", 1, 2)
+            self.view.apply(DaemonChange(name, record))
+        ranked = rank_by_rendezvous(KEY, NEAR)
+        self.reader, self.name = ranked[0], ranked[-1]
+        feed = create_fleet_feed(
+            FakeStore(),
+            self.view,
+            FakeCodec(),
+            self.timers,
+            [FleetPrefix(KEY, is_relayed=True)],
+        )
+        self.network = FakeNetwork()
+        self.relay = DocumentRelay(
+            self.name,
+            feed.books[KEY],
+            feed,
+            self.view,
+            self.network,  # type: ignore[arg-type]
+            self.timers,
+            random.Random(1),
+        )
+
+    def tick(self, count: int) -> None:
+        for _ in range(count):
+            self.clock.advance(CHECK_S)
+            self.network.deliver(self.reader, DocumentNews(KEY, 0, 0, True))
+            self.timers.run_due()
+
+    def test_daemon_that_was_frozen_hears_the_readers_before_it_reads(self) -> None:
+        # Many daemons wake at once, and the news of their readers wait in their
+        # sockets.  Each read the whole document at the store.
+        self.tick(20)
+        self.assertFalse(self.relay.is_asking)
+        self.clock.advance(FROZEN_S)
+        with self.assertNoLogs("reedspar.fleet.feed", "INFO"):
+            self.timers.run_due()
+            self.tick(20)
+
+
+if __name__ == "__main__":
+    unittest.main()
