--- a/reedspar/fleet/reading_turn.py
+++ b/reedspar/fleet/reading_turn.py
@@ -38,6 +38,11 @@
         """Tell whether this daemon is one of those that always read."""
         return self._rank < READERS
 
+    @property
+    def is_next(self) -> bool:
+        """Tell whether this daemon is among the first to stand in."""
+        return self._group == 1
+
     @property
     def listeners(self) -> list[str]:
         """Return the daemons of this region that are told what readers know."""
@@ -63,6 +68,11 @@
         if is_served:
             self._served_s = now_s
 
+    def lapse(self, now_s: float) -> None:
+        """Wait for news anew: after a pause those that came lie unread."""
+        self._alive_s = now_s
+        self._served_s = now_s
+
     def note_away(self, now_s: float) -> None:
         """Note that the store doesn't answer this daemon: it can't stand in."""
         self._served_s = max(self._served_s, now_s)
--- a/reedspar/fleet/relay.py
+++ b/reedspar/fleet/relay.py
@@ -17,8 +17,10 @@
 
 CHECK_S = 0.1
 FAR_ASK_S = 0.8
-"""Between two questions of a reader to another region: the store may have forgotten
-the watches of all readers of this one."""
+"""Between two questions to another region of a reader, or of one of the next in rank.
+
+The store may have forgotten the watches of all readers of this one, or their links may
+be slow."""
 ANSWER_S = 0.6
 """After an unanswered question the next news of a reader is reason for another."""
 
@@ -50,6 +52,7 @@
         self._turn = ReadingTurn(book.prefix, timers.now_s())
         network.subscribe(DocumentNews, self._hear)
         feed.on_taken(self._note_taken)
+        timers.on_pause(lambda gap_s: self._turn.lapse(timers.now_s()))
         timers.call_every(CHECK_S, self._check)
         timers.call_every(NEWS_S, self._tell)
         timers.call_every(FAR_ASK_S, self._ask_far)
@@ -61,8 +64,11 @@
 
     def _check(self) -> None:
         now_s = self._timers.now_s()
-        near = [record.name for record in self._others() if self._is_near(record)]
-        self._turn.place(self._name, [self._name, *near])
+        others = self._others()
+        near = [record.name for record in others if self._is_near(record)]
+        # Without another region to ask, each reads by itself.
+        has_far = len(near) < len(others)
+        self._turn.place(self._name, [self._name, *near] if has_far else [self._name])
         if self._feed.is_store_away:
             self._turn.note_away(now_s)
         is_reading = self._turn.is_reading(now_s)
@@ -77,10 +83,10 @@
     def _tell(self) -> None:
         """Tell the daemons of this region that don't read what is known here."""
         is_reading = self._turn.is_reading(self._timers.now_s())
-        if not is_reading:
+        if not is_reading and not self._turn.is_next:
             return
         book = self._book
-        is_served = not self._feed.is_store_away
+        is_served = is_reading and not self._feed.is_store_away
         news = DocumentNews(book.prefix, book.newest_revision, book.revision, is_served)
         for name in self._turn.listeners:
             if name != self._name:
@@ -102,7 +108,7 @@
 
     def _ask_far(self) -> None:
         far = [record for record in self._others() if not self._is_near(record)]
-        if far and self.is_asking:
+        if far and (self.is_asking or self._turn.is_next):
             request = FleetRequest(self._book.prefix, self._book.seen_revision)
             self._network.send(self._rng.choice(far).name, request)
 
