Tell apart the listeners that ask other regions from those that ask nobody

The test used the first listener, who is the next in rank by now. It uses the last one, and a second test holds that the next in rank asks none but other regions; so each listener is held to what it may ask, none to less than before.

--- a/reedspar/fleet/tests/test_relay.py
+++ b/reedspar/fleet/tests/test_relay.py
@@ -107,13 +107,22 @@
         self.assertEqual(len(self.asked()), 2)
 
     def test_listener_asks_nobody_unprompted_while_readers_are_heard(self) -> None:
-        self.create(self.listeners[0])
+        self.create(self.listeners[-1])
         for _ in range(50):
             self.tick()
             self.hear(5)
         self.assertEqual(self.asked(), [])
         self.assertEqual(self.feed.books[PREFIX].revision, 5)
 
+    def test_next_in_rank_asks_none_but_other_regions_unprompted(self) -> None:
+        # Readers whose links are slow go on telling that the store serves them.
+        self.create(self.listeners[0])
+        for _ in range(50):
+            self.tick()
+            self.hear(5)
+        self.assertEqual(set(self.asked()), {FAR})
+        self.assertEqual(self.feed.books[PREFIX].revision, 5)
+
     def test_reader_asks_other_regions_too(self) -> None:
         # The store leaves the watches of a region's readers without any answer.
         self.create(self.readers[0])
