Let two daemons of a region read the configuration when all start at once

Peers were asked before, but knew nothing yet, and 0.3 s later each read the store.

A daemon that starts goes on asking while those that read for its region answer that they are starting, and reads by itself if they don't answer for 0.6 s. If no registration is left nobody knows who reads: starts are spread over five seconds then, and a daemon that hears of an entry of another region asks that one.

--- a/reedspar/fleet/document_poll.py
+++ b/reedspar/fleet/document_poll.py
@@ -6,18 +6,21 @@
 
 from reedspar.links import Network, Role
 from reedspar.messages import Sender
+from reedspar.timers import TimerService
 
 from .entries import EntryBook
 from .feed import FleetFeed
 from .messages import DocumentNews, DocumentRequest
+from .reading_turn import ReadingTurn
+from .records import DaemonRecord
+from .start_turn import StartTurn, create_agent_start, create_start_turn
 from .view import FleetView
 
 __all__ = ["DocumentPoll"]
 
 ANSWER_S = 0.6
-"""How long each of them has, one after the other."""
 FIRST_ANSWER_S = 0.3
-"""How long they have together while nothing is known here."""
+"""Between two questions of a daemon that starts."""
 PEERS_ASKED = 2
 
 
@@ -26,52 +29,114 @@
 
     def __init__(
         self,
+        name: str,
         region: str,
         book: EntryBook,
         feed: FleetFeed,
         view: FleetView,
         network: Network,
+        timers: TimerService,
         rng: random.Random,
+        is_reader: bool,
     ) -> None:
+        self._name = name
         self._region = region
         self._book = book
         self._view = view
         self._network = network
+        self._timers = timers
         self._rng = rng
+        self._is_reader = is_reader
         self._answered = anyio.Event()
+        self._order = ReadingTurn(book.prefix, timers.now_s())
+        self._start: StartTurn | None = None
         feed.on_taken(self._note_taken)
         network.subscribe(DocumentNews, self._hear)
 
     async def poll(self) -> bool:
         """Tell whether a peer has answered, and what is known is what it knows."""
-        for peer in self._choose_peers():
+        if self._book.newest_revision == 0:
+            return await self._poll_first()
+        near = self._near()
+        for peer in self._rng.sample(near, min(PEERS_ASKED, len(near))):
             if await self._ask([peer], ANSWER_S):
                 return True
         return False
 
-    async def poll_first(self) -> bool:
-        """Do the same at a start, which may not wait for peers that are gone."""
-        return await self._ask(self._choose_peers(), FIRST_ANSWER_S)
+    async def _poll_first(self) -> bool:
+        """Ask until a peer knows the document, or this daemon has to read it."""
+        near = self._near()
+        self._place(near)
+        if self._is_reader and near and self._order.is_small:
+            return False
+        self._start = self._create_start(not near)
+        while not await self._ask(self._choose_first(), FIRST_ANSWER_S):
+            if self._start.is_over(self._timers.now_s()):
+                return False
+        return True
+
+    def _create_start(self, is_alone: bool) -> StartTurn:
+        now_s = self._timers.now_s()
+        if not self._is_reader:
+            return create_agent_start(is_alone, now_s, self._rng)
+        return create_start_turn(self._order.group, is_alone, now_s, self._rng)
+
+    def _choose_first(self) -> list[str]:
+        near = self._near()
+        self._place(near)
+        if not near:
+            # A compressed document of another region is a tenth of the store's.
+            far = [entry.name for entry in self._entries()]
+            return self._rng.sample(far, min(1, len(far)))
+        other = self._rng.choice(near)
+        if not self._is_reader:
+            return [self._rng.choice([*self._order.first, other])]
+        return sorted({*self._order.first, other} - {self._name})
+
+    def _place(self, near: list[str]) -> None:
+        if self._is_reader:
+            self._order.place(self._name, [self._name, *near])
+        elif near:
+            self._order.place(near[0], near)
 
     async def _ask(self, peers: list[str], timeout_s: float) -> bool:
         self._answered = anyio.Event()
         request = DocumentRequest(self._book.prefix, self._book.newest_revision)
         for peer in peers:
             self._network.send(peer, request)
-        if peers:
-            with anyio.move_on_after(timeout_s):
-                await self._answered.wait()
-        # A peer that knows nothing yet is no reason to wait for it.
-        return self._answered.is_set() and self._book.newest_revision > 0
+        with anyio.move_on_after(timeout_s):
+            await self._answered.wait()
+        return self._answered.is_set()
 
-    def _choose_peers(self) -> list[str]:
+    def _near(self) -> list[str]:
+        return [e.name for e in self._entries() if e.region == self._region]
+
+    def _entries(self) -> list[DaemonRecord]:
         entries = self._view.daemons(Role.ENTRY.value)
-        near = [entry.name for entry in entries if entry.region == self._region]
-        return self._rng.sample(near, min(PEERS_ASKED, len(near)))
+        return [entry for entry in entries if entry.name != self._name]
 
     def _hear(self, sender: Sender, news: DocumentNews) -> None:
-        if news.prefix == self._book.prefix:
+        if news.prefix != self._book.prefix:
+            return
+        if 0 < news.newest_revision <= self._book.newest_revision:
             self._answered.set()
+        elif (
+            news.newest_revision == 0
+            and self._start is not None
+            and self._is_before(sender.name)
+        ):
+            self._start.note_starting(self._timers.now_s())
+
+    def _note_starting(self) -> None:
+        if self._start is not None:
+            self._start.note_starting(self._timers.now_s())
+
+    def _is_before(self, name: str) -> bool:
+        """Tell whether a daemon of this region reads before this one."""
+        if not self._is_reader:
+            return True
+        is_known = name in self._near()
+        return is_known and self._order.group_of(name) < self._order.group
 
     def _note_taken(self, prefix: str) -> None:
         if prefix == self._book.prefix:
--- a/reedspar/fleet/exchange.py
+++ b/reedspar/fleet/exchange.py
@@ -73,12 +73,12 @@
             for book in feed.relayed_books
         }
         network.subscribe(DocumentRequest, self._answer_document)
-        for book in feed.relayed_books:
-            document = DocumentPoll(region, book, feed, view, network, rng)
-            feed.set_poller(book.prefix, document.poll_first)
-        for book in feed.polled_books:
-            document = DocumentPoll(region, book, feed, view, network, rng)
-            feed.set_poller(book.prefix, document.poll)
+        for book in [*feed.relayed_books, *feed.polled_books]:
+            is_reader = book.prefix in self._relays
+            poll = DocumentPoll(
+                name, region, book, feed, view, network, timers, rng, is_reader
+            )
+            feed.set_poller(book.prefix, poll.poll)
 
     def ask(self) -> None:
         """Ask peers for what they have heard of the store since this daemon has."""
--- a/reedspar/fleet/feed.py
+++ b/reedspar/fleet/feed.py
@@ -176,10 +176,9 @@
         documents = [n for n, p in enumerate(self._books) if p in self._pollers]
         books = list(self._books.values())
         first_count = max(documents, default=0) + 1
-        for book in books[:first_count]:
-            await self._read(book)
         async with anyio.create_task_group() as tasks:
             for book in books[:first_count]:
+                await self._read(book)
                 tasks.start_soon(self._follow, book)
             for book in books[first_count:]:
                 tasks.start_soon(self._list_and_follow, book)
--- a/reedspar/fleet/reading_turn.py
+++ b/reedspar/fleet/reading_turn.py
@@ -38,26 +38,36 @@
         """Tell whether this daemon is one of those that always read."""
         return self._rank < READERS
 
+    @property
+    def is_small(self) -> bool:
+        """Tell whether each daemon of this region reads by itself."""
+        return len(self._ranked) <= READ_BY_ALL
+
     @property
     def listeners(self) -> list[str]:
         """Return the daemons of this region that are told what readers know."""
-        return self._ranked[READERS:] if len(self._ranked) > READ_BY_ALL else []
+        return [] if self.is_small else self._ranked[READERS:]
 
     @property
-    def _group(self) -> int:
+    def group(self) -> int:
+        """Return how many groups are before this daemon's."""
         return self._rank // READERS
 
+    @property
+    def first(self) -> list[str]:
+        """Return the daemons that always read."""
+        return self._ranked[:READERS]
+
     def place(self, own_name: str, names: Iterable[str]) -> None:
         """Take the daemons of this region, this one among them."""
         self._names, before = tuple(names), self._names
         if self._names != before:
             self._ranked = rank_by_rendezvous(self._key, self._names)
-        is_small = len(self._names) <= READ_BY_ALL
-        self._rank = 0 if is_small else self._ranked.index(own_name)
+        self._rank = 0 if self.is_small else self._ranked.index(own_name)
 
     def note_news(self, now_s: float, reader: str, is_served: bool) -> None:
         """Note that a reader of this region is there, and if the store serves it."""
-        if reader in self._ranked and self._group_of(reader) >= self._group:
+        if reader in self._ranked and self.group_of(reader) >= self.group:
             return
         self._alive_s = now_s
         if is_served:
@@ -77,7 +87,8 @@
         return is_alone or self.is_reading(now_s)
 
     def _patience_s(self) -> float:
-        return SILENT_S + (self._group - 1) * STEP_S
+        return SILENT_S + (self.group - 1) * STEP_S
 
-    def _group_of(self, name: str) -> int:
+    def group_of(self, name: str) -> int:
+        """Return the group of a daemon of this region."""
         return self._ranked.index(name) // READERS
