Reproduce a version that comes seconds after the origin is back (failing, listed)

The test plays this size: 9, 11 and 11 targets, four entries a region, the origin away for 5.8 s. Each target lacks 20 chunks; over its own link they take 1.08 s. The bound is 1.2 times what the target's link takes, and the longest pause between two questions to the origin.

--- /dev/null
+++ b/reedspar/weights/tests/test_origin_return.py
@@ -0,0 +1,115 @@
+"""Tests of two versions on their way when the origin goes away and comes back."""
+
+import unittest
+
+from bench.inbound_queues import BYTES_PER_S, MODEL, REGIONS, Case, create_fleet
+from bench.weight_agents import FleetAgent, make_weights
+from reedspar.weights import Manifest
+from reedspar.weights.fetches import AVOID_ORIGIN_MAX_S
+
+CASE = Case(
+    "two versions, many targets",
+    {REGIONS[0]: 9, REGIONS[1]: 11, REGIONS[2]: 11},
+    link_mbps=3.65,
+    region_mbps=11.5,
+    origin_mbps=7.3,
+    chunk_count=96,
+    chunk_bytes=24_576,
+    caches=dict.fromkeys(REGIONS, 4),
+    cache_mbps=20.0,
+)
+NEXT_NAMED_S = 1.3
+AWAY_S = 2.0
+BACK_S = 7.8
+TIME_LIMIT_S = 30.0
+SHIFTS_S = (0.0, 0.07, 0.13)
+"""Of the origin's return, against the requests that are repeated meanwhile."""
+OVER_BOUND = 1.2
+
+
+class Outage:
+    """A fleet in which the origin goes away before the first of two versions is whole.
+
+    The second version is named while the first one is on its way.
+    """
+
+    def __init__(self, back_s: float) -> None:
+        self.back_s = back_s
+        self.fleet = create_fleet(CASE)
+        self.fleet.set_views(MODEL)
+        self.first = self._make(1)
+        self.second = self._make(2)
+        events = self.fleet.events
+        events.at(0.0, lambda: self._name(self.first))
+        events.at(NEXT_NAMED_S, lambda: self._name(self.second))
+        events.at(AWAY_S, lambda: self._set_away(True))
+        events.at(back_s, lambda: self._set_away(False))
+
+    @property
+    def targets(self) -> list[FleetAgent]:
+        return [a for a in self.fleet.live if not a.peer.is_cache]
+
+    def _make(self, sequence: int) -> Manifest:
+        manifest, objects = make_weights(
+            CASE.chunk_count, CASE.chunk_bytes, sequence=sequence
+        )
+        self.fleet.objects.update(objects)
+        return manifest
+
+    def _name(self, manifest: Manifest) -> None:
+        for agent in self.fleet.live:
+            agent.decide.know_version(manifest, self.fleet.events.now_s)
+            agent.decide.want_chunks(manifest, self.fleet.events.now_s)
+            agent.pump()
+
+    def _set_away(self, is_away: bool) -> None:
+        self.fleet.origin_is_away = is_away
+
+    def run_until(self, time_s: float) -> None:
+        self.fleet.events.run(lambda: False, time_s)
+
+    def count_lacking(self, manifest: Manifest, *regions: str) -> int:
+        """Return how many chunks the target lacks that lacks most."""
+        return max(
+            sum(agent.decide.object_bytes(d) is None for d in manifest.chunk_digests)
+            for agent in self.targets
+            if agent.peer.region in regions
+        )
+
+    def time_whole(self, manifest: Manifest, *regions: str) -> float:
+        """Return how long after the return all targets of some regions are whole."""
+        events = self.fleet.events
+        while self.count_lacking(manifest, *regions):
+            if events.now_s > TIME_LIMIT_S:
+                raise AssertionError(f"{manifest.label} is not everywhere")
+            self.run_until(events.now_s + 0.05)
+        return events.now_s - self.back_s
+
+
+class OriginReturnTest(unittest.TestCase):
+    def play(self, *regions: str) -> None:
+        """Check when the first version has come, by what was lacking of it."""
+        for shift_s in SHIFTS_S:
+            with self.subTest(shift_s=shift_s):
+                outage = Outage(BACK_S + shift_s)
+                outage.run_until(outage.back_s)
+                lacking = outage.count_lacking(outage.first, *regions)
+                self.assertGreater(lacking, 0)
+                copy_s = CASE.chunk_bytes / (CASE.link_mbps * BYTES_PER_S)
+                bound_s = OVER_BOUND * lacking * copy_s + AVOID_ORIGIN_MAX_S
+                self.assertLess(outage.time_whole(outage.first, *regions), bound_s)
+
+    def test_region_of_the_origin_gets_the_earlier_version_first(self) -> None:
+        # Targets lack a fifth of a version when the origin comes back, and all of the
+        # next.  The entries read the next one first: the earlier one, which could have
+        # served, came seconds later, and nothing was served meanwhile.
+        self.play(REGIONS[0])
+
+    def test_other_regions_get_the_earlier_version_first(self) -> None:
+        # As above; what the entries near the origin had read again was not asked for
+        # where it was, and the other regions waited for seconds more.
+        self.play(REGIONS[1], REGIONS[2])
+
+
+if __name__ == "__main__":
+    unittest.main()
