Read chunks that peers have asked for before those of the next version

Callers saw every request refused from the moment at which the older version ended, for the version that should have replaced it came seconds after the origin was back.

An entry that is asked for a chunk it can't read yet, for its place at the origin is taken, kept the chunk from being read by the usual order too, for 20 ms, and again after each try. So whenever a read ended nearly all chunks of the earlier version, the ones that others had asked for, were held back, and one of the next version took the place. Now one pause holds for all such tries of an entry, and none for a chunk.

Ruled out: the origin's link (full all the time), its reads given up (none). The new test failed before: the reads of the next version came between.

--- a/reedspar/weights/drawing.py
+++ b/reedspar/weights/drawing.py
@@ -56,6 +56,7 @@
         self._memory = memory
         self._regions: dict[str, TokenBucket] = {}
         self._duties: dict[str, Transfer] = {}
+        self._duties_due_s = 0.0
 
     def draw(self, transfer: Transfer, placement: Placement, now_s: float) -> None:
         """Draw the next of the chunks that are this agent's to draw."""
@@ -160,6 +161,9 @@
 
     def do_duties(self, placements: Mapping[str, Placement], now_s: float) -> None:
         """Get the chunks that peers have asked this agent to get."""
+        if now_s < self._duties_due_s:
+            return
+        self._duties_due_s = now_s + self._limits.busy_s
         for digest, transfer in list(self._duties.items()):
             if digest in self._memory:
                 del self._duties[digest]
@@ -350,8 +354,8 @@
         if fetch.attempts < len(names):
             timeout_s = self._limits.request_timeout_s
             self._fetches.ask(fetch, names[fetch.attempts], now_s, timeout_s)
-        elif not self._start(fetch, index, placement, now_s):
-            fetch.not_before_s = now_s + self._limits.busy_s
+        else:
+            self._start(fetch, index, placement, now_s)
 
     def _knows_neighbours(self, transfer: Transfer, now_s: float) -> bool:
         """Tell whether the neighbours' maps are in, or were waited for.
--- a/reedspar/weights/tests/test_origin_return.py
+++ b/reedspar/weights/tests/test_origin_return.py
@@ -1,13 +1,18 @@
 """Tests of two versions on their way when the origin goes away and comes back."""
 
+import random
 import unittest
 from dataclasses import dataclass
 from functools import cache
 
 from bench.inbound_queues import BYTES_PER_S, MODEL, REGIONS, Case, create_fleet
 from bench.weight_agents import FleetAgent, make_weights
-from reedspar.weights import Manifest
+from reedspar.weights import Manifest, WeightPeer
+from reedspar.weights.distribution import ReadOrigin
 from reedspar.weights.fetches import AVOID_ORIGIN_MAX_S
+from reedspar.weights.limits import SwarmLimits
+from reedspar.weights.messages import ChunkRequest
+from reedspar.weights.swarm import SwarmDistribution
 
 CASE = Case(
     "two versions, many targets",
@@ -27,6 +32,18 @@
 SHIFTS_S = (0.0, 0.07, 0.13)
 """Of the origin's return, against the requests that are repeated meanwhile."""
 OVER_BOUND = 1.2
+STALLED_S = 1.5
+CHUNKS = 16
+CHUNK_BYTES = 1000
+ENTRY = WeightPeer("entry-1", "ra", "a", is_cache=True)
+FAR = WeightPeer("entry-2", "rb", "b", is_cache=True)
+LIMITS = SwarmLimits(
+    origin_region="ra",
+    machine_bytes_per_s=1e6,
+    region_bytes_per_s=1e6,
+    memory_bytes=1_000_000,
+    draws_everywhere=True,
+)
 
 
 class Outage:
@@ -137,5 +154,36 @@
         self.check_whole(REGIONS[1], REGIONS[2])
 
 
+class ReadOrderTest(unittest.TestCase):
+    def test_chunk_that_is_asked_for_is_read_before_the_next_version(self) -> None:
+        # The origin sends nothing for a while, and other regions ask an entry for what
+        # it is to read.  Those chunks were tried again after a pause only, and in each
+        # pause one of the next version, which nobody had asked for, was read instead.
+        entry = SwarmDistribution(ENTRY, LIMITS, random.Random(1))
+        entry.set_peers(MODEL, [FAR], 0.0)
+        first, objects = make_weights(CHUNKS, CHUNK_BYTES)
+        second, more = make_weights(CHUNKS, CHUNK_BYTES, sequence=2)
+        objects |= more
+        for manifest in (first, second):
+            entry.know_version(manifest, 0.0)
+            entry.want_chunks(manifest, 0.0)
+        reading = take_reads(entry)
+        for number, digest in enumerate(first.chunk_digests):
+            request = ChunkRequest(digest, number, may_draw=True)
+            entry.receive(FAR.name, request, STALLED_S)
+        order = list(reading)
+        for turn in range(CHUNKS - len(reading)):
+            now_s = STALLED_S + 0.013 * (turn + 1)
+            entry.tick(now_s)
+            entry.complete_read(order[turn], objects[order[turn]], now_s)
+            order += take_reads(entry)
+        self.assertEqual(set(order), set(first.chunk_digests))
+
+
+def take_reads(entry: SwarmDistribution) -> list[str]:
+    actions = entry.take_actions()
+    return [action.digest for action in actions if isinstance(action, ReadOrigin)]
+
+
 if __name__ == "__main__":
     unittest.main()
