Get what others asked for from whoever holds it by now

An entry that another region asks for a chunk tries the holders it knows of, then the keepers, then the origin, each once. While the origin is away it comes to the end of that list, and from there on only ever read the origin: a chunk that the entry beside it had read, and announced, was read a second time, after everything of its own. The other region waited 1.5 s, was refused, and asked the same entry again. Now a holder is asked whenever there is one.

Evidence: requests and reads in the simulation of test_origin_return: chunk 73 left the origin 0.4 s after its return, and was read three times more, up to 4.3 s after it. The new test failed before: the entry asked nobody.

--- a/reedspar/weights/drawing.py
+++ b/reedspar/weights/drawing.py
@@ -347,13 +347,20 @@
     ) -> None:
         index = transfer.index_of[digest]
         fetch = self._fetches.ensure(digest, transfer.sizes[digest])
+        timeout_s = self._limits.request_timeout_s
+        holders = [
+            name
+            for name in transfer.table.holders(index)
+            if not self._peers.is_avoided(name, now_s)
+        ]
+        if holders:
+            peer = holders[fetch.attempts % len(holders)]
+            self._fetches.ask(fetch, peer, now_s, timeout_s)
+            return
         keepers = placement.keepers(digest)[: self._limits.copies_per_region]
         others = [name for name in keepers if name != placement.me]
-        holders = transfer.table.holders(index)
-        names = list(dict.fromkeys([*holders, *others]))
-        if fetch.attempts < len(names):
-            timeout_s = self._limits.request_timeout_s
-            self._fetches.ask(fetch, names[fetch.attempts], now_s, timeout_s)
+        if fetch.attempts < len(others):
+            self._fetches.ask(fetch, others[fetch.attempts], now_s, timeout_s)
         else:
             self._start(fetch, index, placement, now_s)
 
--- a/reedspar/weights/tests/test_origin_return.py
+++ b/reedspar/weights/tests/test_origin_return.py
@@ -7,11 +7,13 @@
 
 from bench.inbound_queues import BYTES_PER_S, MODEL, REGIONS, Case, create_fleet
 from bench.weight_agents import FleetAgent, make_weights
+from reedspar.errors import Failure, Reason, Step
 from reedspar.weights import Manifest, WeightPeer
-from reedspar.weights.distribution import ReadOrigin
+from reedspar.weights.distribution import ReadOrigin, SendMessage
 from reedspar.weights.fetches import AVOID_ORIGIN_MAX_S
 from reedspar.weights.limits import SwarmLimits
-from reedspar.weights.messages import ChunkRequest
+from reedspar.weights.messages import ChunkRefused, ChunkRequest, HaveMap, RefusalCause
+from reedspar.weights.neighbours import encode_map
 from reedspar.weights.swarm import SwarmDistribution
 
 CASE = Case(
@@ -36,6 +38,7 @@
 CHUNKS = 16
 CHUNK_BYTES = 1000
 ENTRY = WeightPeer("entry-1", "ra", "a", is_cache=True)
+NEAR = WeightPeer("entry-3", "ra", "a", is_cache=True)
 FAR = WeightPeer("entry-2", "rb", "b", is_cache=True)
 LIMITS = SwarmLimits(
     origin_region="ra",
@@ -179,6 +182,46 @@
             order += take_reads(entry)
         self.assertEqual(set(order), set(first.chunk_digests))
 
+    def test_chunk_that_another_entry_holds_is_got_from_there(self) -> None:
+        # Another region asks an entry for a chunk while the origin is away, and a
+        # second entry reads it then.  The first one had failed to get it too often to
+        # look there: it read it once more, after all of its own, seconds later.
+        entry = SwarmDistribution(ENTRY, LIMITS, random.Random(1))
+        entry.set_peers(MODEL, [FAR, NEAR], 0.0)
+        manifest, _ = make_weights(CHUNKS, CHUNK_BYTES)
+        entry.know_version(manifest, 0.0)
+        digest = manifest.chunk_digests[0]
+        entry.receive(FAR.name, ChunkRequest(digest, 1, may_draw=True), 0.0)
+        for turn in range(50):
+            entry.tick(turn * 0.1)
+            fail_all(entry, turn * 0.1)
+        held = encode_map(1, CHUNKS)
+        news = HaveMap(manifest.root_digest, 1, held, held, is_reply_wanted=False)
+        entry.receive(NEAR.name, news, 5.5)
+        entry.tick(6.0)
+        asked = [
+            (action.peer, action.message.digest)
+            for action in entry.take_actions()
+            if isinstance(action, SendMessage)
+            and isinstance(action.message, ChunkRequest)
+        ]
+        self.assertEqual(asked, [(NEAR.name, digest)])
+
+
+def fail_all(entry: SwarmDistribution, now_s: float) -> None:
+    """Answer what an entry reads or asks for: the origin is away, and nobody has it."""
+    failure = Failure(Reason.UNAVAILABLE, Step.ORIGIN_DRAW, "origin")
+    for action in entry.take_actions():
+        if isinstance(action, ReadOrigin):
+            entry.complete_read(action.digest, failure, now_s)
+        elif isinstance(action, SendMessage) and isinstance(
+            action.message, ChunkRequest
+        ):
+            asked = action.message
+            cause = RefusalCause.NOT_HELD
+            refusal = ChunkRefused(asked.digest, asked.request_id, cause)
+            entry.receive(action.peer, refusal, now_s)
+
 
 def take_reads(entry: SwarmDistribution) -> list[str]:
     actions = entry.take_actions()
