--- a/reedspar/weights/drawing.py
+++ b/reedspar/weights/drawing.py
@@ -5,6 +5,7 @@
 
 from reedspar.utils import TokenBucket
 
+from .duties import Duties
 from .fetches import ORIGIN, Fetch, FetchBook, PeerBook
 from .limits import SwarmLimits
 from .memory import ChunkMemory
@@ -17,7 +18,6 @@
 REGION_BURST_PIECES = 4
 SEEK_SAMPLE = 32
 SEEK_INTERVAL_S = 0.05
-DUTY_LIMIT = 256
 SHORT_WAIT_S = 0.5
 ORIGIN_TIMEOUT_S = 8.0
 """Bound on a read that gets on; the client gives up a silent origin sooner.
@@ -53,10 +53,13 @@
         self._limits = limits
         self._fetches = fetches
         self._peers = peers
-        self._memory = memory
         self._regions: dict[str, TokenBucket] = {}
-        self._duties: dict[str, Transfer] = {}
-        self._duties_due_s = 0.0
+        self._duties = Duties(limits, fetches, peers, memory, self._start)
+
+    @property
+    def duties(self) -> Duties:
+        """Return the chunks that peers have asked this agent to get."""
+        return self._duties
 
     def draw(self, transfer: Transfer, placement: Placement, now_s: float) -> None:
         """Draw the next of the chunks that are this agent's to draw."""
@@ -134,53 +137,6 @@
                 else:
                     self._ask_keeper(fetch, index, placement, now_s)
 
-    def note_asked(
-        self,
-        transfer: Transfer,
-        placement: Placement,
-        digest: str,
-        now_s: float,
-        *,
-        is_near: bool,
-    ) -> None:
-        """Take up a chunk that a peer asks this agent to get, unless it is coming.
-
-        A peer of the own region asks only once the usual way has failed it; one
-        of another region asks ahead, for what the swarm here will bring.
-        """
-        index = transfer.index_of.get(digest)
-        if index is None or len(self._duties) >= DUTY_LIMIT:
-            return
-        is_moving = now_s - transfer.progress_s < self._limits.seek_s
-        is_own = (
-            transfer.is_missing(index) if placement.pulls else index in transfer.draws
-        )
-        is_coming = is_own and is_moving
-        if is_near or not is_coming:
-            self._duties[digest] = transfer
-
-    def do_duties(self, placements: Mapping[str, Placement], now_s: float) -> None:
-        """Get the chunks that peers have asked this agent to get."""
-        if now_s < self._duties_due_s:
-            return
-        self._duties_due_s = now_s + self._limits.busy_s
-        for digest, transfer in list(self._duties.items()):
-            if digest in self._memory:
-                del self._duties[digest]
-            elif not self._fetches.is_blocked(digest, now_s):
-                placement = placements[transfer.model]
-                self._do_duty(transfer, placement, digest, now_s)
-
-    def end_duty(self, digest: str) -> None:
-        """Note that a chunk is there."""
-        self._duties.pop(digest, None)
-
-    def forget(self, transfer: Transfer) -> None:
-        """Drop the duties of a version."""
-        for digest, owner in list(self._duties.items()):
-            if owner is transfer:
-                del self._duties[digest]
-
     def get_objects(
         self,
         objects: Mapping[str, str],
@@ -333,37 +289,16 @@
         """Tell whether to read the origin past those that are to draw.
 
         The keepers that were asked may be gone, and the view keep them; a version that
-        lacks one chunk serves nobody.  But when the origin comes back all agents lack
-        chunks: were each to read many, those that draw for all would get a fraction of
-        its link, and reads that time out would be begun again for ever.
+        lacks one chunk serves nobody.
+        But when the origin comes back all agents lack chunks: were each to read many,
+        those that draw for all would get a fraction of its link, and reads that time
+        out would be begun again for ever.
         """
         is_back = not self._peers.has_origin_failed_since(now_s - ORIGIN_RETURN_S)
         is_first = not self._fetches.far_open(ORIGIN)
         has_failed = fetch.attempts >= KEEPERS_TRIED
         return placement.may_read_origin and has_failed and is_back and is_first
 
-    def _do_duty(
-        self, transfer: Transfer, placement: Placement, digest: str, now_s: float
-    ) -> None:
-        index = transfer.index_of[digest]
-        fetch = self._fetches.ensure(digest, transfer.sizes[digest])
-        timeout_s = self._limits.request_timeout_s
-        holders = [
-            name
-            for name in transfer.table.holders(index)
-            if not self._peers.is_avoided(name, now_s)
-        ]
-        if holders:
-            peer = holders[fetch.attempts % len(holders)]
-            self._fetches.ask(fetch, peer, now_s, timeout_s)
-            return
-        keepers = placement.keepers(digest)[: self._limits.copies_per_region]
-        others = [name for name in keepers if name != placement.me]
-        if fetch.attempts < len(others):
-            self._fetches.ask(fetch, others[fetch.attempts], now_s, timeout_s)
-        else:
-            self._start(fetch, index, placement, now_s)
-
     def _knows_neighbours(self, transfer: Transfer, now_s: float) -> bool:
         """Tell whether the neighbours' maps are in, or were waited for.
 
