Read the origin past entries that are silent, not past those that refuse

A target may read the origin itself once the entries that were to get a chunk for it have failed it. While the origin is away every entry refuses, so all targets counted them as failed, and in the half second after the return a dozen of them read the same chunk: up to 0.6 s of the origin's link. Only requests that ran into their time limit count now.

--- a/reedspar/weights/drawing.py
+++ b/reedspar/weights/drawing.py
@@ -289,14 +289,15 @@
         """Tell whether to read the origin past those that are to draw.
 
         The keepers that were asked may be gone, and the view keep them; a version that
-        lacks one chunk serves nobody.
+        lacks one chunk serves nobody.  One that refuses is there, and goes on asking.
         But when the origin comes back all agents lack chunks: were each to read many,
         those that draw for all would get a fraction of its link, and reads that time
         out would be begun again for ever.
         """
         is_back = not self._peers.has_origin_failed_since(now_s - ORIGIN_RETURN_S)
         is_first = not self._fetches.far_open(ORIGIN)
-        has_failed = fetch.attempts >= KEEPERS_TRIED
+        silent = fetch.attempts - fetch.refusals
+        has_failed = silent >= KEEPERS_TRIED
         return placement.may_read_origin and has_failed and is_back and is_first
 
     def _knows_neighbours(self, transfer: Transfer, now_s: float) -> bool:
--- a/reedspar/weights/tests/test_origin_return.py
+++ b/reedspar/weights/tests/test_origin_return.py
@@ -156,6 +156,13 @@
         # where it was, and the other regions waited for seconds more.
         self.check_whole(REGIONS[1], REGIONS[2])
 
+    def test_targets_leave_the_origin_to_entries_that_answer(self) -> None:
+        # Entries refuse what they can't get while the origin is away.  Targets took
+        # them for gone, and as soon as it was back a dozen of them read the same chunk.
+        for shift_s in SHIFTS_S:
+            with self.subTest(shift_s=shift_s):
+                self.assertEqual(play(shift_s).read_by_targets, 0)
+
 
 class ReadOrderTest(unittest.TestCase):
     def test_chunk_that_is_asked_for_is_read_before_the_next_version(self) -> None:
