Let an entry that takes another's place learn every version on its way

Entries hold copies for the targets of their region, a part each, and are replaced as they restart. One that took such a place while two versions were on their way learned the newest one only. Its part of the earlier one was read by nobody near the origin, and other regions that asked it waited 1.5 s at a time for an entry that did not know the chunk. On the grown site entries restart in turn as the origin comes back: the earlier version never came, and nothing served.

Now it learns the last two versions that were named, and gets what an agent lacks of them; before, it drew its whole part of the newest one, lacked or not.

The new test failed before: version 2 was not read.

--- a/reedspar/weights/cache.py
+++ b/reedspar/weights/cache.py
@@ -6,7 +6,8 @@
 rate of their own links at the same time.
 
 A cache gets a version as soon as it is named, for the origin may go away.  One that was
-named before its own start it gets when an agent asks: mostly nobody lacks it any more.
+named before its own start, or before it took the place of another cache, it gets when
+an agent asks: mostly nobody lacks it any more.
 """
 
 import logging
@@ -16,7 +17,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from reedspar.errors import Failure
+from reedspar.errors import Failure, Reason
 from reedspar.links import Network
 from reedspar.messages import Sender
 from reedspar.platform import WeightSource
@@ -76,9 +77,12 @@
         self._pump = DistributionPump(
             distribution, network, origin, timers, tasks, self._release
         )
-        self._wanted: dict[str, int] = {}
+        self._named: dict[str, list[int]] = {}
+        """The newest versions by model, in the order in which they were named."""
         self._new: set[tuple[str, int]] = set()
-        """Versions that were named after this daemon's start."""
+        """Versions that were named while this daemon held copies."""
+        self._gone: set[tuple[str, int]] = set()
+        """Earlier versions that the origin does not hold any more."""
         self._manifests: dict[str, list[Manifest]] = {}
         self._wakeup = anyio.Event()
 
@@ -92,11 +96,14 @@
 
     def name(self, model: str, version: int) -> None:
         """Take the version of a model that targets are to serve; it only goes up."""
-        if version > self._wanted.get(model, 0):
-            if model in self._wanted:
-                self._new.add((model, version))
-            self._wanted[model] = version
-            self._wakeup.set()
+        named = self._named.setdefault(model, [])
+        if named and version <= named[-1]:
+            return
+        if named and self._peers.is_cache():
+            self._new.add((model, version))
+        named.append(version)
+        del named[:-VERSIONS_KEPT]
+        self._wakeup.set()
 
     async def run(self) -> None:
         """Get what is named until cancelled."""
@@ -104,8 +111,7 @@
             self._wakeup = anyio.Event()
             failures = [
                 await self._get(model, version)
-                for model, version in list(self._wanted.items())
-                if self._is_needed(model, version)
+                for model, version in self._list_needed()
             ]
             if not any(failures):
                 await self._wakeup.wait()
@@ -113,20 +119,30 @@
             with anyio.move_on_after(self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S)):
                 await self._wakeup.wait()
 
-    def _is_needed(self, model: str, version: int) -> bool:
-        """Tell whether to get a version; each region needs few caches."""
-        held = any(m.sequence == version for m in self._manifests.get(model, ()))
-        return not held and self._peers.is_cache()
+    def _list_needed(self) -> list[tuple[str, int]]:
+        """Return the versions to get; each region needs few caches.
+
+        A cache takes the place of another one while versions are on their way.  The
+        part that was the other's of an earlier one would be read by nobody.
+        """
+        if not self._peers.is_cache():
+            return []
+        held = {(m, k.sequence) for m, kept in self._manifests.items() for k in kept}
+        named = {(m, version) for m, kept in self._named.items() for version in kept}
+        return sorted(named - held - self._gone)
 
     async def _get(self, model: str, version: int) -> Failure | None:
         manifest = await self._origin.read_manifest(model, version)
         if isinstance(manifest, Failure):
             extra = {"model": model, "version": version, "failure": str(manifest)}
             _logger.warning("manifest was not read", extra=extra)
+            if manifest.reason is Reason.NOT_FOUND and version < self._named[model][-1]:
+                self._gone.add((model, version))
             return manifest
         _logger.info("weights cached", extra={"model": model, "version": version})
         manifests = self._manifests.setdefault(model, [])
         manifests.append(manifest)
+        manifests.sort(key=lambda kept: kept.sequence)
         now_s = self._now_s()
         for older in manifests[:-VERSIONS_KEPT]:
             self._distribution.forget(older.root_digest, now_s)
@@ -153,7 +169,7 @@
     def _refresh_peers(self) -> None:
         for model in self._manifests:
             self._set_peers(model)
-        if any(self._is_needed(*wanted) for wanted in self._wanted.items()):
+        if self._list_needed():
             self._wakeup.set()
 
     def _set_peers(self, model: str) -> None:
--- a/reedspar/weights/tests/test_weight_cache.py
+++ b/reedspar/weights/tests/test_weight_cache.py
@@ -6,11 +6,14 @@
 import anyio
 
 from reedspar.errors import Failure
+from reedspar.messages import Sender
 from reedspar.timers import TimerService, VirtualClock
 from reedspar.utils import digest_bytes
 from reedspar.weights import Manifest, WeightPeer, build_manifest
 from reedspar.weights.cache import WeightCache
 from reedspar.weights.limits import SwarmLimits
+from reedspar.weights.messages import HaveMap
+from reedspar.weights.neighbours import encode_map
 from reedspar.weights.swarm import SwarmDistribution
 from reedspar.weights.tests.fakes import FakeLinks, FakeNetwork
 
@@ -24,6 +27,7 @@
 
     def __init__(self) -> None:
         self.chunk_reads = 0
+        self.manifests: dict[int, Manifest] = {}
         self._objects: dict[str, bytes] = {}
 
     async def read_manifest(self, model: str, version: int) -> Manifest | Failure:
@@ -33,6 +37,7 @@
             self._objects[digest_bytes(chunk)] = chunk
         manifest = build_manifest(model, str(version), version, weights, CHUNK_BYTES)
         assert not isinstance(manifest, Failure)
+        self.manifests[version] = manifest
         return manifest
 
     async def read(self, name: str, offset: int, size_bytes: int) -> bytes | Failure:
@@ -43,11 +48,14 @@
 class OnlyCache:
     """The view of an entry that knows no agent yet."""
 
+    def __init__(self, is_one: bool = True) -> None:
+        self.is_one = is_one
+
     def agents_of(self, model: str) -> tuple[WeightPeer, ...]:
         return ()
 
     def is_cache(self) -> bool:
-        return True
+        return self.is_one
 
 
 class WeightCacheTest(unittest.TestCase):
@@ -71,8 +79,46 @@
 
         anyio.run(script)
 
+    def test_successor_of_an_entry_gets_what_is_lacked_of_both_versions(self) -> None:
+        # Entries restart in turn while two versions are on their way.  Those that took
+        # their places knew the second one only: a quarter of what the targets lacked
+        # of the first was read by nobody, and they never had it whole.
+        async def script() -> None:
+            origin = NumberedOrigin()
+            view = OnlyCache(is_one=False)
+            links = FakeLinks()
+            clock = VirtualClock()
+            timers = TimerService(clock)
+            async with anyio.create_task_group() as tasks:
+                cache = make_cache(origin, tasks, view, links, timers)
+                cache.start()
+                tasks.start_soon(cache.run)
+                for version in (1, 2, 3):
+                    cache.name(MODEL, version)
+                view.is_one = True
+                clock.advance(1.0)
+                timers.run_due()
+                await anyio.wait_all_tasks_blocked()
+                self.assertEqual(set(origin.manifests), {2, 3})
+                self.assertEqual(origin.chunk_reads, 0)
+                nothing = encode_map(0, CHUNKS)
+                root = origin.manifests[2].root_digest
+                asked = HaveMap(root, 1, nothing, nothing, is_reply_wanted=True)
+                links.handlers["entry-1", HaveMap](Sender("agent-1", 1, 1), asked)
+                await anyio.wait_all_tasks_blocked()
+                self.assertEqual(origin.chunk_reads, CHUNKS)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(script)
+
 
-def make_cache(origin: NumberedOrigin, tasks: anyio.abc.TaskGroup) -> WeightCache:
+def make_cache(
+    origin: NumberedOrigin,
+    tasks: anyio.abc.TaskGroup,
+    view: OnlyCache | None = None,
+    links: FakeLinks | None = None,
+    timers: TimerService | None = None,
+) -> WeightCache:
     me = WeightPeer("entry-1", "ra", "a", is_cache=True)
     limits = SwarmLimits(
         origin_region="ra",
@@ -82,11 +128,11 @@
         map_wait_s=0.0,
     )
     return WeightCache(
-        FakeNetwork("entry-1", FakeLinks()),
-        TimerService(VirtualClock()),
+        FakeNetwork("entry-1", links or FakeLinks()),
+        timers or TimerService(VirtualClock()),
         tasks,
         origin,
-        OnlyCache(),
+        view or OnlyCache(),
         SwarmDistribution(me, limits, random.Random(1)),
         random.Random(1),
     )
