Write what an entry still draws of a version, and what it waits for

On the grown site one region stood still at half of a version for six seconds after the origin's return, though its four entries ran and had links to those near the origin. The logs could not tell whether they asked, whom they left alone, or what was refused.

--- a/reedspar/weights/drawing.py
+++ b/reedspar/weights/drawing.py
@@ -1,5 +1,6 @@
 """Getting what no neighbour holds: draws by duty, and fallbacks when they fail."""
 
+import logging
 from collections.abc import Mapping
 from itertools import islice
 
@@ -38,6 +39,10 @@
 
 One costs 200 bytes both ways; for a third of a copy of 96 chunks that is 5% of a link
 of 3.65 Mbit/s."""
+PROGRESS_INTERVAL_S = 1.0
+"""Between two lines on a version that a cache draws."""
+
+_logger = logging.getLogger(__name__)
 
 
 class Drawing:
@@ -63,6 +68,8 @@
 
     def draw(self, transfer: Transfer, placement: Placement, now_s: float) -> None:
         """Draw the next of the chunks that are this agent's to draw."""
+        if not placement.pulls:
+            self._write_progress(transfer, placement, now_s)
         if not self._knows_neighbours(transfer, now_s):
             return
         self._take_over(transfer, placement, now_s)
@@ -86,6 +93,28 @@
                 ):
                     return
 
+    def _write_progress(
+        self, transfer: Transfer, placement: Placement, now_s: float
+    ) -> None:
+        """Write what a cache holds, is still to draw, and waits for, now and then."""
+        lacking_map = _needed_map(transfer, placement) & ~transfer.held
+        is_due = now_s - transfer.written_s >= PROGRESS_INTERVAL_S
+        if not is_due or not transfer.draws or not lacking_map:
+            return
+        transfer.written_s = now_s
+        regions = placement.other_regions
+        extra = {
+            "version": transfer.manifest.sequence,
+            "held": transfer.held.bit_count(),
+            "lacked": lacking_map.bit_count(),
+            "to_draw": len(transfer.draws),
+            "asked_for": self._duties.count,
+            "origin_open": self._fetches.far_open(ORIGIN),
+            "far_open": {region: self._fetches.far_open(region) for region in regions},
+            "avoided": self._peers.list_avoided(now_s),
+        }
+        _logger.info("weights drawn", extra=extra)
+
     def _take_over(
         self, transfer: Transfer, placement: Placement, now_s: float
     ) -> None:
--- a/reedspar/weights/duties.py
+++ b/reedspar/weights/duties.py
@@ -34,6 +34,11 @@
         self._transfers: dict[str, Transfer] = {}
         self._due_s = 0.0
 
+    @property
+    def count(self) -> int:
+        """Return how many chunks peers wait for."""
+        return len(self._transfers)
+
     def note_asked(
         self,
         transfer: Transfer,
--- a/reedspar/weights/fetches.py
+++ b/reedspar/weights/fetches.py
@@ -86,6 +86,12 @@
         """Return how long a peer is still left alone, in seconds."""
         return max(0.0, self._until_s.get(peer, 0.0) - now_s)
 
+    def list_avoided(self, now_s: float) -> list[str]:
+        """Return the peers that are left alone now."""
+        return sorted(
+            peer for peer, until_s in self._until_s.items() if until_s > now_s
+        )
+
     def note_busy(self, peer: str, until_s: float) -> None:
         """Leave a peer alone that has said that it is busy."""
         self._until_s[peer] = max(until_s, self._until_s.get(peer, 0.0))
--- a/reedspar/weights/transfers.py
+++ b/reedspar/weights/transfers.py
@@ -40,6 +40,8 @@
         """Part of what is missing that is this agent's to draw."""
         self.idle_since_s: float | None = None
         """Since when nothing is left of what is this agent's to draw."""
+        self.written_s = float("-inf")
+        """When progress was last written to the log."""
         self.started_s = 0.0
         self.progress_s = 0.0
         self.gained: set[int] = set()
