Name a late outage in the test's own failure, so that its known reds are matched

The list of known reds holds a test's id. A failure inside a subtest has another one, so the run counted both listed tests as not failing and their parts as unlisted. All plays are still held against the same bounds.

--- a/reedspar/weights/tests/test_origin_return.py
+++ b/reedspar/weights/tests/test_origin_return.py
@@ -138,12 +138,14 @@
 class OriginReturnTest(unittest.TestCase):
     def check_whole(self, *regions: str) -> None:
         """Check when targets have the first version, by what they lacked of it."""
+        late_s = {}
         for shift_s in SHIFTS_S:
-            with self.subTest(shift_s=shift_s):
-                course = play(shift_s)
-                self.assertGreater(course.lacking, 0)
-                last_s = max(course.whole_s[region] for region in regions)
-                self.assertLess(last_s, course.bound_s)
+            course = play(shift_s)
+            self.assertGreater(course.lacking, 0)
+            last_s = max(course.whole_s[region] for region in regions)
+            if last_s >= course.bound_s:
+                late_s[shift_s] = last_s - course.bound_s
+        self.assertEqual(late_s, {})
 
     def test_region_of_the_origin_gets_the_earlier_version_first(self) -> None:
         # Targets lack a fifth of a version when the origin comes back, and all of the
@@ -159,9 +161,8 @@
     def test_targets_leave_the_origin_to_entries_that_answer(self) -> None:
         # Entries refuse what they can't get while the origin is away.  Targets took
         # them for gone, and as soon as it was back a dozen of them read the same chunk.
-        for shift_s in SHIFTS_S:
-            with self.subTest(shift_s=shift_s):
-                self.assertEqual(play(shift_s).read_by_targets, 0)
+        read_bytes = [play(shift_s).read_by_targets for shift_s in SHIFTS_S]
+        self.assertEqual(read_bytes, [0] * len(SHIFTS_S))
 
 
 class ReadOrderTest(unittest.TestCase):
