--- a/reedspar/weights/drawing.py
+++ b/reedspar/weights/drawing.py
@@ -1,10 +1,12 @@
 """Getting what no neighbour holds: draws by duty, and fallbacks when they fail."""
 
+import logging
 from collections.abc import Mapping
 from itertools import islice
 
 from reedspar.utils import TokenBucket
 
+from .duties import Duties
 from .fetches import ORIGIN, Fetch, FetchBook, PeerBook
 from .limits import SwarmLimits
 from .memory import ChunkMemory
@@ -17,7 +19,6 @@
 REGION_BURST_PIECES = 4
 SEEK_SAMPLE = 32
 SEEK_INTERVAL_S = 0.05
-DUTY_LIMIT = 256
 SHORT_WAIT_S = 0.5
 ORIGIN_TIMEOUT_S = 8.0
 """Bound on a read that gets on; the client gives up a silent origin sooner.
@@ -38,6 +39,10 @@
 
 One costs 200 bytes both ways; for a third of a copy of 96 chunks that is 5% of a link
 of 3.65 Mbit/s."""
+PROGRESS_INTERVAL_S = 1.0
+"""Between two lines on a version that a cache draws."""
+
+_logger = logging.getLogger(__name__)
 
 
 class Drawing:
@@ -53,12 +58,18 @@
         self._limits = limits
         self._fetches = fetches
         self._peers = peers
-        self._memory = memory
         self._regions: dict[str, TokenBucket] = {}
-        self._duties: dict[str, Transfer] = {}
+        self._duties = Duties(limits, fetches, peers, memory, self._start)
+
+    @property
+    def duties(self) -> Duties:
+        """Return the chunks that peers have asked this agent to get."""
+        return self._duties
 
     def draw(self, transfer: Transfer, placement: Placement, now_s: float) -> None:
         """Draw the next of the chunks that are this agent's to draw."""
+        if not placement.pulls:
+            self._write_progress(transfer, placement, now_s)
         if not self._knows_neighbours(transfer, now_s):
             return
         self._take_over(transfer, placement, now_s)
@@ -82,6 +93,28 @@
                 ):
                     return
 
+    def _write_progress(
+        self, transfer: Transfer, placement: Placement, now_s: float
+    ) -> None:
+        """Write what a cache holds, is still to draw, and waits for, now and then."""
+        lacking_map = _needed_map(transfer, placement) & ~transfer.held
+        is_due = now_s - transfer.written_s >= PROGRESS_INTERVAL_S
+        if not is_due or not transfer.draws or not lacking_map:
+            return
+        transfer.written_s = now_s
+        regions = placement.other_regions
+        extra = {
+            "version": transfer.manifest.sequence,
+            "held": transfer.held.bit_count(),
+            "lacked": lacking_map.bit_count(),
+            "to_draw": len(transfer.draws),
+            "asked_for": self._duties.count,
+            "origin_open": self._fetches.far_open(ORIGIN),
+            "far_open": {region: self._fetches.far_open(region) for region in regions},
+            "avoided": self._peers.list_avoided(now_s),
+        }
+        _logger.info("weights drawn", extra=extra)
+
     def _take_over(
         self, transfer: Transfer, placement: Placement, now_s: float
     ) -> None:
@@ -133,50 +166,6 @@
                 else:
                     self._ask_keeper(fetch, index, placement, now_s)
 
-    def note_asked(
-        self,
-        transfer: Transfer,
-        placement: Placement,
-        digest: str,
-        now_s: float,
-        *,
-        is_near: bool,
-    ) -> None:
-        """Take up a chunk that a peer asks this agent to get, unless it is coming.
-
-        A peer of the own region asks only once the usual way has failed it; one
-        of another region asks ahead, for what the swarm here will bring.
-        """
-        index = transfer.index_of.get(digest)
-        if index is None or len(self._duties) >= DUTY_LIMIT:
-            return
-        is_moving = now_s - transfer.progress_s < self._limits.seek_s
-        is_own = (
-            transfer.is_missing(index) if placement.pulls else index in transfer.draws
-        )
-        is_coming = is_own and is_moving
-        if is_near or not is_coming:
-            self._duties[digest] = transfer
-
-    def do_duties(self, placements: Mapping[str, Placement], now_s: float) -> None:
-        """Get the chunks that peers have asked this agent to get."""
-        for digest, transfer in list(self._duties.items()):
-            if digest in self._memory:
-                del self._duties[digest]
-            elif not self._fetches.is_blocked(digest, now_s):
-                placement = placements[transfer.model]
-                self._do_duty(transfer, placement, digest, now_s)
-
-    def end_duty(self, digest: str) -> None:
-        """Note that a chunk is there."""
-        self._duties.pop(digest, None)
-
-    def forget(self, transfer: Transfer) -> None:
-        """Drop the duties of a version."""
-        for digest, owner in list(self._duties.items()):
-            if owner is transfer:
-                del self._duties[digest]
-
     def get_objects(
         self,
         objects: Mapping[str, str],
@@ -329,30 +318,17 @@
         """Tell whether to read the origin past those that are to draw.
 
         The keepers that were asked may be gone, and the view keep them; a version that
-        lacks one chunk serves nobody.  But when the origin comes back all agents lack
-        chunks: were each to read many, those that draw for all would get a fraction of
-        its link, and reads that time out would be begun again for ever.
+        lacks one chunk serves nobody.  One that refuses is there, and goes on asking.
+        But when the origin comes back all agents lack chunks: were each to read many,
+        those that draw for all would get a fraction of its link, and reads that time
+        out would be begun again for ever.
         """
         is_back = not self._peers.has_origin_failed_since(now_s - ORIGIN_RETURN_S)
         is_first = not self._fetches.far_open(ORIGIN)
-        has_failed = fetch.attempts >= KEEPERS_TRIED
+        silent = fetch.attempts - fetch.refusals
+        has_failed = silent >= KEEPERS_TRIED
         return placement.may_read_origin and has_failed and is_back and is_first
 
-    def _do_duty(
-        self, transfer: Transfer, placement: Placement, digest: str, now_s: float
-    ) -> None:
-        index = transfer.index_of[digest]
-        fetch = self._fetches.ensure(digest, transfer.sizes[digest])
-        keepers = placement.keepers(digest)[: self._limits.copies_per_region]
-        others = [name for name in keepers if name != placement.me]
-        holders = transfer.table.holders(index)
-        names = list(dict.fromkeys([*holders, *others]))
-        if fetch.attempts < len(names):
-            timeout_s = self._limits.request_timeout_s
-            self._fetches.ask(fetch, names[fetch.attempts], now_s, timeout_s)
-        elif not self._start(fetch, index, placement, now_s):
-            fetch.not_before_s = now_s + self._limits.busy_s
-
     def _knows_neighbours(self, transfer: Transfer, now_s: float) -> bool:
         """Tell whether the neighbours' maps are in, or were waited for.
 
