Show that agents that hear of a version late drop another one than the rest (failing)

Which of two versions that come in a row is finished first must be decided alike by all agents. It goes by the times at which the two were named, and each agent counts from its own hearing.

Not fixed: the catalog decides before peers have told how old a version is.

--- a/reedspar/weights/tests/test_succession.py
+++ b/reedspar/weights/tests/test_succession.py
@@ -157,6 +157,26 @@
             made.append(self.follow(script))
         self.assertEqual(made[0], made[1])
 
+    def test_agents_that_hear_late_choose_alike(self) -> None:
+        # One agent hears of the second version 0.6 s after another, over a busy link.
+        # Each counts from its own hearing, and one drops the second for the third.
+        self.reader.chunks = 5
+        self.left_s = 3.5
+        made = []
+        for late_s in (0.0, 0.6):
+            self.clock = VirtualClock()
+            self.documents = []
+
+            async def script(catalog: VersionCatalog, late_s: float = late_s) -> None:
+                await self.name_in_turn(catalog, 1)
+                self.clock.advance(late_s)
+                await self.name_in_turn(catalog, 2)
+                self.clock.advance(2.0 - late_s)
+                await self.name_in_turn(catalog, 3)
+
+            made.append(self.follow(script))
+        self.assertEqual(made[0], made[1])
+
     def test_version_that_comes_too_late_to_serve_is_dropped(self) -> None:
         # The origin went away while the second version was on its way.  When it is
         # back, the second one could serve for no moment before the third is due.
