--- a/reedspar/fleet/document_poll.py
+++ b/reedspar/fleet/document_poll.py
@@ -69,7 +69,8 @@
         self._place(near)
         if self._is_reader and near and self._order.is_small:
             return False
-        self._start = self._create_start(not near)
+        if self._start is None:
+            self._start = self._create_start(not near)
         while not await self._ask(self._choose_first(), FIRST_ANSWER_S):
             if self._start.is_over(self._timers.now_s()):
                 return False
--- a/reedspar/fleet/feed.py
+++ b/reedspar/fleet/feed.py
@@ -151,10 +151,7 @@
             "turn to watch", extra={"prefix": prefix, "is_watched": is_watched}
         )
         if not is_watched:
-            book = self._books[prefix]
-            book.note_left()
-            if self._asking is book:
-                self._let_others_ask()
+            self._leave_to_peers(self._books[prefix])
         return True
 
     def note_served(self) -> None:
@@ -201,21 +198,29 @@
     async def _read(self, book: EntryBook) -> None:
         """Read from peers what may be had from them, else from the store."""
         poll = self._pollers.get(book.prefix)
-        if poll is not None and await poll():
-            self._note_listed(book)
-        else:
-            await self._list(book)
-
-    async def _list(self, book: EntryBook) -> None:
         while True:
-            listing = await self._store.list_entries(book.prefix)
-            now_s = self._timers.now_s()
-            if not isinstance(listing, Failure):
-                self._note_answer(book, now_s)
-                self._take_in(book, book.take_listing(listing, now_s))
+            if poll is not None and await poll():
+                self._leave_to_peers(book)
                 self._note_listed(book)
                 return
+            if await self._try_list(book):
+                return
+
+    async def _list(self, book: EntryBook) -> None:
+        while not await self._try_list(book):
+            pass
+
+    async def _try_list(self, book: EntryBook) -> bool:
+        """List once; after a failure return when it is time to call again."""
+        listing = await self._store.list_entries(book.prefix)
+        now_s = self._timers.now_s()
+        if isinstance(listing, Failure):
             await self._wait_for_store(book, listing)
+            return False
+        self._note_answer(book, now_s)
+        self._take_in(book, book.take_listing(listing, now_s))
+        self._note_listed(book)
+        return True
 
     async def _follow(self, book: EntryBook) -> None:
         poll_s = self._prefixes[book.prefix].poll_s
@@ -269,6 +274,11 @@
         if self._asking is not None:
             self._let_others_ask()
 
+    def _leave_to_peers(self, book: EntryBook) -> None:
+        book.note_left()
+        if self._asking is book:
+            self._let_others_ask()
+
     def _let_others_ask(self) -> None:
         self._asking = None
         self._answered.set()
--- a/reedspar/fleet/tests/test_feed.py
+++ b/reedspar/fleet/tests/test_feed.py
@@ -152,6 +152,38 @@
 
         self.follow(script)
 
+    def test_start_asks_peers_again_after_the_store_has_failed(self) -> None:
+        # After a loss of power the link was full, and reads of a document were given up
+        # and begun again for ten seconds, though peers had it since the third.
+        async def run() -> None:
+            store = FakeStore()
+            store.is_away = True
+            answers = [False, True]
+            feed = create_fleet_feed(
+                store,
+                self.view,
+                FakeCodec(),
+                self.timers,
+                (FleetPrefix("zones/", is_relayed=True),),
+                random.Random(1),
+            )
+
+            async def poll() -> bool:
+                return answers.pop(0)
+
+            feed.set_poller("zones/", poll)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(feed.run)
+                with anyio.fail_after(2 * RETRY_MAX_S):
+                    await feed.wait_seeded()
+                # Else no other prefix asked the store again.
+                self.assertIsNone(feed._asking)
+                self.assertFalse(feed.is_store_away)
+                tasks.cancel_scope.cancel()
+            self.assertEqual(store.calls.count("list"), 1)
+
+        anyio.run(run)
+
     def test_goes_on_by_what_is_known_while_the_store_is_away(self) -> None:
         # The store is down.  Requests go on to the targets that are known.
         async def script(store: FakeStore, feed: FleetFeed) -> None:
