--- a/reedspar/fleet/document_poll.py
+++ b/reedspar/fleet/document_poll.py
@@ -70,7 +70,8 @@
         is_known = bool(near) or self._view.daemon(self._name) is not None
         if self._is_reader and is_known and self._order.is_small:
             return False
-        self._start = self._create_start(not near)
+        if self._start is None:
+            self._start = self._create_start(not near)
         while not await self._ask(self._choose_first(), FIRST_ANSWER_S):
             if self._start.is_over(self._timers.now_s()):
                 return False
