Let agents count a version's time from when the first daemon heard of it

Peers tell each other how long ago a version was named; the catalog takes that over now, with each look at the engine. What a decision made before the first answer goes by stays the own hearing.

Without the change there is nothing that takes such news.

--- a/reedspar/daemon/site_agent.py
+++ b/reedspar/daemon/site_agent.py
@@ -124,6 +124,8 @@
         """Take the versions that this agent's engine is to serve."""
         for named in list_named(self.base.view, self.settings.pool):
             self.catalog.name(named.model, named.version)
+            for known in self.base.view.versions_of(named.model):
+                self.catalog.note_named(known.model, known.version, known.named_s)
 
     async def _poll_engine(self, controller: WeightController) -> None:
         address = self.settings.target_address
@@ -138,6 +140,8 @@
         )
         failures = 0
         while True:
+            # Peers go on telling when a version was named.
+            self._name_versions()
             state = await self.engine.read_state()
             if isinstance(state, Failure):
                 failures += 1
--- a/reedspar/weights/catalog.py
+++ b/reedspar/weights/catalog.py
@@ -126,6 +126,12 @@
             self._wanted[model] = version
             self._wakeup.set()
 
+    def note_named(self, model: str, version: int, named_s: float) -> None:
+        """Take it that a version was named earlier than this agent heard of it."""
+        known_s = self._named_s.get((model, version))
+        if known_s is not None and named_s < known_s:
+            self._named_s[model, version] = named_s
+
     def number_of(self, root_digest: str) -> tuple[str, int] | None:
         """Return model and version with a root digest."""
         found = (
--- a/reedspar/weights/tests/test_succession.py
+++ b/reedspar/weights/tests/test_succession.py
@@ -159,7 +159,8 @@
 
     def test_agents_that_hear_late_choose_alike(self) -> None:
         # One agent hears of the second version 0.6 s after another, over a busy link.
-        # Each counts from its own hearing, and one drops the second for the third.
+        # It counted from its own hearing, whatever peers told, and dropped the second
+        # version for the third alone.
         self.reader.chunks = 5
         self.left_s = 3.5
         made = []
@@ -169,8 +170,10 @@
 
             async def script(catalog: VersionCatalog, late_s: float = late_s) -> None:
                 await self.name_in_turn(catalog, 1)
+                named_s = self.clock.now_s()
                 self.clock.advance(late_s)
                 await self.name_in_turn(catalog, 2)
+                catalog.note_named("m", 2, named_s)
                 self.clock.advance(2.0 - late_s)
                 await self.name_in_turn(catalog, 3)
 
