--- a/reedspar/weights/drawing.py
+++ b/reedspar/weights/drawing.py
@@ -97,11 +97,12 @@
         self, transfer: Transfer, placement: Placement, now_s: float
     ) -> None:
         """Write what a cache holds, is still to draw, and waits for, now and then."""
-        lacking_map = _needed_map(transfer, placement) & ~transfer.held
-        is_due = now_s - transfer.written_s >= PROGRESS_INTERVAL_S
-        if not is_due or not transfer.draws or not lacking_map:
+        if now_s - transfer.written_s < PROGRESS_INTERVAL_S:
             return
         transfer.written_s = now_s
+        lacking_map = _needed_map(transfer, placement) & ~transfer.held
+        if not transfer.draws or not lacking_map:
+            return
         regions = placement.other_regions
         extra = {
             "version": transfer.manifest.sequence,
