--- a/reedspar/direct/fitness.py
+++ b/reedspar/direct/fitness.py
@@ -10,7 +10,7 @@
 from .loads import TargetLoad, TargetLoads
 from .versions import VersionRule
 
-__all__ = ["Fitness", "cold_rate_of", "why_closed"]
+__all__ = ["Fitness", "closed_reason", "cold_rate_of"]
 
 
 class Fitness:
@@ -74,7 +74,7 @@
 
     def _is_fit(self, known: KnownTarget, request: Request, now_s: float) -> bool:
         record = known.record
-        if why_closed(record, self._view, self._loads):
+        if closed_reason(record, self._view, self._loads):
             return False
         region = self._regions.get(record.zone)
         if request.regions is not None and region not in request.regions:
@@ -87,7 +87,7 @@
         return not request.weights_digest or request.weights_digest == str(version)
 
 
-def why_closed(record: TargetRecord, view: FleetView, loads: TargetLoads) -> str:
+def closed_reason(record: TargetRecord, view: FleetView, loads: TargetLoads) -> str:
     """Return why a target may get nothing, whatever the request; empty if it may."""
     if record.state is not TargetState.READY:
         return "it leaves"
--- a/reedspar/direct/limits.py
+++ b/reedspar/direct/limits.py
@@ -4,7 +4,7 @@
 from reedspar.fleet import FleetView
 from reedspar.timers import TimerService
 
-from .fitness import why_closed
+from .fitness import closed_reason
 from .loads import OwnAttempt, TargetLoads
 from .refusals import COME_BACK_S
 from .versions import VersionRule
@@ -39,7 +39,9 @@
         """
         known = self._view.target(target_id)
         closed = (
-            why_closed(known.record, self._view, self._loads) if known else "it is gone"
+            closed_reason(known.record, self._view, self._loads)
+            if known
+            else "it is gone"
         )
         if closed:
             return _refuse(target_id, f"while connecting was found: {closed}")
--- a/reedspar/fleet/document_poll.py
+++ b/reedspar/fleet/document_poll.py
@@ -11,9 +11,9 @@
 from .entries import EntryBook
 from .feed import FleetFeed
 from .messages import DocumentNews, DocumentRequest
-from .reading_turn import ReadingTurn
+from .reader_selection import ReaderSelection
 from .records import DaemonRecord
-from .start_turn import StartTurn, create_agent_start, create_start_turn
+from .start_delay import StartDelay, create_agent_delay, create_entry_delay
 from .view import FleetView
 
 __all__ = ["DocumentPoll"]
@@ -48,8 +48,8 @@
         self._rng = rng
         self._is_reader = is_reader
         self._answered = anyio.Event()
-        self._order = ReadingTurn(book.prefix, timers.now_s())
-        self._start: StartTurn | None = None
+        self._order = ReaderSelection(book.prefix, timers.now_s())
+        self._start: StartDelay | None = None
         feed.on_taken(self._note_taken)
         network.subscribe(DocumentNews, self._hear)
 
@@ -77,11 +77,11 @@
                 return False
         return True
 
-    def _create_start(self, is_alone: bool) -> StartTurn:
+    def _create_start(self, is_alone: bool) -> StartDelay:
         now_s = self._timers.now_s()
         if not self._is_reader:
-            return create_agent_start(is_alone, now_s, self._rng)
-        return create_start_turn(self._order.group, is_alone, now_s, self._rng)
+            return create_agent_delay(is_alone, now_s, self._rng)
+        return create_entry_delay(self._order.group, is_alone, now_s, self._rng)
 
     def _choose_first(self) -> list[str]:
         near = self._near()
--- a/reedspar/fleet/feed.py
+++ b/reedspar/fleet/feed.py
@@ -148,7 +148,7 @@
             return False
         gate.set_open(is_watched)
         _logger.info(
-            "turn to watch", extra={"prefix": prefix, "is_watched": is_watched}
+            "watch changed", extra={"prefix": prefix, "is_watched": is_watched}
         )
         if not is_watched:
             self._leave_to_peers(self._books[prefix])
--- a/reedspar/fleet/reading_turn.py
+++ b/reedspar/fleet/reader_selection.py
@@ -4,7 +4,7 @@
 
 from reedspar.utils import rank_by_rendezvous
 
-__all__ = ["NEWS_S", "READERS", "ReadingTurn"]
+__all__ = ["NEWS_S", "READERS", "ReaderSelection"]
 
 READERS = 2
 """Daemons of a region that read a document of the store."""
@@ -18,7 +18,7 @@
 """Until those after them do, who else would all read at once."""
 
 
-class ReadingTurn:
+class ReaderSelection:
     """Follows who reads in this region.
 
     The first daemons in rank read.  The others stand in, group by group, while no
@@ -89,14 +89,14 @@
 
     def is_reading(self, now_s: float) -> bool:
         """Tell whether this daemon watches the document."""
-        return self.is_first or now_s - self._served_s >= self._patience_s()
+        return self.is_first or now_s - self._served_s >= self._timeout_s()
 
     def is_asking(self, now_s: float) -> bool:
         """Tell whether this daemon asks peers for the document unprompted."""
-        is_alone = now_s - self._alive_s >= self._patience_s()
+        is_alone = now_s - self._alive_s >= self._timeout_s()
         return is_alone or self.is_reading(now_s)
 
-    def _patience_s(self) -> float:
+    def _timeout_s(self) -> float:
         return SILENT_S + (self.group - 1) * STEP_S
 
     def group_of(self, name: str) -> int:
--- a/reedspar/fleet/relay.py
+++ b/reedspar/fleet/relay.py
@@ -9,7 +9,7 @@
 from .entries import EntryBook
 from .feed import FleetFeed
 from .messages import DocumentNews, FleetRequest
-from .reading_turn import NEWS_S, ReadingTurn
+from .reader_selection import NEWS_S, ReaderSelection
 from .records import DaemonRecord
 from .view import FleetView
 
@@ -26,7 +26,7 @@
 
 
 class DocumentRelay:
-    """Reads a document when it is this daemon's turn, and tells the region of it."""
+    """Reads a document while it is selected, and tells the region of it."""
 
     def __init__(
         self,
@@ -49,10 +49,10 @@
         self._rng = rng
         self._asked_s = float("-inf")
         self._asked_revision = 0
-        self._turn = ReadingTurn(book.prefix, timers.now_s())
+        self._selection = ReaderSelection(book.prefix, timers.now_s())
         network.subscribe(DocumentNews, self._hear)
         feed.on_taken(self._note_taken)
-        timers.on_pause(lambda gap_s: self._turn.lapse(timers.now_s()))
+        timers.on_pause(lambda gap_s: self._selection.lapse(timers.now_s()))
         timers.call_every(CHECK_S, self._check)
         timers.call_every(NEWS_S, self._tell)
         timers.call_every(FAR_ASK_S, self._ask_far)
@@ -60,7 +60,7 @@
     @property
     def is_asking(self) -> bool:
         """Tell whether this daemon asks peers for the document unprompted."""
-        return self._turn.is_asking(self._timers.now_s())
+        return self._selection.is_asking(self._timers.now_s())
 
     def _check(self) -> None:
         now_s = self._timers.now_s()
@@ -68,12 +68,14 @@
         near = [record.name for record in others if self._is_near(record)]
         # Without another region to ask, each reads by itself.
         has_far = len(near) < len(others)
-        self._turn.place(self._name, [self._name, *near] if has_far else [self._name])
+        self._selection.place(
+            self._name, [self._name, *near] if has_far else [self._name]
+        )
         if self._feed.is_store_away:
-            self._turn.note_away(now_s)
-        is_reading = self._turn.is_reading(now_s)
+            self._selection.note_away(now_s)
+        is_reading = self._selection.is_reading(now_s)
         if self._feed.set_watched(self._book.prefix, is_reading) and is_reading:
-            # Before the next in rank lose their patience, too.
+            # Before the next in rank time out, too.
             self._tell()
 
     def _note_taken(self, prefix: str) -> None:
@@ -82,13 +84,13 @@
 
     def _tell(self) -> None:
         """Tell the daemons of this region that don't read what is known here."""
-        is_reading = self._turn.is_reading(self._timers.now_s())
-        if not is_reading and not self._turn.is_next:
+        is_reading = self._selection.is_reading(self._timers.now_s())
+        if not is_reading and not self._selection.is_next:
             return
         book = self._book
         is_served = is_reading and not self._feed.is_store_away
         news = DocumentNews(book.prefix, book.newest_revision, book.revision, is_served)
-        for name in self._turn.listeners:
+        for name in self._selection.listeners:
             if name != self._name:
                 self._network.send(name, news)
 
@@ -96,7 +98,7 @@
         if news.prefix != self._book.prefix:
             return
         now_s = self._timers.now_s()
-        self._turn.note_news(now_s, sender.name, news.is_served)
+        self._selection.note_news(now_s, sender.name, news.is_served)
         self._book.note_covered(news.newest_revision, news.covered_revision)
         newest = self._book.newest_revision
         is_asked = news.newest_revision <= self._asked_revision
@@ -108,7 +110,7 @@
 
     def _ask_far(self) -> None:
         far = [record for record in self._others() if not self._is_near(record)]
-        if far and (self.is_asking or self._turn.is_next):
+        if far and (self.is_asking or self._selection.is_next):
             request = FleetRequest(self._book.prefix, self._book.seen_revision)
             self._network.send(self._rng.choice(far).name, request)
 
--- a/reedspar/fleet/start_turn.py
+++ b/reedspar/fleet/start_delay.py
@@ -3,10 +3,10 @@
 import random
 from dataclasses import dataclass
 
-__all__ = ["StartTurn", "create_agent_start", "create_start_turn"]
+__all__ = ["StartDelay", "create_agent_delay", "create_entry_delay"]
 
 QUIET_S = 0.6
-"""Without an answer for so long, those whose turn comes first are not there."""
+"""Without an answer for so long, those that come first are not there."""
 LONGEST_S = 3.0
 """How long they may take for the document while they say that they start, too."""
 STEP_S = 0.5
@@ -23,7 +23,7 @@
 
 
 @dataclass(slots=True)
-class StartTurn:
+class StartDelay:
     """Ends when this daemon reads the document of the store by itself.
 
     After a loss of power all daemons start at once.  Those of the first group read; the
@@ -46,23 +46,23 @@
         return is_quiet or now_s - self.begun_s >= self.longest_s
 
 
-def create_start_turn(
+def create_entry_delay(
     group: int, is_alone: bool, now_s: float, rng: random.Random
-) -> StartTurn:
-    """Make the turn of a daemon of a group; the first group waits for nobody."""
+) -> StartDelay:
+    """Make the delay of an entry of a group; the first group waits for nobody."""
     if is_alone:
         is_early = rng.random() < EARLY_SHARE
         early_s = rng.uniform(0.0, EARLY_S)
         wait_s = early_s if is_early else rng.uniform(LATE_MIN_S, LATE_MAX_S)
-        return StartTurn(now_s, wait_s, wait_s)
+        return StartDelay(now_s, wait_s, wait_s)
     if group == 0:
-        return StartTurn(now_s, 0.0, 0.0)
-    return StartTurn(now_s, QUIET_S, LONGEST_S + STEP_S * (group - 1))
+        return StartDelay(now_s, 0.0, 0.0)
+    return StartDelay(now_s, QUIET_S, LONGEST_S + STEP_S * (group - 1))
 
 
-def create_agent_start(is_alone: bool, now_s: float, rng: random.Random) -> StartTurn:
-    """Make the turn of an agent, which comes after all entries."""
+def create_agent_delay(is_alone: bool, now_s: float, rng: random.Random) -> StartDelay:
+    """Make the delay of an agent, which comes after all entries."""
     if is_alone:
         wait_s = LATE_MAX_S + rng.uniform(0.0, EARLY_S)
-        return StartTurn(now_s, wait_s, wait_s)
-    return StartTurn(now_s, AGENT_QUIET_S, AGENT_LONGEST_S)
+        return StartDelay(now_s, wait_s, wait_s)
+    return StartDelay(now_s, AGENT_QUIET_S, AGENT_LONGEST_S)
--- a/reedspar/fleet/tests/test_reading_turn.py
+++ b/reedspar/fleet/tests/test_reader_selection.py
@@ -2,13 +2,13 @@
 
 import unittest
 
-from reedspar.fleet.reading_turn import (
+from reedspar.fleet.reader_selection import (
     NEWS_S,
     READ_BY_ALL,
     READERS,
     SILENT_S,
     STEP_S,
-    ReadingTurn,
+    ReaderSelection,
 )
 
 KEY = "doc"
@@ -16,40 +16,42 @@
 LONG_S = 60.0
 
 
-def make_turns(names: list[str]) -> dict[str, ReadingTurn]:
-    turns = {name: ReadingTurn(KEY, 0.0) for name in names}
-    for name, turn in turns.items():
-        turn.place(name, names)
-    return turns
+def make_selections(names: list[str]) -> dict[str, ReaderSelection]:
+    selections = {name: ReaderSelection(KEY, 0.0) for name in names}
+    for name, selection in selections.items():
+        selection.place(name, names)
+    return selections
 
 
-class ReadingTurnTest(unittest.TestCase):
+class ReaderSelectionTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.turns = make_turns(MANY)
-        order = sorted(MANY, key=lambda name: self.turns[name]._rank)
-        self.ranked = [self.turns[name] for name in order]
+        self.selections = make_selections(MANY)
+        order = sorted(MANY, key=lambda name: self.selections[name]._rank)
+        self.ranked = [self.selections[name] for name in order]
         self.order = order
 
     def reading(self, now_s: float) -> list[str]:
-        return [name for name in self.order if self.turns[name].is_reading(now_s)]
+        return [name for name in self.order if self.selections[name].is_reading(now_s)]
 
     def test_few_read_and_tell_all_others(self) -> None:
         self.assertEqual(self.reading(NEWS_S), self.order[:READERS])
         self.assertEqual(self.ranked[0].listeners, self.order[READERS:])
 
     def test_each_reads_in_a_small_region(self) -> None:
-        turns = make_turns(MANY[:READ_BY_ALL])
-        self.assertTrue(all(turn.is_reading(0.0) for turn in turns.values()))
-        self.assertEqual(turns["e0"].listeners, [])
+        selections = make_selections(MANY[:READ_BY_ALL])
+        self.assertTrue(
+            all(selection.is_reading(0.0) for selection in selections.values())
+        )
+        self.assertEqual(selections["e0"].listeners, [])
 
     def test_first_to_stand_in_are_the_next_in_rank(self) -> None:
-        is_next = [turn.is_next for turn in self.ranked[: 2 * READERS + 1]]
+        is_next = [selection.is_next for selection in self.ranked[: 2 * READERS + 1]]
         self.assertEqual(is_next, [False, False, True, True, False])
 
     def test_daemon_that_knows_no_other_reads(self) -> None:
-        turn = ReadingTurn(KEY, 0.0)
-        turn.place("new", ["new"])
-        self.assertTrue(turn.is_reading(0.0))
+        selection = ReaderSelection(KEY, 0.0)
+        selection.place("new", ["new"])
+        self.assertTrue(selection.is_reading(0.0))
 
     def test_others_stand_in_group_by_group_while_no_reader_is_heard(self) -> None:
         # All readers of a region died.  Read by each of the others at once, the
@@ -73,21 +75,21 @@
 
     def test_reader_that_the_store_turns_away_does_not_count(self) -> None:
         # The store refuses the readers and serves the others of their region.
-        turn = self.ranked[READERS]
-        turn.note_news(LONG_S, self.order[0], False)
-        self.assertTrue(turn.is_reading(LONG_S))
-        turn.note_news(LONG_S, self.order[0], True)
-        self.assertFalse(turn.is_reading(LONG_S))
+        selection = self.ranked[READERS]
+        selection.note_news(LONG_S, self.order[0], False)
+        self.assertTrue(selection.is_reading(LONG_S))
+        selection.note_news(LONG_S, self.order[0], True)
+        self.assertFalse(selection.is_reading(LONG_S))
 
     def test_daemon_that_the_store_turns_away_does_not_stand_in(self) -> None:
         # The store is back after it turned a whole region away.  Had each daemon stood
         # in meanwhile, all would read the document at that moment.
-        turn = self.ranked[READERS]
-        turn.note_away(LONG_S)
-        self.assertFalse(turn.is_reading(LONG_S))
-        self.assertTrue(turn.is_asking(LONG_S))
-        turn.note_news(LONG_S, self.order[0], False)
-        self.assertFalse(turn.is_asking(LONG_S))
+        selection = self.ranked[READERS]
+        selection.note_away(LONG_S)
+        self.assertFalse(selection.is_reading(LONG_S))
+        self.assertTrue(selection.is_asking(LONG_S))
+        selection.note_news(LONG_S, self.order[0], False)
+        self.assertFalse(selection.is_asking(LONG_S))
 
 
 if __name__ == "__main__":
--- a/reedspar/fleet/tests/test_relay.py
+++ b/reedspar/fleet/tests/test_relay.py
@@ -14,7 +14,7 @@
     create_fleet_feed,
 )
 from reedspar.fleet.messages import DocumentNews, FleetEntries, FleetEntry, FleetRequest
-from reedspar.fleet.reading_turn import READERS, ReadingTurn
+from reedspar.fleet.reader_selection import READERS, ReaderSelection
 from reedspar.fleet.relay import ANSWER_S
 from reedspar.fleet.tests.fakes import FakeCodec, FakeStore
 from reedspar.requests.tests.fakes import FakeNetwork
@@ -28,7 +28,7 @@
 
 class RelayTest(unittest.TestCase):
     def setUp(self) -> None:
-        turn = ReadingTurn(PREFIX, 0.0)
+        turn = ReaderSelection(PREFIX, 0.0)
         turn.place(NEAR[0], NEAR)
         self.listeners = turn.listeners
         self.readers = [name for name in NEAR if name not in self.listeners]
--- a/reedspar/fleet/tests/test_start_turn.py
+++ b/reedspar/fleet/tests/test_start_delay.py
@@ -3,31 +3,31 @@
 import random
 import unittest
 
-from reedspar.fleet.start_turn import (
+from reedspar.fleet.start_delay import (
     AGENT_LONGEST_S,
     LATE_MAX_S,
     LONGEST_S,
     QUIET_S,
-    StartTurn,
-    create_agent_start,
-    create_start_turn,
+    StartDelay,
+    create_agent_delay,
+    create_entry_delay,
 )
 
 ROUND_S = 0.3
 
 
-class StartTurnTest(unittest.TestCase):
-    def wait(self, turn: StartTurn, is_answered: bool) -> float:
-        """Return when the turn ends while the first group starts, or is gone."""
+class StartDelayTest(unittest.TestCase):
+    def wait(self, delay: StartDelay, is_answered: bool) -> float:
+        """Return when the delay ends while the first group starts, or is gone."""
         now_s = 0.0
-        while not turn.is_over(now_s):
+        while not delay.is_over(now_s):
             now_s += ROUND_S
             if is_answered:
-                turn.note_starting(now_s)
+                delay.note_starting(now_s)
         return now_s
 
-    def create(self, group: int, is_alone: bool = False, seed: int = 1) -> StartTurn:
-        return create_start_turn(group, is_alone, 0.0, random.Random(seed))
+    def create(self, group: int, is_alone: bool = False, seed: int = 1) -> StartDelay:
+        return create_entry_delay(group, is_alone, 0.0, random.Random(seed))
 
     def test_first_group_waits_for_nobody(self) -> None:
         self.assertEqual(self.wait(self.create(0), True), 0.0)
@@ -50,9 +50,9 @@
 
     def test_agent_comes_after_all_entries(self) -> None:
         rng = random.Random(1)
-        alone = create_agent_start(True, 0.0, rng)
+        alone = create_agent_delay(True, 0.0, rng)
         self.assertGreaterEqual(self.wait(alone, False), LATE_MAX_S)
-        beside = create_agent_start(False, 0.0, rng)
+        beside = create_agent_delay(False, 0.0, rng)
         self.assertGreaterEqual(self.wait(beside, True), AGENT_LONGEST_S - ROUND_S)
 
 
--- a/reedspar/weights/drawing.py
+++ b/reedspar/weights/drawing.py
@@ -6,12 +6,12 @@
 
 from reedspar.utils import TokenBucket
 
-from .duties import Duties
 from .fetches import ORIGIN, Fetch, FetchBook, PeerBook
 from .limits import SwarmLimits
 from .memory import ChunkMemory
 from .neighbours import iterate_bits
 from .placement import Placement
+from .requested_chunks import RequestedChunks
 from .transfers import Transfer
 
 __all__ = ["Drawing"]
@@ -59,12 +59,12 @@
         self._fetches = fetches
         self._peers = peers
         self._regions: dict[str, TokenBucket] = {}
-        self._duties = Duties(limits, fetches, peers, memory, self._start)
+        self._requested = RequestedChunks(limits, fetches, peers, memory, self._start)
 
     @property
-    def duties(self) -> Duties:
+    def requested(self) -> RequestedChunks:
         """Return the chunks that peers have asked this agent to get."""
-        return self._duties
+        return self._requested
 
     def draw(self, transfer: Transfer, placement: Placement, now_s: float) -> None:
         """Draw the next of the chunks that are this agent's to draw."""
@@ -109,7 +109,7 @@
             "held": transfer.held.bit_count(),
             "lacked": lacking_map.bit_count(),
             "to_draw": len(transfer.draws),
-            "asked_for": self._duties.count,
+            "asked_for": self._requested.count,
             "origin_open": self._fetches.far_open(ORIGIN),
             "far_open": {region: self._fetches.far_open(region) for region in regions},
             "avoided": self._peers.list_avoided(now_s),
--- a/reedspar/weights/duties.py
+++ b/reedspar/weights/requested_chunks.py
@@ -8,14 +8,14 @@
 from .placement import Placement
 from .transfers import Transfer
 
-__all__ = ["Duties", "StartDraw"]
+__all__ = ["RequestedChunks", "StartDraw"]
 
-DUTY_LIMIT = 256
+REQUESTED_MAX = 256
 
 StartDraw = Callable[[Fetch, int, Placement, float], bool]
 
 
-class Duties:
+class RequestedChunks:
     """Get what peers wait for, from holders, keepers, or by a draw."""
 
     def __init__(
@@ -54,7 +54,7 @@
         of another region asks ahead, for what the swarm here will bring.
         """
         index = transfer.index_of.get(digest)
-        if index is None or len(self._transfers) >= DUTY_LIMIT:
+        if index is None or len(self._transfers) >= REQUESTED_MAX:
             return
         is_moving = now_s - transfer.progress_s < self._limits.seek_s
         is_own = (
@@ -81,7 +81,7 @@
         self._transfers.pop(digest, None)
 
     def forget(self, transfer: Transfer) -> None:
-        """Drop the duties of a version."""
+        """Drop the chunks of a version."""
         for digest, owner in list(self._transfers.items()):
             if owner is transfer:
                 del self._transfers[digest]
--- a/reedspar/weights/swarm.py
+++ b/reedspar/weights/swarm.py
@@ -160,7 +160,7 @@
             digest = transfer.digests[index]
             if not any(t.needs(digest) for t in self._transfers.values()):
                 self._fetches.finish(digest)
-        self._drawing.duties.forget(transfer)
+        self._drawing.requested.forget(transfer)
         self._settle(now_s)
 
     def receive(self, peer: str, message: WeightMessage, now_s: float) -> None:
@@ -285,7 +285,7 @@
             self._drawing.draw(transfer, placement, now_s)
             self._pulling.pull(transfer, placement, now_s)
             self._drawing.seek(transfer, placement, now_s)
-        self._drawing.duties.run(self._placements, now_s)
+        self._drawing.requested.run(self._placements, now_s)
         self._credit.grant(now_s)
         self._server.send_pieces(now_s)
         for announcer in self._announcers.values():
@@ -311,7 +311,7 @@
             if index is not None:
                 is_wanted = is_wanted or transfer.needs(digest)
                 transfer.mark_ready(index, True, now_s)
-        self._drawing.duties.end(digest)
+        self._drawing.requested.end(digest)
         if is_wanted:
             self._report(digest)
         self._server.note_held(digest, self._region_of)
@@ -335,7 +335,7 @@
         if not self._server.serve(peer, request, region, now_s + patience_s):
             return
         for transfer in self._transfers.values():
-            self._drawing.duties.note_asked(
+            self._drawing.requested.note_asked(
                 transfer,
                 self._placements[transfer.model],
                 request.digest,
