Read the store through two daemons of each region, for every prefix

Each start and each change of a target was answered to every daemon by a separate call.

Cause: every entry and agent watched targets, daemons, versions and zones itself; only the configuration had designated readers. While the store was unavailable, every daemon called it twice a second, and refused calls count as well.

Change: RegionRelay replaces DocumentRelay and relays every prefix. Readers push changes of small entries at once. A checksum of keys and revisions, sent every 0.4 s, detects changes whose messages were lost. A starting daemon lists the daemons at the store and gets everything else from its region; if two requests stay unanswered, it lists the prefix at the store. A daemon whose lease renewals the store refuses does not stand in for a reader, so that during an outage only readers call the store. Removals held back over an outage are relayed once they take effect. Regions of three daemons now have two readers instead of three.

--- a/reedspar/daemon/site_parts.py
+++ b/reedspar/daemon/site_parts.py
@@ -75,12 +75,19 @@
     )
     key, value = parts.encode_daemon(_describe(settings))
     registration = create_registration(
-        key, value, parts.store, timers, feed.note_served
+        key, value, parts.store, timers, feed.note_served, feed.note_unserved
     )
     links = create_site_links(settings, incarnation, view, timers, rng)
     network = links.on_demand("fleet")
     create_fleet_exchange(
-        settings.name, feed, view, network, timers, rng, settings.region
+        settings.name,
+        feed,
+        view,
+        network,
+        timers,
+        rng,
+        settings.region,
+        settings.role,
     )
     return SiteBase(view, feed, registration, links)
 
--- a/reedspar/fleet/document_poll.py
+++ b/reedspar/fleet/document_poll.py
@@ -1,6 +1,7 @@
 """Reading a document from the daemons of this region that follow it."""
 
 import random
+from collections.abc import Sequence
 
 import anyio
 
@@ -11,9 +12,10 @@
 from .entries import EntryBook
 from .feed import FleetFeed
 from .messages import DocumentNews, DocumentRequest
-from .reader_selection import ReaderSelection
+from .reader_selection import READERS_KEY, ReaderSelection
 from .records import DaemonRecord
 from .start_delay import StartDelay, create_agent_delay, create_entry_delay
+from .store import WatchedEntry
 from .view import FleetView
 
 __all__ = ["DocumentPoll"]
@@ -48,7 +50,7 @@
         self._rng = rng
         self._is_reader = is_reader
         self._answered = anyio.Event()
-        self._order = ReaderSelection(book.prefix, timers.now_s())
+        self._order = ReaderSelection(READERS_KEY, timers.now_s())
         self._start: StartDelay | None = None
         feed.on_taken(self._note_taken)
         network.subscribe(DocumentNews, self._hear)
@@ -136,6 +138,6 @@
         is_known = name in self._near()
         return is_known and self._order.group_of(name) < self._order.group
 
-    def _note_taken(self, prefix: str) -> None:
+    def _note_taken(self, prefix: str, changed: Sequence[WatchedEntry]) -> None:
         if prefix == self._book.prefix:
             self._answered.set()
--- a/reedspar/fleet/entries.py
+++ b/reedspar/fleet/entries.py
@@ -4,6 +4,7 @@
 The store's revision of each key decides: an entry only goes forward.
 """
 
+import zlib
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -36,6 +37,7 @@
     _held: dict[str, WatchedEntry] = field(default_factory=dict)
     _newest_revision: int = 0
     """Of the entries that hold, and the removals that are remembered."""
+    _digest: int = 0
     _is_away: bool = False
     _returned_s: float = float("-inf")
     _served_s: float = float("-inf")
@@ -58,6 +60,11 @@
         """Return the newest revision of any entry, whoever has told of it."""
         return max(self._newest_revision, self.revision)
 
+    @property
+    def digest(self) -> int:
+        """Return a checksum of the keys that exist and their revisions."""
+        return self._digest
+
     def entries_after(self, revision: int) -> list[WatchedEntry]:
         """Return the entries and removals that are newer, the oldest first.
 
@@ -99,7 +106,9 @@
         self._returned_s = now_s
         return True
 
-    def take_listing(self, listing: Listing, now_s: float) -> list[WatchedEntry]:
+    def take_listing(
+        self, listing: Listing, now_s: float, *, is_certain: bool = False
+    ) -> list[WatchedEntry]:
         """Take in all entries below the prefix; what it lacks was removed."""
         listed = {entry.key for entry in listing.entries}
         removed = [
@@ -107,7 +116,8 @@
             for key, entry in self._entries.items()
             if key not in listed and entry.value is not None
         ]
-        return self.take([*listing.entries, *removed], listing.revision, now_s)
+        entries = [*listing.entries, *removed]
+        return self.take(entries, listing.revision, now_s, is_certain=is_certain)
 
     def take(
         self,
@@ -146,6 +156,7 @@
         return due
 
     def _keep(self, entry: WatchedEntry) -> None:
+        self._digest ^= _checksum(self._entries.get(entry.key)) ^ _checksum(entry)
         self._entries[entry.key] = entry
         self._newest_revision = max(self._newest_revision, entry.revision)
 
@@ -167,3 +178,10 @@
         is_unseen = now_s - self._served_s >= LAPSE_MIN_S
         was_unseen = now_s - self._seen_again_s < LAPSE_GRACE_S
         return has_failed and (is_unseen or was_unseen)
+
+
+def _checksum(entry: WatchedEntry | None) -> int:
+    """Return what an entry contributes to the digest, 0 if it does not exist."""
+    if entry is None or entry.value is None:
+        return 0
+    return zlib.crc32(f"{entry.key} {entry.revision}".encode())
--- a/reedspar/fleet/exchange.py
+++ b/reedspar/fleet/exchange.py
@@ -8,7 +8,7 @@
 import logging
 import random
 
-from reedspar.links import Network
+from reedspar.links import Network, Role
 from reedspar.messages import Sender
 from reedspar.timers import TimerService
 
@@ -18,7 +18,9 @@
 from .feed import FleetFeed
 from .messages import DocumentNews, DocumentRequest, FleetEntries, FleetRequest
 from .packing import EntryPacker, unpack_entry
-from .relay import DocumentRelay
+from .prefix_poll import PrefixPoll
+from .relay import RegionRelay
+from .store import Listing
 from .view import FleetView
 
 __all__ = ["FleetExchange", "create_fleet_exchange"]
@@ -55,6 +57,7 @@
         timers: TimerService,
         rng: random.Random,
         region: str,
+        role: Role,
     ) -> None:
         self._name = name
         self._feed = feed
@@ -66,15 +69,15 @@
         timers.call_every(ASK_S, self.ask)
         self._ages = VersionAges(name, view, network, timers, rng)
         self._packer = EntryPacker()
-        self._relays = {
-            book.prefix: DocumentRelay(
-                name, region, book, feed, view, network, timers, rng
-            )
-            for book in feed.relayed_books
-        }
+        self._relay = RegionRelay(name, region, role, feed, view, network, timers, rng)
         network.subscribe(DocumentRequest, self._answer_document)
+        pushed = [book.prefix for book in feed.pushed_books]
         for book in [*feed.relayed_books, *feed.polled_books]:
-            is_reader = book.prefix in self._relays
+            if book.prefix in pushed:
+                prefix_poll = PrefixPoll(name, region, book, view, network, rng)
+                feed.set_poller(book.prefix, prefix_poll.poll)
+                continue
+            is_reader = self._relay.is_relayed(book.prefix)
             poll = DocumentPoll(
                 name, region, book, feed, view, network, timers, rng, is_reader
             )
@@ -90,11 +93,12 @@
         self._ages.ask(peers)
 
     def _is_asked(self, book: EntryBook) -> bool:
-        relay = self._relays.get(book.prefix)
-        return relay is None or relay.is_asking
+        return not self._relay.is_relayed(book.prefix) or self._relay.is_asking
 
     def _choose_peers(self) -> list[str]:
-        names = [name for name in self._view.daemon_names() if name != self._name]
+        # Agents follow fewer prefixes than entries.
+        entries = self._view.daemons(Role.ENTRY.value)
+        names = [e.name for e in entries if e.name != self._name]
         if self._feed.is_store_away:
             return self._rng.sample(names, min(PEERS_ASKED, len(names)))
         near = [name for name in names if self._is_near(name)] or names
@@ -134,15 +138,21 @@
         if not newer:
             return
         entries = tuple(self._packer.pack(entry) for entry in newer[:ENTRIES_MAX])
-        message = FleetEntries(request.prefix, book.revision, entries)
+        is_complete = len(newer) <= ENTRIES_MAX
+        revision = book.revision if is_complete else entries[-1].revision
+        is_whole = is_complete and request.after_revision == 0 and book.revision > 0
+        message = FleetEntries(request.prefix, revision, entries, is_whole)
         self._network.send(sender.name, message)
 
     def _take(self, sender: Sender, message: FleetEntries) -> None:
         entries = [e for e in map(unpack_entry, message.entries) if e is not None]
-        news = self._feed.take_from_peer(message.prefix, entries)
-        if message.prefix in self._relays and entries:
-            book = self._feed.books[message.prefix]
-            book.note_covered(entries[-1].revision, message.revision)
+        if message.is_whole and message.prefix in self._feed.books:
+            listing = Listing(tuple(entries), message.revision)
+            news = self._feed.take_listing_from_peer(message.prefix, listing)
+        else:
+            news = self._feed.take_from_peer(message.prefix, entries)
+        if entries and self._relay.is_relayed(message.prefix):
+            self._note_covered(message)
         if news:
             _logger.info(
                 "heard from a peer",
@@ -154,6 +164,13 @@
                 },
             )
 
+    def _note_covered(self, message: FleetEntries) -> None:
+        """Advance the watch of a document to the revision that the peer has covered."""
+        book = self._feed.books[message.prefix]
+        if book not in self._feed.pushed_books:
+            newest = max(entry.revision for entry in message.entries)
+            book.note_covered(newest, message.revision)
+
 
 def create_fleet_exchange(
     name: str,
@@ -163,6 +180,7 @@
     timers: TimerService,
     rng: random.Random,
     region: str = "",
+    role: Role = Role.ENTRY,
 ) -> FleetExchange:
     """Make the exchange of a daemon and subscribe it to its peers' messages."""
-    return FleetExchange(name, feed, view, network, timers, rng, region)
+    return FleetExchange(name, feed, view, network, timers, rng, region, role)
--- a/reedspar/fleet/feed.py
+++ b/reedspar/fleet/feed.py
@@ -14,7 +14,7 @@
 from .changes import FleetChange
 from .entries import EntryBook
 from .gate import WatchGate
-from .store import WatchableStore, WatchedChanges, WatchedEntry
+from .store import Listing, WatchableStore, WatchedChanges, WatchedEntry
 from .view import FleetView
 
 __all__ = ["FleetCodec", "FleetFeed", "FleetPrefix", "create_fleet_feed"]
@@ -36,6 +36,8 @@
 """Parts of the time between two reads, drawn anew, so that daemons read in turn."""
 HELD_CHECK_S = 0.25
 
+TakenListener = Callable[[str, Sequence[WatchedEntry]], None]
+
 _logger = logging.getLogger(__name__)
 
 
@@ -61,7 +63,11 @@
     Such a prefix is not watched.  Peers are asked at each read, and the store only if
     they don't answer."""
     is_relayed: bool = False
-    """A large document: a few daemons of each region watch it for the others."""
+    """A few daemons of each region watch the prefix for the others."""
+    is_pushed: bool = False
+    """Readers send changes of this relayed prefix unrequested: its entries are small.
+
+    It is not watched until the relay selects this daemon as a reader."""
 
 
 class FleetFeed:
@@ -86,9 +92,11 @@
             item.prefix: EntryBook(item.prefix, item.is_kept_over_outage)
             for item in prefixes
         }
-        self._gates = {item.prefix: WatchGate() for item in prefixes}
+        self._gates = {
+            item.prefix: WatchGate(is_open=not item.is_pushed) for item in prefixes
+        }
         self._pollers: dict[str, Callable[[], Awaitable[bool]]] = {}
-        self._taken_listeners: list[Callable[[str], None]] = []
+        self._taken_listeners: list[TakenListener] = []
         self._listed: set[str] = set()
         self._asking: EntryBook | None = None
         self._answered = anyio.Event()
@@ -124,6 +132,11 @@
         """Return the entries that a few daemons of each region watch."""
         return [b for p, b in self._books.items() if self._prefixes[p].is_relayed]
 
+    @property
+    def pushed_books(self) -> list[EntryBook]:
+        """Return the entries whose changes readers send without a request."""
+        return [b for p, b in self._books.items() if self._prefixes[p].is_pushed]
+
     @property
     def polled_books(self) -> list[EntryBook]:
         """Return the entries that are read seldom."""
@@ -137,8 +150,8 @@
         """Call `poll` before the store is read; True spares that read."""
         self._pollers[prefix] = poll
 
-    def on_taken(self, listener: Callable[[str], None]) -> None:
-        """Call `listener` with the prefix whose entries have changed."""
+    def on_taken(self, listener: TakenListener) -> None:
+        """Call `listener` with a prefix and its changed entries."""
         self._taken_listeners.append(listener)
 
     def set_watched(self, prefix: str, is_watched: bool) -> bool:
@@ -157,8 +170,20 @@
     def note_served(self) -> None:
         """Note that the store has answered some call of this daemon."""
         now_s = self._timers.now_s()
-        for book in self._books.values():
-            book.note_served(now_s)
+        for prefix, book in self._books.items():
+            if self._gates[prefix].is_open:
+                book.note_served(now_s)
+            else:
+                book.note_returned(now_s)
+
+    def note_unserved(self) -> None:
+        """Note that a call of this daemon to the store has failed.
+
+        Marks only prefixes that are not watched; a watch detects an outage itself.
+        """
+        for prefix, book in self._books.items():
+            if not self._gates[prefix].is_open:
+                book.note_away()
 
     async def wait_seeded(self) -> None:
         """Return once every prefix was listed."""
@@ -170,15 +195,19 @@
         The first prefixes, up to the last document, are read before the others: what
         their entries say decides how those of the others are read.
         """
-        documents = [n for n, p in enumerate(self._books) if p in self._pollers]
+        documents = [n for n, p in enumerate(self._books) if self._is_document(p)]
         books = list(self._books.values())
         first_count = max(documents, default=0) + 1
+        is_from_peers = False
         async with anyio.create_task_group() as tasks:
             for book in books[:first_count]:
-                await self._read(book)
+                is_from_peers = await self._read(book)
                 tasks.start_soon(self._follow, book)
             for book in books[first_count:]:
-                tasks.start_soon(self._list_and_follow, book)
+                tasks.start_soon(self._read_and_follow, book, is_from_peers)
+
+    def _is_document(self, prefix: str) -> bool:
+        return prefix in self._pollers and not self._prefixes[prefix].is_pushed
 
     def take_from_peer(self, prefix: str, entries: Iterable[WatchedEntry]) -> int:
         """Take in what a peer has heard from the store; return how much was news."""
@@ -193,20 +222,35 @@
         self._take_in(book, changed)
         return len(changed)
 
-    async def _list_and_follow(self, book: EntryBook) -> None:
-        await self._list(book)
+    def take_listing_from_peer(self, prefix: str, listing: Listing) -> int:
+        """Take in all entries of a prefix that a peer has; return how many were new."""
+        book = self._books[prefix]
+        now_s = self._timers.now_s()
+        changed = book.take_listing(listing, now_s, is_certain=True)
+        self._take_in(book, changed)
+        return len(changed)
+
+    async def _read_and_follow(self, book: EntryBook, is_from_peers: bool) -> None:
+        """Read a prefix, from peers if they answered the last read, and follow it."""
+        if is_from_peers:
+            await self._read(book)
+        else:
+            await self._list(book)
         await self._follow(book)
 
-    async def _read(self, book: EntryBook) -> None:
-        """Read from peers what may be had from them, else from the store."""
+    async def _read(self, book: EntryBook) -> bool:
+        """Read from peers what may be had from them, else from the store.
+
+        Return whether a peer has answered.
+        """
         poll = self._pollers.get(book.prefix)
         while True:
             if poll is not None and await poll():
                 self._leave_to_peers(book)
                 self._note_listed(book)
-                return
+                return True
             if await self._try_list(book):
-                return
+                return False
 
     async def _list(self, book: EntryBook) -> None:
         while not await self._try_list(book):
@@ -252,10 +296,15 @@
 
     async def _watch(self, book: EntryBook) -> WatchedChanges | Failure:
         wait_s = PROBE_S if book.is_away else WATCH_S
-        is_document = self._prefixes[book.prefix].is_relayed
-        after = book.seen_revision if is_document else book.revision
+        is_single = self._is_single_document(book.prefix)
+        after = book.seen_revision if is_single else book.revision
         return await self._store.watch_entries(book.prefix, after, wait_s)
 
+    def _is_single_document(self, prefix: str) -> bool:
+        """Tell whether a prefix has one entry: peers' revisions then leave no gap."""
+        options = self._prefixes[prefix]
+        return options.is_relayed and not options.is_pushed
+
     async def _wait_for_store(self, book: EntryBook, failure: Failure) -> None:
         """Return when it is time to call again."""
         if book.note_away():
@@ -296,7 +345,7 @@
         self._apply(changed)
         if changed:
             for listener in self._taken_listeners:
-                listener(book.prefix)
+                listener(book.prefix, changed)
 
     def _apply(self, entries: Iterable[WatchedEntry]) -> None:
         for entry in entries:
@@ -306,7 +355,7 @@
 
     def _release_held(self) -> None:
         for book in self._books.values():
-            self._apply(book.release_held(self._timers.now_s()))
+            self._take_in(book, book.release_held(self._timers.now_s()))
 
 
 def create_fleet_feed(
--- a/reedspar/fleet/fleet.capnp
+++ b/reedspar/fleet/fleet.capnp
@@ -18,6 +18,19 @@
   prefix @0 :Text;
   revision @1 :UInt64;
   entries @2 :List(FleetEntry);
+  isWhole @3 :Bool;
+}
+
+struct PrefixState {
+  prefix @0 :Text;
+  newestRevision @1 :UInt64;
+  coveredRevision @2 :UInt64;
+  digest @3 :UInt32;
+}
+
+struct FleetNews {
+  states @0 :List(PrefixState);
+  isServed @1 :Bool;
 }
 
 struct DocumentRequest {
--- a/reedspar/fleet/gate.py
+++ b/reedspar/fleet/gate.py
@@ -13,9 +13,10 @@
 class WatchGate:
     """Lets calls through while it is open, and breaks off the one under way."""
 
-    def __init__(self) -> None:
+    def __init__(self, is_open: bool = True) -> None:
         self._opened = anyio.Event()
-        self._opened.set()
+        if is_open:
+            self._opened.set()
         self._scope: anyio.CancelScope | None = None
 
     @property
--- a/reedspar/fleet/messages.py
+++ b/reedspar/fleet/messages.py
@@ -9,7 +9,9 @@
     "DocumentRequest",
     "FleetEntries",
     "FleetEntry",
+    "FleetNews",
     "FleetRequest",
+    "PrefixState",
     "TargetLoadNews",
     "VersionAge",
     "VersionAgeRequest",
@@ -39,11 +41,36 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetEntries:
-    """Answers a request: what is newer, up to the revision that the sender knows."""
+    """Entries newer than the revision of a request, or that have just changed."""
 
     prefix: str
     revision: int
+    """The sender has missed no change up to this revision."""
     entries: tuple[FleetEntry, ...]
+    is_whole: bool = False
+    """True if these are all entries below the prefix; any other was removed."""
+
+
+@dataclass(frozen=True, slots=True)
+class PrefixState:
+    """Describes the entries below a prefix that a daemon has."""
+
+    prefix: str
+    newest_revision: int
+    """Of the entries and removals that the sender has."""
+    covered_revision: int
+    """The sender has missed no change up to here; 0 before the first listing."""
+    digest: int
+    """Checksum of the keys that exist and their revisions."""
+
+
+@dataclass(frozen=True, slots=True)
+class FleetNews:
+    """Tells the daemons of a region the sender's state of each relayed prefix."""
+
+    states: tuple[PrefixState, ...]
+    is_served: bool
+    """True while the store answers the sender."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,7 +83,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DocumentNews:
-    """Tells how far the sender knows a document."""
+    """Answers a request for a document if the sender has no newer revision."""
 
     prefix: str
     newest_revision: int
@@ -106,6 +133,7 @@
         schema,
         FleetRequest,
         FleetEntries,
+        FleetNews,
         DocumentNews,
         DocumentRequest,
         VersionAgeRequest,
--- a/reedspar/fleet/reader_selection.py
+++ b/reedspar/fleet/reader_selection.py
@@ -1,14 +1,16 @@
-"""Decision: whether this daemon reads a document for the others of its region."""
+"""Decision: whether this daemon reads the store for the others of its region."""
 
 from collections.abc import Iterable
 
 from reedspar.utils import rank_by_rendezvous
 
-__all__ = ["NEWS_S", "READERS", "ReaderSelection"]
+__all__ = ["NEWS_S", "READERS", "READERS_KEY", "ReaderSelection"]
 
+READERS_KEY = "readers"
+"""Rendezvous hashing key by which all daemons rank those of a region."""
 READERS = 2
-"""Daemons of a region that read a document of the store."""
-READ_BY_ALL = 3
+"""Daemons of a region that read the store."""
+READ_BY_ALL = 2
 """In a region of so few daemons each reads by itself."""
 NEWS_S = 0.4
 """Between two news of a reader."""
@@ -16,19 +18,23 @@
 """Without news of any reader for so long, the next daemons in rank read."""
 STEP_S = 0.25
 """Until those after them do, who else would all read at once."""
+STEPS_MAX = 8
+"""Bounds the timeout of later groups in large regions."""
 
 
 class ReaderSelection:
     """Follows who reads in this region.
 
-    The first daemons in rank read.  The others stand in, group by group, while no
-    reader of an earlier group is heard of that the store serves.
+    Entries rank before agents.  The first daemons in rank read.  The others stand in,
+    group by group, while no reader of an earlier group reports that the store serves
+    it.
     """
 
     def __init__(self, key: str, now_s: float) -> None:
         self._key = key
-        self._names: tuple[str, ...] = ()
+        self._names: tuple[tuple[str, ...], ...] = ()
         self._ranked: list[str] = []
+        self._is_small = True
         self._rank = 0
         self._alive_s = now_s
         self._served_s = now_s
@@ -46,12 +52,12 @@
     @property
     def is_small(self) -> bool:
         """Tell whether each daemon of this region reads by itself."""
-        return len(self._ranked) <= READ_BY_ALL
+        return self._is_small
 
     @property
     def listeners(self) -> list[str]:
         """Return the daemons of this region that are told what readers know."""
-        return [] if self.is_small else self._ranked[READERS:]
+        return self._ranked[READERS:]
 
     @property
     def group(self) -> int:
@@ -63,12 +69,17 @@
         """Return the daemons that always read."""
         return self._ranked[:READERS]
 
-    def place(self, own_name: str, names: Iterable[str]) -> None:
-        """Take the daemons of this region, this one among them."""
-        self._names, before = tuple(names), self._names
+    def place(
+        self, own_name: str, names: Iterable[str], agents: Iterable[str] = ()
+    ) -> None:
+        """Set the entries and agents of this region, including this daemon."""
+        self._names, before = (tuple(names), tuple(agents)), self._names
         if self._names != before:
-            self._ranked = rank_by_rendezvous(self._key, self._names)
-        self._rank = 0 if self.is_small else self._ranked.index(own_name)
+            entry_names, agent_names = self._names
+            self._is_small = len(entry_names) <= READ_BY_ALL
+            ranked = rank_by_rendezvous(self._key, entry_names)
+            self._ranked = [*ranked, *rank_by_rendezvous(self._key, agent_names)]
+        self._rank = self._ranked.index(own_name)
 
     def note_news(self, now_s: float, reader: str, is_served: bool) -> None:
         """Note that a reader of this region is there, and if the store serves it."""
@@ -88,16 +99,16 @@
         self._served_s = max(self._served_s, now_s)
 
     def is_reading(self, now_s: float) -> bool:
-        """Tell whether this daemon watches the document."""
+        """Tell whether this daemon watches the store."""
         return self.is_first or now_s - self._served_s >= self._timeout_s()
 
     def is_asking(self, now_s: float) -> bool:
-        """Tell whether this daemon asks peers for the document unprompted."""
+        """Tell whether this daemon polls its peers."""
         is_alone = now_s - self._alive_s >= self._timeout_s()
         return is_alone or self.is_reading(now_s)
 
     def _timeout_s(self) -> float:
-        return SILENT_S + (self.group - 1) * STEP_S
+        return SILENT_S + min(self.group - 1, STEPS_MAX) * STEP_S
 
     def group_of(self, name: str) -> int:
         """Return the group of a daemon of this region."""
--- a/reedspar/fleet/registration.py
+++ b/reedspar/fleet/registration.py
@@ -23,6 +23,9 @@
 RETRY_S = 0.5
 """Pause after a call that failed; each counts, and the lease lasts six of them."""
 
+ANSWERED_REASONS = (Reason.NOT_FOUND, Reason.CONFLICT)
+"""Failures that the store itself reports, which shows that it is available."""
+
 _logger = logging.getLogger(__name__)
 
 
@@ -36,11 +39,13 @@
         store: LeasingStore,
         timers: TimerService,
         note_served: Callable[[], None],
+        note_unserved: Callable[[], None],
     ) -> None:
         self._key = key
         self._value = value
         self._store = store
         self._note_served = note_served
+        self._note_unserved = note_unserved
         self._speed = StoreSpeed(timers)
         self._lease_id = ""
         self._is_leaving = False
@@ -64,6 +69,8 @@
                 failure = await (self._renew() if self._lease_id else self._register())
             if failure is not None:
                 _logger.warning("registration failed", extra={"failure": str(failure)})
+                if failure.reason not in ANSWERED_REASONS:
+                    self._note_unserved()
             else:
                 self._note_served()
             self._wakeup = anyio.Event()
@@ -118,9 +125,11 @@
     store: LeasingStore,
     timers: TimerService,
     note_served: Callable[[], None] = lambda: None,
+    note_unserved: Callable[[], None] = lambda: None,
 ) -> Registration:
     """Make the registration of a daemon; start `run` next.
 
-    `note_served` is called each time that the store has answered.
+    `note_served` is called after each call that succeeds, `note_unserved` after each
+    one that fails for a reason other than ANSWERED_REASONS.
     """
-    return Registration(key, value, store, timers, note_served)
+    return Registration(key, value, store, timers, note_served, note_unserved)
--- a/reedspar/fleet/relay.py
+++ b/reedspar/fleet/relay.py
@@ -1,19 +1,23 @@
-"""Passing a large document on within a region, so that few daemons read it."""
+"""Relaying the store's entries within a region, so that few daemons read it."""
 
 import random
+from collections.abc import Sequence
 
 from reedspar.links import Network, Role
 from reedspar.messages import Sender
 from reedspar.timers import TimerService
 
+from .changes import DaemonChange, FleetChange
 from .entries import EntryBook
 from .feed import FleetFeed
-from .messages import DocumentNews, FleetRequest
-from .reader_selection import NEWS_S, ReaderSelection
+from .messages import FleetEntries, FleetNews, FleetRequest, PrefixState
+from .packing import EntryPacker
+from .reader_selection import NEWS_S, READERS_KEY, ReaderSelection
 from .records import DaemonRecord
+from .store import WatchedEntry
 from .view import FleetView
 
-__all__ = ["DocumentRelay"]
+__all__ = ["RegionRelay"]
 
 CHECK_S = 0.1
 FAR_ASK_S = 0.8
@@ -23,16 +27,50 @@
 be slow."""
 ANSWER_S = 0.6
 """After an unanswered question the next news of a reader is reason for another."""
+FULL_REQUEST_S = 1.5
+"""Between two requests for all entries of a prefix.
 
+The digest of a reader that holds back removals differs for two seconds."""
+PUSH_ENTRIES_MAX = 100
+"""Entries in one message of pushed changes."""
 
-class DocumentRelay:
-    """Reads a document while it is selected, and tells the region of it."""
+
+class _RequestLimiter:
+    """Limits how often news of a prefix causes the same request."""
+
+    def __init__(self) -> None:
+        self._asked_s = float("-inf")
+        self._revision = 0
+        self._full_request_s = float("-inf")
+
+    def allow_request(self, newest_revision: int, now_s: float) -> bool:
+        """Tell whether to request entries up to a revision, and record the request.
+
+        A request is not repeated before its answer is due.
+        """
+        is_requested = newest_revision <= self._revision
+        if is_requested and now_s - self._asked_s < ANSWER_S:
+            return False
+        self._asked_s = now_s
+        self._revision = newest_revision
+        return True
+
+    def allow_full_request(self, now_s: float) -> bool:
+        """Tell whether to request all entries, and record the request."""
+        if now_s - self._full_request_s < FULL_REQUEST_S:
+            return False
+        self._full_request_s = now_s
+        return True
+
+
+class RegionRelay:
+    """Reads the store while selected, and relays its entries within the region."""
 
     def __init__(
         self,
         name: str,
         region: str,
-        book: EntryBook,
+        role: Role,
         feed: FleetFeed,
         view: FleetView,
         network: Network,
@@ -41,17 +79,22 @@
     ) -> None:
         self._name = name
         self._region = region
-        self._book = book
+        self._role = role
         self._feed = feed
         self._view = view
         self._network = network
         self._timers = timers
         self._rng = rng
-        self._asked_s = float("-inf")
-        self._asked_revision = 0
-        self._selection = ReaderSelection(book.prefix, timers.now_s())
-        network.subscribe(DocumentNews, self._hear)
+        self._books = {book.prefix: book for book in feed.relayed_books}
+        self._pushed = {book.prefix for book in feed.pushed_books}
+        self._limiters = {prefix: _RequestLimiter() for prefix in self._books}
+        self._packer = EntryPacker()
+        self._selection = ReaderSelection(READERS_KEY, timers.now_s())
+        self._is_placed = False
+        self._is_reading = False
+        network.subscribe(FleetNews, self._hear)
         feed.on_taken(self._note_taken)
+        view.on_change(self._note_change)
         timers.on_pause(lambda gap_s: self._selection.lapse(timers.now_s()))
         timers.call_every(CHECK_S, self._check)
         timers.call_every(NEWS_S, self._tell)
@@ -59,64 +102,130 @@
 
     @property
     def is_asking(self) -> bool:
-        """Tell whether this daemon asks peers for the document unprompted."""
+        """Tell whether this daemon polls peers for relayed prefixes."""
         return self._selection.is_asking(self._timers.now_s())
 
+    def is_relayed(self, prefix: str) -> bool:
+        """Tell whether a prefix is relayed."""
+        return prefix in self._books
+
+    def _note_change(self, change: FleetChange) -> None:
+        if isinstance(change, DaemonChange):
+            self._is_placed = False
+
     def _check(self) -> None:
         now_s = self._timers.now_s()
-        others = self._others()
-        near = [record.name for record in others if self._is_near(record)]
-        # Without another region to ask, each reads by itself.
-        has_far = len(near) < len(others)
-        self._selection.place(
-            self._name, [self._name, *near] if has_far else [self._name]
-        )
+        if not self._is_placed:
+            self._place()
         if self._feed.is_store_away:
             self._selection.note_away(now_s)
         is_reading = self._selection.is_reading(now_s)
-        if self._feed.set_watched(self._book.prefix, is_reading) and is_reading:
+        has_begun = is_reading and not self._is_reading
+        self._is_reading = is_reading
+        for prefix in self._books:
+            self._feed.set_watched(prefix, is_reading)
+        if has_begun:
             # Before the next in rank time out, too.
             self._tell()
 
-    def _note_taken(self, prefix: str) -> None:
-        if prefix == self._book.prefix:
+    def _place(self) -> None:
+        self._is_placed = True
+        entries = self._view.daemons(Role.ENTRY.value)
+        near = self._peers_in_region(entries)
+        agents = self._peers_in_region(self._view.daemons(Role.AGENT.value))
+        own = near if self._role is Role.ENTRY else agents
+        own.append(self._name)
+        if all(entry.region == self._region for entry in entries):
+            # Without another region to ask, each daemon reads the store itself.
+            self._selection.place(self._name, [self._name])
+        else:
+            self._selection.place(self._name, sorted(near), sorted(agents))
+
+    def _peers_in_region(self, records: Sequence[DaemonRecord]) -> list[str]:
+        return [
+            record.name
+            for record in records
+            if record.region == self._region and record.name != self._name
+        ]
+
+    def _note_taken(self, prefix: str, changed: Sequence[WatchedEntry]) -> None:
+        if prefix in self._pushed:
+            self._push(prefix, changed)
+        elif prefix in self._books:
             self._tell()
 
+    def _push(self, prefix: str, changed: Sequence[WatchedEntry]) -> None:
+        """Send changes to the daemons of this region that don't read."""
+        if not self._selection.is_reading(self._timers.now_s()):
+            return
+        entries = [self._packer.pack(entry) for entry in changed]
+        revision = self._books[prefix].revision
+        for start in range(0, len(entries), PUSH_ENTRIES_MAX):
+            part = tuple(entries[start : start + PUSH_ENTRIES_MAX])
+            self._send_to_listeners(FleetEntries(prefix, revision, part))
+
     def _tell(self) -> None:
         """Tell the daemons of this region that don't read what is known here."""
         is_reading = self._selection.is_reading(self._timers.now_s())
         if not is_reading and not self._selection.is_next:
             return
-        book = self._book
         is_served = is_reading and not self._feed.is_store_away
-        news = DocumentNews(book.prefix, book.newest_revision, book.revision, is_served)
+        states = tuple(_create_state(book) for book in self._books.values())
+        self._send_to_listeners(FleetNews(states, is_served))
+
+    def _send_to_listeners(self, message: FleetNews | FleetEntries) -> None:
         for name in self._selection.listeners:
             if name != self._name:
-                self._network.send(name, news)
-
-    def _hear(self, sender: Sender, news: DocumentNews) -> None:
-        if news.prefix != self._book.prefix:
+                self._network.send(name, message)
+
+    def _hear(self, sender: Sender, news: FleetNews) -> None:
+        self._selection.note_news(self._timers.now_s(), sender.name, news.is_served)
+        for state in news.states:
+            if state.prefix in self._pushed:
+                self._compare_entries(sender.name, state)
+            elif state.prefix in self._books:
+                self._compare_document(sender.name, state)
+
+    def _compare_document(self, peer: str, state: PrefixState) -> None:
+        book = self._books[state.prefix]
+        book.note_covered(state.newest_revision, state.covered_revision)
+        if state.newest_revision > book.newest_revision:
+            self._ask_newer(peer, state)
+
+    def _compare_entries(self, peer: str, state: PrefixState) -> None:
+        """Request entries from a reader that this daemon lacks after a lost message."""
+        book = self._books[state.prefix]
+        if state.covered_revision < book.newest_revision:
             return
-        now_s = self._timers.now_s()
-        self._selection.note_news(now_s, sender.name, news.is_served)
-        self._book.note_covered(news.newest_revision, news.covered_revision)
-        newest = self._book.newest_revision
-        is_asked = news.newest_revision <= self._asked_revision
-        is_awaited = is_asked and now_s - self._asked_s < ANSWER_S
-        if news.newest_revision > newest and not is_awaited:
-            self._asked_s = now_s
-            self._asked_revision = news.newest_revision
-            self._network.send(sender.name, FleetRequest(self._book.prefix, newest))
+        if state.digest == book.digest:
+            book.note_covered(book.newest_revision, state.covered_revision)
+        elif state.newest_revision > book.newest_revision:
+            self._ask_newer(peer, state)
+        elif self._limiters[state.prefix].allow_full_request(self._timers.now_s()):
+            self._network.send(peer, FleetRequest(state.prefix, 0))
+
+    def _ask_newer(self, peer: str, state: PrefixState) -> None:
+        limiter = self._limiters[state.prefix]
+        if limiter.allow_request(state.newest_revision, self._timers.now_s()):
+            after = self._books[state.prefix].newest_revision
+            self._network.send(peer, FleetRequest(state.prefix, after))
 
     def _ask_far(self) -> None:
-        far = [record for record in self._others() if not self._is_near(record)]
-        if far and (self.is_asking or self._selection.is_next):
-            request = FleetRequest(self._book.prefix, self._book.seen_revision)
-            self._network.send(self._rng.choice(far).name, request)
+        """Ask an entry of another region for changes that readers here may miss."""
+        if not self.is_asking and not self._selection.is_next:
+            return
+        far = [
+            entry
+            for entry in self._view.daemons(Role.ENTRY.value)
+            if entry.region != self._region
+        ]
+        if not far:
+            return
+        peer = self._rng.choice(far).name
+        for prefix, book in self._books.items():
+            if prefix not in self._pushed or self.is_asking:
+                self._network.send(peer, FleetRequest(prefix, book.seen_revision))
 
-    def _others(self) -> list[DaemonRecord]:
-        entries = self._view.daemons(Role.ENTRY.value)
-        return [record for record in entries if record.name != self._name]
 
-    def _is_near(self, record: DaemonRecord) -> bool:
-        return record.region == self._region
+def _create_state(book: EntryBook) -> PrefixState:
+    return PrefixState(book.prefix, book.newest_revision, book.revision, book.digest)
--- a/reedspar/fleet/tests/test_document_poll.py
+++ b/reedspar/fleet/tests/test_document_poll.py
@@ -17,6 +17,7 @@
 )
 from reedspar.fleet.document_poll import FIRST_ANSWER_S, DocumentPoll
 from reedspar.fleet.messages import DocumentNews
+from reedspar.fleet.reader_selection import READERS_KEY
 from reedspar.fleet.tests.fakes import FakeCodec, FakeStore
 from reedspar.requests.tests.fakes import FakeNetwork
 from reedspar.requests.tests.virtual import LoopClock, run_virtual
@@ -24,7 +25,7 @@
 from reedspar.utils import rank_by_rendezvous
 
 PREFIX = "versions/"
-RANKED = rank_by_rendezvous(PREFIX, [f"e{i}" for i in range(6)])
+RANKED = rank_by_rendezvous(READERS_KEY, [f"e{i}" for i in range(6)])
 ANSWER_S = FIRST_ANSWER_S / 3
 
 
--- a/reedspar/fleet/tests/test_entries.py
+++ b/reedspar/fleet/tests/test_entries.py
@@ -52,6 +52,30 @@
         (entry,) = book.entries_after(0)
         self.assertEqual(entry.revision, 8)
 
+    @given(st.permutations(list(range(1, 9))), st.sets(st.integers(1, 8)))
+    def test_any_order_of_news_has_the_same_digest(
+        self, order: list, removed: set
+    ) -> None:
+        # Guards against daemons requesting entries repeatedly that they already have.
+        digests = set()
+        for revisions in (order, sorted(order)):
+            book = EntryBook("t/")
+            for revision in revisions:
+                value = None if revision in removed else b"v"
+                entry = WatchedEntry(f"t/{revision % 3}", value, revision)
+                book.take([entry], revision, 0.0)
+            digests.add(book.digest)
+        self.assertEqual(len(digests), 1)
+
+    def test_missed_removal_changes_the_digest(self) -> None:
+        complete, incomplete = EntryBook("t/"), EntryBook("t/")
+        other = WatchedEntry("t/2", b"b", 12)
+        complete.take([PUT, GONE, other], 12, 0.0)
+        incomplete.take([PUT, other], 12, 0.0)
+        self.assertNotEqual(complete.digest, incomplete.digest)
+        incomplete.take_listing(Listing((other,), 12), 0.0, is_certain=True)
+        self.assertEqual(complete.digest, incomplete.digest)
+
 
 class OutageTest(unittest.TestCase):
     def setUp(self) -> None:
--- a/reedspar/fleet/tests/test_relay.py
+++ b/reedspar/fleet/tests/test_relay.py
@@ -13,8 +13,14 @@
     create_fleet_exchange,
     create_fleet_feed,
 )
-from reedspar.fleet.messages import DocumentNews, FleetEntries, FleetEntry, FleetRequest
-from reedspar.fleet.reader_selection import READERS, ReaderSelection
+from reedspar.fleet.messages import (
+    FleetEntries,
+    FleetEntry,
+    FleetNews,
+    FleetRequest,
+    PrefixState,
+)
+from reedspar.fleet.reader_selection import READERS, READERS_KEY, ReaderSelection
 from reedspar.fleet.relay import ANSWER_S
 from reedspar.fleet.tests.fakes import FakeCodec, FakeStore
 from reedspar.requests.tests.fakes import FakeNetwork
@@ -26,9 +32,13 @@
 TICK_S = 0.1
 
 
-class RelayTest(unittest.TestCase):
+class RelayTestCase(unittest.TestCase):
+    """Sets up daemons of one region, and one of another."""
+
+    prefix = FleetPrefix(PREFIX, is_relayed=True)
+
     def setUp(self) -> None:
-        turn = ReaderSelection(PREFIX, 0.0)
+        turn = ReaderSelection(READERS_KEY, 0.0)
         turn.place(NEAR[0], NEAR)
         self.listeners = turn.listeners
         self.readers = [name for name in NEAR if name not in self.listeners]
@@ -45,7 +55,7 @@
             view,
             FakeCodec(),
             timers,
-            [FleetPrefix(PREFIX, is_relayed=True)],
+            [self.prefix],
             rng,
         )
         create_fleet_exchange(
@@ -71,16 +81,18 @@
         self.timers.run_due()
 
     def hear(self, revision: int, sender: str = "") -> None:
-        news = DocumentNews(PREFIX, revision, revision, True)
+        news = FleetNews((PrefixState(PREFIX, revision, revision, 0),), True)
         self.network.deliver(sender or self.readers[0], news)
 
     def asked(self) -> list[str]:
         return [p for p, m in self.network.sent if isinstance(m, FleetRequest)]
 
+
+class RelayTest(RelayTestCase):
     def test_reader_tells_the_others_of_a_change_at_once(self) -> None:
         self.create(self.readers[0])
         self.feed.take_from_peer(PREFIX, [WatchedEntry("versions/m", b"2", 8)])
-        told = [p for p, m in self.network.sent if isinstance(m, DocumentNews)]
+        told = [p for p, m in self.network.sent if isinstance(m, FleetNews)]
         self.assertEqual(told, self.listeners)
         self.assertEqual(len(self.readers), READERS)
 
@@ -138,5 +150,37 @@
         self.assertEqual(self.feed.books[PREFIX].revision, 12)
 
 
+class PushTest(RelayTestCase):
+    """Tests of a prefix whose changes readers send without a request."""
+
+    prefix = FleetPrefix(PREFIX, is_relayed=True, is_pushed=True)
+
+    def recipients(self, name: str) -> list[str]:
+        """Return the daemons that a daemon sends a change to."""
+        self.create(name)
+        self.feed.take_from_peer(PREFIX, [WatchedEntry("versions/m", b"2", 8)])
+        return [p for p, m in self.network.sent if isinstance(m, FleetEntries)]
+
+    def test_reader_sends_a_change_and_a_listener_does_not(self) -> None:
+        self.assertEqual(self.recipients(self.readers[0]), self.listeners)
+        self.assertEqual(self.recipients(self.listeners[-1]), [])
+
+    def test_listener_that_has_missed_a_change_asks_for_all_entries(self) -> None:
+        # Guards against a lost change going unnoticed once a newer one has arrived.
+        self.create(self.listeners[-1])
+        digest = self.feed.books[PREFIX].digest
+        for known, asked in ((digest, []), (digest + 1, [FleetRequest(PREFIX, 0)])):
+            state = PrefixState(PREFIX, 5, 7, known)
+            self.network.deliver(self.readers[0], FleetNews((state,), True))
+            requests = [m for _, m in self.network.sent if isinstance(m, FleetRequest)]
+            self.assertEqual(requests, asked)
+
+    def test_reader_that_lags_is_not_asked(self) -> None:
+        self.create(self.listeners[-1])
+        state = PrefixState(PREFIX, 3, 4, 1)
+        self.network.deliver(self.readers[0], FleetNews((state,), True))
+        self.assertEqual(self.asked(), [])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/reedspar/fleet/tests/test_relay_pause.py
+++ b/reedspar/fleet/tests/test_relay_pause.py
@@ -10,9 +10,11 @@
     FleetView,
     create_fleet_feed,
 )
-from reedspar.fleet.messages import DocumentNews
-from reedspar.fleet.relay import CHECK_S, DocumentRelay
+from reedspar.fleet.messages import FleetNews, PrefixState
+from reedspar.fleet.reader_selection import READERS_KEY
+from reedspar.fleet.relay import CHECK_S, RegionRelay
 from reedspar.fleet.tests.fakes import FakeCodec, FakeStore
+from reedspar.links import Role
 from reedspar.requests.tests.fakes import FakeNetwork
 from reedspar.timers import TimerService, VirtualClock
 from reedspar.utils import rank_by_rendezvous
@@ -30,7 +32,7 @@
         for name, region in [*((name, "ra") for name in NEAR), ("far", "rb")]:
             record = DaemonRecord(name, "entry", "a", region, "10.0.0.1", 1, 2)
             self.view.apply(DaemonChange(name, record))
-        ranked = rank_by_rendezvous(KEY, NEAR)
+        ranked = rank_by_rendezvous(READERS_KEY, NEAR)
         self.reader, self.name = ranked[0], ranked[-1]
         feed = create_fleet_feed(
             FakeStore(),
@@ -40,10 +42,10 @@
             [FleetPrefix(KEY, is_relayed=True)],
         )
         self.network = FakeNetwork()
-        self.relay = DocumentRelay(
+        self.relay = RegionRelay(
             self.name,
             "ra",
-            feed.books[KEY],
+            Role.ENTRY,
             feed,
             self.view,
             self.network,  # type: ignore[arg-type]
@@ -54,7 +56,8 @@
     def tick(self, count: int) -> None:
         for _ in range(count):
             self.clock.advance(CHECK_S)
-            self.network.deliver(self.reader, DocumentNews(KEY, 0, 0, True))
+            news = FleetNews((PrefixState(KEY, 0, 0, 0),), True)
+            self.network.deliver(self.reader, news)
             self.timers.run_due()
 
     def test_daemon_that_was_frozen_hears_the_readers_before_it_reads(self) -> None:
