Read a version's manifest twice at the origin, not once per daemon

On large sites, when a version was named and the origin became unavailable 2.5 s later, no target had a complete copy, and callers could not be served for seconds.

Cause: every agent and every cache read the manifest at the origin. The manifest of a version of 96 chunks is 6.4 KB. 65 daemons read 0.42 MB of it, which takes 0.46 s of an origin link of 7.3 Mbit/s and is 18% of the 2.36 MB that the weights take (worked out from sizes, not measured). A second version named in the meantime cost as much again.

Change: two caches near the origin, selected by rendezvous hashing, read the manifest. Other caches request it from both, agents from two caches of their region, and accept it if both answers agree, so that a wrong manifest sent by the origin to one reader does not spread. A daemon that does not get two matching answers within 0.4 s reads the origin. While the origin is unavailable, one answer is enough, because every chunk is verified; it is not passed on.

--- a/reedspar/daemon/site_agent.py
+++ b/reedspar/daemon/site_agent.py
@@ -27,7 +27,13 @@
 from .load_news import LoadNews
 from .serving import PortDispatcher, serve_http
 from .site_parts import SiteBase, SiteParts, create_site_base
-from .site_weights import SitePeers, find_origin_region, list_named, wait_routes
+from .site_weights import (
+    SitePeers,
+    create_origin_with_exchange,
+    find_origin_region,
+    list_named,
+    wait_routes,
+)
 
 __all__ = ["AgentBorders", "SiteAgent", "create_site_agent"]
 
@@ -169,7 +175,10 @@
     """Build an agent, and the application of its port for metrics."""
     base = create_site_base(settings, incarnation, parts, timers, rng)
     view = base.view
-    origin = borders.create_origin(view)
+    network = base.links.on_demand("weights")
+    origin = create_origin_with_exchange(
+        borders.create_origin(view), settings, view, network
+    )
     catalog = VersionCatalog(
         settings.pool,
         origin,
@@ -183,7 +192,7 @@
     def create_weights(own: SiteSettings) -> WeightController:
         return create_weight_controller(
             own,
-            network=base.links.on_demand("weights"),
+            network=network,
             timers=timers,
             tasks=tasks,
             origin=origin,
--- a/reedspar/daemon/site_entry.py
+++ b/reedspar/daemon/site_entry.py
@@ -29,7 +29,13 @@
 
 from .serving import PortDispatcher, serve_http
 from .site_parts import SiteBase, SiteParts, create_site_base
-from .site_weights import SitePeers, find_origin_region, list_named, wait_routes
+from .site_weights import (
+    SitePeers,
+    create_origin_with_exchange,
+    find_origin_region,
+    list_named,
+    wait_routes,
+)
 
 __all__ = ["EntryBorders", "SiteEntry", "create_site_entry"]
 
@@ -188,12 +194,15 @@
     )
     borders.metrics.replaced_begun.observe(service.replaced.read_counts)
     create_load_listener(view, service.chooser, links.transport)
-    origin = borders.create_origin(view)
+    weights_network = links.on_demand("weights")
+    origin = create_origin_with_exchange(
+        borders.create_origin(view), settings, view, weights_network
+    )
 
     def create_cache(own: SiteSettings) -> WeightCache:
         return create_weight_cache(
             own,
-            network=links.on_demand("weights"),
+            network=weights_network,
             timers=timers,
             tasks=tasks,
             origin=origin,
--- a/reedspar/daemon/site_weights.py
+++ b/reedspar/daemon/site_weights.py
@@ -7,14 +7,25 @@
 import anyio
 
 from reedspar.fleet import DaemonRecord, FleetView
-from reedspar.links import Role
+from reedspar.links import Network, Role
 from reedspar.settings import SiteSettings
 from reedspar.utils import rank_by_rendezvous
-from reedspar.weights import WeightPeer
+from reedspar.weights import (
+    VersionedOrigin,
+    WeightPeer,
+    create_manifest_exchange,
+)
 
 from .site_parts import SiteBase
 
-__all__ = ["NamedModel", "SitePeers", "find_origin_region", "list_named", "wait_routes"]
+__all__ = [
+    "NamedModel",
+    "SitePeers",
+    "create_origin_with_exchange",
+    "find_origin_region",
+    "list_named",
+    "wait_routes",
+]
 
 CACHE_KEY = "weights cache"
 CACHES_PER_REGION = 4
@@ -107,3 +118,19 @@
     region = settings.zones.get(terms.origin.zone, "")
     changed = settings.weights.model_copy(update={"origin_region": region})
     return settings.model_copy(update={"weights": changed})
+
+
+def create_origin_with_exchange(
+    origin: VersionedOrigin,
+    settings: SiteSettings,
+    view: FleetView,
+    network: Network,
+) -> VersionedOrigin:
+    """Wrap the origin so that manifests are requested from peers first."""
+    return create_manifest_exchange(
+        WeightPeer(settings.name, settings.region, settings.zone, settings.pool),
+        origin,
+        SitePeers(view, settings),
+        network,
+        lambda: find_origin_region(view, settings).weights.origin_region,
+    )
--- a/reedspar/weights/__init__.py
+++ b/reedspar/weights/__init__.py
@@ -1,7 +1,7 @@
 """Weights: manifests, their distribution among agents, and activation in engines."""
 
 from .activation import SwitchGate
-from .cache import VersionedOrigin, WeightCache, create_weight_cache
+from .cache import WeightCache, create_weight_cache
 from .catalog import KnownVersion, ManifestReader, VersionCatalog
 from .controller import WeightController, create_weight_controller
 from .distribution import WeightPeer
@@ -13,6 +13,7 @@
     create_fencing_numbers,
 )
 from .manifest import Chunk, Manifest, build_manifest, decode_manifest, encode_manifest
+from .manifest_exchange import VersionedOrigin, create_manifest_exchange
 from .messages import register_messages
 from .publishing import Publication, WeightSink, publish_weights
 from .staged import StagedReader
@@ -41,6 +42,7 @@
     "WeightSink",
     "build_manifest",
     "create_fencing_numbers",
+    "create_manifest_exchange",
     "create_weight_cache",
     "create_weight_controller",
     "decode_manifest",
--- a/reedspar/weights/cache.py
+++ b/reedspar/weights/cache.py
@@ -12,7 +12,7 @@
 
 import logging
 import random
-from typing import Any, Protocol
+from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
@@ -20,19 +20,18 @@
 from reedspar.errors import Failure, Reason
 from reedspar.links import Network
 from reedspar.messages import Sender
-from reedspar.platform import WeightSource
 from reedspar.timers import TimerService
 
-from .catalog import ManifestReader
 from .distribution import Distribution, WeightPeer
 from .limits import create_swarm_limits
 from .manifest import Manifest
+from .manifest_exchange import CachePeers, VersionedOrigin
 from .messages import DISTRIBUTION_MESSAGES
 from .pump import TICK_S, DistributionPump
 from .swarm import SwarmDistribution
-from .views import AgentSettings, PeerView
+from .views import AgentSettings
 
-__all__ = ["CachePeers", "VersionedOrigin", "WeightCache", "create_weight_cache"]
+__all__ = ["WeightCache", "create_weight_cache"]
 
 PEER_REFRESH_S = 0.5
 RETRY_MIN_S = 0.1
@@ -43,18 +42,6 @@
 _logger = logging.getLogger(__name__)
 
 
-class VersionedOrigin(WeightSource, ManifestReader, Protocol):
-    """An origin that also reads manifests by version."""
-
-
-class CachePeers(PeerView, Protocol):
-    """What a cache knows of the other daemons."""
-
-    def is_cache(self) -> bool:
-        """Tell whether this entry is to hold copies."""
-        ...
-
-
 class WeightCache:
     """Holds each named version, and serves its chunks."""
 
--- a/reedspar/weights/messages.py
+++ b/reedspar/weights/messages.py
@@ -15,6 +15,8 @@
     "ChunkRequest",
     "HaveMap",
     "HaveUpdate",
+    "ManifestAnswer",
+    "ManifestRequest",
     "RefusalCause",
     "VersionNotice",
     "VersionPhase",
@@ -132,6 +134,23 @@
     phase: VersionPhase
 
 
+@dataclass(frozen=True, slots=True)
+class ManifestRequest:
+    """Requests the manifest of a version; the receiver answers once it has it."""
+
+    model: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class ManifestAnswer:
+    """Carries the encoded manifest of a version, compressed with zlib."""
+
+    model: str
+    version: int
+    encoded: bytes
+
+
 WeightMessage = (
     ChunkRequest
     | ChunkGrant
@@ -168,4 +187,6 @@
         HaveMap,
         HaveUpdate,
         VersionNotice,
+        ManifestRequest,
+        ManifestAnswer,
     )
--- a/reedspar/weights/weights.capnp
+++ b/reedspar/weights/weights.capnp
@@ -54,3 +54,14 @@
   sequence @2 :UInt64;
   phase @3 :Text;
 }
+
+struct ManifestRequest {
+  model @0 :Text;
+  version @1 :UInt64;
+}
+
+struct ManifestAnswer {
+  model @0 :Text;
+  version @1 :UInt64;
+  encoded @2 :Data;
+}
