Avoid redundant calls to the store

Causes: - Both readers of a region fetched each change of a target with a call of their own. - Watches waited for 25 s while the store keeps 20 s of history. 44 of them failed, and the prefix was listed again. - A daemon that had not yet listed the others took itself for the only one and started watches that were then cancelled. - A registration read its key before writing it.

Changes: - The second reader of a group, which is there in case the first one fails, pauses for 0.8 s between two watches. - Watches wait for 15 s. - The relay starts no watches before the first listing. - A registration expects the revision shown by the listing of the daemons, and reads the key only if the store reports a conflict.

--- a/reedspar/daemon/site_parts.py
+++ b/reedspar/daemon/site_parts.py
@@ -75,7 +75,13 @@
     )
     key, value = parts.encode_daemon(_describe(settings))
     registration = create_registration(
-        key, value, parts.store, timers, feed.note_served, feed.note_unserved
+        key,
+        value,
+        parts.store,
+        timers,
+        feed.note_served,
+        feed.note_unserved,
+        lambda: feed.revision_of(key),
     )
     links = create_site_links(settings, incarnation, view, timers, rng)
     network = links.on_demand("fleet")
--- a/reedspar/fleet/entries.py
+++ b/reedspar/fleet/entries.py
@@ -65,6 +65,11 @@
         """Return a checksum of the keys that exist and their revisions."""
         return self._digest
 
+    def revision_of(self, key: str) -> int:
+        """Return the revision of a key, 0 if it does not exist."""
+        entry = self._entries.get(key)
+        return entry.revision if entry is not None and entry.value is not None else 0
+
     def entries_after(self, revision: int) -> list[WatchedEntry]:
         """Return the entries and removals that are newer, the oldest first.
 
--- a/reedspar/fleet/feed.py
+++ b/reedspar/fleet/feed.py
@@ -19,8 +19,11 @@
 
 __all__ = ["FleetCodec", "FleetFeed", "FleetPrefix", "create_fleet_feed"]
 
-WATCH_S = 25.0
-"""How long one watch waits; each counts as a call, and the store allows 30 s."""
+WATCH_S = 15.0
+"""How long one watch waits; each counts as a call.
+
+Shorter than the 20 s of history that the store keeps: a longer watch may fail as
+expired, after which the prefix is listed again."""
 PROBE_S = 0.05
 """How long a watch waits after a failure: its answer tells that the store is back."""
 RETRY_MIN_S = 0.3
@@ -97,6 +100,7 @@
         }
         self._pollers: dict[str, Callable[[], Awaitable[bool]]] = {}
         self._taken_listeners: list[TakenListener] = []
+        self._gather_min_s = 0.0
         self._listed: set[str] = set()
         self._asking: EntryBook | None = None
         self._answered = anyio.Event()
@@ -167,6 +171,21 @@
             self._leave_to_peers(self._books[prefix])
         return True
 
+    def set_gather_min(self, gather_min_s: float) -> None:
+        """Set the minimum pause between two watches of any prefix."""
+        self._gather_min_s = gather_min_s
+
+    def revision_of(self, key: str) -> int:
+        """Return the revision of a key, 0 if it is not known to exist."""
+        return next(
+            (
+                book.revision_of(key)
+                for prefix, book in self._books.items()
+                if key.startswith(prefix)
+            ),
+            0,
+        )
+
     def note_served(self) -> None:
         """Note that the store has answered some call of this daemon."""
         now_s = self._timers.now_s()
@@ -284,7 +303,8 @@
                 self._note_answer(book, now_s)
                 changed = book.take(result.entries, result.revision, now_s)
                 self._take_in(book, changed)
-                await anyio.sleep(self._prefixes[book.prefix].gather_s)
+                gather_s = self._prefixes[book.prefix].gather_s
+                await anyio.sleep(max(gather_s, self._gather_min_s))
             elif result.reason is Reason.EXPIRED:
                 _logger.warning(
                     "history of the store is gone; listing again",
--- a/reedspar/fleet/reader_selection.py
+++ b/reedspar/fleet/reader_selection.py
@@ -44,6 +44,11 @@
         """Tell whether this daemon is one of those that always read."""
         return self._rank < READERS
 
+    @property
+    def is_primary(self) -> bool:
+        """Tell whether this daemon ranks first in its group."""
+        return self._rank % READERS == 0
+
     @property
     def is_next(self) -> bool:
         """Tell whether this daemon is among the first to stand in."""
--- a/reedspar/fleet/registration.py
+++ b/reedspar/fleet/registration.py
@@ -40,12 +40,14 @@
         timers: TimerService,
         note_served: Callable[[], None],
         note_unserved: Callable[[], None],
+        expected_revision: Callable[[], int],
     ) -> None:
         self._key = key
         self._value = value
         self._store = store
         self._note_served = note_served
         self._note_unserved = note_unserved
+        self._expected_revision = expected_revision
         self._speed = StoreSpeed(timers)
         self._lease_id = ""
         self._is_leaving = False
@@ -103,12 +105,20 @@
 
     async def _write(self, lease_id: str) -> Failure | None:
         """Write the entry over whatever a predecessor of this name has left."""
+        failure = await self._compare_and_swap(self._expected_revision(), lease_id)
+        if failure is None or failure.reason is not Reason.CONFLICT:
+            return failure
         current = await self._store.get(self._key)
         if isinstance(current, Failure):
             return current
         revision = current.revision if current is not None else 0
+        return await self._compare_and_swap(revision, lease_id)
+
+    async def _compare_and_swap(
+        self, expected_revision: int, lease_id: str
+    ) -> Failure | None:
         written = await self._store.compare_and_swap(
-            self._key, self._value, revision, lease_id
+            self._key, self._value, expected_revision, lease_id
         )
         return written if isinstance(written, Failure) else None
 
@@ -126,10 +136,15 @@
     timers: TimerService,
     note_served: Callable[[], None] = lambda: None,
     note_unserved: Callable[[], None] = lambda: None,
+    expected_revision: Callable[[], int] = lambda: 0,
 ) -> Registration:
     """Make the registration of a daemon; start `run` next.
 
     `note_served` is called after each call that succeeds, `note_unserved` after each
-    one that fails for a reason other than ANSWERED_REASONS.
+    one that fails for a reason other than ANSWERED_REASONS.  `expected_revision`
+    returns the last known revision of the entry, 0 if none is known; the key is read
+    only if the store reports a conflict.
     """
-    return Registration(key, value, store, timers, note_served, note_unserved)
+    return Registration(
+        key, value, store, timers, note_served, note_unserved, expected_revision
+    )
--- a/reedspar/fleet/relay.py
+++ b/reedspar/fleet/relay.py
@@ -31,6 +31,10 @@
 """Between two requests for all entries of a prefix.
 
 The digest of a reader that holds back removals differs for two seconds."""
+STANDBY_GATHER_S = 0.8
+"""Minimum pause between two watches of a reader that is not its group's primary.
+
+Shorter than the time in which a change has to be known, in case the primary fails."""
 PUSH_ENTRIES_MAX = 100
 """Entries in one message of pushed changes."""
 
@@ -114,6 +118,11 @@
             self._is_placed = False
 
     def _check(self) -> None:
+        is_listed = any(book.revision for book in self._books.values())
+        if not is_listed and not self._view.daemon_names():
+            # Without known peers this daemon would select itself as a reader and start
+            # watches that are cancelled after the first listing.
+            return
         now_s = self._timers.now_s()
         if not self._is_placed:
             self._place()
@@ -122,6 +131,8 @@
         is_reading = self._selection.is_reading(now_s)
         has_begun = is_reading and not self._is_reading
         self._is_reading = is_reading
+        is_standby = not self._selection.is_primary
+        self._feed.set_gather_min(STANDBY_GATHER_S if is_standby else 0.0)
         for prefix in self._books:
             self._feed.set_watched(prefix, is_reading)
         if has_begun:
--- a/reedspar/fleet/tests/fakes.py
+++ b/reedspar/fleet/tests/fakes.py
@@ -109,6 +109,7 @@
         return WatchedChanges((), max(after_revision, self.revision))
 
     async def get(self, key: str) -> KeyValueEntry | Failure | None:
+        self.calls.append("get")
         if self.is_away:
             return Failure(Reason.UNAVAILABLE, Step.KEY_VALUE)
         entry = self.current.get(key)
--- a/reedspar/fleet/tests/test_registration.py
+++ b/reedspar/fleet/tests/test_registration.py
@@ -70,6 +70,27 @@
 
         self.run_with(script)
 
+    def test_registration_does_not_read_a_known_revision(self) -> None:
+        # Guards against an unneeded call to the store at each start of a daemon.
+        async def script(store: FakeStore, registration: Registration) -> None:
+            self.assertNotIn("get", store.calls)
+            known_revision = store.current[KEY].revision
+            other = create_registration(
+                KEY,
+                b"new",
+                store,
+                TimerService(VirtualClock()),
+                expected_revision=lambda: known_revision,
+            )
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(other.run)
+                await anyio.sleep(0.1)
+                self.assertEqual(store.current[KEY].value, b"new")
+                tasks.cancel_scope.cancel()
+            self.assertNotIn("get", store.calls)
+
+        self.run_with(script)
+
     def test_withdrawn_entry_is_gone_and_stays_gone(self) -> None:
         async def script(store: FakeStore, registration: Registration) -> None:
             await registration.withdraw()
