Load recovered chunks without staging and verifying them again

Chunks that an agent had read back and verified at startup were handled like newly received ones: each was staged again (0.7 s), and all of them were read back once more before the load (another 0.7 s).

Mark a chunk that was read back as staged, and as verified at the time of that read, unless the engine has restarted meanwhile.

--- a/reedspar/weights/controller.py
+++ b/reedspar/weights/controller.py
@@ -88,7 +88,9 @@
             self._notify,
             self._verifier,
         )
-        self._recovery = StagedRecovery(staged_reader, self.hold_object)
+        self._recovery = StagedRecovery(
+            staged_reader, self.hold_object, timers.now_s, lambda: self._book.boot_id
+        )
         self._rollout = Rollout(
             settings.name, settings.weights.switch_share, self._phase_of
         )
@@ -237,11 +239,10 @@
         self._rollout.set_peers(model, same_pool)
 
     def _lapse(self, gap_s: float) -> None:
-        now_s = self._timers.now_s()
-        self._distribution.lapse(now_s)
+        self._distribution.lapse(self._timers.now_s())
         for staged in self._staged.values():
-            staged.expire_verified(now_s)
-        self._rollout.lapse(now_s)
+            staged.expire_verified(self._timers.now_s())
+        self._rollout.lapse(self._timers.now_s())
 
     def _take_object(self, digest: str) -> None:
         orders = []
@@ -267,11 +268,11 @@
             _logger.error("manifest is of another version: %s", digest)
         else:
             self._distribution.know_version(manifest, self._timers.now_s())
-            self._tasks.start_soon(self._recover, staged, manifest)
+            self._tasks.start_soon(self._recover, staged)
 
-    async def _recover(self, staged: StagedVersion, manifest: Manifest) -> None:
+    async def _recover(self, staged: StagedVersion) -> None:
         """Take what lies beside the engine at the start, then get the rest."""
-        await self._recovery.run(manifest, lambda: self._is_current(staged))
+        await self._recovery.run(staged, lambda: self._is_current(staged))
         if self._is_current(staged):
             self._want_chunks(staged)
             self._pump.run()
--- a/reedspar/weights/staged.py
+++ b/reedspar/weights/staged.py
@@ -9,7 +9,7 @@
 from reedspar.errors import Failure
 from reedspar.utils import digest_bytes
 
-from .manifest import Manifest
+from .staging import StagedVersion
 
 __all__ = ["StagedReader", "StagedRecovery"]
 
@@ -38,38 +38,46 @@
     """
 
     def __init__(
-        self, reader: StagedReader | None, hold: Callable[[str, bytes], None]
+        self,
+        reader: StagedReader | None,
+        hold: Callable[[str, bytes], None],
+        now_s: Callable[[], float],
+        boot_id: Callable[[], str],
     ) -> None:
         self._reader = reader
         self._hold = hold
+        self._now_s = now_s
+        self._boot_id = boot_id
         self._has_run = False
 
-    async def run(self, manifest: Manifest, is_current: Callable[[], bool]) -> None:
+    async def run(self, staged: StagedVersion, is_current: Callable[[], bool]) -> None:
         """Hold the staged chunks of the first version; retry while it is current."""
         has_run, self._has_run = self._has_run, True
         while self._reader and not has_run and is_current():
-            found = await _hold_staged(self._reader, manifest, self._hold)
+            found = await self._hold_staged(self._reader, staged)
             if not isinstance(found, Failure):
-                extra = {"version": manifest.sequence, "found": found}
+                extra = {"version": staged.version.sequence, "found": found}
                 _logger.info("staged chunks read back", extra=extra)
                 return
             await anyio.sleep(RETRY_S)
 
-
-async def _hold_staged(
-    reader: StagedReader, manifest: Manifest, hold: Callable[[str, bytes], None]
-) -> int | Failure:
-    """Hold the valid staged chunks of a version; return how many there are."""
-    places = await reader.list_staged(manifest.model)
-    if isinstance(places, Failure):
-        return places
-    count = 0
-    for index in places:
-        if index >= len(manifest.chunks):
-            continue
-        data = await reader.read_staged(manifest.model, index)
-        digest = manifest.chunks[index].digest
-        if not isinstance(data, Failure) and digest_bytes(data) == digest:
-            hold(digest, data)
-            count += 1
-    return count
+    async def _hold_staged(
+        self, reader: StagedReader, staged: StagedVersion
+    ) -> int | Failure:
+        """Hold the valid staged chunks and mark them as staged; return their count."""
+        places = await reader.list_staged(staged.model)
+        if isinstance(places, Failure):
+            return places
+        digests = staged.chunk_digests
+        count = 0
+        for index in places:
+            if index >= len(digests):
+                continue
+            read_s, boot_id = self._now_s(), self._boot_id()
+            data = await reader.read_staged(staged.model, index)
+            if not isinstance(data, Failure) and digest_bytes(data) == digests[index]:
+                if boot_id == self._boot_id():
+                    staged.note_staged(index, read_s)
+                self._hold(digests[index], data)
+                count += 1
+        return count
--- a/reedspar/weights/staging.py
+++ b/reedspar/weights/staging.py
@@ -40,6 +40,11 @@
         """Return the version's root digest."""
         return self.version.root_digest
 
+    @property
+    def chunk_digests(self) -> tuple[str, ...]:
+        """Return the chunk digests by index; empty until the manifest is set."""
+        return self.manifest.chunk_digests if self.manifest is not None else ()
+
     @property
     def is_whole(self) -> bool:
         """Tell whether the engine was given every chunk in its present boot."""
@@ -98,6 +103,10 @@
         return any(index in self._missing for index in self._indexes.get(digest, ()))
 
     def mark(self, order: StagingOrder, sent_s: float) -> None:
-        """Note that the engine took a chunk, which is verified as of `sent_s`."""
-        self._missing.discard(order.index)
-        self.note_verified(order.index, sent_s)
+        """Record that the engine accepted a chunk, verified as of `sent_s`."""
+        self.note_staged(order.index, sent_s)
+
+    def note_staged(self, index: int, verified_s: float) -> None:
+        """Record that the engine has a chunk, verified as of `verified_s`."""
+        self._missing.discard(index)
+        self.note_verified(index, verified_s)
