Import only the modules each role needs, and load the rest lazily

Startup used 1.2 s of a core before any useful work, on machines with a quarter of a core. Nearly all of that was spent on imports: 862 modules, including the agent's modules in entries, the entry's modules in agents, the modules for deployments without a site, and rich and click, which httpx imports for its command-line client.

--- a/reedspar/utils/__init__.py
+++ b/reedspar/utils/__init__.py
@@ -2,11 +2,13 @@
 
 from .hashing import digest_bytes, rank_by_rendezvous, rendezvous_score
 from .headers import HOP_BY_HOP
+from .lazy_imports import create_lazy_getattr
 from .pacing import TokenBucket
 
 __all__ = [
     "HOP_BY_HOP",
     "TokenBucket",
+    "create_lazy_getattr",
     "digest_bytes",
     "rank_by_rendezvous",
     "rendezvous_score",
--- a/reedspar/weights/__init__.py
+++ b/reedspar/weights/__init__.py
@@ -1,23 +1,34 @@
 """Weights: manifests, their distribution among agents, and activation in engines."""
 
-from .activation import SwitchGate
-from .cache import WeightCache, create_weight_cache
-from .catalog import KnownVersion, ManifestReader, VersionCatalog
-from .controller import WeightController, create_weight_controller
-from .distribution import WeightPeer
-from .fencing import (
-    FencingNumbers,
-    FencingRecord,
-    LocalFencing,
-    OrderedVersion,
-    create_fencing_numbers,
-)
-from .manifest import Chunk, Manifest, build_manifest, decode_manifest, encode_manifest
-from .manifest_exchange import VersionedOrigin, create_manifest_exchange
-from .messages import register_messages
-from .publishing import Publication, WeightSink, publish_weights
-from .staged import StagedReader
-from .views import AgentSettings, ConfigurationView, PeerView
+from typing import TYPE_CHECKING
+
+from reedspar.utils import create_lazy_getattr
+
+if TYPE_CHECKING:
+    from .activation import SwitchGate
+    from .cache import WeightCache, create_weight_cache
+    from .catalog import KnownVersion, ManifestReader, VersionCatalog
+    from .controller import WeightController, create_weight_controller
+    from .distribution import WeightPeer
+    from .fencing import (
+        FencingNumbers,
+        FencingRecord,
+        LocalFencing,
+        OrderedVersion,
+        create_fencing_numbers,
+    )
+    from .manifest import (
+        Chunk,
+        Manifest,
+        build_manifest,
+        decode_manifest,
+        encode_manifest,
+    )
+    from .manifest_exchange import VersionedOrigin, create_manifest_exchange
+    from .messages import register_messages
+    from .publishing import Publication, WeightSink, publish_weights
+    from .staged import StagedReader
+    from .views import AgentSettings, ConfigurationView, PeerView
 
 __all__ = [
     "AgentSettings",
@@ -50,3 +61,55 @@
     "publish_weights",
     "register_messages",
 ]
+
+if not TYPE_CHECKING:
+    __getattr__ = create_lazy_getattr(
+        __name__,
+        {
+            "activation": ("SwitchGate",),
+            "cache": (
+                "WeightCache",
+                "create_weight_cache",
+            ),
+            "catalog": (
+                "KnownVersion",
+                "ManifestReader",
+                "VersionCatalog",
+            ),
+            "controller": (
+                "WeightController",
+                "create_weight_controller",
+            ),
+            "distribution": ("WeightPeer",),
+            "fencing": (
+                "FencingNumbers",
+                "FencingRecord",
+                "LocalFencing",
+                "OrderedVersion",
+                "create_fencing_numbers",
+            ),
+            "manifest": (
+                "Chunk",
+                "Manifest",
+                "build_manifest",
+                "decode_manifest",
+                "encode_manifest",
+            ),
+            "manifest_exchange": (
+                "VersionedOrigin",
+                "create_manifest_exchange",
+            ),
+            "messages": ("register_messages",),
+            "publishing": (
+                "Publication",
+                "WeightSink",
+                "publish_weights",
+            ),
+            "staged": ("StagedReader",),
+            "views": (
+                "AgentSettings",
+                "ConfigurationView",
+                "PeerView",
+            ),
+        },
+    )
