Limit requests to cold targets from entries that have just started

Symptom: on the large site, after a power loss, a cold target received 29 requests within one second where its limit is 26.

Cause: each entry sends a cold target its part of the granted rate, computed from the entries that it knows. After a power loss all entries start within seconds, and learn of each other only once they are registered. While few were known, each entry took a third of the rate, and every entry that knew fewer than nine others sent.

Fix: for four seconds after its start, an entry assumes twice as many entries as there are targets, takes a ninth of the rate and delays its first request. It sends only to targets for which its rendezvous score is high enough. These are mostly the targets for which it ranks among the nine senders once all entries are known.

--- a/reedspar/daemon/site_entry.py
+++ b/reedspar/daemon/site_entry.py
@@ -109,7 +109,7 @@
 
     async def _register(self) -> None:
         await self.base.feed.wait_seeded()
-        self.service.versions.note_seeded()
+        self.service.note_seeded()
         _logger.info("ready", extra={"targets": self.base.view.target_count()})
         await self.base.registration.run()
 
--- a/reedspar/direct/cold.py
+++ b/reedspar/direct/cold.py
@@ -7,12 +7,20 @@
 
 from collections.abc import Iterable
 
-from reedspar.utils import TokenBucket, rank_by_rendezvous
+from reedspar.utils import TokenBucket, rank_by_rendezvous, rendezvous_score
 
 from .loads import TargetLoad
 
 __all__ = ["ColdLimits"]
 
+STARTUP_S = 4.0
+"""Time after the start of an entry in which its list of entries may be incomplete.
+
+After a power loss all entries start within seconds of each other, and an entry is
+listed only once it has registered."""
+ENTRIES_PER_TARGET = 2.0
+"""Minimum number of entries assumed during startup, per listed target."""
+
 COLD_BURST = 1.0
 """Requests that an entry may send a cold target at once after a rest."""
 SENDERS_MAX = 9
@@ -23,6 +31,8 @@
 With 46 senders 92 came within a second, counted under virtual time."""
 SENDERS_MIN = 3
 """Senders reckoned with at least: an entry that has just started may know of none."""
+SCORE_RANGE = 2.0**64
+"""Number of possible rendezvous scores."""
 
 
 class ColdLimits:
@@ -31,6 +41,16 @@
     def __init__(self, name: str) -> None:
         self._name = name
         self._names: frozenset[str] = frozenset({name})
+        self._target_count = 0
+        self._startup_end_s = float("-inf")
+
+    def note_started(self, now_s: float) -> None:
+        """Apply the stricter startup limits for `STARTUP_S` from now on."""
+        self._startup_end_s = now_s + STARTUP_S
+
+    def set_target_count(self, count: int) -> None:
+        """Set the number of targets of all services."""
+        self._target_count = count
 
     def set_entries(self, names: Iterable[str]) -> None:
         """Take the entries that may send; this one is always among them."""
@@ -42,26 +62,44 @@
         """Tell whether a cold target may get one more request now."""
         if rate_per_s <= 0:
             return True
-        if not self._is_sender(target_id):
+        if not self._is_sender(target_id, now_s):
             return False
-        return self._bucket_of(load, rate_per_s, now_s).is_ready(now_s)
+        is_new = load.cold_bucket is None
+        bucket = self._bucket_of(load, rate_per_s, now_s)
+        if is_new and self._is_starting(now_s):
+            # Delays the first request so that entries starting together don't all
+            # send at once.
+            bucket.take(COLD_BURST + self._score_fraction(target_id), now_s)
+        return bucket.is_ready(now_s)
 
     def note_sent(self, load: TargetLoad, rate_per_s: float, now_s: float) -> None:
         """Count a request to a cold target."""
         if rate_per_s > 0:
             self._bucket_of(load, rate_per_s, now_s).take(1, now_s)
 
-    def _is_sender(self, target_id: str) -> bool:
+    def _is_sender(self, target_id: str, now_s: float) -> bool:
         """Tell whether this entry is among the few that may send to a target."""
+        expected = ENTRIES_PER_TARGET * self._target_count
+        if self._is_starting(now_s) and expected > len(self._names):
+            # Approximates the ranking that holds once all entries are known.
+            return (1 - self._score_fraction(target_id)) * expected < SENDERS_MAX
         if len(self._names) <= SENDERS_MAX:
             return True
         ranked = rank_by_rendezvous(target_id, self._names)
         return self._name in ranked[:SENDERS_MAX]
 
+    def _score_fraction(self, target_id: str) -> float:
+        """Return the rendezvous score of this entry, scaled to the range 0 to 1."""
+        return rendezvous_score(target_id, self._name) / SCORE_RANGE
+
+    def _is_starting(self, now_s: float) -> bool:
+        return now_s < self._startup_end_s
+
     def _bucket_of(
         self, load: TargetLoad, rate_per_s: float, now_s: float
     ) -> TokenBucket:
-        part = rate_per_s / min(SENDERS_MAX, max(SENDERS_MIN, len(self._names)))
+        min_senders = SENDERS_MAX if self._is_starting(now_s) else SENDERS_MIN
+        part = rate_per_s / min(SENDERS_MAX, max(min_senders, len(self._names)))
         bucket = load.cold_bucket
         if bucket is None:
             bucket = load.cold_bucket = TokenBucket(part, COLD_BURST)
--- a/reedspar/direct/service.py
+++ b/reedspar/direct/service.py
@@ -55,6 +55,11 @@
     replaced: ReplacedLog
     follower: "_FleetFollower"
 
+    def note_seeded(self) -> None:
+        """Note that the store has been listed, before this entry registers."""
+        self.versions.note_seeded()
+        self.follower.note_started()
+
     def apply_bounds(self, bounds: BoundSettings) -> None:
         """Take bounds that have changed."""
         self.versions.set_bound(bounds.version_ms / 1000)
@@ -71,6 +76,7 @@
         cold: ColdLimits,
         budgets: RetryBudgets,
         retry_slack: float,
+        timers: TimerService,
     ) -> None:
         self._view = view
         self._loads = loads
@@ -78,8 +84,14 @@
         self._budgets = budgets
         self._retry_slack = retry_slack
         self._boots: dict[str, str] = {}
+        self._timers = timers
         self._note_entries()
 
+    def note_started(self) -> None:
+        """Apply the startup limits for cold targets from now on."""
+        self._cold.set_target_count(self._view.target_count())
+        self._cold.note_started(self._timers.now_s())
+
     def set_retries(self, share: float, slack: float) -> None:
         """Take the retries that all entries may make together."""
         self._retry_slack = slack
@@ -89,6 +101,7 @@
     def note(self, change: FleetChange) -> None:
         """Take in a change."""
         if isinstance(change, TargetChange):
+            self._cold.set_target_count(self._view.target_count())
             self._note_target(change)
         elif isinstance(change, DaemonChange):
             self._note_entries()
@@ -162,7 +175,7 @@
         dialer, timers, tasks, chooser.note_report, limits
     )
     budgets = RetryBudgets(bounds.retry_share)
-    follower = _FleetFollower(view, loads, cold, budgets, bounds.retry_slack)
+    follower = _FleetFollower(view, loads, cold, budgets, bounds.retry_slack, timers)
     view.on_change(follower.note)
     view.on_change(lambda change: _note_crash(crashes, view, change))
     terms = RelayTerms(retry_wait_s=0.0, verdict_margin_s=0.0)
--- a/reedspar/utils/pacing.py
+++ b/reedspar/utils/pacing.py
@@ -32,7 +32,7 @@
         self._refill(now_s)
         return self._tokens > 0
 
-    def take(self, size: int, now_s: float) -> None:
+    def take(self, size: float, now_s: float) -> None:
         """Count a message that goes now."""
         self._refill(now_s)
         self._tokens -= size
