End startup limits on cold targets once the known daemons settle

The startup limits now end 1.5 s after the last change of the known daemons, and at the latest four seconds after the start.

A test checks that an entry that restarts alone may send to each cold target after 1.5 s.

--- a/reedspar/direct/cold.py
+++ b/reedspar/direct/cold.py
@@ -18,6 +18,8 @@
 
 After a power loss all entries start within seconds of each other, and an entry is
 listed only once it has registered."""
+SETTLE_S = 1.5
+"""Time without a change of the known daemons after which startup ends early."""
 ENTRIES_PER_TARGET = 2.0
 """Minimum number of entries assumed during startup, per listed target."""
 
@@ -42,11 +44,17 @@
         self._name = name
         self._names: frozenset[str] = frozenset({name})
         self._target_count = 0
-        self._startup_end_s = float("-inf")
+        self._startup_end_s = self._startup_deadline_s = float("-inf")
 
     def note_started(self, now_s: float) -> None:
-        """Apply the stricter startup limits for `STARTUP_S` from now on."""
-        self._startup_end_s = now_s + STARTUP_S
+        """Apply the startup limits until entries settle, for at most `STARTUP_S`."""
+        self._startup_deadline_s = now_s + STARTUP_S
+        self._startup_end_s = now_s + SETTLE_S
+
+    def note_entries_changed(self, now_s: float) -> None:
+        """Restart the settle time if the startup limits still apply."""
+        if self._is_starting(now_s):
+            self._startup_end_s = min(now_s + SETTLE_S, self._startup_deadline_s)
 
     def set_target_count(self, count: int) -> None:
         """Set the number of targets of all services."""
--- a/reedspar/direct/service.py
+++ b/reedspar/direct/service.py
@@ -105,6 +105,7 @@
             self._note_target(change)
         elif isinstance(change, DaemonChange):
             self._note_entries()
+            self._cold.note_entries_changed(self._timers.now_s())
 
     def _note_target(self, change: TargetChange) -> None:
         record = change.record
--- a/reedspar/direct/tests/test_cold_starts.py
+++ b/reedspar/direct/tests/test_cold_starts.py
@@ -4,7 +4,7 @@
 import unittest
 from dataclasses import dataclass
 
-from reedspar.direct.cold import ColdLimits
+from reedspar.direct.cold import SETTLE_S, ColdLimits
 from reedspar.direct.loads import TargetLoad
 
 STEP_S = 0.05
@@ -46,6 +46,7 @@
     for name, limit in limits.items():
         limit.set_target_count(fleet.targets)
         limit.note_started(started_s[name])
+    known_names: dict[str, frozenset[str]] = {}
     sent: list[float] = []
     for step in range(round(SIMULATED_S / STEP_S)):
         now_s = step * STEP_S
@@ -55,7 +56,11 @@
             limit, load = limits[name], loads[name]
             if now_s < START_SPREAD_S + REGISTER_S + NOTIFY_DELAY_MAX_S + 2 * STEP_S:
                 until_s = now_s - notify_delay_s[name] - REGISTER_S
-                limit.set_entries(n for n in names if started_s[n] < until_s)
+                known = frozenset(n for n in names if started_s[n] < until_s)
+                if known != known_names.get(name):
+                    known_names[name] = known
+                    limit.set_entries(known)
+                    limit.note_entries_changed(now_s)
             if limit.may_send(target_id, load, fleet.rate_per_s, now_s):
                 limit.note_sent(load, fleet.rate_per_s, now_s)
                 sent.append(now_s)
@@ -90,6 +95,19 @@
                 late = [at for at in sent if at >= SIMULATED_S - 2.0]
                 self.assertGreater(len(late), 0.8 * 2.0 * fleet.rate_per_s)
 
+    def test_entry_restarting_alone_may_send_after_settle_time(self) -> None:
+        # Guards against startup limits that outlast the settle time although all
+        # entries are known from the start.
+        fleet = FLEETS[0]
+        limit = ColdLimits("entry-0")
+        limit.set_entries(f"entry-{i}" for i in range(fleet.entries))
+        limit.set_target_count(fleet.targets)
+        limit.note_started(0.0)
+        now_s = SETTLE_S
+        for i in range(TARGETS):
+            load = TargetLoad()
+            self.assertTrue(limit.may_send(f"t{i}", load, fleet.rate_per_s, now_s))
+
 
 if __name__ == "__main__":
     unittest.main()
