List the peers of a region in one place

The relay and both polls each filtered the entries of a region, and the relay filtered agents in the same way. Two test modules built the same staged version. Use FleetView.peer_names and make_staged_version instead.

--- a/reedspar/fleet/document_poll.py
+++ b/reedspar/fleet/document_poll.py
@@ -113,7 +113,7 @@
         return self._answered.is_set()
 
     def _near(self) -> list[str]:
-        return [e.name for e in self._entries() if e.region == self._region]
+        return self._view.peer_names(Role.ENTRY.value, self._region, self._name)
 
     def _entries(self) -> list[DaemonRecord]:
         entries = self._view.daemons(Role.ENTRY.value)
--- a/reedspar/fleet/prefix_poll.py
+++ b/reedspar/fleet/prefix_poll.py
@@ -58,11 +58,7 @@
         return False
 
     def _near(self) -> list[str]:
-        return [
-            entry.name
-            for entry in self._view.daemons(Role.ENTRY.value)
-            if entry.region == self._region and entry.name != self._name
-        ]
+        return self._view.peer_names(Role.ENTRY.value, self._region, self._name)
 
     def _hear_entries(self, sender: Sender, message: FleetEntries) -> None:
         if message.prefix == self._book.prefix and message.is_whole:
--- a/reedspar/fleet/relay.py
+++ b/reedspar/fleet/relay.py
@@ -13,7 +13,6 @@
 from .messages import FleetEntries, FleetNews, FleetRequest, PrefixState
 from .packing import EntryPacker
 from .reader_selection import NEWS_S, READERS_KEY, ReaderSelection
-from .records import DaemonRecord
 from .store import WatchedEntry
 from .view import FleetView
 
@@ -142,8 +141,8 @@
     def _place(self) -> None:
         self._is_placed = True
         entries = self._view.daemons(Role.ENTRY.value)
-        near = self._peers_in_region(entries)
-        agents = self._peers_in_region(self._view.daemons(Role.AGENT.value))
+        near = self._view.peer_names(Role.ENTRY.value, self._region, self._name)
+        agents = self._view.peer_names(Role.AGENT.value, self._region, self._name)
         own = near if self._role is Role.ENTRY else agents
         own.append(self._name)
         if all(entry.region == self._region for entry in entries):
@@ -152,13 +151,6 @@
         else:
             self._selection.place(self._name, sorted(near), sorted(agents))
 
-    def _peers_in_region(self, records: Sequence[DaemonRecord]) -> list[str]:
-        return [
-            record.name
-            for record in records
-            if record.region == self._region and record.name != self._name
-        ]
-
     def _note_taken(self, prefix: str, changed: Sequence[WatchedEntry]) -> None:
         if prefix in self._pushed:
             self._push(prefix, changed)
--- a/reedspar/fleet/view.py
+++ b/reedspar/fleet/view.py
@@ -85,6 +85,14 @@
             record for _, record in sorted(self._daemons.items()) if record.role == role
         )
 
+    def peer_names(self, role: str, region: str, own_name: str) -> list[str]:
+        """Return the sorted names of the other daemons with a role in a region."""
+        return [
+            record.name
+            for record in self.daemons(role)
+            if record.region == region and record.name != own_name
+        ]
+
     def daemon_names(self) -> list[str]:
         """Return the names of all daemons, sorted."""
         return sorted(self._daemons)
--- a/reedspar/weights/tests/test_staged.py
+++ b/reedspar/weights/tests/test_staged.py
@@ -5,15 +5,13 @@
 
 import anyio
 
-from reedspar.configuration import ModelVersion
-from reedspar.errors import Failure
 from reedspar.requests.tests.virtual import LoopClock, run_virtual
 from reedspar.timers import TimerService
-from reedspar.weights import build_manifest
 from reedspar.weights.staged import StagedRecovery
-from reedspar.weights.staging import StagedVersion
 from reedspar.weights.verification import StagedVerifier
 
+from .staged_cases import make_staged_version
+
 MODEL = "quotes"
 CHUNK_COUNT = 96
 CHUNK_BYTES = 8
@@ -42,18 +40,8 @@
 class StagedRecoveryTest(unittest.TestCase):
     def setUp(self) -> None:
         chunks = [i.to_bytes(CHUNK_BYTES, "big") for i in range(CHUNK_COUNT)]
-        manifest = build_manifest(MODEL, "2", 2, b"".join(chunks), CHUNK_BYTES)
-        assert not isinstance(manifest, Failure)
-        version = ModelVersion(
-            label="2",
-            sequence=2,
-            manifest_digest="0" * 64,
-            root_digest=manifest.root_digest,
-            size_bytes=manifest.size_bytes,
-        )
-        self.staged = StagedVersion(MODEL, version)
-        self.staged.set_manifest(manifest)
-        self.digests = manifest.chunk_digests
+        self.staged = make_staged_version(MODEL, chunks)
+        self.digests = self.staged.chunk_digests
         self.reader = FakeReader(chunks)
         self.held: list[str] = []
         self.boots = 1
--- a/reedspar/weights/tests/test_verification.py
+++ b/reedspar/weights/tests/test_verification.py
@@ -5,18 +5,17 @@
 
 import anyio
 
-from reedspar.configuration import ModelVersion
-from reedspar.errors import Failure
 from reedspar.requests.tests.virtual import LoopClock, run_virtual
 from reedspar.timers import TimerService
-from reedspar.weights import build_manifest
-from reedspar.weights.staging import StagedVersion, StagingOrder
+from reedspar.weights.staging import StagingOrder
 from reedspar.weights.verification import (
     VERIFICATION_TTL_S,
     VERIFY_AHEAD_S,
     StagedVerifier,
 )
 
+from .staged_cases import make_staged_version
+
 MODEL = "quotes"
 CHUNKS = 96
 CHUNK_BYTES = 8
@@ -55,19 +54,8 @@
         run_virtual(run)
 
     def create_verifier(self) -> None:
-        weights = b"".join(i.to_bytes(CHUNK_BYTES, "big") for i in range(CHUNKS))
-        manifest = build_manifest(MODEL, "2", 2, weights, CHUNK_BYTES)
-        assert not isinstance(manifest, Failure)
-        self.weights = weights
-        version = ModelVersion(
-            label="2",
-            sequence=2,
-            manifest_digest="0" * 64,
-            root_digest=manifest.root_digest,
-            size_bytes=manifest.size_bytes,
-        )
-        self.staged = StagedVersion(MODEL, version)
-        self.staged.set_manifest(manifest)
+        self.chunks = [i.to_bytes(CHUNK_BYTES, "big") for i in range(CHUNKS)]
+        self.staged = make_staged_version(MODEL, self.chunks)
         self.engine = FakeEngine()
         self.timers = TimerService(LoopClock())
         self.corrupt: list[int] = []
@@ -83,10 +71,8 @@
         return CHUNK_INTERVAL_S * (CHUNKS - len(self.engine.chunks))
 
     def stage(self, index: int) -> None:
-        assert self.staged.manifest is not None
-        start = index * CHUNK_BYTES
-        self.engine.chunks[index] = self.weights[start : start + CHUNK_BYTES]
-        digest = self.staged.manifest.chunk_digests[index]
+        self.engine.chunks[index] = self.chunks[index]
+        digest = self.staged.chunk_digests[index]
         order = StagingOrder(MODEL, self.staged.root_digest, index, digest, "1")
         self.staged.mark(order, self.timers.now_s())
         self.verifier.note_staged(self.staged)
