Rank a daemon unknown to the reader selection last

A starting daemon ranks the entries of its region when it requests a document, and an answer may come from an entry that has registered since. Looking up the group of that entry in the ranking raised ValueError in the message handler, which terminates the daemon. Found by reading the code; not observed in any run.

Test: the group of an unranked daemon; the lookup raised ValueError before.

--- a/reedspar/fleet/reader_selection.py
+++ b/reedspar/fleet/reader_selection.py
@@ -116,5 +116,7 @@
         return SILENT_S + min(self.group - 1, STEPS_MAX) * STEP_S
 
     def group_of(self, name: str) -> int:
-        """Return the group of a daemon of this region."""
-        return self._ranked.index(name) // READERS
+        """Return the group of a daemon; an unranked one comes after all others."""
+        is_ranked = name in self._ranked
+        rank = self._ranked.index(name) if is_ranked else len(self._ranked)
+        return rank // READERS
--- a/reedspar/fleet/tests/test_reader_selection.py
+++ b/reedspar/fleet/tests/test_reader_selection.py
@@ -91,6 +91,11 @@
         selection.note_news(LONG_S, self.order[0], False)
         self.assertFalse(selection.is_asking(LONG_S))
 
+    def test_unranked_daemon_counts_as_last(self) -> None:
+        # An answer from a daemon that registered after the ranking raised ValueError.
+        selection = self.ranked[0]
+        self.assertGreaterEqual(selection.group_of("new"), self.ranked[-1].group)
+
 
 if __name__ == "__main__":
     unittest.main()
