Cache whether an entry is a sender of a cold target

Symptom: late responses on large sites after a power loss and while targets are being added. How much of this delay the ranking caused has not been measured on a site.

Cause: for each cold target that a request could go to, an entry ranked all entries by their hashes.

Change: cache, per target, whether this entry is among its senders, until the set of entries changes. The cache is also cleared when it reaches 4096 targets.

Test: three rounds over the same targets rank each of them once, and again after the entries have changed.

--- a/reedspar/direct/cold.py
+++ b/reedspar/direct/cold.py
@@ -33,6 +33,8 @@
 With 46 senders 92 came within a second, counted under virtual time."""
 SENDERS_MIN = 3
 """Senders reckoned with at least: an entry that has just started may know of none."""
+CACHED_MAX = 4096
+"""Maximum number of cached target ids; each restart of a target adds a new id."""
 SCORE_RANGE = 2.0**64
 """Number of possible rendezvous scores."""
 
@@ -43,6 +45,8 @@
     def __init__(self, name: str) -> None:
         self._name = name
         self._names: frozenset[str] = frozenset({name})
+        self._top_ranked_cache: dict[str, bool] = {}
+        """Results of `_is_top_ranked` by target id, valid for the current `_names`."""
         self._target_count = 0
         self._startup_end_s = self._startup_deadline_s = float("-inf")
 
@@ -62,7 +66,10 @@
 
     def set_entries(self, names: Iterable[str]) -> None:
         """Take the entries that may send; this one is always among them."""
-        self._names = frozenset({self._name, *names})
+        names = frozenset({self._name, *names})
+        if names != self._names:
+            self._names = names
+            self._top_ranked_cache.clear()
 
     def may_send(
         self, target_id: str, load: TargetLoad, rate_per_s: float, now_s: float
@@ -93,8 +100,18 @@
             return (1 - self._score_fraction(target_id)) * expected < SENDERS_MAX
         if len(self._names) <= SENDERS_MAX:
             return True
-        ranked = rank_by_rendezvous(target_id, self._names)
-        return self._name in ranked[:SENDERS_MAX]
+        return self._is_top_ranked(target_id)
+
+    def _is_top_ranked(self, target_id: str) -> bool:
+        """Tell whether this entry ranks among the first `SENDERS_MAX` for a target."""
+        is_top_ranked = self._top_ranked_cache.get(target_id)
+        if is_top_ranked is None:
+            ranked = rank_by_rendezvous(target_id, self._names)
+            is_top_ranked = self._name in ranked[:SENDERS_MAX]
+            if len(self._top_ranked_cache) >= CACHED_MAX:
+                self._top_ranked_cache.clear()
+            self._top_ranked_cache[target_id] = is_top_ranked
+        return is_top_ranked
 
     def _score_fraction(self, target_id: str) -> float:
         """Return the rendezvous score of this entry, scaled to the range 0 to 1."""
--- a/reedspar/direct/tests/test_cold_starts.py
+++ b/reedspar/direct/tests/test_cold_starts.py
@@ -3,9 +3,11 @@
 import random
 import unittest
 from dataclasses import dataclass
+from unittest import mock
 
 from reedspar.direct.cold import SETTLE_S, ColdLimits
 from reedspar.direct.loads import TargetLoad
+from reedspar.utils import rank_by_rendezvous
 
 STEP_S = 0.05
 START_SPREAD_S = 1.5
@@ -109,5 +111,27 @@
             self.assertTrue(limit.may_send(f"t{i}", load, fleet.rate_per_s, now_s))
 
 
+class RankingCacheTest(unittest.TestCase):
+    def test_target_is_ranked_once_until_entries_change(self) -> None:
+        # Guards against thousands of hashes per request after a power loss, when all
+        # targets are cold: this takes milliseconds of CPU time.
+        limit = ColdLimits("entry-0")
+        limit.set_entries(f"entry-{i}" for i in range(LARGE_FLEET.entries))
+        with mock.patch(
+            "reedspar.direct.cold.rank_by_rendezvous", wraps=rank_by_rendezvous
+        ) as rank:
+            for round_index in range(3):
+                for i in range(TARGETS):
+                    rate_per_s = LARGE_FLEET.rate_per_s
+                    limit.may_send(
+                        f"t{i}", TargetLoad(), rate_per_s, float(round_index)
+                    )
+            self.assertEqual(rank.call_count, TARGETS)
+            limit.set_entries(["entry-1"])
+            limit.set_entries(f"entry-{i}" for i in range(LARGE_FLEET.entries))
+            limit.may_send("t0", TargetLoad(), LARGE_FLEET.rate_per_s, 4.0)
+            self.assertEqual(rank.call_count, TARGETS + 1)
+
+
 if __name__ == "__main__":
     unittest.main()
