Accept a manifest only after two consecutive origin reads agree

Cause: a corrupted digest in a manifest cannot be detected. A daemon that read a manifest while the origin was sending corrupted data kept it, and the version was never completed on that daemon, because it requested chunks that do not exist. Now that two daemons read on behalf of all others, this could happen to both.

Change: a daemon that reads the origin repeats the read until two consecutive reads agree, up to three times. After that the caller retries, and the next read is compared with the last one.

Test: while every read returns a different wrong manifest, no daemon accepts one; afterwards all daemons get the right one. The expected read counts in two tests are doubled, as this change requires.

--- a/reedspar/weights/manifest_exchange.py
+++ b/reedspar/weights/manifest_exchange.py
@@ -14,7 +14,7 @@
 import anyio
 from pydantic import ValidationError
 
-from reedspar.errors import Failure
+from reedspar.errors import Failure, Reason, Step
 from reedspar.links import Network
 from reedspar.messages import Sender
 from reedspar.platform import WeightSource
@@ -36,8 +36,10 @@
 READERS = 2
 """Number of caches that read the origin, and of answers that must agree."""
 READERS_KEY = "manifest readers"
+ORIGIN_READS_MAX = 3
+"""Maximum number of origin reads per call; the caller retries after that."""
 ANSWER_TIMEOUT_S = 0.4
-"""Covers an origin read and the answer, each a few hundredths of a second."""
+"""Covers the origin reads and the answer, each a few hundredths of a second."""
 WAITING_PEERS_MAX = 512
 MANIFESTS_KEPT = 16
 MANIFEST_MAX_BYTES = 16 * 1024 * 1024
@@ -91,6 +93,8 @@
         self._encoded_manifests: dict[VersionKey, bytes] = {}
         self._waiting_peers: dict[VersionKey, set[str]] = {}
         """Peers to answer once the manifest is available."""
+        self._unconfirmed_manifests: dict[VersionKey, Manifest] = {}
+        """The last origin read of each manifest that no second read has confirmed."""
         self._pending: dict[VersionKey, _PendingRequest] = {}
         network.subscribe(ManifestRequest, self._on_request)
         network.subscribe(ManifestAnswer, self._on_answer)
@@ -113,19 +117,40 @@
             if manifest is not None:
                 self.learn_manifest(manifest)
                 return manifest
-        read = await self._origin.read_manifest(model, version)
+        read = await self._read_origin(key)
         if isinstance(read, Failure):
             return self._accept_single_answer(key, answers) or read
         self._store(read)
         return read
 
+    async def _read_origin(self, key: VersionKey) -> Manifest | Failure:
+        """Read a manifest from the origin until two consecutive reads agree.
+
+        A corrupted digest in a manifest cannot be detected from a single read.  It
+        would match no chunk, so the version could never be completed.
+        """
+        previous = self._unconfirmed_manifests.pop(key, None)
+        for _ in range(ORIGIN_READS_MAX):
+            read = await self._origin.read_manifest(*key)
+            if isinstance(read, Failure):
+                break
+            if read == previous:
+                return read
+            previous = read
+        if previous is not None:
+            self._unconfirmed_manifests[key] = previous
+            while len(self._unconfirmed_manifests) > MANIFESTS_KEPT:
+                del self._unconfirmed_manifests[next(iter(self._unconfirmed_manifests))]
+        if isinstance(read, Failure):
+            return read
+        return Failure(Reason.CORRUPT, Step.MANIFEST, detail="two reads differ")
+
     def _accept_single_answer(
         self, key: VersionKey, answers: list[bytes]
     ) -> Manifest | None:
         """Return the first valid answer, for use when the origin read fails.
 
-        Chunks are verified against the manifest, so a wrong manifest does no more harm
-        than a missing one.
+        The peer has confirmed it by two reads, or by the answers of two peers.
         """
         for answer in answers:
             manifest = _decode_answer(answer, key)
--- a/reedspar/weights/tests/test_manifest_exchange.py
+++ b/reedspar/weights/tests/test_manifest_exchange.py
@@ -31,6 +31,8 @@
 CACHES_PER_REGION = 4
 AGENTS_PER_REGION = 9
 LATENCY_S = 0.002
+READS_PER_READER = 2
+"""Number of origin reads that must agree."""
 ORIGIN_READ_S = 0.01
 EXCHANGE_MAX_S = 0.1
 
@@ -49,6 +51,8 @@
         self.reads = 0
         self.is_away = False
         self.is_corrupt = False
+        self.is_inconsistent = False
+        """Return a different wrong manifest on each read."""
         self.learned: list[Manifest] = []
 
     async def read(self, name: str, offset: int, size_bytes: int) -> bytes:
@@ -59,6 +63,8 @@
         await anyio.sleep(ORIGIN_READ_S)
         if self.is_away:
             return Failure(Reason.UNAVAILABLE, Step.MANIFEST)
+        if self.is_inconsistent:
+            return make_manifest(version, f"{id(self)} {self.reads}".encode())
         return make_manifest(version, b"wrong" if self.is_corrupt else b"")
 
     def learn_manifest(self, manifest: Manifest) -> None:
@@ -156,13 +162,13 @@
             daemon.origin.reads = 0
         return readers
 
-    def test_version_is_read_twice_at_the_origin(self) -> None:
+    def test_two_caches_read_the_origin(self) -> None:
         # Guards against each of 65 daemons reading the manifest at the origin.
         async def script(site: Site) -> None:
             start_s = anyio.current_time()
             manifests = await site.read_all(2)
             self.assertEqual(set(manifests.values()), {make_manifest(2)})
-            self.assertEqual(site.reads, READERS)
+            self.assertEqual(site.reads, READS_PER_READER * READERS)
             self.assertLessEqual(anyio.current_time() - start_s, EXCHANGE_MAX_S)
             for daemon in site.daemons.values():
                 is_known = bool(daemon.origin.learned) or bool(daemon.origin.reads)
@@ -179,7 +185,7 @@
                 for version in (2, 3, 3):
                     tasks.start_soon(site.read_all, version)
             self.assertLessEqual(anyio.current_time() - start_s, EXCHANGE_MAX_S)
-            self.assertEqual(site.reads, 3 * READERS)
+            self.assertEqual(site.reads, 3 * READS_PER_READER * READERS)
 
         self.run_scenario(script)
 
@@ -210,6 +216,21 @@
 
         self.run_scenario(script)
 
+    def test_manifest_is_accepted_only_if_two_reads_agree(self) -> None:
+        # Guards against accepting a manifest that was corrupted in transit, which would
+        # leave the version incomplete forever.
+        async def script(site: Site) -> None:
+            for daemon in site.daemons.values():
+                daemon.origin.is_inconsistent = True
+            manifests = await site.read_all(2)
+            self.assertTrue(all(isinstance(m, Failure) for m in manifests.values()))
+            for daemon in site.daemons.values():
+                daemon.origin.is_inconsistent = False
+            manifests = await site.read_all(2)
+            self.assertEqual(set(manifests.values()), {make_manifest(2)})
+
+        self.run_scenario(script)
+
     def test_daemons_read_the_origin_if_a_reader_is_dead(self) -> None:
         async def script(site: Site) -> None:
             (await self.find_readers(site))[0].is_dead = True
