Let the assumed load of targets decay while no report arrives

Cause: an entry takes a target without a recent report for loaded like the average of the pool's reports. Reports come with answers only. An entry that refuses every request gets none, and since the reports that it has all lose weight alike, their average stays as it was: the entry refuses for seconds after the targets have become idle.

--- a/bench/target_choice.py
+++ b/bench/target_choice.py
@@ -17,23 +17,40 @@
 import json
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import asdict, dataclass
 
 from reedspar.direct.cold_limits import ColdLimits
 from reedspar.direct.crashes import CrashDetector
-from reedspar.direct.loads import LoadReport, TargetLoads
+from reedspar.direct.loads import (
+    AverageRule,
+    LoadReport,
+    TargetLoads,
+    compute_average_load,
+)
 from reedspar.direct.replaced_weights_log import ReplacedWeightsLog
 from reedspar.direct.target_choice import DirectChooser
 from reedspar.direct.tests.fakes import ENGINE, make_engine_target, make_table
 from reedspar.direct.versions import VersionRule
-from reedspar.errors import Failure
+from reedspar.errors import Failure, Reason, Step
 from reedspar.fleet import FleetView, RoutesChange, TargetChange
 from reedspar.requests.relay_interfaces import ChosenTarget
 from reedspar.requests.request import Answer, Outcome, Request, Responder
 from reedspar.timers import TimerService, VirtualClock
 
-__all__ = ["SCENARIOS", "Outcomes", "Scenario", "simulate"]
+__all__ = [
+    "LATE_ANSWER_VALUE",
+    "NETWORK_S",
+    "SCENARIOS",
+    "VERSION_BOUND_S",
+    "Engine",
+    "Entry",
+    "Job",
+    "Outcomes",
+    "Scenario",
+    "Simulation",
+    "simulate",
+]
 
 NETWORK_S = 0.004
 LATENCY_GOAL_S = 0.5
@@ -41,6 +58,8 @@
 """Latency goal at the entry: `LATENCY_GOAL_S` less the network time of the caller."""
 EVENT_GAP_MAX_S = 0.4
 DEADLINE_S = 6.0
+VERSION_BOUND_S = 8.0
+"""Time for which a replaced version may still be served."""
 WARM_UP_S = 3.0
 LATE_ANSWER_VALUE = 0.25
 PROMPT_MEAN_TOKENS = (1290, 787, 607)
@@ -91,9 +110,11 @@
 
 
 @dataclass(slots=True, eq=False)
-class _Job:
+class Job:
+    """A request, its choice of target, and the times of its answer's events."""
+
     request: Request
-    entry: "_Entry"
+    entry: "Entry"
     chosen: ChosenTarget | Failure
     answer_tokens: int
     remaining_tokens: int = 0
@@ -109,18 +130,21 @@
         return waited_s <= LATENCY_GOAL_S and self.gap_s <= EVENT_GAP_MAX_S
 
 
-class _Entry:
+class Entry:
     """An entry's choice of targets, with a clock that the simulation advances."""
 
-    def __init__(self, name: str, targets: list[str], seed: int) -> None:
+    def __init__(
+        self, name: str, targets: list[str], seed: int, average_rule: AverageRule
+    ) -> None:
         self._clock = VirtualClock()
         timers = TimerService(self._clock)
-        view = FleetView(timers)
+        self._view = view = FleetView(timers)
         view.apply(RoutesChange(make_table()))
         for target in targets:
             view.apply(TargetChange(target, make_engine_target(target)))
         view.mark_initialized()
-        versions = VersionRule(view, timers, 8.0)
+        versions = VersionRule(view, timers, VERSION_BOUND_S)
+        versions.record_store_listing()
         self.chooser = DirectChooser(
             view,
             TargetLoads(),
@@ -132,50 +156,56 @@
             CrashDetector(name, timers, lambda *crash: None),
             ReplacedWeightsLog(versions, timers),
             random.Random(seed),
+            average_rule,
         )
 
+    @property
+    def view(self) -> FleetView:
+        """Return the entry's view of the fleet."""
+        return self._view
+
     def advance_to(self, now_s: float) -> DirectChooser:
         """Advance the clock to a time and return the chooser."""
-        self._clock.advance(now_s - self._clock.now_s())
+        self._clock.advance(max(0.0, now_s - self._clock.now_s()))
         return self.chooser
 
 
-class _Engine:
+class Engine:
     """Model engine that prefills prompts between the decoding steps of its batch."""
 
-    def __init__(self, simulation: "_Simulation") -> None:
-        self._simulation = simulation
-        self._queue: list[_Job] = []
-        self._prefilling: list[tuple[_Job, int]] = []
-        self._decoding: list[_Job] = []
-        self._is_busy = False
+    def __init__(self, simulation: "Simulation") -> None:
+        self.simulation = simulation
+        self.queue: list[Job] = []
+        self.prefilling: list[tuple[Job, int]] = []
+        self.decoding: list[Job] = []
+        self.is_busy = False
 
     @property
     def report(self) -> LoadReport:
         """Return the load report that the engine sends with an answer."""
-        running = len(self._prefilling) + len(self._decoding)
-        return LoadReport(running, len(self._queue), ENGINE.slots)
+        running = len(self.prefilling) + len(self.decoding)
+        return LoadReport(running, len(self.queue), ENGINE.slots)
 
-    def enqueue(self, job: _Job) -> None:
+    def enqueue(self, job: Job) -> None:
         """Queue a request, and start a pass if the engine is idle."""
-        self._queue.append(job)
-        if not self._is_busy:
-            self._is_busy = True
+        self.queue.append(job)
+        if not self.is_busy:
+            self.is_busy = True
             self._begin_pass()
 
     def _begin_pass(self) -> None:
-        while self._queue and self.report.running < ENGINE.slots:
-            job = self._queue.pop(0)
-            self._prefilling.append((job, job.request.prompt_tokens))
+        while self.queue and self.report.running < ENGINE.slots:
+            job = self.queue.pop(0)
+            self.prefilling.append((job, job.request.prompt_tokens))
         if not self.report.running:
-            self._is_busy = False
+            self.is_busy = False
             return
         prefilled, prefill_s = self._run_prefill()
         pass_s = prefill_s + self._compute_decode_s()
-        self._simulation.call_after(pass_s, lambda: self._end_pass(prefilled))
+        self.simulation.call_after(pass_s, lambda: self._end_pass(prefilled))
 
     def _compute_decode_s(self) -> float:
-        decoding = len(self._decoding)
+        decoding = len(self.decoding)
         if not decoding:
             return 0.0
         step_s = ENGINE.step_s + decoding * (
@@ -183,14 +213,14 @@
         )
         return ENGINE.steps_per_pass * step_s
 
-    def _run_prefill(self) -> tuple[list[_Job], float]:
+    def _run_prefill(self) -> tuple[list[Job], float]:
         """Return the prompts whose prefill ends in this pass, and the time it takes."""
-        steps = ENGINE.steps_per_pass if self._decoding else 1
+        steps = ENGINE.steps_per_pass if self.decoding else 1
         budget = steps * ENGINE.prefill_tokens_per_pass
-        prefilled: list[_Job] = []
+        prefilled: list[Job] = []
         time_s = 0.0
-        while budget > 0 and self._prefilling:
-            job, left = self._prefilling.pop(0)
+        while budget > 0 and self.prefilling:
+            job, left = self.prefilling.pop(0)
             tokens = min(left, budget)
             budget -= tokens
             pairs = job.request.prompt_tokens * tokens / 2
@@ -201,38 +231,45 @@
             if tokens == left:
                 prefilled.append(job)
             else:
-                self._prefilling.insert(0, (job, left - tokens))
+                self.prefilling.insert(0, (job, left - tokens))
         return prefilled, time_s
 
-    def _end_pass(self, prefilled: list[_Job]) -> None:
-        for job in list(self._decoding):
+    def _end_pass(self, prefilled: list[Job]) -> None:
+        for job in list(self.decoding):
             job.remaining_tokens -= ENGINE.steps_per_pass
-            self._simulation.record_event(job, self)
+            self.simulation.record_event(job, self)
             if job.remaining_tokens <= 0:
-                self._decoding.remove(job)
-                self._simulation.record_end(job)
+                self.decoding.remove(job)
+                self.simulation.record_end(job)
         for job in prefilled:
             job.remaining_tokens = job.answer_tokens
-            self._decoding.append(job)
-            self._simulation.record_event(job, self)
+            self.decoding.append(job)
+            self.simulation.record_event(job, self)
         self._begin_pass()
 
 
-class _Simulation:
+class Simulation:
     """Event-driven simulation of arrivals, entries and engines."""
 
-    def __init__(self, scenario: Scenario, seconds: float, seed: int) -> None:
-        self.jobs: list[_Job] = []
-        self._now_s = 0.0
+    def __init__(
+        self,
+        scenario: Scenario,
+        seconds: float,
+        seed: int,
+        average_rule: AverageRule = compute_average_load,
+    ) -> None:
+        self.jobs: list[Job] = []
+        self.now_s = 0.0
         self._arrivals_end_s = seconds
         self._rate_per_s = scenario.rate_per_s
-        self._rng = random.Random(seed)
+        self.rng = random.Random(seed)
+        self._hints = random.Random(seed)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
-        self._engines = {f"q{i}": _Engine(self) for i in range(scenario.engines)}
-        names = list(self._engines)
-        self._entries = [
-            _Entry(f"entry-{i}", names, seed * 1000 + i)
+        self.engines = {f"q{i}": Engine(self) for i in range(scenario.engines)}
+        names = list(self.engines)
+        self.entries = [
+            Entry(f"entry-{i}", names, seed * 1000 + i, average_rule)
             for i in range(scenario.entries)
         ]
 
@@ -240,17 +277,17 @@
         """Run until every request has ended."""
         self._handle_arrival()
         while self._events:
-            self._now_s, _, call = heapq.heappop(self._events)
+            self.now_s, _, call = heapq.heappop(self._events)
             call()
 
     def call_after(self, delay_s: float, call: Callable[[], None]) -> None:
         """Schedule a call after a delay."""
-        item = (self._now_s + delay_s, next(self._sequence), call)
+        item = (self.now_s + delay_s, next(self._sequence), call)
         heapq.heappush(self._events, item)
 
-    def record_event(self, job: _Job, engine: _Engine) -> None:
+    def record_event(self, job: Job, engine: Engine) -> None:
         """Record that an engine produced an event of an answer."""
-        now_s = self._now_s + NETWORK_S
+        now_s = self.now_s + NETWORK_S
         if job.first_s is None:
             job.first_s = now_s
             report = engine.report
@@ -259,29 +296,38 @@
             job.gap_s = max(job.gap_s, now_s - job.last_s)
         job.last_s = now_s
 
-    def record_end(self, job: _Job) -> None:
+    def record_end(self, job: Job) -> None:
         """Record that an answer is complete."""
         self.call_after(NETWORK_S, lambda: self._report_end(job))
 
     def _handle_arrival(self) -> None:
-        if self._now_s > self._arrivals_end_s:
+        if self.now_s > self._arrivals_end_s:
             return
-        self.call_after(self._rng.expovariate(self._rate_per_s), self._handle_arrival)
-        entry = self._rng.choice(self._entries)
+        self.call_after(self.rng.expovariate(self._rate_per_s), self._handle_arrival)
+        entry = self.rng.choice(self.entries)
         request = self._make_request()
-        chooser = entry.advance_to(self._now_s)
-        chosen = chooser.choose(request, ())
-        job = _Job(request, entry, chosen, self._sample_answer_tokens())
+        answer_tokens = self._sample_answer_tokens()
+        request.answer_tokens = round(
+            answer_tokens * self._hints.lognormvariate(0, 0.5)
+        )
+        failure = Failure(Reason.NO_TARGET, Step.ROUTE)
+        job = Job(request, entry, failure, answer_tokens)
         self.jobs.append(job)
+        self.send(job, ())
+
+    def send(self, job: Job, tried: Collection[str]) -> None:
+        """Let the entry choose a target, and send the request to it."""
+        chooser = job.entry.advance_to(self.now_s)
+        job.chosen = chosen = chooser.choose(job.request, tried)
         if isinstance(chosen, Failure):
             return
-        chooser.on_started(request, chosen)
-        engine = self._engines[chosen.name]
+        chooser.on_started(job.request, chosen)
+        engine = self.engines[chosen.name]
         self.call_after(NETWORK_S, lambda: engine.enqueue(job))
 
     def _make_request(self) -> Request:
-        mean = self._rng.choice(PROMPT_MEAN_TOKENS)
-        sampled = self._rng.lognormvariate(math.log(mean) - 0.35, PROMPT_SIGMA)
+        mean = self.rng.choice(PROMPT_MEAN_TOKENS)
+        sampled = self.rng.lognormvariate(math.log(mean) - 0.35, PROMPT_SIGMA)
         tokens = min(sampled, PROMPT_LIMIT_FACTOR * mean) + SHARED_PROMPT_TOKENS
         request = Request(
             str(next(self._sequence)),
@@ -292,30 +338,30 @@
             (),
             b"",
             _DiscardingResponder(),
-            self._now_s,
+            self.now_s,
         )
         request.model = "m"
         request.prompt_tokens = int(tokens)
         request.latency_goal_s = ROUTE_LATENCY_GOAL_S
         request.gap_s = EVENT_GAP_MAX_S
-        request.deadline_s = self._now_s + DEADLINE_S
+        request.deadline_s = self.now_s + DEADLINE_S
         return request
 
     def _sample_answer_tokens(self) -> int:
-        sampled = self._rng.lognormvariate(
+        sampled = self.rng.lognormvariate(
             math.log(ANSWER_MEAN_TOKENS) - 0.3, ANSWER_SIGMA
         )
         return int(min(max(sampled, ENGINE.steps_per_pass), ANSWER_MAX_TOKENS))
 
-    def _report_first_event(self, job: _Job, report: LoadReport) -> None:
+    def _report_first_event(self, job: Job, report: LoadReport) -> None:
         assert not isinstance(job.chosen, Failure)
-        chooser = job.entry.advance_to(self._now_s)
+        chooser = job.entry.advance_to(self.now_s)
         chooser.on_first_byte(job.request, job.chosen)
         chooser.record_report(job.chosen.name, report)
 
-    def _report_end(self, job: _Job) -> None:
+    def _report_end(self, job: Job) -> None:
         assert not isinstance(job.chosen, Failure)
-        chooser = job.entry.advance_to(self._now_s)
+        chooser = job.entry.advance_to(self.now_s)
         chooser.on_ended(job.request, job.chosen, Answer(Outcome.ANSWERED))
 
 
@@ -331,7 +377,7 @@
 
 def simulate(scenario: Scenario, seconds: float, seed: int = 1) -> Outcomes:
     """Simulate a scenario and return the outcomes of its requests."""
-    simulation = _Simulation(scenario, seconds, seed)
+    simulation = Simulation(scenario, seconds, seed)
     simulation.run()
     jobs = [job for job in simulation.jobs if job.request.arrived_s > WARM_UP_S]
     refused = sum(isinstance(job.chosen, Failure) for job in jobs)
--- a/reedspar/direct/loads.py
+++ b/reedspar/direct/loads.py
@@ -3,11 +3,13 @@
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from reedspar.utils import TokenBucket
 
 __all__ = [
     "AverageLoad",
+    "AverageRule",
     "LoadReport",
     "OwnAttempt",
     "TargetLoad",
@@ -27,6 +29,10 @@
 """Backoff from a target that reported itself full: about ten steps of a batch, within
 which a slot becomes free."""
 
+AVERAGE_TTL_S = 0.5
+"""Time without any report of a pool after which the average of its reports decays."""
+AVERAGE_DECAY_S = 0.5
+"""Time constant of that exponential decay."""
 NO_REPORT_WEIGHT = 0.1
 """Weight of the assumption that targets are idle, relative to a fresh report."""
 
@@ -182,15 +188,31 @@
 
 
 def compute_average_load(loads: Iterable[TargetLoad], now_s: float) -> AverageLoad:
-    """Return the weighted average of the reports."""
+    """Return the weighted average of the reports, reduced while none arrives.
+
+    An entry that refuses all requests gets no reports.  If the average stayed as it
+    was, the entry would refuse for seconds after the targets have become idle.
+    """
     others = waiting = 0.0
     weight = NO_REPORT_WEIGHT
+    newest_s = float("-inf")
     for load in loads:
         report_weight = load.report_weight(now_s)
         others += report_weight * load.others_at_report
         waiting += report_weight * load.waiting_at_report
         weight += report_weight
-    return AverageLoad(others / weight, waiting / weight)
+        newest_s = max(newest_s, load.reported_s)
+    silent_s = max(0.0, now_s - newest_s - AVERAGE_TTL_S)
+    scale = math.exp(-silent_s / AVERAGE_DECAY_S) / weight
+    return AverageLoad(others * scale, waiting * scale)
+
+
+class AverageRule(Protocol):
+    """Estimates the load that other entries put on the targets of a pool."""
+
+    def __call__(self, loads: Iterable[TargetLoad], now_s: float) -> AverageLoad:
+        """Return the average load by what is known of each target."""
+        ...
 
 
 class TargetLoads:
--- a/reedspar/direct/target_choice.py
+++ b/reedspar/direct/target_choice.py
@@ -22,6 +22,7 @@
 )
 from .loads import (
     AverageLoad,
+    AverageRule,
     LoadReport,
     OwnAttempt,
     TargetLoad,
@@ -103,8 +104,10 @@
         crashes: CrashDetector,
         replaced_weights_log: ReplacedWeightsLog,
         rng: random.Random,
+        average_rule: AverageRule = compute_average_load,
     ) -> None:
         self._view = view
+        self._average_rule = average_rule
         self._loads = loads
         self._cold_limits = cold_limits
         self._eligibility = TargetEligibility(
@@ -128,7 +131,7 @@
         eligible = self._eligibility.list_eligible(request, tried, now_s)
         if not eligible:
             return self._refusals.refuse_without_target(request, tried)
-        average = compute_average_load(
+        average = self._average_rule(
             (self._loads.for_target(known.record.id) for known in eligible), now_s
         )
         candidates = [
--- a/reedspar/direct/tests/test_many_deciders.py
+++ b/reedspar/direct/tests/test_many_deciders.py
@@ -8,6 +8,7 @@
 
 import unittest
 
+from bench import version_switch
 from bench.target_choice import SCENARIOS, Outcomes, simulate
 
 SIMULATED_S = 12.0
@@ -48,5 +49,16 @@
         self.assertGreater(outcomes.worth, 0.8)
 
 
+class RecoveryTest(unittest.TestCase):
+    def test_load_within_capacity_is_served_soon_after_an_overload(self) -> None:
+        # Guards against refusals for seconds after all targets are available again.
+        # An entry that refuses every request gets no report that contradicts it.
+        scenarios = {s.name: s for s in version_switch.SCENARIOS}
+        for name in ("staged after 4.6 s", "staged after 5.2 s"):
+            with self.subTest(name):
+                outcome = version_switch.simulate(scenarios[name])
+                self.assertGreater(outcome.worth_after, 0.8)
+
+
 if __name__ == "__main__":
     unittest.main()
