Estimate the load of targets from own attempts while no report arrives

Cause: with the decaying average an entry takes targets for idle after a second without reports.

Now an entry assumes that every other one has sent as much as it has itself, and a report counts in the average with no more than the slots of its target, and a queue of 0.15 of them.

--- a/reedspar/direct/loads.py
+++ b/reedspar/direct/loads.py
@@ -1,7 +1,7 @@
 """Load of each target, from this entry's own attempts and the target's reports."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -30,9 +30,13 @@
 which a slot becomes free."""
 
 AVERAGE_TTL_S = 0.5
-"""Time without any report of a pool after which the average of its reports decays."""
+"""Time without any report of a pool after which the average of its reports loses its
+weight."""
 AVERAGE_DECAY_S = 0.5
-"""Time constant of that exponential decay."""
+"""Time constant of the exponential decay of that weight."""
+WAITING_SHARE_MAX = 0.15
+"""Maximum number of waiting requests that a report contributes to the average, relative
+to the target's slots."""
 NO_REPORT_WEIGHT = 0.1
 """Weight of the assumption that targets are idle, relative to a fresh report."""
 
@@ -187,31 +191,65 @@
     waiting: float = 0.0
 
 
-def compute_average_load(loads: Iterable[TargetLoad], now_s: float) -> AverageLoad:
-    """Return the weighted average of the reports, reduced while none arrives.
+def compute_average_load(
+    loads: Collection[TargetLoad], now_s: float, entry_count: int
+) -> AverageLoad:
+    """Return the average of the reports, or of this entry's own attempts without them.
 
     An entry that refuses all requests gets no reports.  If the average stayed as it
     was, the entry would refuse for seconds after the targets have become idle.
     """
+    reported = _average_reports(loads, now_s)
+    expected = _extrapolate_own_attempts(loads, entry_count)
+    newest_s = max((load.reported_s for load in loads), default=float("-inf"))
+    silent_s = max(0.0, now_s - newest_s - AVERAGE_TTL_S)
+    weight = math.exp(-silent_s / AVERAGE_DECAY_S)
+    return AverageLoad(
+        weight * reported.others + (1 - weight) * expected.others,
+        weight * reported.waiting + (1 - weight) * expected.waiting,
+    )
+
+
+def _average_reports(loads: Iterable[TargetLoad], now_s: float) -> AverageLoad:
+    """Return the weighted average of the reports.
+
+    Many entries may have sent to the same target, for example to the first one that
+    serves again.  A report of its long queue shows no more about the other targets than
+    that they may be full, so the values are limited.
+    """
     others = waiting = 0.0
-    weight = NO_REPORT_WEIGHT
-    newest_s = float("-inf")
+    total_weight = NO_REPORT_WEIGHT
     for load in loads:
-        report_weight = load.report_weight(now_s)
-        others += report_weight * load.others_at_report
-        waiting += report_weight * load.waiting_at_report
-        weight += report_weight
-        newest_s = max(newest_s, load.reported_s)
-    silent_s = max(0.0, now_s - newest_s - AVERAGE_TTL_S)
-    scale = math.exp(-silent_s / AVERAGE_DECAY_S) / weight
-    return AverageLoad(others * scale, waiting * scale)
+        if load.report is None:
+            continue
+        weight = load.report_weight(now_s)
+        slots = load.report.slots
+        others += weight * min(load.others_at_report, slots)
+        waiting += weight * min(load.waiting_at_report, WAITING_SHARE_MAX * slots)
+        total_weight += weight
+    return AverageLoad(others / total_weight, waiting / total_weight)
+
+
+def _extrapolate_own_attempts(
+    loads: Collection[TargetLoad], entry_count: int
+) -> AverageLoad:
+    """Return the load if every other entry has sent as much as this one."""
+    factor = max(0, entry_count - 1) / max(1, len(loads))
+    own = sum(len(load.own_attempts) for load in loads)
+    own_waiting = sum(load.own_waiting() for load in loads)
+    return AverageLoad(factor * own, factor * own_waiting)
 
 
 class AverageRule(Protocol):
     """Estimates the load that other entries put on the targets of a pool."""
 
-    def __call__(self, loads: Iterable[TargetLoad], now_s: float) -> AverageLoad:
-        """Return the average load by what is known of each target."""
+    def __call__(
+        self, loads: Collection[TargetLoad], now_s: float, entry_count: int
+    ) -> AverageLoad:
+        """Return the average load by what is known of each target.
+
+        `entry_count` includes this entry.
+        """
         ...
 
 
@@ -220,6 +258,8 @@
 
     def __init__(self) -> None:
         self._loads: dict[str, TargetLoad] = {}
+        self.entry_count = 1
+        """Number of entries that send to the targets, including this one."""
 
     def for_target(self, target_id: str) -> TargetLoad:
         """Return the load of a target, a new one if it is unknown."""
--- a/reedspar/direct/service.py
+++ b/reedspar/direct/service.py
@@ -120,6 +120,7 @@
         entries = self._view.daemons(Role.ENTRY.value)
         self._cold_limits.set_entries(entry.name for entry in entries)
         count = max(ENTRIES_MIN, len(entries))
+        self._loads.entry_count = count
         self._budgets.set_burst(RETRY_SLACK_FRACTION * self._retry_slack / count)
 
 
--- a/reedspar/direct/target_choice.py
+++ b/reedspar/direct/target_choice.py
@@ -131,9 +131,8 @@
         eligible = self._eligibility.list_eligible(request, tried, now_s)
         if not eligible:
             return self._refusals.refuse_without_target(request, tried)
-        average = self._average_rule(
-            (self._loads.for_target(known.record.id) for known in eligible), now_s
-        )
+        loads = [self._loads.for_target(known.record.id) for known in eligible]
+        average = self._average_rule(loads, now_s, self._loads.entry_count)
         candidates = [
             self._estimate(request, service, known, load, average, now_s)
             for known, load in self._eligibility.list_available(
