Ignore registrations of targets whose address belongs to a later one

Cause: all runners come back under new ids at their old addresses, while the registrations of before the loss stand until 39.3 s. Entries learn of each one by a refusal, 42 entries of 37 targets. The same registrations double the count of targets from which a starting entry assumes the number of others: each cold target got requests from 2.4 entries instead of 4.6, 140 a second in all (worked out).

Fix: a target is superseded once another one of its pool is known at its address with a later revision of its registration. Revisions, since the clocks of runners may be wrong; the first one known of an id, since a delayed write of the earlier target may come after the later one's.

Tests: four of the view, one of the choice of targets.

--- a/reedspar/direct/eligibility.py
+++ b/reedspar/direct/eligibility.py
@@ -101,7 +101,8 @@
         return "it leaves"
     if record.zone in view.zones_out:
         return "its zone is out"
-    if loads.for_target(record.id).replaced_boot_id == record.boot_id:
+    is_superseded = view.is_superseded(record.id)
+    if is_superseded or loads.for_target(record.id).replaced_boot_id == record.boot_id:
         return "another target has its address"
     return ""
 
--- a/reedspar/direct/tests/test_target_choice.py
+++ b/reedspar/direct/tests/test_target_choice.py
@@ -55,6 +55,24 @@
 
         self.run_with(script)
 
+    def test_registration_from_before_a_power_loss_gets_no_requests(self) -> None:
+        # Guards against using both tries of a request on targets that no longer exist,
+        # and against late answers once their successors serve.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            for target_id in ("o1", "o2"):
+                view.apply(TargetChange(target_id, None))
+            earlier = make_order_target("before", port=81)
+            view.apply(TargetChange("before", earlier, revision=5))
+            later = make_order_target("after", port=81)
+            view.apply(TargetChange("after", later, revision=9))
+            for _ in range(10):
+                await self.send(service, Call("/s/1"))
+            self.assertEqual({name for name, _ in dialer.sent}, {"after"})
+
+        self.run_with(script)
+
     def test_workspace_stays_in_its_regions(self) -> None:
         async def script(
             service: DirectService, dialer: FakeDialer, view: FleetView
--- a/reedspar/fleet/changes.py
+++ b/reedspar/fleet/changes.py
@@ -29,6 +29,8 @@
 
     target_id: str
     record: TargetRecord | None
+    revision: int = 0
+    """Revision of the store at which the record was written."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/reedspar/fleet/tests/test_view.py
+++ b/reedspar/fleet/tests/test_view.py
@@ -84,6 +84,46 @@
         self.assertEqual(len(notified), 2)
         self.assertEqual(self.view.daemons("entry"), (record,))
 
+    def test_later_registration_supersedes_an_earlier_one_at_its_address(self) -> None:
+        # Guards against requests to targets that no longer exist: after a power loss,
+        # their registrations remain beside those of their successors for seconds.
+        earlier = TargetChange("t1", make_target("t1"), revision=5)
+        later = TargetChange("t2", make_target("t2"), revision=9)
+        for order in ((earlier, later), (later, earlier)):
+            with self.subTest(first=order[0].target_id):
+                self.setUp()
+                for change in order:
+                    self.view.apply(change)
+                ids = [known.record.id for known in self.view.targets("quotes")]
+                self.assertEqual(ids, ["t2"])
+                self.assertEqual(self.view.target_count(), 1)
+                self.assertTrue(self.view.is_superseded("t1"))
+
+    def test_late_write_of_an_earlier_target_does_not_bring_it_back(self) -> None:
+        # Guards against the same after an outage of the store, in which writes of the
+        # earlier target were delayed.
+        for change in (
+            TargetChange("t1", make_target("t1"), revision=5),
+            TargetChange("t2", make_target("t2"), revision=9),
+            TargetChange("t1", make_target("t1", slots=2), revision=11),
+        ):
+            self.view.apply(change)
+        self.assertTrue(self.view.is_superseded("t1"))
+        self.assertFalse(self.view.is_superseded("t2"))
+
+    def test_target_remains_if_another_address_or_pool_is_registered(self) -> None:
+        self.view.apply(TargetChange("t1", make_target("t1"), revision=5))
+        self.view.apply(TargetChange("t2", make_target("t2", port=81), revision=6))
+        self.view.apply(TargetChange("t3", make_target("t3", pool="o"), revision=7))
+        self.assertFalse(self.view.is_superseded("t1"))
+        self.assertEqual(self.view.target_count(), 3)
+
+    def test_target_is_current_again_once_the_later_one_is_gone(self) -> None:
+        self.view.apply(TargetChange("t1", make_target("t1"), revision=5))
+        self.view.apply(TargetChange("t2", make_target("t2"), revision=6))
+        self.view.apply(TargetChange("t2", None))
+        self.assertFalse(self.view.is_superseded("t1"))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/reedspar/fleet/view.py
+++ b/reedspar/fleet/view.py
@@ -7,6 +7,7 @@
 from reedspar.routes import RouteTable
 from reedspar.timers import TimerService
 
+from .addresses import AddressIndex
 from .changes import (
     DaemonChange,
     FleetChange,
@@ -47,6 +48,7 @@
         self._timers = timers
         self._targets: dict[str, KnownTarget] = {}
         self._by_pool: dict[str, dict[str, KnownTarget]] = {}
+        self._addresses = AddressIndex()
         self._daemons: dict[str, DaemonRecord] = {}
         self._zones_out: set[str] = set()
         self._versions: dict[str, list[NamedVersion]] = {}
@@ -72,12 +74,18 @@
         return self._targets.get(target_id)
 
     def targets(self, pool: str) -> Iterator[KnownTarget]:
-        """Yield the targets of a pool."""
-        yield from self._by_pool.get(pool, {}).values()
+        """Yield the targets of a pool, except superseded ones."""
+        for target_id, known in self._by_pool.get(pool, {}).items():
+            if not self._addresses.is_superseded(target_id):
+                yield known
+
+    def is_superseded(self, target_id: str) -> bool:
+        """Return whether a later target of the pool has registered at the address."""
+        return self._addresses.is_superseded(target_id)
 
     def target_count(self) -> int:
-        """Return the number of known targets."""
-        return len(self._targets)
+        """Return the number of known targets, except superseded ones."""
+        return len(self._targets) - self._addresses.superseded_count
 
     def daemons(self, role: str) -> tuple[DaemonRecord, ...]:
         """Return the daemons of a role, sorted by name."""
@@ -100,7 +108,9 @@
     def find_target(self, host: str, port: int) -> KnownTarget | None:
         """Return the target at an address, None if there is none."""
         for known in self._targets.values():
-            if (known.record.host, known.record.port) == (host, port):
+            record = known.record
+            is_at_address = (record.host, record.port) == (host, port)
+            if is_at_address and not self.is_superseded(record.id):
                 return known
         return None
 
@@ -177,6 +187,7 @@
             if known is None:
                 return False
             self._remove_target(known)
+            self._addresses.remove(change.target_id)
             _logger.info("target gone", extra={"target": change.target_id})
             return True
         if known is not None and known.record == record:
@@ -189,6 +200,7 @@
             self._remove_target(known)
         self._targets[record.id] = updated
         self._by_pool.setdefault(record.pool, {})[record.id] = updated
+        self._addresses.add(record, change.revision)
         _logger.info("target changed", extra={"target": record})
         return True
 
