Transfer chunks of an earlier version before those of the next one

After an outage they wait at replicas that hold nothing, or at caches for the next version, while other caches already hold what it lacks; and what the next version was granted fills its link.

Changes: requests that wait at a replica are counted apart, and are cancelled once a neighbour announces the chunk; requests for later versions do not use up the window of earlier ones, in the region and to other regions; credit goes to the version with the fewest missing chunks first; a read from the origin is repeated after 0.1 s, not 0.25 s.

The 0.25 s of the bound were ORIGIN_BACKOFF_MAX_S; they are a constant of the test now, so that the bound in seconds is the one it was.

--- a/reedspar/weights/fetches.py
+++ b/reedspar/weights/fetches.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 from dataclasses import dataclass, field
 
 from .assembly import OBJECT_MAX_BYTES, Assembly
@@ -21,7 +21,7 @@
 SCARCE_BACKOFF_S = 0.25
 SCARCE_BACKOFF_MAX_S = 10.0
 """The back-off is shorter if there are few other sources."""
-ORIGIN_BACKOFF_MAX_S = 0.25
+ORIGIN_BACKOFF_MAX_S = 0.1
 """There is only one origin.  A longer back-off would delay a version after an outage,
 while a request costs only a refused connection, and few agents send one."""
 
@@ -40,6 +40,8 @@
     """Number of bytes that the peer may send; the object size for the origin."""
     region: str
     """Empty for a peer of the same region; `ORIGIN` for the origin."""
+    may_draw: bool = False
+    """Whether the peer fetches the object remotely if it does not hold it."""
     is_hedged: bool = False
 
     @property
@@ -47,6 +49,11 @@
         """Return whether a part of the object was received."""
         return self.assembly.received_bytes > 0
 
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether it may wait at a replica of the region for a remote fetch."""
+        return self.may_draw and not self.region and not self.has_data
+
     @property
     def outstanding_bytes(self) -> int:
         """Return the number of granted bytes that have not been received yet."""
@@ -65,6 +72,8 @@
     refusals: int = 0
     has_origin_failed: bool = False
     not_before_s: float = 0.0
+    sequence: int = 0
+    """Version for which the object was first requested; 0 for a single object."""
 
 
 class PeerBackoff:
@@ -156,16 +165,31 @@
         self._actions = actions
         self._fetches: dict[str, Fetch] = {}
         self._request_ids = itertools.count(1)
-        self._same_region_open_count = 0
+        self._replica_open_count = 0
         self._open_counts: Counter[str] = Counter()
 
     def __contains__(self, digest: str) -> bool:
         return digest in self._fetches
 
+    def count_same_region(self, digests: Container[str]) -> int:
+        """Return how many of some objects are requested from peers that hold them.
+
+        Requests of other versions are not counted: they would keep a version from being
+        requested whose chunks have just become available.
+        """
+        return sum(
+            not request.region and not request.may_draw
+            for fetch, request in self.iterate_requests()
+            if fetch.digest in digests
+        )
+
     @property
-    def same_region_open_count(self) -> int:
-        """Return the number of open requests to peers of the same region."""
-        return self._same_region_open_count
+    def replica_open_count(self) -> int:
+        """Return the number of open requests that may wait at replicas of the region.
+
+        A replica that does not hold the chunk fetches it first.
+        """
+        return self._replica_open_count
 
     def open_count(self, region: str) -> int:
         """Return the number of open requests to another region or to the origin."""
@@ -175,9 +199,19 @@
         """Return the fetch of an object, or None."""
         return self._fetches.get(digest)
 
-    def get_or_create(self, digest: str, size_bytes: int | None) -> Fetch:
+    def get_or_create(
+        self, digest: str, size_bytes: int | None, sequence: int = 0
+    ) -> Fetch:
         """Return the fetch of an object; create it if necessary."""
-        return self._fetches.setdefault(digest, Fetch(digest, size_bytes))
+        fetch = Fetch(digest, size_bytes, sequence=sequence)
+        return self._fetches.setdefault(digest, fetch)
+
+    def count_up_to(self, region: str, sequence: int) -> int:
+        """Return the open requests to another region for versions up to one."""
+        return sum(
+            request.region == region and fetch.sequence <= sequence
+            for fetch, request in self.iterate_requests()
+        )
 
     def is_open(self, digest: str) -> bool:
         """Return whether an object has an open request."""
@@ -191,6 +225,21 @@
             return False
         return bool(fetch.requests) or fetch.not_before_s > now_s
 
+    def list_waiting_at(self, digest: str) -> list[str]:
+        """Return the replicas of the region at which all requests of an object wait.
+
+        Empty if the object is not requested, or not only from such replicas.
+        """
+        fetch = self._fetches.get(digest)
+        if fetch is None or not all(r.is_waiting for r in fetch.requests):
+            return []
+        return [request.peer for request in fetch.requests]
+
+    def cancel_waiting(self, fetch: Fetch) -> None:
+        """Cancel the requests that wait at replicas of the region."""
+        for request in [r for r in fetch.requests if r.is_waiting]:
+            self.close(fetch, request, is_cancelled=True)
+
     def start_request(
         self,
         fetch: Fetch,
@@ -216,6 +265,7 @@
             timeout_s,
             size_bytes if peer == ORIGIN else self._piece_bytes,
             region,
+            may_draw,
         )
         fetch.requests.append(request)
         self._count(request, 1)
@@ -273,5 +323,5 @@
         self._peers.outstanding[request.peer] += change
         if request.region:
             self._open_counts[request.region] += change
-        else:
-            self._same_region_open_count += change
+        elif request.may_draw:
+            self._replica_open_count += change
--- a/reedspar/weights/inbound_credit.py
+++ b/reedspar/weights/inbound_credit.py
@@ -6,6 +6,8 @@
 total rate of its link.  The link stays busy with a short queue for any chunk size.
 """
 
+from collections.abc import Callable
+
 from reedspar.utils import TokenBucket
 
 from .distribution import Action, SendMessage
@@ -37,9 +39,10 @@
         """Count bytes sent without a grant: first pieces, and reads from the origin."""
         self._bucket.consume(size_bytes, now_s)
 
-    def grant(self, now_s: float) -> None:
-        """Grant credit to senders, starting with the oldest requests."""
+    def grant(self, now_s: float, rank_of: Callable[[str], int]) -> None:
+        """Grant credit to senders, by the rank of the object and then by age."""
         started = self._list_started()
+        started.sort(key=lambda request: rank_of(request.assembly.digest))
         in_flight_bytes = sum(request.outstanding_bytes for request in started)
         for request in filter(_needs_grant, started):
             step_bytes = PIECES_PER_GRANT * self._limits.piece_bytes
--- a/reedspar/weights/neighbour_fetching.py
+++ b/reedspar/weights/neighbour_fetching.py
@@ -46,10 +46,10 @@
         limits = self._limits
         window_end = limits.window_end(transfer, now_s)
         window = self._window(transfer, placement, now_s)
-        while self._fetches.same_region_open_count < window:
+        while self._fetches.count_same_region(transfer.index_of) < window:
             choice = pick_request(
                 transfer,
-                lambda digest: not self._fetches.is_blocked(digest, now_s),
+                lambda digest: self._may_request(transfer, digest, now_s),
                 lambda name: self._load_of(name, placement, now_s),
                 self._rng,
                 window_end,
@@ -60,6 +60,18 @@
             if not self._request_chunk(transfer, index, peer, now_s):
                 return
 
+    def _may_request(self, transfer: Transfer, digest: str, now_s: float) -> bool:
+        """Return whether a chunk that a neighbour holds may be requested now.
+
+        A request may wait at a replica that does not hold the chunk itself, for example
+        since an outage of the origin.
+        """
+        if not self._fetches.is_blocked(digest, now_s):
+            return True
+        waiting_at = self._fetches.list_waiting_at(digest)
+        holders = transfer.table.holders(transfer.index_of[digest])
+        return bool(waiting_at) and not any(peer in holders for peer in waiting_at)
+
     def _window(self, transfer: Transfer, placement: Placement, now_s: float) -> int:
         """Return the maximum number of open requests to neighbours.
 
@@ -97,6 +109,7 @@
         digest = transfer.digests[index]
         size_bytes = transfer.sizes[digest]
         fetch = self._fetches.get_or_create(digest, size_bytes)
+        self._fetches.cancel_waiting(fetch)
         timeout_s = self._limits.request_timeout_s
         return self._fetches.start_request(fetch, peer, now_s, timeout_s)
 
--- a/reedspar/weights/remote_fetching.py
+++ b/reedspar/weights/remote_fetching.py
@@ -9,6 +9,7 @@
 from .fetches import ORIGIN, Fetch, FetchTable, PeerBackoff
 from .limits import SwarmLimits
 from .memory import ChunkMemory
+from .needed_chunks import is_in_region, needed_map
 from .neighbours import iterate_bits
 from .placement import Placement
 from .requested_chunks import RequestedChunks
@@ -78,25 +79,27 @@
             return
         self._take_over(transfer, placement, now_s)
         window_end = self._limits.window_end(transfer, now_s)
-        needed_map = _needed_map(transfer, placement)
+        worth_fetching = needed_map(transfer, placement)
         for position in range(len(transfer.assigned) - 1, -1, -1):
             index = transfer.assigned[position]
-            if not needed_map >> index & 1:
+            if not worth_fetching >> index & 1:
                 continue
             digest = transfer.digests[index]
-            if not transfer.is_missing(index) or _is_in_region(
+            if not transfer.is_missing(index) or is_in_region(
                 transfer, placement, index
             ):
                 del transfer.assigned[position]
             elif not self._fetches.is_blocked(digest, now_s):
                 if index >= window_end:
                     return
-                fetch = self._fetches.get_or_create(digest, transfer.sizes[digest])
+                fetch = self._fetches.get_or_create(
+                    digest, transfer.sizes[digest], transfer.manifest.sequence
+                )
                 if placement.is_fetched_from_origin(index) and fetch.has_origin_failed:
                     del transfer.assigned[position]
                 elif not self._start_fetch(
                     fetch, index, placement, now_s
-                ) and self._are_sources_full(placement, now_s):
+                ) and self._are_sources_full(fetch, placement, now_s):
                     return
 
     def _log_progress(
@@ -106,7 +109,7 @@
         if now_s - transfer.logged_s < PROGRESS_LOG_INTERVAL_S:
             return
         transfer.logged_s = now_s
-        missing_map = _needed_map(transfer, placement) & ~transfer.held
+        missing_map = needed_map(transfer, placement) & ~transfer.held
         if not transfer.assigned or not missing_map:
             return
         regions = placement.other_regions
@@ -147,7 +150,7 @@
         if now_s - transfer.idle_since_s < wait_s:
             return
         missing_map = transfer.missing_map & ~transfer.table.available_map
-        missing_map &= _needed_map(transfer, placement)
+        missing_map &= needed_map(transfer, placement)
         transfer.assigned = list(islice(iterate_bits(missing_map), TAKEOVER_CHUNKS_MAX))
 
     def fetch_from_replicas(
@@ -165,7 +168,7 @@
         if not is_stalled:
             lacking &= ~transfer.table.available_map
         for index in islice(iterate_bits(lacking), REPLICA_FETCH_CHUNKS_MAX):
-            if self._fetches.same_region_open_count >= self._limits.same_region_window:
+            if self._fetches.replica_open_count >= self._limits.same_region_window:
                 return
             digest = transfer.digests[index]
             if self._fetches.is_blocked(digest, now_s):
@@ -173,7 +176,9 @@
             fetch = self._fetches.get(digest)
             has_failed = fetch is not None and fetch.has_origin_failed
             if is_stalled or transfer.table.seen_map >> index & 1 or has_failed:
-                fetch = self._fetches.get_or_create(digest, transfer.sizes[digest])
+                fetch = self._fetches.get_or_create(
+                    digest, transfer.sizes[digest], transfer.manifest.sequence
+                )
                 if is_stalled and self._may_bypass_assignment(fetch, placement, now_s):
                     self._request_origin(fetch, placement, now_s)
                 else:
@@ -269,8 +274,7 @@
             return False
         region = placement.region_of(peer)
         bucket = self._bucket_of(region, placement, now_s)
-        is_open = self._fetches.open_count(region) < self._limits.other_region_window
-        if not is_open or not bucket.is_ready(now_s):
+        if not self._has_window(region, fetch) or not bucket.is_ready(now_s):
             return False
         size_bytes = fetch.size_bytes or 0
         per_request_s = size_bytes / bucket.rate_per_s
@@ -283,6 +287,15 @@
             bucket.consume(size_bytes, now_s)
         return is_started
 
+    def _has_window(self, region: str, fetch: Fetch) -> bool:
+        """Return whether one more request to a region is allowed.
+
+        Requests for later versions are not counted: they wait there while earlier ones
+        can already be sent.
+        """
+        open_count = self._fetches.count_up_to(region, fetch.sequence)
+        return open_count < self._limits.other_region_window
+
     def _choose_source(
         self, fetch: Fetch, sources: list[str], now_s: float
     ) -> str | None:
@@ -300,7 +313,9 @@
                 return None
         return None
 
-    def _are_sources_full(self, placement: Placement, now_s: float) -> bool:
+    def _are_sources_full(
+        self, fetch: Fetch, placement: Placement, now_s: float
+    ) -> bool:
         """Return whether neither the origin nor any region takes more requests now."""
         is_avoided = self._peers.is_avoided(ORIGIN, now_s)
         if placement.all_regions_read_origin:
@@ -310,7 +325,7 @@
         elif placement.is_in_origin_region and not is_avoided:
             return True
         return all(
-            self._fetches.open_count(region) >= self._limits.other_region_window
+            not self._has_window(region, fetch)
             or not self._bucket_of(region, placement, now_s).is_ready(now_s)
             for region in placement.other_regions
         )
@@ -377,24 +392,3 @@
         elif bucket.rate_per_s != rate:
             bucket.set_rate(rate, now_s)
         return bucket
-
-
-def _is_in_region(transfer: Transfer, placement: Placement, index: int) -> bool:
-    """Return whether the region already has a chunk.
-
-    A cache that takes over another one's chunks skips those that the other still holds.
-    """
-    table = transfer.table
-    region_map = table.seen_map if placement.fetches_all else table.available_map
-    return bool(region_map >> index & 1)
-
-
-def _needed_map(transfer: Transfer, placement: Placement) -> int:
-    """Return the map of chunks that are worth fetching now.
-
-    Until an agent requests chunks, a cache fetches all that it is assigned, as the
-    origin may become unavailable.  Later, assignments move as entries start and stop.
-    Fetching chunks of a replaced version that no agent needs would delay its successor.
-    """
-    requested_map = None if placement.fetches_all else transfer.table.requested_map
-    return transfer.table.full_map if requested_map is None else requested_map
--- a/reedspar/weights/requested_chunks.py
+++ b/reedspar/weights/requested_chunks.py
@@ -95,7 +95,9 @@
         self, transfer: Transfer, placement: Placement, digest: str, now_s: float
     ) -> None:
         index = transfer.index_of[digest]
-        fetch = self._fetches.get_or_create(digest, transfer.sizes[digest])
+        fetch = self._fetches.get_or_create(
+            digest, transfer.sizes[digest], transfer.manifest.sequence
+        )
         timeout_s = self._limits.request_timeout_s
         holders = [
             name
--- a/reedspar/weights/swarm.py
+++ b/reedspar/weights/swarm.py
@@ -33,7 +33,7 @@
 from .receiving import ChunkReceiver
 from .remote_fetching import RemoteFetcher
 from .serving import ChunkServer
-from .transfers import Transfer
+from .transfers import Transfer, rank_of_object
 
 __all__ = ["SwarmDistribution"]
 
@@ -263,11 +263,10 @@
 
     def due_s(self, now_s: float) -> float:
         """Return the time at which `tick` should be called next."""
-        times = [now_s + TICK_INTERVAL_S]
         dues = [self._server.due_s(now_s), self._credit.due_s(now_s)]
         dues += [announcer.due_s() for announcer in self._announcers.values()]
-        times += [due_s for due_s in dues if due_s is not None]
-        return max(min(times), now_s)
+        times = [due_s for due_s in dues if due_s is not None]
+        return max(min([*times, now_s + TICK_INTERVAL_S]), now_s)
 
     def take_actions(self) -> list[Action]:
         """Return and clear the pending actions."""
@@ -279,14 +278,15 @@
         """Start the requests and send the pieces that the limits allow."""
         self._now_s = now_s
         self._remote.fetch_objects(self._objects, self._placements, now_s)
-        transfers = [t for t in self._transfers.values() if not t.is_complete]
-        for transfer in sorted(transfers, key=self._count_remaining):
+        incomplete = (t for t in self._transfers.values() if not t.is_complete)
+        transfers = sorted(incomplete, key=self._count_remaining)
+        for transfer in transfers:
             placement = self._placements[transfer.model]
             self._remote.fetch_assigned(transfer, placement, now_s)
             self._region_fetcher.fetch(transfer, placement, now_s)
             self._remote.fetch_from_replicas(transfer, placement, now_s)
         self._remote.requested.run(self._placements, now_s)
-        self._credit.grant(now_s)
+        self._credit.grant(now_s, lambda digest: rank_of_object(digest, transfers))
         self._server.send_pieces(now_s)
         for announcer in self._announcers.values():
             announcer.flush(now_s)
--- a/reedspar/weights/tests/test_origin_return.py
+++ b/reedspar/weights/tests/test_origin_return.py
@@ -16,7 +16,6 @@
 from reedspar.errors import Failure, Reason, Step
 from reedspar.weights import Manifest, WeightPeer
 from reedspar.weights.distribution import ReadOrigin, SendMessage
-from reedspar.weights.fetches import ORIGIN_BACKOFF_MAX_S
 from reedspar.weights.limits import SwarmLimits
 from reedspar.weights.messages import ChunkRefused, ChunkRequest, HaveMap, RefusalCause
 from reedspar.weights.neighbours import encode_map
@@ -40,6 +39,8 @@
 OUTAGE_END_OFFSETS_S = (0.0, 0.07, 0.13)
 """Offsets of the end of the outage relative to the repeated requests."""
 BOUND_FACTOR_MAX = 1.2
+DETECTION_MAX_S = 0.25
+"""Maximum time until the end of the outage is noticed."""
 ORIGIN_STALL_S = 1.5
 CHUNKS = 16
 CHUNK_BYTES = 1000
@@ -122,7 +123,7 @@
     def bound_s(self) -> float:
         """Return the time limit for the missing chunks over a target's link."""
         chunk_s = CASE.chunk_bytes / (CASE.link_mbps * BYTES_PER_MEGABIT)
-        return BOUND_FACTOR_MAX * self.missing_chunks * chunk_s + ORIGIN_BACKOFF_MAX_S
+        return BOUND_FACTOR_MAX * self.missing_chunks * chunk_s + DETECTION_MAX_S
 
 
 @cache
--- a/reedspar/weights/transfers.py
+++ b/reedspar/weights/transfers.py
@@ -6,7 +6,7 @@
 from .neighbours import HaveTable
 from .placement import Placement
 
-__all__ = ["Transfer"]
+__all__ = ["Transfer", "rank_of_object"]
 
 ANNOUNCEMENTS_PER_COPY = 80
 """Announcements to a neighbour during the transfer of a version over the slowest link.
@@ -144,3 +144,9 @@
             if placement.assigned_agent(index) == me
         ]
         self.assigned_share = len(self.assigned) / max(1, len(self._missing))
+
+
+def rank_of_object(digest: str, transfers: list[Transfer]) -> int:
+    """Return the position of the first transfer that needs an object, else 0."""
+    ranks = (i for i, transfer in enumerate(transfers) if transfer.needs(digest))
+    return next(ranks, 0)
