--- a/reedspar/weights/fetches.py
+++ b/reedspar/weights/fetches.py
@@ -2,8 +2,9 @@
 
 import itertools
 from collections import Counter
-from collections.abc import Container, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from .assembly import OBJECT_MAX_BYTES, Assembly
 from .distribution import Action, ReadOrigin, SendMessage
@@ -42,6 +43,8 @@
     """Empty for a peer of the same region; `ORIGIN` for the origin."""
     may_draw: bool = False
     """Whether the peer fetches the object remotely if it does not hold it."""
+    sequence: int = 0
+    """Version for which the object is requested; 0 for a single object."""
     is_hedged: bool = False
 
     @property
@@ -76,6 +79,14 @@
     """Version for which the object was first requested; 0 for a single object."""
 
 
+class _RequestKind(NamedTuple):
+    """Properties by which open requests are counted."""
+
+    region: str
+    sequence: int
+    may_draw: bool
+
+
 class PeerBackoff:
     """Exponential back-off of peers after failures, and their open request counts."""
 
@@ -165,32 +176,12 @@
         self._actions = actions
         self._fetches: dict[str, Fetch] = {}
         self._request_ids = itertools.count(1)
-        self._replica_open_count = 0
         self._open_counts: Counter[str] = Counter()
+        self._counts: Counter[_RequestKind] = Counter()
 
     def __contains__(self, digest: str) -> bool:
         return digest in self._fetches
 
-    def count_same_region(self, digests: Container[str]) -> int:
-        """Return how many of some objects are requested from peers that hold them.
-
-        Requests of other versions are not counted: they would keep a version from being
-        requested whose chunks have just become available.
-        """
-        return sum(
-            not request.region and not request.may_draw
-            for fetch, request in self.iterate_requests()
-            if fetch.digest in digests
-        )
-
-    @property
-    def replica_open_count(self) -> int:
-        """Return the number of open requests that may wait at replicas of the region.
-
-        A replica that does not hold the chunk fetches it first.
-        """
-        return self._replica_open_count
-
     def open_count(self, region: str) -> int:
         """Return the number of open requests to another region or to the origin."""
         return self._open_counts[region]
@@ -206,11 +197,24 @@
         fetch = Fetch(digest, size_bytes, sequence=sequence)
         return self._fetches.setdefault(digest, fetch)
 
-    def count_up_to(self, region: str, sequence: int) -> int:
-        """Return the open requests to another region for versions up to one."""
+    def count_competing(
+        self, region: str, sequence: int, may_draw: bool | None = None
+    ) -> int:
+        """Return how many open requests to a region go before one for a version.
+
+        Those are the requests for earlier versions, and those for the version itself,
+        only the ones with the given `may_draw` unless it is None.  Requests for later
+        versions don't count: they would prevent requests for chunks that have just
+        become available.  The region is empty for peers of the same region.
+        """
         return sum(
-            request.region == region and fetch.sequence <= sequence
-            for fetch, request in self.iterate_requests()
+            count
+            for key, count in self._counts.items()
+            if key.region == region
+            and (
+                key.sequence < sequence
+                or (key.sequence == sequence and may_draw in (None, key.may_draw))
+            )
         )
 
     def is_open(self, digest: str) -> bool:
@@ -266,6 +270,7 @@
             size_bytes if peer == ORIGIN else self._piece_bytes,
             region,
             may_draw,
+            fetch.sequence,
         )
         fetch.requests.append(request)
         self._count(request, 1)
@@ -321,7 +326,9 @@
 
     def _count(self, request: Request, change: int) -> None:
         self._peers.outstanding[request.peer] += change
+        kind = _RequestKind(request.region, request.sequence, request.may_draw)
+        self._counts[kind] += change
+        if not self._counts[kind]:
+            del self._counts[kind]
         if request.region:
             self._open_counts[request.region] += change
-        elif request.may_draw:
-            self._replica_open_count += change
--- a/reedspar/weights/neighbour_fetching.py
+++ b/reedspar/weights/neighbour_fetching.py
@@ -46,7 +46,7 @@
         limits = self._limits
         window_end = limits.window_end(transfer, now_s)
         window = self._window(transfer, placement, now_s)
-        while self._fetches.count_same_region(transfer.index_of) < window:
+        while self._count_open(transfer) < window:
             choice = pick_request(
                 transfer,
                 lambda digest: self._may_request(transfer, digest, now_s),
@@ -60,6 +60,10 @@
             if not self._request_chunk(transfer, index, peer, now_s):
                 return
 
+    def _count_open(self, transfer: Transfer) -> int:
+        sequence = transfer.manifest.sequence
+        return self._fetches.count_competing("", sequence, may_draw=False)
+
     def _may_request(self, transfer: Transfer, digest: str, now_s: float) -> bool:
         """Return whether a chunk that a neighbour holds may be requested now.
 
@@ -69,8 +73,10 @@
         if not self._fetches.is_blocked(digest, now_s):
             return True
         waiting_at = self._fetches.list_waiting_at(digest)
+        if not waiting_at:
+            return False
         holders = transfer.table.holders(transfer.index_of[digest])
-        return bool(waiting_at) and not any(peer in holders for peer in waiting_at)
+        return not any(peer in holders for peer in waiting_at)
 
     def _window(self, transfer: Transfer, placement: Placement, now_s: float) -> int:
         """Return the maximum number of open requests to neighbours.
@@ -108,7 +114,8 @@
     ) -> bool:
         digest = transfer.digests[index]
         size_bytes = transfer.sizes[digest]
-        fetch = self._fetches.get_or_create(digest, size_bytes)
+        sequence = transfer.manifest.sequence
+        fetch = self._fetches.get_or_create(digest, size_bytes, sequence)
         self._fetches.cancel_waiting(fetch)
         timeout_s = self._limits.request_timeout_s
         return self._fetches.start_request(fetch, peer, now_s, timeout_s)
--- a/reedspar/weights/remote_fetching.py
+++ b/reedspar/weights/remote_fetching.py
@@ -168,7 +168,7 @@
         if not is_stalled:
             lacking &= ~transfer.table.available_map
         for index in islice(iterate_bits(lacking), REPLICA_FETCH_CHUNKS_MAX):
-            if self._fetches.replica_open_count >= self._limits.same_region_window:
+            if self._count_waiting(transfer) >= self._limits.same_region_window:
                 return
             digest = transfer.digests[index]
             if self._fetches.is_blocked(digest, now_s):
@@ -184,6 +184,10 @@
                 else:
                     self._request_from_replica(fetch, index, placement, now_s)
 
+    def _count_waiting(self, transfer: Transfer) -> int:
+        sequence = transfer.manifest.sequence
+        return self._fetches.count_competing("", sequence, may_draw=True)
+
     def fetch_objects(
         self,
         objects: Mapping[str, str],
@@ -288,12 +292,8 @@
         return is_started
 
     def _has_window(self, region: str, fetch: Fetch) -> bool:
-        """Return whether one more request to a region is allowed.
-
-        Requests for later versions are not counted: they wait there while earlier ones
-        can already be sent.
-        """
-        open_count = self._fetches.count_up_to(region, fetch.sequence)
+        """Return whether one more request to a region is allowed."""
+        open_count = self._fetches.count_competing(region, fetch.sequence)
         return open_count < self._limits.other_region_window
 
     def _choose_source(
