Compare the runs of targets, not their ids, at one address

Cause: a target may start again under an id that it had. With a later target registered at its address meanwhile, it would have been left out until that one's registration ended, 3.6 s at most, since the revision at which its id was first known counted.

Found when the change was read again; the test fails without the fix.

--- a/reedspar/fleet/addresses.py
+++ b/reedspar/fleet/addresses.py
@@ -13,8 +13,9 @@
 @dataclass(frozen=True, slots=True)
 class _Registration:
     address: Address
+    boot_id: str
     first_revision: int
-    """Revision of the store at which the target was first known to be registered."""
+    """Revision of the store at which this run of the target was first registered."""
 
 
 class AddressIndex:
@@ -38,10 +39,11 @@
         """Add a target, or update it; `revision` is that of the registration."""
         address = (record.pool, record.host, record.port)
         known = self._registrations.get(record.id)
-        if known is not None and known.address == address:
+        if known and (known.address, known.boot_id) == (address, record.boot_id):
             return
         self.remove(record.id)
-        self._registrations[record.id] = _Registration(address, revision)
+        registration = _Registration(address, record.boot_id, revision)
+        self._registrations[record.id] = registration
         self._update_newest(address)
 
     def remove(self, target_id: str) -> None:
--- a/reedspar/fleet/tests/test_view.py
+++ b/reedspar/fleet/tests/test_view.py
@@ -111,6 +111,17 @@
         self.assertTrue(self.view.is_superseded("t1"))
         self.assertFalse(self.view.is_superseded("t2"))
 
+    def test_target_that_restarts_under_its_earlier_id_is_current(self) -> None:
+        # Guards against excluding a live target until a dead one's registration ends.
+        for change in (
+            TargetChange("t1", make_target("t1", started_ms=1), revision=5),
+            TargetChange("t2", make_target("t2"), revision=9),
+            TargetChange("t1", make_target("t1", started_ms=2), revision=11),
+        ):
+            self.view.apply(change)
+        self.assertFalse(self.view.is_superseded("t1"))
+        self.assertTrue(self.view.is_superseded("t2"))
+
     def test_target_remains_if_another_address_or_pool_is_registered(self) -> None:
         self.view.apply(TargetChange("t1", make_target("t1"), revision=5))
         self.view.apply(TargetChange("t2", make_target("t2", port=81), revision=6))
