--- a/bench/target_choice.py
+++ b/bench/target_choice.py
@@ -270,7 +270,6 @@
         self._arrivals_end_s = seconds
         self._rate_per_s = scenario.rate_per_s
         self.rng = random.Random(seed)
-        self._hints = random.Random(seed)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
         self.engines = {f"q{i}": Engine(self) for i in range(scenario.engines)}
@@ -313,12 +312,8 @@
         self.call_after(self.rng.expovariate(self._rate_per_s), self._handle_arrival)
         entry = self.rng.choice(self.entries)
         request = self._make_request()
-        answer_tokens = self._sample_answer_tokens()
-        request.answer_tokens = round(
-            answer_tokens * self._hints.lognormvariate(0, 0.5)
-        )
-        failure = Failure(Reason.NO_TARGET, Step.ROUTE)
-        job = Job(request, entry, failure, answer_tokens)
+        not_chosen = Failure(Reason.NO_TARGET, Step.ROUTE)
+        job = Job(request, entry, not_chosen, self._sample_answer_tokens())
         self.jobs.append(job)
         self.send(job, ())
 
