--- a/bench/version_switch.py
+++ b/bench/version_switch.py
@@ -35,11 +35,11 @@
 from reedspar.weights.activation import SwitchDecision
 from reedspar.weights.messages import VersionNotice, VersionPhase
 
+from .batching_engine import Engine
 from .target_choice import (
     LATE_ANSWER_VALUE,
     NETWORK_S,
     VERSION_BOUND_S,
-    Engine,
     Job,
     Scenario,
     Simulation,
