Skip the extrapolation while reports are fresh; derive open requests by region

Found when the change was read once more: each request computed what the other entries may have sent, also while its weight is zero, and `_open_counts` held what the counts by kind hold.

--- a/reedspar/direct/loads.py
+++ b/reedspar/direct/loads.py
@@ -200,9 +200,11 @@
     was, the entry would refuse for seconds after the targets have become idle.
     """
     reported = _average_reports(loads, now_s)
-    expected = _extrapolate_own_attempts(loads, entry_count)
     newest_s = max((load.reported_s for load in loads), default=float("-inf"))
-    silent_s = max(0.0, now_s - newest_s - AVERAGE_TTL_S)
+    silent_s = now_s - newest_s - AVERAGE_TTL_S
+    if silent_s <= 0:
+        return reported
+    expected = _extrapolate_own_attempts(loads, entry_count)
     weight = math.exp(-silent_s / AVERAGE_DECAY_S)
     return AverageLoad(
         weight * reported.others + (1 - weight) * expected.others,
--- a/reedspar/weights/fetches.py
+++ b/reedspar/weights/fetches.py
@@ -176,7 +176,6 @@
         self._actions = actions
         self._fetches: dict[str, Fetch] = {}
         self._request_ids = itertools.count(1)
-        self._open_counts: Counter[str] = Counter()
         self._counts: Counter[_RequestKind] = Counter()
 
     def __contains__(self, digest: str) -> bool:
@@ -184,7 +183,7 @@
 
     def open_count(self, region: str) -> int:
         """Return the number of open requests to another region or to the origin."""
-        return self._open_counts[region]
+        return sum(n for kind, n in self._counts.items() if kind.region == region)
 
     def get(self, digest: str) -> Fetch | None:
         """Return the fetch of an object, or None."""
@@ -330,5 +329,3 @@
         self._counts[kind] += change
         if not self._counts[kind]:
             del self._counts[kind]
-        if request.region:
-            self._open_counts[request.region] += change
