Log deferrals of removals, and requests that begin at targets that leave

Removals that are deferred move into a class of their own, which counts and logs their ends; when removals are deferred and applied is as before. The chooser passes attempts that begin to a sequence of logs instead of a single one.

--- a/bench/target_choice.py
+++ b/bench/target_choice.py
@@ -160,7 +160,7 @@
             {"a": "ra"},
             "ra",
             CrashDetector(name, timers, lambda *crash: None),
-            ReplacedWeightsLog(versions, timers),
+            (ReplacedWeightsLog(versions, timers),),
             random.Random(seed),
             average_rule,
         )
--- a/reedspar/daemon/site_entry.py
+++ b/reedspar/daemon/site_entry.py
@@ -18,7 +18,7 @@
 from reedspar.direct.entry_choice import list_allowed_regions
 from reedspar.direct.load_listener import create_load_listener
 from reedspar.direct.request_log import RequestLog
-from reedspar.fleet import DaemonRecord, FleetView
+from reedspar.fleet import DaemonRecord, FleetView, read_deferral_counts
 from reedspar.requests.caller_adapter import CallerAdapter
 from reedspar.requests.draining import DrainOptions, run_drain
 from reedspar.routes import CallerLimits
@@ -200,6 +200,9 @@
     adapters.metrics.replaced_begun.set_callback(
         service.replaced_weights_log.read_counts
     )
+    adapters.metrics.removals_deferred.set_callback(
+        lambda: read_deferral_counts(components.feed.caches.values())
+    )
     create_load_listener(view, service.chooser, links.transport)
     weights_network = links.create_network("weights")
     origin = create_origin_with_exchange(
--- a/reedspar/direct/service.py
+++ b/reedspar/direct/service.py
@@ -28,6 +28,7 @@
 from .cold_limits import ColdLimits
 from .crashes import CrashDetector
 from .filters import DeadlineFilter, RouteIdentificationFilter
+from .leaving_targets_log import LeavingTargetsLog
 from .loads import TargetLoads
 from .replaced_weights_log import ReplacedWeightsLog
 from .target_choice import DirectChooser
@@ -171,7 +172,7 @@
         settings.zones,
         settings.region,
         crashes,
-        replaced_weights_log,
+        (replaced_weights_log, LeavingTargetsLog(view, timers)),
         rng,
     )
     checks = AttemptChecks(view, loads, versions, timers)
--- a/reedspar/direct/target_choice.py
+++ b/reedspar/direct/target_choice.py
@@ -1,8 +1,9 @@
 """Choice of a target by the estimated time to the first event of the answer."""
 
 import random
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
+from typing import Protocol
 
 from reedspar.errors import Failure, Reason, Step
 from reedspar.fleet import FleetView, KnownTarget
@@ -30,10 +31,9 @@
     compute_average_load,
 )
 from .refusals import RETRY_AFTER_S, Refusals
-from .replaced_weights_log import ReplacedWeightsLog
 from .versions import VersionRule
 
-__all__ = ["DirectChooser", "DirectTarget"]
+__all__ = ["BegunAttemptLog", "DirectChooser", "DirectTarget"]
 
 ESTIMATE_TOLERANCE_S = 0.02
 """Difference from the best estimate within which targets count as equally good.
@@ -89,6 +89,16 @@
     """Pause that queued prompts cause in the streams already running."""
 
 
+class BegunAttemptLog(Protocol):
+    """Records attempts whose answers begin."""
+
+    def record_begun(
+        self, request_id: str, target_id: str, attempt: OwnAttempt
+    ) -> None:
+        """Record an answer that begins now."""
+        ...
+
+
 class DirectChooser:
     """Chooses the target with the shortest expected time to the first event."""
 
@@ -102,7 +112,7 @@
         region_by_zone: dict[str, str],
         region: str,
         crashes: CrashDetector,
-        replaced_weights_log: ReplacedWeightsLog,
+        begun_attempt_logs: Sequence[BegunAttemptLog],
         rng: random.Random,
         average_rule: AverageRule = compute_average_load,
     ) -> None:
@@ -118,7 +128,7 @@
         self._region_by_zone = region_by_zone
         self._region = region
         self._crashes = crashes
-        self._replaced_weights_log = replaced_weights_log
+        self._begun_attempt_logs = begun_attempt_logs
         self._rng = rng
         self._calibrations: dict[str, Calibration] = {}
 
@@ -204,9 +214,8 @@
             attempt.has_begun = True
             took_s = self._timers.now_s() - attempt.started_s
             self._calibration(request.pool).record(attempt.raw_estimate_s, took_s)
-            self._replaced_weights_log.record_begun(
-                request.request_id, chosen.name, attempt
-            )
+            for log in self._begun_attempt_logs:
+                log.record_begun(request.request_id, chosen.name, attempt)
 
     def on_ended(
         self, request: Request, chosen: ChosenTarget, answer: Answer | None
--- a/reedspar/fleet/__init__.py
+++ b/reedspar/fleet/__init__.py
@@ -14,6 +14,7 @@
 from .exchange import FleetExchange, create_fleet_exchange
 from .feed import FleetCodec, FleetFeed, FleetPrefix, create_fleet_feed
 from .messages import TargetLoadNews, register_messages
+from .prefix_cache import read_deferral_counts
 from .records import DaemonRecord, NamedVersion, TargetRecord, TargetState
 from .registration import Registration, create_registration
 from .store import (
@@ -52,5 +53,6 @@
     "create_fleet_exchange",
     "create_fleet_feed",
     "create_registration",
+    "read_deferral_counts",
     "register_messages",
 ]
--- a/reedspar/fleet/prefix_cache.py
+++ b/reedspar/fleet/prefix_cache.py
@@ -5,12 +5,14 @@
 """
 
 import zlib
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from .deferred_removals import DeferredRemovals
 from .store import Listing, WatchedEntry
 
-__all__ = ["LEASE_EXPIRY_GRACE_S", "PrefixCache"]
+__all__ = ["LEASE_EXPIRY_GRACE_S", "PrefixCache", "read_deferral_counts"]
 
 LEASE_EXPIRY_GRACE_S = 2.0
 """How long an expired entry is kept after the store has become available again.
@@ -37,7 +39,7 @@
     revision: int = 0
     """No change up to this revision was missed; a watch continues from it."""
     _entries: dict[str, WatchedEntry] = field(default_factory=dict)
-    _deferred: dict[str, WatchedEntry] = field(default_factory=dict)
+    _deferred: DeferredRemovals = field(init=False)
     _newest_revision: int = 0
     """Newest revision of all cached entries and removals."""
     _digest: int = 0
@@ -48,6 +50,14 @@
     _outage_end_s: float = float("-inf")
     """When it last answered after an outage in which leases may have expired."""
 
+    def __post_init__(self) -> None:
+        self._deferred = DeferredRemovals(self.prefix)
+
+    @property
+    def deferral_counts(self) -> dict[str, int]:
+        """Return the number of deferred removals by how the deferral ended."""
+        return self._deferred.counts
+
     @property
     def is_unavailable(self) -> bool:
         """Return whether calls to the store are failing."""
@@ -153,9 +163,9 @@
             if known is not None and entry.revision <= known.revision:
                 continue
             if not is_authoritative and self._must_defer(entry, known, now_s):
-                self._deferred[entry.key] = entry
+                self._deferred.add(entry, now_s)
                 continue
-            self._deferred.pop(entry.key, None)
+            self._deferred.discard(entry, now_s)
             self._cache_entry(entry)
             changed.append(entry)
         self.revision = max(self.revision, revision)
@@ -165,8 +175,7 @@
         """Apply and return the deferred removals once the grace period has ended."""
         if self._may_have_expired(now_s):
             return []
-        due = list(self._deferred.values())
-        self._deferred.clear()
+        due = self._deferred.pop_all(now_s)
         for entry in due:
             self._cache_entry(entry)
         return due
@@ -204,3 +213,13 @@
     if entry is None or entry.value is None:
         return 0
     return zlib.crc32(f"{entry.key} {entry.revision}".encode())
+
+
+def read_deferral_counts(
+    caches: Iterable[PrefixCache],
+) -> list[tuple[float, dict[str, str]]]:
+    """Return the counts of deferred removals, with the outcome as label."""
+    totals: Counter[str] = Counter()
+    for cache in caches:
+        totals.update(cache.deferral_counts)
+    return [(count, {"outcome": outcome}) for outcome, count in totals.items()]
--- a/reedspar/fleet/tests/test_prefix_cache.py
+++ b/reedspar/fleet/tests/test_prefix_cache.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from reedspar.fleet import Listing, WatchedEntry
+from reedspar.fleet import Listing, WatchedEntry, read_deferral_counts
 from reedspar.fleet.prefix_cache import LEASE_EXPIRY_GRACE_S, PrefixCache
 
 PUT = WatchedEntry("t/1", b"a", 5)
@@ -144,6 +144,27 @@
         self.cache.mark_available(20.4)
         self.assertEqual(self.cache.apply([GONE], 9, 20.4), [])
 
+    def test_end_of_each_deferral_is_counted_and_logged(self) -> None:
+        other = WatchedEntry("t/2", b"b", 6)
+        third = WatchedEntry("t/3", b"c", 7)
+        self.cache.apply([other, third], 7, 0.0)
+        self.cache.mark_unavailable()
+        self.cache.mark_available(20.0)
+        removals = [
+            WatchedEntry(e.key, None, 10 + n) for n, e in enumerate((PUT, other, third))
+        ]
+        self.assertEqual(self.cache.apply(removals, 12, 20.5), [])
+        with self.assertLogs("reedspar.fleet.deferred_removals", "INFO") as logs:
+            self.cache.apply([WatchedEntry("t/1", b"a", 13)], 13, 20.7)
+            self.cache.apply([removals[1]], 13, 21.0, is_authoritative=True)
+            self.cache.release_deferred(22.0)
+        ends = [(vars(r)["outcome"], vars(r)["deferred_ms"]) for r in logs.records]
+        self.assertEqual(
+            ends, [("rewritten", 200), ("confirmed", 500), ("expired", 1500)]
+        )
+        counts = read_deferral_counts([self.cache])
+        self.assertEqual([count for count, _ in counts], [1, 1, 1])
+
     def test_removal_without_outage_is_applied_immediately(self) -> None:
         self.assertEqual(self.cache.apply([GONE], 9, 1.0), [GONE])
 
--- a/reedspar/telemetry/metrics.py
+++ b/reedspar/telemetry/metrics.py
@@ -212,6 +212,16 @@
             "when",
         ),
     ]
+    removals_deferred: Annotated[
+        ObservableInstrument,
+        observed_counter(
+            "fleet.removals_deferred",
+            "{removal}",
+            "Removals of entries that were deferred after an outage of the store, by "
+            "outcome: confirmed (by a peer), expired, rewritten.",
+            "outcome",
+        ),
+    ]
     gate_limit: Annotated[
         ObservableInstrument,
         observed_gauge(
