Ask peers about deferred removals, as the store may have refused this daemon alone

What callers and targets saw: a request reached a target more than 2 s after it had left (DRAIN).

Cause: an entry that has had no answer of the store for 2 s takes it for an outage of the store, in which leases of live targets expire, and defers removals until 2 s after the store's return. If the store refused this entry alone, no lease has expired, and a removal just after its return means that the target has left. Peers that were served know, but the entry had seen the removal's revision and asked them only for newer ones.

Change: while removals are deferred, the daemon asks two daemons of any region every 0.25 s which of these keys they know to be removed. Peers answer with removals that they have applied; those that defer them, too, as in an outage of the whole store, answer nothing, and the deferral goes on as before.

Ruled out: shortening the deferral, which would empty the view after a real outage (test_targets_are_kept_after_the_store_refused_everybody).

--- a/reedspar/fleet/exchange.py
+++ b/reedspar/fleet/exchange.py
@@ -19,6 +19,7 @@
 from .prefix_cache import PrefixCache
 from .prefix_poll import PrefixPoll
 from .relay import RegionRelay
+from .removal_queries import RemovalQueries
 from .store import Listing
 from .version_ages import VersionAges
 from .view import FleetView
@@ -71,6 +72,7 @@
         self._ages = VersionAges(name, view, network, timers, rng)
         self._packer = EntryPacker()
         self._relay = RegionRelay(name, region, role, feed, view, network, timers, rng)
+        self._removal_queries = RemovalQueries(name, feed, view, network, timers, rng)
         network.subscribe(DocumentRequest, self._handle_document_request)
         pushed = [cache.prefix for cache in feed.pushed_caches]
         for cache in [*feed.relayed_caches, *feed.polled_caches]:
--- a/reedspar/fleet/fleet.capnp
+++ b/reedspar/fleet/fleet.capnp
@@ -45,6 +45,11 @@
   isServed @3 :Bool;
 }
 
+struct RemovalQuery {
+  prefix @0 :Text;
+  keys @1 :List(Text);
+}
+
 struct VersionAgeRequest {
   model @0 :Text;
   version @1 :UInt64;
--- a/reedspar/fleet/messages.py
+++ b/reedspar/fleet/messages.py
@@ -12,6 +12,7 @@
     "FleetNews",
     "FleetRequest",
     "PrefixState",
+    "RemovalQuery",
     "TargetLoadNews",
     "VersionAge",
     "VersionAgeRequest",
@@ -94,6 +95,14 @@
     """True while the store answers the sender."""
 
 
+@dataclass(frozen=True, slots=True)
+class RemovalQuery:
+    """Asks which of some keys the receiver knows to be removed from the store."""
+
+    prefix: str
+    keys: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class VersionAgeRequest:
     """Requests the time since a version of a model was named."""
@@ -136,6 +145,7 @@
         FleetNews,
         DocumentNews,
         DocumentRequest,
+        RemovalQuery,
         VersionAgeRequest,
         VersionAge,
         TargetLoadNews,
--- a/reedspar/fleet/prefix_cache.py
+++ b/reedspar/fleet/prefix_cache.py
@@ -58,6 +58,11 @@
         """Return the number of deferred removals by how the deferral ended."""
         return self._deferred.counts
 
+    @property
+    def deferred_keys(self) -> tuple[str, ...]:
+        """Return the keys whose removal is deferred."""
+        return tuple(self._deferred)
+
     @property
     def is_unavailable(self) -> bool:
         """Return whether calls to the store are failing."""
@@ -83,6 +88,11 @@
         entry = self._entries.get(key)
         return entry.revision if entry is not None and entry.value is not None else 0
 
+    def list_removals(self, keys: Iterable[str]) -> list[WatchedEntry]:
+        """Return the applied removals among the entries of some keys."""
+        known = (self._entries.get(key) for key in keys)
+        return [entry for entry in known if entry is not None and entry.value is None]
+
     def entries_after(self, revision: int) -> list[WatchedEntry]:
         """Return the entries and removals newer than a revision, oldest first."""
         # Peers poll often, and usually nothing is newer.
--- a/reedspar/fleet/tests/test_exchange.py
+++ b/reedspar/fleet/tests/test_exchange.py
@@ -154,6 +154,35 @@
         self.deliver_messages()
         self.assertIsNone(self.unserved.view.target("t1"))
 
+    def test_deferred_removal_is_confirmed_by_served_peer(self) -> None:
+        # The store answers a refused machine again, and that machine sees a removal
+        # itself before a peer reports it.  Requests for newer entries would not return
+        # it, and the target would get requests until the end of the deferral.
+        gone = WatchedEntry("targets/t1", None, 9)
+        self.served.feed.caches["targets/"].apply([gone], 9, 0.0)
+        self.defer_removal(self.unserved, gone)
+        self.unserved.tick()
+        self.deliver_messages()
+        self.assertIsNone(self.unserved.view.target("t1"))
+
+    def test_deferred_removal_is_not_confirmed_by_peer_that_defers_it(self) -> None:
+        # Guards against an empty view after an outage in which leases have expired.
+        gone = WatchedEntry("targets/t1", None, 9)
+        for daemon in (self.unserved, self.served):
+            self.defer_removal(daemon, gone)
+        self.unserved.tick()
+        self.deliver_messages()
+        self.assertIsNotNone(self.unserved.view.target("t1"))
+
+    def defer_removal(self, daemon: Daemon, gone: WatchedEntry) -> None:
+        """Let a daemon see a removal just after an outage."""
+        cache = daemon.feed.caches["targets/"]
+        cache.mark_unavailable()
+        daemon.clock.advance(LEASE_EXPIRY_OUTAGE_MIN_S)
+        now_s = daemon.clock.now_s()
+        cache.mark_available(now_s)
+        self.assertEqual(cache.apply([gone], gone.revision, now_s), [])
+
     def test_removal_deferred_by_peer_is_not_passed_on(self) -> None:
         # The store is unavailable for all machines and the leases expire.  The peer
         # that first learns of a removal must not pass it on, as the entry may be
