Count failed lease renewals as signs of an outage while watches survive it

In an outage in which the store neither refuses watches nor closes them, only renewals fail. A watch that survives returns the removals of expired leases at the store's return, and they were applied at once: every target was gone until it had registered again, up to two seconds.

--- a/reedspar/fleet/feed.py
+++ b/reedspar/fleet/feed.py
@@ -200,10 +200,12 @@
     def record_store_failure(self) -> None:
         """Record that a call of this daemon to the store has failed.
 
-        Marks only prefixes that are not watched; a watch detects an outage itself.
+        Prefixes that are watched stay available until their watches fail.
         """
         for prefix, cache in self._caches.items():
-            if not self._gates[prefix].is_open:
+            if self._gates[prefix].is_open:
+                cache.record_store_failure(self._timers.now_s())
+            else:
                 cache.mark_unavailable()
 
     async def wait_initialized(self) -> None:
--- a/reedspar/fleet/prefix_cache.py
+++ b/reedspar/fleet/prefix_cache.py
@@ -26,6 +26,12 @@
 Leases last three seconds or more and are renewed once a second.  An interrupted watch
 or a single refused call is not such an outage."""
 
+FAILURE_RETENTION_S = LEASE_EXPIRY_OUTAGE_MIN_S + LEASE_EXPIRY_GRACE_S
+"""How long a failed call shows that the store may be unavailable.
+
+The last failure precedes the end of an outage by up to 1.5 s, and removals are deferred
+until the grace period after it."""
+
 
 @dataclass(slots=True)
 class PrefixCache:
@@ -47,6 +53,8 @@
     _available_since_s: float = float("-inf")
     _last_success_s: float = float("-inf")
     """When the store last answered a call of this daemon, for any prefix."""
+    _last_failure_s: float = float("-inf")
+    """When a call of this daemon last failed, other than a watch of this prefix."""
     _outage_end_s: float = float("-inf")
     """When it last answered after an outage in which leases may have expired."""
 
@@ -131,6 +139,10 @@
             self._outage_end_s = now_s
         self._last_success_s = now_s
 
+    def record_store_failure(self, now_s: float) -> None:
+        """Record that a call has failed, though the watch of this prefix has not."""
+        self._last_failure_s = now_s
+
     def mark_available(self, now_s: float) -> bool:
         """Record a successful call; return whether the state has changed."""
         self.record_store_success(now_s)
@@ -212,6 +224,7 @@
         has_failed = (
             self._is_unavailable
             or now_s - self._available_since_s < LEASE_EXPIRY_GRACE_S
+            or now_s - self._last_failure_s < FAILURE_RETENTION_S
         )
         is_unanswered = now_s - self._last_success_s >= LEASE_EXPIRY_OUTAGE_MIN_S
         was_unanswered = now_s - self._outage_end_s < LEASE_EXPIRY_GRACE_S
