Read and log the rate limits that targets name in their answers

Nothing in the logs told which target had named a limit, and when an entry learned of it. The dialer reports the limit of each answer, also of one that was not run, and entries keep, log and count it. Nothing is decided by it yet: targets are chosen as before. An answer without a limit ends it only if its request was sent after the last answer with one had arrived.

--- a/reedspar/direct/__init__.py
+++ b/reedspar/direct/__init__.py
@@ -5,7 +5,12 @@
 those of `reedspar.requests`.
 """
 
-from .client import DirectAttemptClient, DirectResponse, TargetDialer
+from .client import (
+    DirectAttemptClient,
+    DirectResponse,
+    RateLimitListener,
+    TargetDialer,
+)
 from .entry_choice import choose_entries
 from .loads import LoadReport
 from .service import DirectService, create_direct_service
@@ -15,6 +20,7 @@
     "DirectResponse",
     "DirectService",
     "LoadReport",
+    "RateLimitListener",
     "TargetDialer",
     "choose_entries",
     "create_direct_service",
--- a/reedspar/direct/client.py
+++ b/reedspar/direct/client.py
@@ -27,6 +27,7 @@
 __all__ = [
     "DirectAttemptClient",
     "DirectResponse",
+    "RateLimitListener",
     "TargetDialer",
     "create_direct_attempt_client",
 ]
@@ -40,6 +41,11 @@
 _logger = logging.getLogger(__name__)
 
 
+RateLimitListener = Callable[[str, str, float | None], None]
+"""Called with the ids of target and request, and with the requests a second that the
+target names as its limit, None if its answer names no limit."""
+
+
 class DirectResponse(TargetResponse, Protocol):
     """Answer of a target while it arrives, with the load report from its headers."""
 
@@ -53,6 +59,10 @@
         """Return whether the target's address is known."""
         ...
 
+    def on_rate_limit(self, listener: RateLimitListener) -> None:
+        """Call `listener` for each answer, before it is yielded."""
+        ...
+
     def send(
         self,
         target_id: str,
--- a/reedspar/direct/loads.py
+++ b/reedspar/direct/loads.py
@@ -11,6 +11,7 @@
     "AverageLoad",
     "AverageRule",
     "LoadReport",
+    "NamedLimit",
     "OwnAttempt",
     "TargetLoad",
     "TargetLoads",
@@ -77,6 +78,16 @@
     """Time when the request was sent, None before."""
 
 
+@dataclass(slots=True)
+class NamedLimit:
+    """The rate limit that a target has named, if any."""
+
+    rate_per_s: float | None = None
+    """Requests a second that the target takes from all entries together."""
+    valid_from_s: float = float("-inf")
+    """Time up to which earlier evidence is outdated."""
+
+
 @dataclass(slots=True)
 class TargetLoad:
     """Load of one target as this entry knows it."""
@@ -89,6 +100,7 @@
     backoff_until_s: float = float("-inf")
     failures: int = 0
     cold_bucket: TokenBucket | None = None
+    named_limit: NamedLimit = field(default_factory=NamedLimit)
     replaced_boot_id: str = ""
     """Boot id of the target that another one has replaced at its address."""
     not_accepting_until_s: float = float("-inf")
@@ -277,9 +289,10 @@
             del self._loads[target_id]
 
     def reset_after_restart(self, target_id: str) -> None:
-        """Discard the report and the backoff from before a target's restart."""
+        """Discard what was reported and named before a target's restart."""
         load = self._loads.get(target_id)
         if load is not None:
             load.report = None
+            load.named_limit = NamedLimit()
             load.failures = 0
             load.backoff_until_s = float("-inf")
--- a/reedspar/direct/service.py
+++ b/reedspar/direct/service.py
@@ -30,6 +30,7 @@
 from .filters import DeadlineFilter, RouteIdentificationFilter
 from .leaving_targets_log import LeavingTargetsLog
 from .loads import TargetLoads
+from .rate_limits import RateLimits
 from .replaced_weights_log import ReplacedWeightsLog
 from .target_choice import DirectChooser
 from .versions import VersionRule
@@ -52,6 +53,7 @@
     client: DirectAttemptClient
     chooser: DirectChooser
     loads: TargetLoads
+    rate_limits: RateLimits
     versions: VersionRule
     replaced_weights_log: ReplacedWeightsLog
     follower: "_FleetFollower"
@@ -175,6 +177,8 @@
         (replaced_weights_log, LeavingTargetsLog(view, timers)),
         rng,
     )
+    rate_limits = RateLimits(loads, timers)
+    dialer.on_rate_limit(rate_limits.record_answer)
     checks = AttemptChecks(view, loads, versions, timers)
     client = create_direct_attempt_client(
         dialer, timers, tasks, chooser.record_report, checks
@@ -202,5 +206,12 @@
         fallback,
     )
     return DirectService(
-        application, client, chooser, loads, versions, replaced_weights_log, follower
+        application,
+        client,
+        chooser,
+        loads,
+        rate_limits,
+        versions,
+        replaced_weights_log,
+        follower,
     )
--- a/reedspar/direct/tests/fakes.py
+++ b/reedspar/direct/tests/fakes.py
@@ -13,6 +13,7 @@
     DirectResponse,
     DirectService,
     LoadReport,
+    RateLimitListener,
     create_direct_service,
 )
 from reedspar.errors import Failure, Reason, Step
@@ -130,11 +131,17 @@
         self.begun: list[tuple[str, float]] = []
         """Targets that began to answer, with the event loop's time."""
         self.connect_s = 0.0
+        self.rate_limits: dict[str, float] = {}
+        """Requests a second that targets name as their limits."""
+        self._rate_limit_listeners: list[RateLimitListener] = []
         self.script: Script = lambda target_id, request: FakeResponse([b"ok"])
 
     def has_address(self, target_id: str) -> bool:
         return self._view.target(target_id) is not None
 
+    def on_rate_limit(self, listener: RateLimitListener) -> None:
+        self._rate_limit_listeners.append(listener)
+
     @asynccontextmanager
     async def send(
         self,
@@ -154,6 +161,8 @@
             if isinstance(answer, float):
                 await anyio.sleep(answer)
                 answer = FakeResponse([b"late"])
+            for listener in self._rate_limit_listeners:
+                listener(target_id, request.request_id, self.rate_limits.get(target_id))
             if not isinstance(answer, Failure):
                 self.begun.append((target_id, anyio.current_time()))
             yield answer
--- a/reedspar/telemetry/metrics.py
+++ b/reedspar/telemetry/metrics.py
@@ -222,6 +222,16 @@
             "outcome",
         ),
     ]
+    rate_limits: Annotated[
+        ObservableInstrument,
+        observed_counter(
+            "targets.rate_limits",
+            "{change}",
+            "Rate limits of targets that this entry learned of, by change: named, "
+            "ended.",
+            "change",
+        ),
+    ]
     gate_limit: Annotated[
         ObservableInstrument,
         observed_gauge(
