--- a/reedspar/direct/tests/fakes.py
+++ b/reedspar/direct/tests/fakes.py
@@ -246,7 +246,11 @@
 
 
 def make_direct_service(
-    timers: TimerService, tasks: Any, targets: list[TargetRecord]
+    timers: TimerService,
+    tasks: Any,
+    targets: list[TargetRecord],
+    name: str = SETTINGS.name,
+    network: FakeNetwork | None = None,
 ) -> tuple[DirectService, FakeDialer, FleetView]:
     """Return an entry's service that knows the targets, with its dialer and view."""
     view = FleetView(timers)
@@ -255,17 +259,17 @@
         view.apply(TargetChange(record.id, record))
     dialer = FakeDialer(view)
     service = create_direct_service(
-        settings=SETTINGS,
+        settings=SETTINGS.model_copy(update={"name": name}),
         incarnation=7,
         view=view,
         timers=timers,
         tasks=tasks,
-        network=FakeNetwork(),  # type: ignore[arg-type]
+        network=network or FakeNetwork(),  # type: ignore[arg-type]
         dialer=dialer,
         adapter=HostAdapter(),
         fallback=Starlette(),
         is_store_slow=lambda: False,
-        rng=random.Random(1),
+        rng=random.Random(name),
     )
     return service, dialer, view
 
