Split the ranking of senders from the limits on cold targets

Limits that targets name need the same ranking of the entries that may send to a target. No change of behaviour; the tests of cold starts pass as before.

--- a/reedspar/direct/cold_limits.py
+++ b/reedspar/direct/cold_limits.py
@@ -6,9 +6,10 @@
 
 from collections.abc import Iterable
 
-from reedspar.utils import TokenBucket, rank_by_rendezvous, rendezvous_score
+from reedspar.utils import TokenBucket, rendezvous_score
 
 from .loads import TargetLoad
+from .sender_ranking import SenderRanking
 
 __all__ = ["ColdLimits"]
 
@@ -33,8 +34,6 @@
 second."""
 SENDERS_MIN = 3
 """Minimum number of senders assumed: an entry that just started may know no others."""
-CACHED_TARGETS_MAX = 4096
-"""Maximum number of cached target ids; each restart of a target adds a new id."""
 SCORE_RANGE = 2.0**64
 """Number of possible rendezvous scores."""
 
@@ -44,9 +43,7 @@
 
     def __init__(self, name: str) -> None:
         self._name = name
-        self._entry_names: frozenset[str] = frozenset({name})
-        self._top_ranked_cache: dict[str, bool] = {}
-        """Results of `_is_top_ranked` by target id, for the current `_entry_names`."""
+        self._ranking = SenderRanking(name)
         self._target_count = 0
         self._startup_end_s = self._startup_deadline_s = float("-inf")
 
@@ -68,10 +65,7 @@
 
     def set_entries(self, names: Iterable[str]) -> None:
         """Set the names of the entries that may send; this entry is always included."""
-        names = frozenset({self._name, *names})
-        if names != self._entry_names:
-            self._entry_names = names
-            self._top_ranked_cache.clear()
+        self._ranking.set_entries(names)
 
     def may_send(
         self, target_id: str, load: TargetLoad, rate_per_s: float, now_s: float
@@ -97,23 +91,10 @@
     def _is_sender(self, target_id: str, now_s: float) -> bool:
         """Return whether this entry is one of the senders for a target."""
         expected_count = ENTRIES_PER_TARGET * self._target_count
-        if self._is_starting(now_s) and expected_count > len(self._entry_names):
+        if self._is_starting(now_s) and expected_count > self._ranking.entry_count:
             # Approximates the ranking that holds once all entries are known.
             return (1 - self._score_fraction(target_id)) * expected_count < SENDERS_MAX
-        if len(self._entry_names) <= SENDERS_MAX:
-            return True
-        return self._is_top_ranked(target_id)
-
-    def _is_top_ranked(self, target_id: str) -> bool:
-        """Return whether this entry ranks in the first `SENDERS_MAX` for a target."""
-        is_top_ranked = self._top_ranked_cache.get(target_id)
-        if is_top_ranked is None:
-            ranked = rank_by_rendezvous(target_id, self._entry_names)
-            is_top_ranked = self._name in ranked[:SENDERS_MAX]
-            if len(self._top_ranked_cache) >= CACHED_TARGETS_MAX:
-                self._top_ranked_cache.clear()
-            self._top_ranked_cache[target_id] = is_top_ranked
-        return is_top_ranked
+        return self._ranking.is_sender(target_id, SENDERS_MAX)
 
     def _score_fraction(self, target_id: str) -> float:
         """Return the rendezvous score of this entry, scaled to the range 0 to 1."""
@@ -127,7 +108,7 @@
     ) -> TokenBucket:
         min_senders = SENDERS_MAX if self._is_starting(now_s) else SENDERS_MIN
         share_per_s = rate_per_s / min(
-            SENDERS_MAX, max(min_senders, len(self._entry_names))
+            SENDERS_MAX, max(min_senders, self._ranking.entry_count)
         )
         bucket = load.cold_bucket
         if bucket is None:
--- a/reedspar/direct/tests/test_cold_starts.py
+++ b/reedspar/direct/tests/test_cold_starts.py
@@ -120,7 +120,8 @@
         limit = ColdLimits("entry-0")
         limit.set_entries(f"entry-{i}" for i in range(LARGE_FLEET.entries))
         with mock.patch(
-            "reedspar.direct.cold_limits.rank_by_rendezvous", wraps=rank_by_rendezvous
+            "reedspar.direct.sender_ranking.rank_by_rendezvous",
+            wraps=rank_by_rendezvous,
         ) as rank:
             for round_index in range(3):
                 for i in range(TARGETS):
