Share the rate limit that a target names among the entries

Cause: the header was new, and nothing decided by it; arrivals at limited targets did not change when they named their limits. The second hypothesis, that each entry would keep to the limit by itself, had nothing to stand on, but a fix that does no more would send nine times as much. The third is ruled out: the excess went on for seconds.

Change: four to nine entries by rank, more with a higher limit, each keep to their part of it; the others send nothing to that target. Entries announce each change to all others, an unchanged limit every five seconds. Requests that are being connected when a limit is learned count. What fits nowhere is refused at once.

--- a/bench/target_choice.py
+++ b/bench/target_choice.py
@@ -19,6 +19,7 @@
 import random
 from collections.abc import Callable, Collection
 from dataclasses import asdict, dataclass
+from typing import Any
 
 from reedspar.direct.cold_limits import ColdLimits
 from reedspar.direct.crashes import CrashDetector
@@ -28,7 +29,9 @@
     TargetLoads,
     compute_average_load,
 )
+from reedspar.direct.rate_limits import RateLimits
 from reedspar.direct.replaced_weights_log import ReplacedWeightsLog
+from reedspar.direct.send_limits import SendLimits
 from reedspar.direct.target_choice import DirectChooser
 from reedspar.direct.tests.fakes import ENGINE, make_engine_target, make_table
 from reedspar.direct.versions import VersionRule
@@ -36,6 +39,7 @@
 from reedspar.fleet import FleetView, RoutesChange, TargetChange
 from reedspar.requests.relay_interfaces import ChosenTarget
 from reedspar.requests.request import Answer, Outcome, Request, Responder
+from reedspar.requests.tests.fakes import FakeNetwork
 from reedspar.timers import TimerService, VirtualClock
 
 from .batching_engine import Engine
@@ -151,10 +155,12 @@
         versions.record_store_listing()
         loads = TargetLoads()
         loads.entry_count = entry_count
+        network: Any = FakeNetwork()
+        rate_limits = RateLimits(name, loads, view, network, timers)
         self.chooser = DirectChooser(
             view,
             loads,
-            ColdLimits(name),
+            SendLimits(ColdLimits(name), rate_limits),
             versions,
             timers,
             {"a": "ra"},
--- a/reedspar/daemon/site_entry.py
+++ b/reedspar/daemon/site_entry.py
@@ -189,7 +189,7 @@
         view=view,
         timers=timers,
         tasks=tasks,
-        network=links.create_network("crashes"),
+        network=links.create_network("requests"),
         dialer=adapters.create_dialer(view),
         adapter=adapters.caller_adapter,
         fallback=adapters.metrics_app,
--- a/reedspar/direct/eligibility.py
+++ b/reedspar/direct/eligibility.py
@@ -9,11 +9,11 @@
 from reedspar.requests.request import Request
 from reedspar.routes import ServiceParameters
 
-from .cold_limits import ColdLimits
 from .loads import TargetLoad, TargetLoads
+from .send_limits import SendLimits
 from .versions import VersionRule
 
-__all__ = ["TargetEligibility", "cold_rate_per_s", "ineligibility_reason"]
+__all__ = ["TargetEligibility", "ineligibility_reason"]
 
 
 class TargetEligibility:
@@ -23,13 +23,13 @@
         self,
         view: FleetView,
         loads: TargetLoads,
-        cold_limits: ColdLimits,
+        send_limits: SendLimits,
         versions: VersionRule,
         region_by_zone: Mapping[str, str],
     ) -> None:
         self._view = view
         self._loads = loads
-        self._cold_limits = cold_limits
+        self._send_limits = send_limits
         self._versions = versions
         self._region_by_zone = region_by_zone
 
@@ -54,14 +54,12 @@
         Excluding every target in backoff could overload the remaining ones, so at least
         half of the targets are returned.
         """
-        rate_per_s = cold_rate_per_s(service)
         pairs = [(known, self._loads.for_target(known.record.id)) for known in eligible]
         pairs = [pair for pair in pairs if now_s >= pair[1].not_accepting_until_s]
         pairs = [
             (known, load)
             for known, load in pairs
-            if not known.is_cold(now_s)
-            or self._cold_limits.may_send(known.record.id, load, rate_per_s, now_s)
+            if self._send_limits.may_send(known, load, service, now_s)
         ]
         available = [pair for pair in pairs if now_s >= pair[1].backoff_until_s]
         if len(available) * 2 >= len(pairs):
@@ -105,8 +103,3 @@
     if is_superseded or loads.for_target(record.id).replaced_boot_id == record.boot_id:
         return "another target has its address"
     return ""
-
-
-def cold_rate_per_s(service: ServiceParameters | None) -> float:
-    """Return the limit of requests a second to a cold target; 0 if unlimited."""
-    return service.cold_requests_per_s if service is not None else 0.0
--- a/reedspar/direct/loads.py
+++ b/reedspar/direct/loads.py
@@ -86,6 +86,13 @@
     """Requests a second that the target takes from all entries together."""
     valid_from_s: float = float("-inf")
     """Time up to which earlier evidence is outdated."""
+    heard_at_s: float = float("-inf")
+    """When evidence last arrived."""
+    bucket: TokenBucket | None = None
+    """This entry's share of the limit."""
+    announced_per_s: float | None = None
+    """The limit that was last announced, by this entry or to it."""
+    announced_at_s: float = float("-inf")
 
 
 @dataclass(slots=True)
--- a/reedspar/direct/rate_limits.py
+++ b/reedspar/direct/rate_limits.py
@@ -1,79 +1,201 @@
 """Rate limits that targets name in their answers.
 
 A target in need names the requests a second that it takes from all entries together,
-in each of its answers for as long as the limit holds.
+in each of its answers for as long as the limit holds.  Some entries, by rank, share
+that rate; the others send nothing.  As these would never learn that a limit has
+changed or ended, the entries tell each other what answers show.
 """
 
 import logging
 from collections import Counter
-from dataclasses import dataclass
+from collections.abc import Iterable
 
+from reedspar.fleet import FleetView, KnownTarget, TargetLimitNews
+from reedspar.links import Network, Role
+from reedspar.messages import Sender
 from reedspar.timers import TimerService
+from reedspar.utils import TokenBucket
 
-from .loads import NamedLimit, TargetLoads
+from .loads import NamedLimit, TargetLoad, TargetLoads
+from .sender_ranking import SenderRanking
 
-__all__ = ["LimitEvidence", "RateLimits"]
+__all__ = ["RateLimits"]
 
-_logger = logging.getLogger(__name__)
+SENDERS_MIN = 4
+SENDERS_MAX = 9
+"""Bounds of the number of entries that may send to one limited target.
 
+Each may send one request at once after a pause.  The platform tolerates, in four
+seconds, half more than the limit and five requests."""
+SENDERS_PER_RATE_S = 2.0
+"""Additional senders for each request a second of the limit."""
+RATE_MIN_PER_S = 0.2
+"""Lowest rate at which a limited target gets requests.
 
-@dataclass(frozen=True, slots=True)
-class LimitEvidence:
-    """What an answer shows about its target's rate limit."""
+Without any, no answer could show that its limit has ended."""
+TOKENS_MAX = 0.01
+"""Tokens kept after a pause.  A bucket that is not empty permits one request."""
+ANNOUNCED_CHANGE_MIN = 0.25
+"""Smallest relative change of a limit that is announced before the next refresh."""
+REFRESH_INTERVAL_S = 5.0
+"""Time without an announcement after which an unchanged limit is announced again."""
+LIMIT_TTL_S = 30.0
+"""Time without evidence after which a limit is forgotten.
 
-    rate_per_s: float | None
-    """The named limit, None if the answer names none."""
-    valid_from_s: float
-    """Time up to which earlier evidence is outdated.
+Its senders may have stopped, and the announcement of its end may be lost."""
 
-    An answer with a limit shows the state when it arrives.  One without shows the state
-    after its request was sent: it may have been overtaken by an answer with a limit."""
+_logger = logging.getLogger(__name__)
 
 
 class RateLimits:
-    """Keeps the rate limit of each target."""
-
-    def __init__(self, loads: TargetLoads, timers: TimerService) -> None:
+    """Keeps the rate limits of targets, and this entry's share of each."""
+
+    def __init__(
+        self,
+        name: str,
+        loads: TargetLoads,
+        view: FleetView,
+        network: Network,
+        timers: TimerService,
+    ) -> None:
+        self._name = name
         self._loads = loads
+        self._view = view
+        self._network = network
         self._timers = timers
+        self._ranking = SenderRanking(name)
         self._counts: Counter[str] = Counter(named=0, ended=0)
+        network.subscribe(TargetLimitNews, self._handle_news)
+
+    def set_entries(self, names: Iterable[str]) -> None:
+        """Set the names of the entries that may send; this entry is always included."""
+        self._ranking.set_entries(names)
 
     def read_counts(self) -> list[tuple[float, dict[str, str]]]:
         """Return the counts of limits that began and ended, with labels."""
         return [(count, {"change": change}) for change, count in self._counts.items()]
 
+    def may_send(self, target_id: str, load: TargetLoad, now_s: float) -> bool:
+        """Return whether one more request may be sent to a target now."""
+        limit = load.named_limit
+        if limit.rate_per_s is None:
+            return True
+        if now_s - limit.heard_at_s >= LIMIT_TTL_S:
+            load.named_limit = NamedLimit()
+            return True
+        if not self._ranking.is_sender(target_id, _senders_max(limit.rate_per_s)):
+            return False
+        return self._update_bucket(load, limit.rate_per_s, now_s).is_ready(now_s)
+
+    def record_sent(self, load: TargetLoad, now_s: float) -> None:
+        """Count a request to a target, if it has named a limit."""
+        rate_per_s = load.named_limit.rate_per_s
+        if rate_per_s is not None:
+            self._update_bucket(load, rate_per_s, now_s).consume(1, now_s)
+
     def record_answer(
         self, target_id: str, request_id: str, rate_per_s: float | None
     ) -> None:
-        """Record the limit that an answer names, None if it names none."""
-        load = self._loads.for_target(target_id)
-        if rate_per_s is not None:
-            self._apply(target_id, LimitEvidence(rate_per_s, self._timers.now_s()))
-            return
-        attempt = load.own_attempts.get(request_id)
-        if attempt is not None and attempt.handed_over_s is not None:
-            self._apply(target_id, LimitEvidence(None, attempt.handed_over_s))
+        """Record the limit that an answer names, None if it names none.
 
-    def _apply(self, target_id: str, evidence: LimitEvidence) -> bool:
-        """Apply evidence; return whether it has changed the limit."""
+        An answer with a limit shows the state when it arrives.  One without shows that
+        after its request was sent: an answer with a limit may have overtaken it.
+        """
+        known = self._view.target(target_id)
+        if known is None:
+            return
+        now_s = self._timers.now_s()
+        valid_from_s: float | None = now_s
+        if rate_per_s is None:
+            attempt = self._loads.for_target(target_id).own_attempts.get(request_id)
+            valid_from_s = attempt.handed_over_s if attempt is not None else None
+        if valid_from_s is None:
+            return
         limit = self._loads.for_target(target_id).named_limit
-        if evidence.valid_from_s < limit.valid_from_s:
-            return False
-        limit.valid_from_s = evidence.valid_from_s
-        if evidence.rate_per_s == limit.rate_per_s:
+        self._apply(target_id, rate_per_s, valid_from_s)
+        if self._is_due(limit, now_s):
+            self._announce(known, limit, now_s)
+
+    def _apply(
+        self, target_id: str, rate_per_s: float | None, valid_from_s: float
+    ) -> bool:
+        """Apply what an answer shows; return False if later evidence is known."""
+        load = self._loads.for_target(target_id)
+        limit = load.named_limit
+        if valid_from_s < limit.valid_from_s:
             return False
-        self._record_change(target_id, limit, evidence)
-        limit.rate_per_s = evidence.rate_per_s
-        return True
-
-    def _record_change(
-        self, target_id: str, limit: NamedLimit, evidence: LimitEvidence
-    ) -> None:
-        if limit.rate_per_s is None:
-            self._counts["named"] += 1
-        elif evidence.rate_per_s is None:
+        now_s = self._timers.now_s()
+        limit.valid_from_s = valid_from_s
+        limit.heard_at_s = now_s
+        previous_per_s, limit.rate_per_s = limit.rate_per_s, rate_per_s
+        if rate_per_s == previous_per_s:
+            return True
+        if rate_per_s is None:
+            limit.bucket = None
             self._counts["ended"] += 1
+        elif previous_per_s is None:
+            # Requests that are being sent reach the target under the limit.
+            bucket = self._update_bucket(load, rate_per_s, now_s)
+            bucket.consume(_count_unsent(load), now_s)
+            self._counts["named"] += 1
         _logger.info(
             "rate limit of a target changed",
-            extra={"target": target_id, "rate_per_s": evidence.rate_per_s},
+            extra={"target": target_id, "rate_per_s": rate_per_s},
+        )
+        return True
+
+    def _is_due(self, limit: NamedLimit, now_s: float) -> bool:
+        """Return whether the other entries should be told of a limit now."""
+        told_per_s, rate_per_s = limit.announced_per_s, limit.rate_per_s
+        if told_per_s is None or rate_per_s is None:
+            return told_per_s != rate_per_s
+        if now_s - limit.announced_at_s >= REFRESH_INTERVAL_S:
+            return True
+        return abs(rate_per_s - told_per_s) > ANNOUNCED_CHANGE_MIN * told_per_s
+
+    def _announce(self, known: KnownTarget, limit: NamedLimit, now_s: float) -> None:
+        limit.announced_per_s, limit.announced_at_s = limit.rate_per_s, now_s
+        news = TargetLimitNews(
+            known.record.id,
+            known.record.boot_id,
+            limit.rate_per_s is not None,
+            limit.rate_per_s or 0.0,
+            max(0, round((now_s - limit.valid_from_s) * 1000)),
+        )
+        for entry in self._view.daemons(Role.ENTRY.value):
+            if entry.name != self._name:
+                self._network.send(entry.name, news)
+
+    def _handle_news(self, sender: Sender, news: TargetLimitNews) -> None:
+        known = self._view.target(news.target_id)
+        if known is None or known.record.boot_id != news.boot_id:
+            return
+        now_s = self._timers.now_s()
+        rate_per_s = news.rate_per_s if news.is_limited else None
+        if self._apply(news.target_id, rate_per_s, now_s - news.age_ms / 1000):
+            limit = self._loads.for_target(news.target_id).named_limit
+            limit.announced_per_s, limit.announced_at_s = rate_per_s, now_s
+
+    def _update_bucket(
+        self, load: TargetLoad, rate_per_s: float, now_s: float
+    ) -> TokenBucket:
+        senders = min(
+            _senders_max(rate_per_s), max(SENDERS_MIN, self._ranking.entry_count)
         )
+        share_per_s = max(RATE_MIN_PER_S, rate_per_s) / senders
+        bucket = load.named_limit.bucket
+        if bucket is None:
+            bucket = load.named_limit.bucket = TokenBucket(share_per_s, TOKENS_MAX)
+        elif bucket.rate_per_s != share_per_s:
+            bucket.set_rate(share_per_s, now_s)
+        return bucket
+
+
+def _senders_max(rate_per_s: float) -> int:
+    """Return how many entries may send to a target with a limit."""
+    return min(SENDERS_MAX, SENDERS_MIN + int(SENDERS_PER_RATE_S * rate_per_s))
+
+
+def _count_unsent(load: TargetLoad) -> int:
+    """Return the number of own attempts that are still connecting."""
+    return sum(a.handed_over_s is None for a in load.own_attempts.values())
--- a/reedspar/direct/service.py
+++ b/reedspar/direct/service.py
@@ -32,6 +32,7 @@
 from .loads import TargetLoads
 from .rate_limits import RateLimits
 from .replaced_weights_log import ReplacedWeightsLog
+from .send_limits import SendLimits
 from .target_choice import DirectChooser
 from .versions import VersionRule
 
@@ -77,6 +78,7 @@
         view: FleetView,
         loads: TargetLoads,
         cold_limits: ColdLimits,
+        send_limits: SendLimits,
         budgets: RetryBudgets,
         retry_slack: float,
         timers: TimerService,
@@ -84,6 +86,7 @@
         self._view = view
         self._loads = loads
         self._cold_limits = cold_limits
+        self._send_limits = send_limits
         self._budgets = budgets
         self._retry_slack = retry_slack
         self._boot_ids: dict[str, str] = {}
@@ -121,7 +124,7 @@
 
     def _update_entries(self) -> None:
         entries = self._view.daemons(Role.ENTRY.value)
-        self._cold_limits.set_entries(entry.name for entry in entries)
+        self._send_limits.set_entries(entry.name for entry in entries)
         count = max(ENTRIES_MIN, len(entries))
         self._loads.entry_count = count
         self._budgets.set_burst(RETRY_SLACK_FRACTION * self._retry_slack / count)
@@ -153,6 +156,9 @@
     bounds = settings.bounds
     loads = TargetLoads()
     cold_limits = ColdLimits(settings.name)
+    rate_limits = RateLimits(settings.name, loads, view, network, timers)
+    dialer.on_rate_limit(rate_limits.record_answer)
+    send_limits = SendLimits(cold_limits, rate_limits)
     versions = VersionRule(view, timers, bounds.version_ms / 1000)
     replaced_weights_log = ReplacedWeightsLog(versions, timers)
     quarantine = Quarantine()
@@ -168,7 +174,7 @@
     chooser = DirectChooser(
         view,
         loads,
-        cold_limits,
+        send_limits,
         versions,
         timers,
         settings.zones,
@@ -177,15 +183,13 @@
         (replaced_weights_log, LeavingTargetsLog(view, timers)),
         rng,
     )
-    rate_limits = RateLimits(loads, timers)
-    dialer.on_rate_limit(rate_limits.record_answer)
     checks = AttemptChecks(view, loads, versions, timers)
     client = create_direct_attempt_client(
         dialer, timers, tasks, chooser.record_report, checks
     )
     budgets = RetryBudgets(bounds.retry_share)
     follower = _FleetFollower(
-        view, loads, cold_limits, budgets, bounds.retry_slack, timers
+        view, loads, cold_limits, send_limits, budgets, bounds.retry_slack, timers
     )
     view.on_change(follower.apply_change)
     view.on_change(lambda change: _pass_to_crash_detector(crashes, view, change))
--- a/reedspar/direct/target_choice.py
+++ b/reedspar/direct/target_choice.py
@@ -12,9 +12,8 @@
 from reedspar.routes import EngineParameters, ServiceParameters
 from reedspar.timers import TimerService
 
-from .cold_limits import ColdLimits
 from .crashes import CrashDetector
-from .eligibility import TargetEligibility, cold_rate_per_s
+from .eligibility import TargetEligibility
 from .estimate import (
     Calibration,
     EngineLoad,
@@ -31,6 +30,7 @@
     compute_average_load,
 )
 from .refusals import RETRY_AFTER_S, Refusals
+from .send_limits import SendLimits
 from .versions import VersionRule
 
 __all__ = ["BegunAttemptLog", "DirectChooser", "DirectTarget"]
@@ -106,7 +106,7 @@
         self,
         view: FleetView,
         loads: TargetLoads,
-        cold_limits: ColdLimits,
+        send_limits: SendLimits,
         versions: VersionRule,
         timers: TimerService,
         region_by_zone: dict[str, str],
@@ -119,9 +119,9 @@
         self._view = view
         self._average_rule = average_rule
         self._loads = loads
-        self._cold_limits = cold_limits
+        self._send_limits = send_limits
         self._eligibility = TargetEligibility(
-            view, loads, cold_limits, versions, region_by_zone
+            view, loads, send_limits, versions, region_by_zone
         )
         self._refusals = Refusals(view, timers, rng)
         self._timers = timers
@@ -157,7 +157,7 @@
             )
         ]
         if not candidates:
-            detail = "every fit target is cold or about to switch"
+            detail = "every fit target is cold, at its limit or about to switch"
             return self._refusals.refuse(detail, RETRY_AFTER_S)
         candidates = [
             candidate
@@ -200,10 +200,12 @@
             version=chosen.version,
             expected_wait_s=chosen.expected_wait_s,
         )
-        known = self._view.target(chosen.name)
-        if known is not None and known.is_cold(now_s):
-            rate_per_s = cold_rate_per_s(self._find_service(request.pool))
-            self._cold_limits.record_sent(load, rate_per_s, now_s)
+        self._send_limits.record_sent(
+            self._view.target(chosen.name),
+            load,
+            self._find_service(request.pool),
+            now_s,
+        )
 
     def on_first_byte(self, request: Request, chosen: ChosenTarget) -> None:
         """Record the end of the prompt's prefill."""
--- a/reedspar/direct/tests/test_rate_limit_load.py
+++ b/reedspar/direct/tests/test_rate_limit_load.py
@@ -35,6 +35,9 @@
 """Time from an entry's first answer with a limit until its requests count."""
 LIMITED_S = 12.0
 """How long targets name their limits."""
+RECOVERY_S = 3.0
+"""Time after the end of a limit in which the target gets its usual load again."""
+REFUSAL_MAX_S = 0.1
 
 Script = Callable[["Fleet"], Awaitable[None]]
 
@@ -181,6 +184,62 @@
         for entry_count in (2, 9, 46):
             self.check_peaks(entry_count, {"o0": 1.0, "o1": 1.4, "o2": 4.0})
 
+    def test_entries_together_keep_to_low_limits(self) -> None:
+        # Guards against one request of each entry adding up to more than is allowed.
+        self.check_peaks(9, {"o0": 0.0, "o1": 0.1, "o2": 0.5})
+
+    def test_entries_together_keep_to_the_limits_of_all_targets(self) -> None:
+        self.check_peaks(9, {f"o{i}": 2.0 for i in range(TARGET_COUNT)})
+
+    def test_limited_target_gets_most_of_what_it_takes(self) -> None:
+        # Guards against a pool that is refused though its targets would take requests.
+        async def script(fleet: Fleet) -> None:
+            await fleet.send_requests(NAMED_S)
+            fleet.set_limits({f"o{i}": 4.0 for i in range(TARGET_COUNT)})
+            await fleet.send_requests(NAMED_S + LIMITED_S)
+            for i in range(TARGET_COUNT):
+                late = [at for at in fleet.arrivals(f"o{i}") if at >= NAMED_S + 4.0]
+                self.assertGreaterEqual(len(late), 0.7 * 4.0 * (LIMITED_S - 4.0))
+
+        self.run_fleet(9, script)
+
+    def test_request_beyond_the_limits_of_all_targets_is_refused_at_once(self) -> None:
+        async def script(fleet: Fleet) -> None:
+            await fleet.send_requests(NAMED_S)
+            fleet.set_limits({f"o{i}": 2.0 for i in range(TARGET_COUNT)})
+            await fleet.send_requests(NAMED_S + LIMITED_S)
+            await anyio.sleep(1.0)
+            refused = [
+                number
+                for number, (begin_s, call) in enumerate(fleet.calls)
+                if begin_s > NAMED_S + 1.0 and call.status == 503
+            ]
+            self.assertGreater(len(refused), 100)
+            for number in refused:
+                self.assertLessEqual(fleet.elapsed_s[number], REFUSAL_MAX_S)
+                self.assertIn("retry-after", fleet.calls[number][1].headers)
+
+        self.run_fleet(9, script)
+
+    def test_target_gets_its_load_again_after_the_limit(self) -> None:
+        # Guards against entries that may send nothing to a limited target and so never
+        # learn from its answers that the limit has ended.
+        async def script(fleet: Fleet) -> None:
+            await fleet.send_requests(NAMED_S)
+            fleet.set_limits({"o0": 1.0})
+            await fleet.send_requests(NAMED_S + LIMITED_S)
+            fleet.set_limits({})
+            end_s = NAMED_S + LIMITED_S + RECOVERY_S
+            await fleet.send_requests(end_s + 3.0)
+            for entry in fleet.entries:
+                load = entry.service.loads.for_target("o0")
+                self.assertIsNone(load.named_limit.rate_per_s)
+            late = [at for at in fleet.arrivals("o0") if at >= end_s]
+            usual = 3.0 * REQUESTS_PER_S / TARGET_COUNT
+            self.assertGreaterEqual(len(late), 0.5 * usual)
+
+        self.run_fleet(9, script)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/reedspar/direct/tests/test_rate_limits.py
+++ b/reedspar/direct/tests/test_rate_limits.py
@@ -3,15 +3,40 @@
 import unittest
 
 from reedspar.direct.loads import OwnAttempt, TargetLoads
-from reedspar.direct.rate_limits import RateLimits
+from reedspar.direct.rate_limits import LIMIT_TTL_S, RateLimits
+from reedspar.fleet import (
+    DaemonChange,
+    DaemonRecord,
+    FleetView,
+    TargetChange,
+    TargetLimitNews,
+)
+from reedspar.fleet.tests.fakes import make_target
+from reedspar.requests.tests.fakes import FakeNetwork
 from reedspar.timers import TimerService, VirtualClock
 
+ENTRIES = ("e0", "e1", "e2")
+
 
 class EvidenceTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = VirtualClock(100.0)
+        timers = TimerService(self.clock)
         self.loads = TargetLoads()
-        self.limits = RateLimits(self.loads, TimerService(self.clock))
+        self.network = FakeNetwork()
+        view = FleetView(timers)
+        view.apply(TargetChange("t1", make_target("t1", started_ms=7)))
+        for name in ENTRIES:
+            record = DaemonRecord(name, "entry", "a", "r", "10.0.0.1", 1, 2)
+            view.apply(DaemonChange(name, record))
+        self.limits = RateLimits(
+            "e0",
+            self.loads,
+            view,
+            self.network,  # type: ignore[arg-type]
+            timers,
+        )
+        self.limits.set_entries(ENTRIES)
 
     def hand_over(self, request_id: str) -> None:
         now_s = self.clock.now_s()
@@ -51,6 +76,52 @@
         self.loads.reset_after_restart("t1")
         self.assertIsNone(self.rate_per_s)
 
+    def test_changed_limit_is_announced_to_the_other_entries(self) -> None:
+        self.hand_over("r1")
+        self.answer("r1", 1.5)
+        self.answer("r1", 1.6)
+        self.answer("r1", 3.0)
+        self.hand_over("r2")
+        self.answer("r2", None)
+        news = [
+            (peer, message.rate_per_s if message.is_limited else None)
+            for peer, message in self.network.sent
+        ]
+        self.assertEqual([n for n in news if n[0] == "e1"], self.list_news("e1"))
+        self.assertEqual([n for n in news if n[0] == "e2"], self.list_news("e2"))
+        self.assertEqual(len(news), 6)
+
+    def list_news(self, peer: str) -> list[tuple[str, float | None]]:
+        return [(peer, 1.5), (peer, 3.0), (peer, None)]
+
+    def receive(self, rate_per_s: float | None, boot: str = "t1:7") -> None:
+        is_limited = rate_per_s is not None
+        news = TargetLimitNews("t1", boot, is_limited, rate_per_s or 0.0, 20)
+        self.network.deliver("e1", news)
+
+    def test_limit_that_another_entry_announces_holds_here(self) -> None:
+        self.receive(1.5)
+        self.assertEqual(self.rate_per_s, 1.5)
+        self.clock.advance(1.0)
+        self.receive(None)
+        self.assertIsNone(self.rate_per_s)
+        self.assertEqual(self.network.sent, [])
+
+    def test_announcement_about_an_earlier_run_is_ignored(self) -> None:
+        self.receive(1.5, boot="t1:6")
+        self.assertIsNone(self.rate_per_s)
+
+    def test_limit_without_evidence_is_forgotten(self) -> None:
+        # Guards against a target that gets no requests after the announcement of the
+        # end of its limit was lost.
+        self.receive(1.0)
+        load = self.loads.for_target("t1")
+        self.limits.record_sent(load, self.clock.now_s())
+        self.assertFalse(self.limits.may_send("t1", load, self.clock.now_s()))
+        self.clock.advance(LIMIT_TTL_S)
+        self.assertTrue(self.limits.may_send("t1", load, self.clock.now_s()))
+        self.assertIsNone(self.rate_per_s)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/reedspar/fleet/fleet.capnp
+++ b/reedspar/fleet/fleet.capnp
@@ -70,3 +70,11 @@
   isTaking @5 :Bool;
   pace @6 :Float64;
 }
+
+struct TargetLimitNews {
+  targetId @0 :Text;
+  bootId @1 :Text;
+  isLimited @2 :Bool;
+  ratePerS @3 :Float64;
+  ageMs @4 :UInt64;
+}
--- a/reedspar/fleet/messages.py
+++ b/reedspar/fleet/messages.py
@@ -13,6 +13,7 @@
     "FleetRequest",
     "PrefixState",
     "RemovalQuery",
+    "TargetLimitNews",
     "TargetLoadNews",
     "VersionAge",
     "VersionAgeRequest",
@@ -135,6 +136,19 @@
     """Current duration of a request relative to the usual one."""
 
 
+@dataclass(frozen=True, slots=True)
+class TargetLimitNews:
+    """Tells other entries which rate limit the answers of a target name."""
+
+    target_id: str
+    boot_id: str
+    is_limited: bool
+    rate_per_s: float
+    """Requests a second that the target takes from all entries; 0 without a limit."""
+    age_ms: int
+    """Time since the limit was valid, as far as the sender knows."""
+
+
 def register_messages(registry: MessageRegistry) -> None:
     """Add these message types to `registry`."""
     schema = load_schema(__file__, "fleet.capnp")
@@ -148,5 +162,6 @@
         RemovalQuery,
         VersionAgeRequest,
         VersionAge,
+        TargetLimitNews,
         TargetLoadNews,
     )
