--- a/reedspar/direct/rate_limits.py
+++ b/reedspar/direct/rate_limits.py
@@ -78,11 +78,10 @@
     def may_send(self, target_id: str, load: TargetLoad, now_s: float) -> bool:
         """Return whether one more request may be sent to a target now."""
         limit = load.named_limit
+        if limit.rate_per_s is not None and now_s - limit.heard_at_s >= LIMIT_TTL_S:
+            limit = load.named_limit = NamedLimit()
         if limit.rate_per_s is None:
             return True
-        if now_s - limit.heard_at_s >= LIMIT_TTL_S:
-            load.named_limit = NamedLimit()
-            return True
         if not self._ranking.is_sender(target_id, _senders_max(limit.rate_per_s)):
             return False
         return self._update_bucket(load, limit.rate_per_s, now_s).is_ready(now_s)
--- a/reedspar/fleet/removal_queries.py
+++ b/reedspar/fleet/removal_queries.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections.abc import Sequence
 
 from reedspar.links import Network, Role
 from reedspar.messages import Sender
@@ -14,7 +15,6 @@
 from .feed import FleetFeed
 from .messages import FleetEntries, RemovalQuery
 from .packing import EntryPacker
-from .prefix_cache import PrefixCache
 from .view import FleetView
 
 __all__ = ["RemovalQueries"]
@@ -26,7 +26,11 @@
 0.6 s of these to notice that the store answers it again."""
 PEERS_QUERIED = 2
 """Peers asked each time, chosen at random: the store may have refused one of them."""
-KEYS_PER_QUERY_MAX = 200
+KEYS_PER_QUERY_MAX = 50
+"""Maximum number of keys in a query, which are drawn at random if there are more.
+
+After an outage of the whole store hundreds of removals may be deferred, and no peer
+confirms any."""
 
 
 class RemovalQueries:
@@ -52,20 +56,20 @@
 
     def _query_peers(self) -> None:
         for cache in self._feed.caches.values():
-            keys = cache.deferred_keys[:KEYS_PER_QUERY_MAX]
-            if not keys:
+            if not cache.deferred_keys:
                 continue
             for peer in self._choose_peers():
+                keys = _sample(self._rng, cache.deferred_keys, KEYS_PER_QUERY_MAX)
                 self._network.send(peer, RemovalQuery(cache.prefix, keys))
 
     def _choose_peers(self) -> list[str]:
         entry_daemons = self._view.daemons(Role.ENTRY.value)
         names = [daemon.name for daemon in entry_daemons if daemon.name != self._name]
-        return self._rng.sample(names, min(PEERS_QUERIED, len(names)))
+        return list(_sample(self._rng, names, PEERS_QUERIED))
 
     def _handle_query(self, sender: Sender, query: RemovalQuery) -> None:
         """Send the removals that this daemon has applied; send nothing if none."""
-        cache: PrefixCache | None = self._feed.caches.get(query.prefix)
+        cache = self._feed.caches.get(query.prefix)
         if cache is None:
             return
         removals = cache.list_removals(query.keys)
@@ -73,3 +77,10 @@
             entries = tuple(self._packer.pack(entry) for entry in removals)
             answer = FleetEntries(query.prefix, cache.revision, entries)
             self._network.send(sender.name, answer)
+
+
+def _sample(
+    rng: random.Random, items: Sequence[str], count_max: int
+) -> tuple[str, ...]:
+    """Return the items, or as many as allowed drawn at random."""
+    return tuple(rng.sample(items, min(count_max, len(items))))
