Count a crash that several entries report once

Two entries had a broken attempt of the same request at that target, and each reported the crash under an id with its own name. Two crashes make a suspect, and the only suspect is blamed for five minutes.

Callers who send the same request, such as a popular look-up, see the same after a single real crash of a target. The id is now that of the target's run, and reports of one crash add their requests to it. The test failed before: BLAMED after one crash.

--- a/bench/target_choice.py
+++ b/bench/target_choice.py
@@ -165,7 +165,7 @@
             timers,
             {"a": "ra"},
             "ra",
-            CrashDetector(name, timers, lambda *crash: None),
+            CrashDetector(timers, lambda *crash: None),
             (ReplacedWeightsLog(versions, timers),),
             random.Random(seed),
             average_rule,
--- a/reedspar/direct/crashes.py
+++ b/reedspar/direct/crashes.py
@@ -24,11 +24,9 @@
 
     def __init__(
         self,
-        name: str,
         timers: TimerService,
         report_crash: Callable[[str, tuple[str, ...]], None],
     ) -> None:
-        self._name = name
         self._timers = timers
         self._report_crash = report_crash
         self._broken: deque[tuple[float, str, str]] = deque(maxlen=BROKEN_ATTEMPTS_MAX)
@@ -61,5 +59,5 @@
         _logger.info(
             "target crashed", extra={"target": boot_id, "requests": len(fingerprints)}
         )
-        # The id includes this entry's name, as each entry knows only its own requests.
-        self._report_crash(f"{boot_id}/{self._name}", tuple(sorted(fingerprints)))
+        # Each entry reports its own requests to the same crash.
+        self._report_crash(boot_id, tuple(sorted(fingerprints)))
--- a/reedspar/direct/service.py
+++ b/reedspar/direct/service.py
@@ -170,7 +170,7 @@
         rng,
         lambda: [entry.name for entry in view.daemons(Role.ENTRY.value)],
     )
-    crashes = CrashDetector(settings.name, timers, gossip.report_crash)
+    crashes = CrashDetector(timers, gossip.report_crash)
     chooser = DirectChooser(
         view,
         loads,
--- a/reedspar/direct/tests/test_crashes.py
+++ b/reedspar/direct/tests/test_crashes.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from reedspar.direct import DirectService
+from reedspar.direct.crashes import CrashDetector
 from reedspar.direct.tests.cases import (
     Call,
     DirectTestCase,
@@ -16,10 +17,13 @@
 )
 from reedspar.fleet import (
     FleetView,
+    KnownTarget,
     TargetChange,
     TargetRecord,
     TargetState,
 )
+from reedspar.requests.quarantine import Quarantine, Standing
+from reedspar.timers import TimerService, VirtualClock
 
 
 class CrashTest(DirectTestCase):
@@ -70,6 +74,29 @@
 
         self.run_with(script)
 
+    def test_crash_that_several_entries_report_counts_once(self) -> None:
+        # Guards against refusing a request that many callers send alike: it was in
+        # flight from several entries when one target crashed.
+        quarantine = Quarantine()
+        self.report_crash(quarantine, boot=1)
+        self.report_crash(quarantine, boot=1)
+        self.assertIs(quarantine.standing("alike", 1.0)[0], Standing.CLEAR)
+        self.report_crash(quarantine, boot=2)
+        self.assertIs(quarantine.standing("alike", 1.0)[0], Standing.BLAMED)
+
+    def report_crash(self, quarantine: Quarantine, boot: int) -> None:
+        """Let an entry see a run of a target break off and disappear."""
+        detector = CrashDetector(
+            TimerService(VirtualClock()),
+            lambda crash_id, prints: quarantine.on_crash(crash_id, prints, 0.5, 1.0),
+        )
+        record = make_order_target("t1", started_ms=boot)
+        detector.on_target_change(
+            TargetChange("t1", record), KnownTarget(record, 0.0, 0.0)
+        )
+        detector.record_broken("t1", "alike")
+        detector.on_target_change(TargetChange("t1", None), None)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/reedspar/requests/quarantine.py
+++ b/reedspar/requests/quarantine.py
@@ -50,11 +50,17 @@
     def on_crash(
         self, crash_id: str, fingerprints: Iterable[str], at_s: float, now_s: float
     ) -> bool:
-        """Record a crash; return whether it was not known before."""
+        """Record a crash, or more fingerprints of it; return whether that is news."""
         self._remove_expired(now_s)
-        if crash_id in self._crashes or now_s - at_s > self.quarantine_s:
+        if now_s - at_s > self.quarantine_s:
             return False
-        self._crashes[crash_id] = Crash(crash_id, at_s, frozenset(fingerprints))
+        in_flight = frozenset(fingerprints)
+        known = self._crashes.get(crash_id)
+        if known is not None:
+            if in_flight <= known.fingerprints:
+                return False
+            at_s, in_flight = known.at_s, in_flight | known.fingerprints
+        self._crashes[crash_id] = Crash(crash_id, at_s, in_flight)
         while len(self._crashes) > CRASHES_MAX:
             self._crashes.popitem(last=False)
         self._update_blamed()
