Share one ranking of senders between cold and named limits

Each kept its own ranking of the same entries, hashed each target for itself, and was told of every change of the entries. No change of behaviour.

--- a/bench/target_choice.py
+++ b/bench/target_choice.py
@@ -156,11 +156,14 @@
         loads = TargetLoads()
         loads.entry_count = entry_count
         network: Any = FakeNetwork()
-        rate_limits = RateLimits(name, loads, view, network, timers)
+        cold_limits = ColdLimits(name)
+        rate_limits = RateLimits(
+            name, cold_limits.ranking, loads, view, network, timers
+        )
         self.chooser = DirectChooser(
             view,
             loads,
-            SendLimits(ColdLimits(name), rate_limits),
+            SendLimits(cold_limits, rate_limits),
             versions,
             timers,
             {"a": "ra"},
--- a/reedspar/direct/cold_limits.py
+++ b/reedspar/direct/cold_limits.py
@@ -47,6 +47,11 @@
         self._target_count = 0
         self._startup_end_s = self._startup_deadline_s = float("-inf")
 
+    @property
+    def ranking(self) -> SenderRanking:
+        """Return the ranking of the entries that may send to a target."""
+        return self._ranking
+
     def begin_startup(self, now_s: float) -> None:
         """Apply startup limits until entries are stable, at most `STARTUP_MAX_S`."""
         self._startup_deadline_s = now_s + STARTUP_MAX_S
--- a/reedspar/direct/rate_limits.py
+++ b/reedspar/direct/rate_limits.py
@@ -8,7 +8,6 @@
 
 import logging
 from collections import Counter
-from collections.abc import Iterable
 
 from reedspar.fleet import FleetView, KnownTarget, TargetLimitNews
 from reedspar.links import Network, Role
@@ -53,24 +52,21 @@
     def __init__(
         self,
         name: str,
+        ranking: SenderRanking,
         loads: TargetLoads,
         view: FleetView,
         network: Network,
         timers: TimerService,
     ) -> None:
         self._name = name
+        self._ranking = ranking
         self._loads = loads
         self._view = view
         self._network = network
         self._timers = timers
-        self._ranking = SenderRanking(name)
         self._counts: Counter[str] = Counter(named=0, ended=0)
         network.subscribe(TargetLimitNews, self._handle_news)
 
-    def set_entries(self, names: Iterable[str]) -> None:
-        """Set the names of the entries that may send; this entry is always included."""
-        self._ranking.set_entries(names)
-
     def read_counts(self) -> list[tuple[float, dict[str, str]]]:
         """Return the counts of limits that began and ended, with labels."""
         return [(count, {"change": change}) for change, count in self._counts.items()]
--- a/reedspar/direct/send_limits.py
+++ b/reedspar/direct/send_limits.py
@@ -1,7 +1,5 @@
 """Limits of the requests that this entry sends to single targets."""
 
-from collections.abc import Iterable
-
 from reedspar.fleet import KnownTarget
 from reedspar.routes import ServiceParameters
 
@@ -19,12 +17,6 @@
         self._cold = cold
         self._named = named
 
-    def set_entries(self, names: Iterable[str]) -> None:
-        """Set the names of the entries that may send; this entry is always included."""
-        names = tuple(names)
-        self._cold.set_entries(names)
-        self._named.set_entries(names)
-
     def may_send(
         self,
         known: KnownTarget,
--- a/reedspar/direct/service.py
+++ b/reedspar/direct/service.py
@@ -78,7 +78,6 @@
         view: FleetView,
         loads: TargetLoads,
         cold_limits: ColdLimits,
-        send_limits: SendLimits,
         budgets: RetryBudgets,
         retry_slack: float,
         timers: TimerService,
@@ -86,7 +85,6 @@
         self._view = view
         self._loads = loads
         self._cold_limits = cold_limits
-        self._send_limits = send_limits
         self._budgets = budgets
         self._retry_slack = retry_slack
         self._boot_ids: dict[str, str] = {}
@@ -124,7 +122,7 @@
 
     def _update_entries(self) -> None:
         entries = self._view.daemons(Role.ENTRY.value)
-        self._send_limits.set_entries(entry.name for entry in entries)
+        self._cold_limits.set_entries(entry.name for entry in entries)
         count = max(ENTRIES_MIN, len(entries))
         self._loads.entry_count = count
         self._budgets.set_burst(RETRY_SLACK_FRACTION * self._retry_slack / count)
@@ -156,7 +154,9 @@
     bounds = settings.bounds
     loads = TargetLoads()
     cold_limits = ColdLimits(settings.name)
-    rate_limits = RateLimits(settings.name, loads, view, network, timers)
+    rate_limits = RateLimits(
+        settings.name, cold_limits.ranking, loads, view, network, timers
+    )
     dialer.on_rate_limit(rate_limits.record_answer)
     send_limits = SendLimits(cold_limits, rate_limits)
     versions = VersionRule(view, timers, bounds.version_ms / 1000)
@@ -189,7 +189,7 @@
     )
     budgets = RetryBudgets(bounds.retry_share)
     follower = _FleetFollower(
-        view, loads, cold_limits, send_limits, budgets, bounds.retry_slack, timers
+        view, loads, cold_limits, budgets, bounds.retry_slack, timers
     )
     view.on_change(follower.apply_change)
     view.on_change(lambda change: _pass_to_crash_detector(crashes, view, change))
--- a/reedspar/direct/tests/test_rate_limits.py
+++ b/reedspar/direct/tests/test_rate_limits.py
@@ -4,6 +4,7 @@
 
 from reedspar.direct.loads import OwnAttempt, TargetLoads
 from reedspar.direct.rate_limits import LIMIT_TTL_S, RateLimits
+from reedspar.direct.sender_ranking import SenderRanking
 from reedspar.fleet import (
     DaemonChange,
     DaemonRecord,
@@ -29,14 +30,16 @@
         for name in ENTRIES:
             record = DaemonRecord(name, "entry", "a", "r", "10.0.0.1", 1, 2)
             view.apply(DaemonChange(name, record))
+        ranking = SenderRanking("e0")
+        ranking.set_entries(ENTRIES)
         self.limits = RateLimits(
             "e0",
+            ranking,
             self.loads,
             view,
             self.network,  # type: ignore[arg-type]
             timers,
         )
-        self.limits.set_entries(ENTRIES)
 
     def hand_over(self, request_id: str) -> None:
         now_s = self.clock.now_s()
