Compute the times of begun attempts in one place, and take log tokens in one call

The log of leaving targets repeated the times, their fallback and the two steps of the rate limit from that of replaced weights. Log lines keep their fields.

--- a/reedspar/direct/leaving_targets_log.py
+++ b/reedspar/direct/leaving_targets_log.py
@@ -33,20 +33,14 @@
         """Log an answer that begins now if its target leaves."""
         left_at_s = self._left_at_s.get(target_id)
         now_s = self._timers.now_s()
-        if left_at_s is None or not self._bucket.is_ready(now_s):
+        if left_at_s is None or not self._bucket.try_consume(1, now_s):
             return
-        self._bucket.consume(1, now_s)
-        handed_over_s = attempt.handed_over_s
-        if handed_over_s is None:
-            handed_over_s = attempt.started_s
         _logger.info(
             "request begun at a target that leaves",
             extra={
                 "request": request_id,
                 "target": target_id,
-                "chosen_ms": round((attempt.started_s - left_at_s) * 1000),
-                "handed_over_ms": round((handed_over_s - left_at_s) * 1000),
-                "begun_ms": round((now_s - left_at_s) * 1000),
+                **attempt.times_since_ms(left_at_s, now_s),
             },
         )
 
--- a/reedspar/direct/loads.py
+++ b/reedspar/direct/loads.py
@@ -77,6 +77,18 @@
     handed_over_s: float | None = None
     """Time when the request was sent, None before."""
 
+    def times_since_ms(self, event_s: float, begun_s: float) -> dict[str, int]:
+        """Return the attempt's times relative to an event, by the names in logs."""
+        handed_over_s = self.handed_over_s
+        if handed_over_s is None:
+            handed_over_s = self.started_s
+        times_s = {
+            "chosen_ms": self.started_s,
+            "handed_over_ms": handed_over_s,
+            "begun_ms": begun_s,
+        }
+        return {name: round((at_s - event_s) * 1000) for name, at_s in times_s.items()}
+
 
 @dataclass(slots=True)
 class NamedLimit:
--- a/reedspar/direct/replaced_weights_log.py
+++ b/reedspar/direct/replaced_weights_log.py
@@ -53,12 +53,8 @@
             else "in_time"
         )
         self._counts[when] += 1
-        if left_s >= LOGGED_BEFORE_BOUND_S or not self._bucket.is_ready(now_s):
+        if left_s >= LOGGED_BEFORE_BOUND_S or not self._bucket.try_consume(1, now_s):
             return
-        self._bucket.consume(1, now_s)
-        handed_over_s = attempt.handed_over_s
-        if handed_over_s is None:
-            handed_over_s = attempt.started_s
         _logger.info(
             "request begun on replaced weights",
             extra={
@@ -67,9 +63,7 @@
                 "model": attempt.model,
                 "version": attempt.version,
                 "left_ms": round(left_s * 1000),
-                "chosen_ms": round((attempt.started_s - replaced_at_s) * 1000),
-                "handed_over_ms": round((handed_over_s - replaced_at_s) * 1000),
-                "begun_ms": round((now_s - replaced_at_s) * 1000),
                 "expected_ms": round(attempt.expected_wait_s * 1000),
+                **attempt.times_since_ms(replaced_at_s, now_s),
             },
         )
--- a/reedspar/direct/request_log.py
+++ b/reedspar/direct/request_log.py
@@ -86,10 +86,7 @@
 
     def _acquire_log_line(self) -> bool:
         now_s = self._timers.now_s()
-        if not self._bucket.is_ready(now_s):
-            return False
-        self._bucket.consume(1, now_s)
-        return True
+        return self._bucket.try_consume(1, now_s)
 
     def _make_log_fields(self, request: Request) -> dict[str, object]:
         """Return the log fields of a request and the version of the route table."""
--- a/reedspar/utils/token_bucket.py
+++ b/reedspar/utils/token_bucket.py
@@ -38,6 +38,13 @@
         self._refill(now_s)
         self._tokens -= size
 
+    def try_consume(self, size: float, now_s: float) -> bool:
+        """Consume the tokens of a message if it may be sent now; return whether so."""
+        is_ready = self.is_ready(now_s)
+        if is_ready:
+            self.consume(size, now_s)
+        return is_ready
+
     def ready_at_s(self, now_s: float) -> float:
         """Return when the next message may be sent, if none is sent before."""
         self._refill(now_s)
