--- a/reedspar/configuration/exchange.py
+++ b/reedspar/configuration/exchange.py
@@ -6,6 +6,7 @@
 from reedspar.links import Network
 from reedspar.messages import Sender
 from reedspar.timers import TimerService
+from reedspar.utils import sample_up_to
 
 from .freshness import FreshnessTable, PeerClocks
 from .messages import ClockProbe, ClockReply, FreshnessBeacon
@@ -156,8 +157,7 @@
             self._network.send(peer, beacon)
 
     def _choose_peers(self, count: int) -> list[str]:
-        peers = self._network.peers()
-        return self._rng.sample(peers, min(count, len(peers)))
+        return sample_up_to(self._rng, self._network.peers(), count)
 
     def _make_beacon(self) -> FreshnessBeacon:
         now_s = self._timers.now_s()
--- a/reedspar/direct/rate_limits.py
+++ b/reedspar/direct/rate_limits.py
@@ -157,9 +157,8 @@
             limit.rate_per_s or 0.0,
             max(0, round((now_s - limit.valid_from_s) * 1000)),
         )
-        for entry in self._view.daemons(Role.ENTRY.value):
-            if entry.name != self._name:
-                self._network.send(entry.name, news)
+        for peer in self._view.peer_names(Role.ENTRY.value, None, self._name):
+            self._network.send(peer, news)
 
     def _handle_news(self, sender: Sender, news: TargetLimitNews) -> None:
         known = self._view.target(news.target_id)
--- a/reedspar/fleet/document_poll.py
+++ b/reedspar/fleet/document_poll.py
@@ -11,6 +11,7 @@
 from reedspar.links import Network, Role
 from reedspar.messages import Sender
 from reedspar.timers import TimerService
+from reedspar.utils import sample_up_to
 
 from .feed import FleetFeed
 from .messages import DocumentNews, DocumentRequest
@@ -62,10 +63,7 @@
         """Request changes; return whether a peer that has the document answered."""
         if self._cache.newest_revision == 0:
             return await self._poll_initially()
-        local_entry_names = self._local_entry_names()
-        for peer in self._rng.sample(
-            local_entry_names, min(PEERS_ASKED_MAX, len(local_entry_names))
-        ):
+        for peer in sample_up_to(self._rng, self._local_entry_names(), PEERS_ASKED_MAX):
             if await self._ask([peer], ANSWER_TIMEOUT_S):
                 return True
         return False
@@ -103,7 +101,7 @@
             # Other regions are asked before the store, as peers compress the document
             # to a tenth of the size that the store sends.
             remote_entry_names = [daemon.name for daemon in self._other_entry_daemons()]
-            return self._rng.sample(remote_entry_names, min(1, len(remote_entry_names)))
+            return sample_up_to(self._rng, remote_entry_names, 1)
         random_entry_name = self._rng.choice(local_entry_names)
         if not self._is_relayed:
             return [
--- a/reedspar/fleet/exchange.py
+++ b/reedspar/fleet/exchange.py
@@ -11,6 +11,7 @@
 from reedspar.links import Network, Role
 from reedspar.messages import Sender
 from reedspar.timers import TimerService
+from reedspar.utils import sample_up_to
 
 from .document_poll import DocumentPoll
 from .feed import FleetFeed
@@ -104,12 +105,11 @@
 
     def _choose_peers(self) -> list[str]:
         # Agents are not asked, as they follow fewer prefixes than entry daemons.
-        entry_daemons = self._view.daemons(Role.ENTRY.value)
-        names = [e.name for e in entry_daemons if e.name != self._name]
+        names = self._view.peer_names(Role.ENTRY.value, None, self._name)
         if self._feed.is_store_unavailable:
-            return self._rng.sample(names, min(PEERS_POLLED_DURING_OUTAGE, len(names)))
+            return sample_up_to(self._rng, names, PEERS_POLLED_DURING_OUTAGE)
         local_names = [name for name in names if self._is_same_region(name)] or names
-        return self._rng.sample(local_names, min(PEERS_POLLED, len(local_names)))
+        return sample_up_to(self._rng, local_names, PEERS_POLLED)
 
     def _is_same_region(self, name: str) -> bool:
         """Return whether a peer is in the same region as this daemon."""
--- a/reedspar/fleet/removal_queries.py
+++ b/reedspar/fleet/removal_queries.py
@@ -6,11 +6,11 @@
 """
 
 import random
-from collections.abc import Sequence
 
 from reedspar.links import Network, Role
 from reedspar.messages import Sender
 from reedspar.timers import TimerService
+from reedspar.utils import sample_up_to
 
 from .feed import FleetFeed
 from .messages import FleetEntries, RemovalQuery
@@ -56,16 +56,13 @@
 
     def _query_peers(self) -> None:
         for cache in self._feed.caches.values():
-            if not cache.deferred_keys:
+            deferred_keys = cache.deferred_keys
+            if not deferred_keys:
                 continue
-            for peer in self._choose_peers():
-                keys = _sample(self._rng, cache.deferred_keys, KEYS_PER_QUERY_MAX)
-                self._network.send(peer, RemovalQuery(cache.prefix, keys))
-
-    def _choose_peers(self) -> list[str]:
-        entry_daemons = self._view.daemons(Role.ENTRY.value)
-        names = [daemon.name for daemon in entry_daemons if daemon.name != self._name]
-        return list(_sample(self._rng, names, PEERS_QUERIED))
+            names = self._view.peer_names(Role.ENTRY.value, None, self._name)
+            for peer in sample_up_to(self._rng, names, PEERS_QUERIED):
+                keys = sample_up_to(self._rng, deferred_keys, KEYS_PER_QUERY_MAX)
+                self._network.send(peer, RemovalQuery(cache.prefix, tuple(keys)))
 
     def _handle_query(self, sender: Sender, query: RemovalQuery) -> None:
         """Send the removals that this daemon has applied; send nothing if none."""
@@ -77,10 +74,3 @@
             entries = tuple(self._packer.pack(entry) for entry in removals)
             answer = FleetEntries(query.prefix, cache.revision, entries)
             self._network.send(sender.name, answer)
-
-
-def _sample(
-    rng: random.Random, items: Sequence[str], count_max: int
-) -> tuple[str, ...]:
-    """Return the items, or as many as allowed drawn at random."""
-    return tuple(rng.sample(items, min(count_max, len(items))))
--- a/reedspar/fleet/view.py
+++ b/reedspar/fleet/view.py
@@ -93,12 +93,15 @@
             record for _, record in sorted(self._daemons.items()) if record.role == role
         )
 
-    def peer_names(self, role: str, region: str, own_name: str) -> list[str]:
-        """Return the sorted names of the other daemons with a role in a region."""
+    def peer_names(self, role: str, region: str | None, own_name: str) -> list[str]:
+        """Return the sorted names of the other daemons with a role.
+
+        With a region, only its daemons are returned.
+        """
         return [
             record.name
             for record in self.daemons(role)
-            if record.region == region and record.name != own_name
+            if region in (None, record.region) and record.name != own_name
         ]
 
     def daemon_names(self) -> list[str]:
--- a/reedspar/membership/controller.py
+++ b/reedspar/membership/controller.py
@@ -16,6 +16,7 @@
 from reedspar.platform import InstanceList, InstanceRecord
 from reedspar.settings import DaemonSettings
 from reedspar.timers import TimerService
+from reedspar.utils import sample_up_to
 
 from .messages import MemberNews, MemberNotice, NoticeKind, make_notice
 from .polling import InstanceListTracker, is_frequent_poller, poll_interval_s
@@ -236,7 +237,7 @@
             for _ in range(min(NOTICES_PER_MESSAGE_MAX, len(self._queued_notices)))
         ]
         message = MemberNews(tuple(queued.notice for queued in batch))
-        for peer in self._rng.sample(peers, min(GOSSIP_FANOUT, len(peers))):
+        for peer in sample_up_to(self._rng, peers, GOSSIP_FANOUT):
             self._network.send(peer, message)
         for queued in batch:
             queued.rounds_left -= 1
--- a/reedspar/requests/crash_gossip.py
+++ b/reedspar/requests/crash_gossip.py
@@ -12,6 +12,7 @@
 from reedspar.links import Network, Role
 from reedspar.messages import Sender
 from reedspar.timers import TimerService
+from reedspar.utils import sample_up_to
 
 from .messages import CrashNews
 from .quarantine import Crash, Quarantine
@@ -79,7 +80,7 @@
 
     def _pick_entries(self, count: int) -> list[str]:
         peers = [name for name in self._list_entries() if name != self._name]
-        return self._rng.sample(peers, min(count, len(peers)))
+        return sample_up_to(self._rng, peers, count)
 
 
 def _make_report(crash: Crash, now_s: float) -> CrashNews:
--- a/reedspar/utils/__init__.py
+++ b/reedspar/utils/__init__.py
@@ -3,6 +3,7 @@
 from .hashing import digest_bytes, rank_by_rendezvous, rendezvous_score
 from .headers import HOP_BY_HOP_HEADERS
 from .lazy_imports import create_lazy_getattr
+from .sampling import sample_up_to
 from .token_bucket import TokenBucket
 
 __all__ = [
@@ -12,4 +13,5 @@
     "digest_bytes",
     "rank_by_rendezvous",
     "rendezvous_score",
+    "sample_up_to",
 ]
