--- a/reedspar/direct/cold_limits.py
+++ b/reedspar/direct/cold_limits.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Iterable
 
-from reedspar.utils import TokenBucket, rendezvous_score
+from reedspar.utils import TokenBucket, rendezvous_score, update_bucket
 
 from .loads import TargetLoad
 from .sender_ranking import SenderRanking
@@ -115,9 +115,7 @@
         share_per_s = rate_per_s / min(
             SENDERS_MAX, max(min_senders, self._ranking.entry_count)
         )
-        bucket = load.cold_bucket
-        if bucket is None:
-            bucket = load.cold_bucket = TokenBucket(share_per_s, COLD_BURST)
-        elif bucket.rate_per_s != share_per_s:
-            bucket.set_rate(share_per_s, now_s)
-        return bucket
+        load.cold_bucket = update_bucket(
+            load.cold_bucket, share_per_s, COLD_BURST, now_s
+        )
+        return load.cold_bucket
--- a/reedspar/direct/rate_limits.py
+++ b/reedspar/direct/rate_limits.py
@@ -13,7 +13,7 @@
 from reedspar.links import Network, Role
 from reedspar.messages import Sender
 from reedspar.timers import TimerService
-from reedspar.utils import TokenBucket
+from reedspar.utils import TokenBucket, update_bucket
 
 from .loads import NamedLimit, TargetLoad, TargetLoads
 from .sender_ranking import SenderRanking
@@ -177,12 +177,9 @@
             _senders_max(rate_per_s), max(SENDERS_MIN, self._ranking.entry_count)
         )
         share_per_s = max(RATE_MIN_PER_S, rate_per_s) / senders
-        bucket = load.named_limit.bucket
-        if bucket is None:
-            bucket = load.named_limit.bucket = TokenBucket(share_per_s, TOKENS_MAX)
-        elif bucket.rate_per_s != share_per_s:
-            bucket.set_rate(share_per_s, now_s)
-        return bucket
+        limit = load.named_limit
+        limit.bucket = update_bucket(limit.bucket, share_per_s, TOKENS_MAX, now_s)
+        return limit.bucket
 
 
 def _senders_max(rate_per_s: float) -> int:
--- a/reedspar/utils/__init__.py
+++ b/reedspar/utils/__init__.py
@@ -4,7 +4,7 @@
 from .headers import HOP_BY_HOP_HEADERS
 from .lazy_imports import create_lazy_getattr
 from .sampling import sample_up_to
-from .token_bucket import TokenBucket
+from .token_bucket import TokenBucket, update_bucket
 
 __all__ = [
     "HOP_BY_HOP_HEADERS",
@@ -14,4 +14,5 @@
     "rank_by_rendezvous",
     "rendezvous_score",
     "sample_up_to",
+    "update_bucket",
 ]
--- a/reedspar/utils/token_bucket.py
+++ b/reedspar/utils/token_bucket.py
@@ -1,6 +1,6 @@
 """Rate limiting with a token bucket."""
 
-__all__ = ["TokenBucket"]
+__all__ = ["TokenBucket", "update_bucket"]
 
 
 class TokenBucket:
@@ -58,3 +58,13 @@
             gained = (now_s - self._updated_s) * self._rate
             self._tokens = min(self._burst, self._tokens + gained)
         self._updated_s = now_s
+
+
+def update_bucket(
+    bucket: TokenBucket | None, rate_per_s: float, burst: float, now_s: float
+) -> TokenBucket:
+    """Set a bucket's rate from now on and return it, or a new one if there is none."""
+    if bucket is None:
+        return TokenBucket(rate_per_s, burst)
+    bucket.set_rate(rate_per_s, now_s)
+    return bucket
--- a/reedspar/weights/remote_fetching.py
+++ b/reedspar/weights/remote_fetching.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from itertools import islice
 
-from reedspar.utils import TokenBucket
+from reedspar.utils import TokenBucket, update_bucket
 
 from .fetches import ORIGIN, Fetch, FetchTable, PeerBackoff
 from .limits import SwarmLimits
@@ -384,11 +384,7 @@
         """Return this agent's share of the link from a region."""
         share = max(placement.slot_count(), 1) / self._limits.region_slots
         rate = self._limits.region_bytes_per_s * share
-        bucket = self._region_buckets.get(region)
-        if bucket is None:
-            bucket = self._region_buckets[region] = TokenBucket(
-                rate, REGION_BURST_PIECES * self._limits.piece_bytes
-            )
-        elif bucket.rate_per_s != rate:
-            bucket.set_rate(rate, now_s)
+        burst = REGION_BURST_PIECES * self._limits.piece_bytes
+        bucket = update_bucket(self._region_buckets.get(region), rate, burst, now_s)
+        self._region_buckets[region] = bucket
         return bucket
