--- a/reedspar/direct/tests/fakes.py
+++ b/reedspar/direct/tests/fakes.py
@@ -251,6 +251,7 @@
     targets: list[TargetRecord],
     name: str = SETTINGS.name,
     network: FakeNetwork | None = None,
+    seed: int | str = 1,
 ) -> tuple[DirectService, FakeDialer, FleetView]:
     """Return an entry's service that knows the targets, with its dialer and view."""
     view = FleetView(timers)
@@ -269,7 +270,7 @@
         adapter=HostAdapter(),
         fallback=Starlette(),
         is_store_slow=lambda: False,
-        rng=random.Random(name),
+        rng=random.Random(seed),
     )
     return service, dialer, view
 
--- a/reedspar/direct/tests/test_rate_limit_load.py
+++ b/reedspar/direct/tests/test_rate_limit_load.py
@@ -105,7 +105,7 @@
         timers = TimerService(LoopClock())
         self._tasks.start_soon(timers.run)
         network = MeshNetwork(name, networks)
-        made = make_direct_service(timers, self._tasks, targets, name, network)
+        made = make_direct_service(timers, self._tasks, targets, name, network, name)
         service, dialer, view = made
         for other in names:
             record = DaemonRecord(other, "entry", "a", "ra", "10.0.0.1", 1, 2)
--- a/reedspar/fleet/deferred_removals.py
+++ b/reedspar/fleet/deferred_removals.py
@@ -32,9 +32,6 @@
         self._deferrals: dict[str, _Deferral] = {}
         self._counts = dict.fromkeys((CONFIRMED, EXPIRED, REWRITTEN), 0)
 
-    def __len__(self) -> int:
-        return len(self._deferrals)
-
     def __iter__(self) -> Iterator[str]:
         return iter(self._deferrals)
 
