Read and log what targets announce in their answers: shutdowns and pauses

Each answer's head is decoded once, in the adapter, into a TargetNotice that goes to all listeners; the rate limit that was reported apart goes the same way. No decision depends on the new fields yet.

--- a/reedspar/daemon/site_entry.py
+++ b/reedspar/daemon/site_entry.py
@@ -200,6 +200,7 @@
     adapters.metrics.replaced_begun.set_callback(
         service.replaced_weights_log.read_counts
     )
+    adapters.metrics.notices.set_callback(service.notices.read_counts)
     adapters.metrics.rate_limits.set_callback(service.rate_limits.read_counts)
     adapters.metrics.removals_deferred.set_callback(
         lambda: read_deferral_counts(components.feed.caches.values())
--- a/reedspar/direct/__init__.py
+++ b/reedspar/direct/__init__.py
@@ -8,11 +8,11 @@
 from .client import (
     DirectAttemptClient,
     DirectResponse,
-    RateLimitListener,
     TargetDialer,
 )
 from .entry_choice import choose_entries
 from .loads import LoadReport
+from .notices import NoticeListener, TargetNotice
 from .service import DirectService, create_direct_service
 
 __all__ = [
@@ -20,8 +20,9 @@
     "DirectResponse",
     "DirectService",
     "LoadReport",
-    "RateLimitListener",
+    "NoticeListener",
     "TargetDialer",
+    "TargetNotice",
     "choose_entries",
     "create_direct_service",
 ]
--- a/reedspar/direct/client.py
+++ b/reedspar/direct/client.py
@@ -23,11 +23,11 @@
 
 from .attempt_checks import AttemptChecks
 from .loads import LoadReport
+from .notices import NoticeListener
 
 __all__ = [
     "DirectAttemptClient",
     "DirectResponse",
-    "RateLimitListener",
     "TargetDialer",
     "create_direct_attempt_client",
 ]
@@ -41,11 +41,6 @@
 _logger = logging.getLogger(__name__)
 
 
-RateLimitListener = Callable[[str, str, float | None], None]
-"""Called with the ids of target and request, and with the requests a second that the
-target names as its limit, None if its answer names no limit."""
-
-
 class DirectResponse(TargetResponse, Protocol):
     """Answer of a target while it arrives, with the load report from its headers."""
 
@@ -59,7 +54,7 @@
         """Return whether the target's address is known."""
         ...
 
-    def on_rate_limit(self, listener: RateLimitListener) -> None:
+    def on_notice(self, listener: NoticeListener) -> None:
         """Call `listener` for each answer, before it is yielded."""
         ...
 
--- a/reedspar/direct/leaving_targets_log.py
+++ b/reedspar/direct/leaving_targets_log.py
@@ -7,6 +7,7 @@
 from reedspar.utils import TokenBucket
 
 from .loads import OwnAttempt
+from .notices import TargetNotice
 
 __all__ = ["LeavingTargetsLog"]
 
@@ -44,6 +45,11 @@
             },
         )
 
+    def record_notice(self, notice: TargetNotice) -> None:
+        """Record a departure that a target announces in an answer."""
+        if notice.is_leaving:
+            self._record_departure(notice.target_id)
+
     def _record_change(self, change: FleetChange) -> None:
         if not isinstance(change, TargetChange):
             return
@@ -51,10 +57,13 @@
         if record is not None and record.state is TargetState.READY:
             self._left_at_s.pop(change.target_id, None)
             return
+        self._record_departure(change.target_id)
+
+    def _record_departure(self, target_id: str) -> None:
         now_s = self._timers.now_s()
         self._left_at_s = {
-            target_id: left_at_s
-            for target_id, left_at_s in self._left_at_s.items()
+            known_id: left_at_s
+            for known_id, left_at_s in self._left_at_s.items()
             if now_s - left_at_s < RETENTION_S
         }
-        self._left_at_s.setdefault(change.target_id, now_s)
+        self._left_at_s.setdefault(target_id, now_s)
--- /dev/null
+++ b/reedspar/direct/notices.py
@@ -0,0 +1,151 @@
+"""What targets announce about themselves in the heads of their answers.
+
+An announcement concerns one run of a target's process.  It is kept apart from the
+loads, which are discarded while a registration is missing: it outlasts that.
+"""
+
+import logging
+from collections import Counter
+from dataclasses import dataclass
+from typing import Protocol
+
+from reedspar.timers import TimerService
+from reedspar.utils import TokenBucket
+
+from .loads import OwnAttempt, TargetLoads
+
+__all__ = ["NoticeListener", "TargetNotice", "TargetNotices"]
+
+LEAVING_TTL_S = 600.0
+"""Time without evidence after which an announced shutdown is forgotten.
+
+A target that leaves ends within a minute, and its next run has another boot id."""
+LOG_LINES_PER_S = 5.0
+LOG_LINES_BURST = 20.0
+
+_logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class TargetNotice:
+    """What the head of one answer says of the target itself."""
+
+    target_id: str
+    boot_id: str
+    """Run of the target's process, as known when the request was sent."""
+    request_id: str
+    is_leaving: bool = False
+    """The target has announced its shutdown."""
+    pause_s: float | None = None
+    """Time for which the target wants no requests from this entry, None if it says no
+    such thing."""
+    rate_per_s: float | None = None
+    """Requests a second that the target takes from all entries, None if unlimited."""
+    shows_rate_limit: bool = True
+    """Whether the answer tells if there is a rate limit."""
+
+
+class NoticeListener(Protocol):
+    """Callback for what the head of an answer says of its target."""
+
+    def __call__(self, notice: TargetNotice) -> None:
+        """Process a notice before the answer itself is processed."""
+        ...
+
+
+@dataclass(slots=True)
+class _Announced:
+    """What one run of a target has announced."""
+
+    expires_s: float = float("-inf")
+    is_leaving: bool = False
+    paused_at_s: float = float("-inf")
+    """When the target first asked for the pause that is in force."""
+    pause_until_s: float = float("-inf")
+
+
+class TargetNotices:
+    """Keeps the announcements of targets by boot id."""
+
+    def __init__(self, loads: TargetLoads, timers: TimerService) -> None:
+        self._loads = loads
+        self._timers = timers
+        self._announced: dict[str, _Announced] = {}
+        self._counts: Counter[str] = Counter(leaving=0, pause=0)
+        self._bucket = TokenBucket(LOG_LINES_PER_S, LOG_LINES_BURST)
+
+    def read_counts(self) -> list[tuple[float, dict[str, str]]]:
+        """Return the counts of announcements, with labels."""
+        return [(count, {"notice": name}) for name, count in self._counts.items()]
+
+    def is_leaving(self, boot_id: str) -> bool:
+        """Return whether a run of a target has announced its shutdown."""
+        announced = self._announced.get(boot_id)
+        return announced is not None and announced.is_leaving
+
+    def pause_left_s(self, boot_id: str, now_s: float) -> float:
+        """Return for how long a run of a target wants no requests, 0 if it does."""
+        announced = self._announced.get(boot_id)
+        return max(0.0, announced.pause_until_s - now_s) if announced else 0.0
+
+    def record(self, notice: TargetNotice) -> None:
+        """Record what an answer announces."""
+        if notice.is_leaving:
+            self._record_leaving(notice)
+        if notice.pause_s is not None:
+            self._record_pause(notice, notice.pause_s)
+
+    def _record_leaving(self, notice: TargetNotice) -> None:
+        now_s = self._timers.now_s()
+        announced = self._find_or_add(notice.boot_id, now_s)
+        announced.expires_s = max(announced.expires_s, now_s + LEAVING_TTL_S)
+        if announced.is_leaving:
+            return
+        announced.is_leaving = True
+        self._counts["leaving"] += 1
+        extra = {"target": notice.target_id, "request": notice.request_id}
+        _logger.info("target announces its shutdown", extra=extra)
+
+    def _record_pause(self, notice: TargetNotice, pause_s: float) -> None:
+        """Extend the pause; a shorter one asked for later does not cut it."""
+        now_s = self._timers.now_s()
+        announced = self._find_or_add(notice.boot_id, now_s)
+        is_repeated = now_s < announced.pause_until_s
+        if not is_repeated:
+            announced.paused_at_s = now_s
+        announced.pause_until_s = max(announced.pause_until_s, now_s + pause_s)
+        announced.expires_s = max(announced.expires_s, announced.pause_until_s)
+        self._counts["pause"] += 1
+        if self._bucket.try_consume(1, now_s):
+            self._log_pause(notice, announced, now_s, is_repeated=is_repeated)
+
+    def _log_pause(
+        self,
+        notice: TargetNotice,
+        announced: _Announced,
+        now_s: float,
+        *,
+        is_repeated: bool,
+    ) -> None:
+        extra: dict[str, object] = {
+            "target": notice.target_id,
+            "request": notice.request_id,
+            "pause_s": notice.pause_s,
+        }
+        attempt = self._find_attempt(notice)
+        if is_repeated and attempt is not None:
+            extra |= attempt.times_since_ms(announced.paused_at_s, now_s)
+        _logger.info("target asks for a pause", extra=extra)
+
+    def _find_attempt(self, notice: TargetNotice) -> OwnAttempt | None:
+        load = self._loads.for_target(notice.target_id)
+        return load.own_attempts.get(notice.request_id)
+
+    def _find_or_add(self, boot_id: str, now_s: float) -> _Announced:
+        """Return what a run has announced, and forget what has expired."""
+        self._announced = {
+            known_id: announced
+            for known_id, announced in self._announced.items()
+            if now_s < announced.expires_s or known_id == boot_id
+        }
+        return self._announced.setdefault(boot_id, _Announced())
--- a/reedspar/direct/rate_limits.py
+++ b/reedspar/direct/rate_limits.py
@@ -16,6 +16,7 @@
 from reedspar.utils import TokenBucket, update_bucket
 
 from .loads import NamedLimit, TargetLoad, TargetLoads
+from .notices import TargetNotice
 from .sender_ranking import SenderRanking
 
 __all__ = ["RateLimits"]
@@ -88,26 +89,26 @@
         if rate_per_s is not None:
             self._update_bucket(load, rate_per_s, now_s).consume(1, now_s)
 
-    def record_answer(
-        self, target_id: str, request_id: str, rate_per_s: float | None
-    ) -> None:
-        """Record the limit that an answer names, None if it names none.
+    def record_notice(self, notice: TargetNotice) -> None:
+        """Record the limit that an answer names, if any.
 
         An answer with a limit shows the state when it arrives.  One without shows that
         after its request was sent: an answer with a limit may have overtaken it.
         """
+        target_id = notice.target_id
         known = self._view.target(target_id)
-        if known is None:
+        if known is None or not notice.shows_rate_limit:
             return
         now_s = self._timers.now_s()
         valid_from_s: float | None = now_s
-        if rate_per_s is None:
-            attempt = self._loads.for_target(target_id).own_attempts.get(request_id)
+        if notice.rate_per_s is None:
+            own_attempts = self._loads.for_target(target_id).own_attempts
+            attempt = own_attempts.get(notice.request_id)
             valid_from_s = attempt.handed_over_s if attempt is not None else None
         if valid_from_s is None:
             return
         limit = self._loads.for_target(target_id).named_limit
-        self._apply(target_id, rate_per_s, valid_from_s)
+        self._apply(target_id, notice.rate_per_s, valid_from_s)
         if self._is_due(limit, now_s):
             self._announce(known, limit, now_s)
 
--- a/reedspar/direct/service.py
+++ b/reedspar/direct/service.py
@@ -30,6 +30,7 @@
 from .filters import DeadlineFilter, RouteIdentificationFilter
 from .leaving_targets_log import LeavingTargetsLog
 from .loads import TargetLoads
+from .notices import TargetNotices
 from .rate_limits import RateLimits
 from .replaced_weights_log import ReplacedWeightsLog
 from .send_limits import SendLimits
@@ -54,6 +55,7 @@
     client: DirectAttemptClient
     chooser: DirectChooser
     loads: TargetLoads
+    notices: TargetNotices
     rate_limits: RateLimits
     versions: VersionRule
     replaced_weights_log: ReplacedWeightsLog
@@ -157,8 +159,12 @@
     rate_limits = RateLimits(
         settings.name, cold_limits.ranking, loads, view, network, timers
     )
-    dialer.on_rate_limit(rate_limits.record_answer)
+    notices = TargetNotices(loads, timers)
+    dialer.on_notice(rate_limits.record_notice)
+    dialer.on_notice(notices.record)
     send_limits = SendLimits(cold_limits, rate_limits)
+    leaving_targets_log = LeavingTargetsLog(view, timers)
+    dialer.on_notice(leaving_targets_log.record_notice)
     versions = VersionRule(view, timers, bounds.version_ms / 1000)
     replaced_weights_log = ReplacedWeightsLog(versions, timers)
     quarantine = Quarantine()
@@ -180,7 +186,7 @@
         settings.zones,
         settings.region,
         crashes,
-        (replaced_weights_log, LeavingTargetsLog(view, timers)),
+        (replaced_weights_log, leaving_targets_log),
         rng,
     )
     checks = AttemptChecks(view, loads, versions, timers)
@@ -214,6 +220,7 @@
         client,
         chooser,
         loads,
+        notices,
         rate_limits,
         versions,
         replaced_weights_log,
--- a/reedspar/direct/tests/fakes.py
+++ b/reedspar/direct/tests/fakes.py
@@ -13,7 +13,8 @@
     DirectResponse,
     DirectService,
     LoadReport,
-    RateLimitListener,
+    NoticeListener,
+    TargetNotice,
     create_direct_service,
 )
 from reedspar.errors import Failure, Reason, Step
@@ -133,14 +134,31 @@
         self.connect_s = 0.0
         self.rate_limits: dict[str, float] = {}
         """Requests a second that targets name as their limits."""
-        self._rate_limit_listeners: list[RateLimitListener] = []
+        self.leaving: set[str] = set()
+        """Targets that announce their shutdown in their answers."""
+        self.pauses_s: dict[str, float] = {}
+        """Pauses for which targets ask when they refuse a request."""
+        self._notice_listeners: list[NoticeListener] = []
         self.script: Script = lambda target_id, request: FakeResponse([b"ok"])
 
     def has_address(self, target_id: str) -> bool:
         return self._view.target(target_id) is not None
 
-    def on_rate_limit(self, listener: RateLimitListener) -> None:
-        self._rate_limit_listeners.append(listener)
+    def on_notice(self, listener: NoticeListener) -> None:
+        self._notice_listeners.append(listener)
+
+    def _make_notice(
+        self, target_id: str, boot_id: str, request_id: str, answer: object
+    ) -> TargetNotice:
+        is_refusal = isinstance(answer, Failure)
+        return TargetNotice(
+            target_id,
+            boot_id,
+            request_id,
+            target_id in self.leaving,
+            self.pauses_s.get(target_id) if is_refusal else None,
+            self.rate_limits.get(target_id),
+        )
 
     @asynccontextmanager
     async def send(
@@ -155,14 +173,17 @@
         if failure is not None:
             yield failure
             return
+        known = self._view.target(target_id)
+        boot_id = known.record.boot_id if known is not None else ""
         self.sent.append((target_id, request))
         answer = self.script(target_id, request)
         try:
             if isinstance(answer, float):
                 await anyio.sleep(answer)
                 answer = FakeResponse([b"late"])
-            for listener in self._rate_limit_listeners:
-                listener(target_id, request.request_id, self.rate_limits.get(target_id))
+            notice = self._make_notice(target_id, boot_id, request.request_id, answer)
+            for listener in self._notice_listeners:
+                listener(notice)
             if not isinstance(answer, Failure):
                 self.begun.append((target_id, anyio.current_time()))
             yield answer
--- a/reedspar/direct/tests/test_leaving_targets_log.py
+++ b/reedspar/direct/tests/test_leaving_targets_log.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from reedspar.direct import TargetNotice
 from reedspar.direct.leaving_targets_log import LOG_LINES_BURST, LeavingTargetsLog
 from reedspar.direct.loads import OwnAttempt
 from reedspar.fleet import FleetView, TargetChange, TargetState
@@ -39,6 +40,13 @@
         self.assertEqual(record["handed_over_ms"], -250)
         self.assertEqual(record["begun_ms"], 1000)
 
+    def test_times_count_from_an_announcement_in_an_answer(self) -> None:
+        self.log.record_notice(TargetNotice("t1", "t1:0", "r0", is_leaving=True))
+        self.clock.advance(1.0)
+        with self.assertLogs(LOGGER, "INFO") as logs:
+            self.record_begun()
+        self.assertEqual(vars(logs.records[0])["begun_ms"], 1000)
+
     def test_answers_of_ready_targets_are_not_logged(self) -> None:
         self.apply(TargetState.LEAVING)
         self.apply(TargetState.READY)
--- a/reedspar/direct/tests/test_rate_limit_load.py
+++ b/reedspar/direct/tests/test_rate_limit_load.py
@@ -14,7 +14,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from reedspar.direct import DirectService
+from reedspar.direct import DirectService, TargetNotice
 from reedspar.direct.tests.cases import Call, make_order_target
 from reedspar.direct.tests.fakes import FakeDialer, make_direct_service
 from reedspar.fleet import DaemonChange, DaemonRecord, TargetRecord
@@ -69,17 +69,15 @@
 
     def watch(self) -> None:
         self.dialer.script = self._answer
-        self.dialer.on_rate_limit(self._record_limit)
+        self.dialer.on_notice(self._record_notice)
 
     def _answer(self, target_id: str, request: object) -> float:
         self.sent.append((anyio.current_time(), target_id))
         return ANSWER_S
 
-    def _record_limit(
-        self, target_id: str, request_id: str, rate_per_s: float | None
-    ) -> None:
-        if rate_per_s is not None:
-            self.told_s.setdefault(target_id, anyio.current_time())
+    def _record_notice(self, notice: TargetNotice) -> None:
+        if notice.rate_per_s is not None:
+            self.told_s.setdefault(notice.target_id, anyio.current_time())
 
 
 class Fleet:
--- a/reedspar/direct/tests/test_rate_limits.py
+++ b/reedspar/direct/tests/test_rate_limits.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from reedspar.direct import TargetNotice
 from reedspar.direct.loads import OwnAttempt, TargetLoads
 from reedspar.direct.rate_limits import LIMIT_TTL_S, RateLimits
 from reedspar.direct.sender_ranking import SenderRanking
@@ -48,7 +49,8 @@
 
     def answer(self, request_id: str, rate_per_s: float | None) -> None:
         self.clock.advance(0.1)
-        self.limits.record_answer("t1", request_id, rate_per_s)
+        notice = TargetNotice("t1", "t1:7", request_id, rate_per_s=rate_per_s)
+        self.limits.record_notice(notice)
 
     @property
     def rate_per_s(self) -> float | None:
--- a/reedspar/telemetry/metrics.py
+++ b/reedspar/telemetry/metrics.py
@@ -232,6 +232,16 @@
             "change",
         ),
     ]
+    notices: Annotated[
+        ObservableInstrument,
+        observed_counter(
+            "targets.notices",
+            "{notice}",
+            "Announcements in answers of targets, by notice: leaving (once for each "
+            "run of a target), pause (each answer that asks for one).",
+            "notice",
+        ),
+    ]
     gate_limit: Annotated[
         ObservableInstrument,
         observed_gauge(
