Send nothing more to a target that announces its shutdown in an answer

Cause: nothing read the header. Targets were taken for leaving by their registration alone, and the store acknowledged nothing from 6.3 to 19.9 s.

Change: the announcement excludes the target, for this run of its process, where a target is chosen and again between connecting and writing. It is kept by boot id, apart from the loads, which are discarded with the registration: one that lapses in an outage and comes back does not end it.

Ruled out: old news that override the announcement (there was nothing to override, and no entry logged a change of the target), and requests under way (both were chosen over 2 s after the answer).

--- a/bench/target_choice.py
+++ b/bench/target_choice.py
@@ -29,6 +29,7 @@
     TargetLoads,
     compute_average_load,
 )
+from reedspar.direct.notices import TargetNotices
 from reedspar.direct.rate_limits import RateLimits
 from reedspar.direct.replaced_weights_log import ReplacedWeightsLog
 from reedspar.direct.send_limits import SendLimits
@@ -163,6 +164,7 @@
         self.chooser = DirectChooser(
             view,
             loads,
+            TargetNotices(loads, timers),
             SendLimits(cold_limits, rate_limits),
             versions,
             timers,
--- a/reedspar/direct/attempt_checks.py
+++ b/reedspar/direct/attempt_checks.py
@@ -6,6 +6,7 @@
 
 from .eligibility import ineligibility_reason
 from .loads import OwnAttempt, TargetLoads
+from .notices import TargetNotices
 from .refusals import RETRY_AFTER_S
 from .versions import VersionRule
 
@@ -22,11 +23,13 @@
         self,
         view: FleetView,
         loads: TargetLoads,
+        notices: TargetNotices,
         versions: VersionRule,
         timers: TimerService,
     ) -> None:
         self._view = view
         self._loads = loads
+        self._notices = notices
         self._versions = versions
         self._timers = timers
 
@@ -39,7 +42,7 @@
         """
         known = self._view.target(target_id)
         unavailable = (
-            ineligibility_reason(known.record, self._view, self._loads)
+            ineligibility_reason(known.record, self._view, self._loads, self._notices)
             if known
             else "it is gone"
         )
--- a/reedspar/direct/eligibility.py
+++ b/reedspar/direct/eligibility.py
@@ -10,6 +10,7 @@
 from reedspar.routes import ServiceParameters
 
 from .loads import TargetLoad, TargetLoads
+from .notices import TargetNotices
 from .send_limits import SendLimits
 from .versions import VersionRule
 
@@ -23,12 +24,14 @@
         self,
         view: FleetView,
         loads: TargetLoads,
+        notices: TargetNotices,
         send_limits: SendLimits,
         versions: VersionRule,
         region_by_zone: Mapping[str, str],
     ) -> None:
         self._view = view
         self._loads = loads
+        self._notices = notices
         self._send_limits = send_limits
         self._versions = versions
         self._region_by_zone = region_by_zone
@@ -78,7 +81,7 @@
 
     def _is_eligible(self, known: KnownTarget, request: Request, now_s: float) -> bool:
         record = known.record
-        if ineligibility_reason(record, self._view, self._loads):
+        if ineligibility_reason(record, self._view, self._loads, self._notices):
             return False
         region = self._region_by_zone.get(record.zone)
         if request.regions is not None and region not in request.regions:
@@ -92,10 +95,14 @@
 
 
 def ineligibility_reason(
-    record: TargetRecord, view: FleetView, loads: TargetLoads
+    record: TargetRecord,
+    view: FleetView,
+    loads: TargetLoads,
+    notices: TargetNotices,
 ) -> str:
     """Return why a target may get no request at all, or an empty string."""
-    if record.state is not TargetState.READY:
+    # The registration is late, or says nothing, while the store does not answer.
+    if record.state is not TargetState.READY or notices.is_leaving(record.boot_id):
         return "it leaves"
     if record.zone in view.zones_out:
         return "its zone is out"
--- a/reedspar/direct/service.py
+++ b/reedspar/direct/service.py
@@ -180,6 +180,7 @@
     chooser = DirectChooser(
         view,
         loads,
+        notices,
         send_limits,
         versions,
         timers,
@@ -189,7 +190,7 @@
         (replaced_weights_log, leaving_targets_log),
         rng,
     )
-    checks = AttemptChecks(view, loads, versions, timers)
+    checks = AttemptChecks(view, loads, notices, versions, timers)
     client = create_direct_attempt_client(
         dialer, timers, tasks, chooser.record_report, checks
     )
--- a/reedspar/direct/target_choice.py
+++ b/reedspar/direct/target_choice.py
@@ -29,6 +29,7 @@
     TargetLoads,
     compute_average_load,
 )
+from .notices import TargetNotices
 from .refusals import RETRY_AFTER_S, Refusals
 from .send_limits import SendLimits
 from .versions import VersionRule
@@ -106,6 +107,7 @@
         self,
         view: FleetView,
         loads: TargetLoads,
+        notices: TargetNotices,
         send_limits: SendLimits,
         versions: VersionRule,
         timers: TimerService,
@@ -121,7 +123,7 @@
         self._loads = loads
         self._send_limits = send_limits
         self._eligibility = TargetEligibility(
-            view, loads, send_limits, versions, region_by_zone
+            view, loads, notices, send_limits, versions, region_by_zone
         )
         self._refusals = Refusals(view, timers, rng)
         self._timers = timers
--- a/reedspar/direct/tests/test_announced_shutdowns.py
+++ b/reedspar/direct/tests/test_announced_shutdowns.py
@@ -2,12 +2,17 @@
 
 import unittest
 
+import anyio
+
 from reedspar.direct import DirectService
-from reedspar.direct.tests.cases import Call, DirectTestCase
-from reedspar.direct.tests.fakes import FakeDialer
-from reedspar.fleet import FleetView
+from reedspar.direct.tests.cases import Call, DirectTestCase, make_order_target
+from reedspar.direct.tests.fakes import FakeDialer, make_direct_service
+from reedspar.fleet import FleetView, TargetChange
+from reedspar.requests.tests.virtual_time import LoopClock, run_virtual
+from reedspar.timers import TimerService
 
 CALLS = 20
+CONNECT_TIME_S = 0.3
 PATHS = ("/s/1", "/o/1", "/q/1")
 
 
@@ -22,6 +27,9 @@
             call = await self.send(service, path)
             self.assertEqual(call.status, 200)
 
+    def count_sent(self, dialer: FakeDialer, target_id: str) -> int:
+        return [name for name, _ in dialer.sent].count(target_id)
+
     def test_target_that_announced_its_shutdown_gets_no_more_requests(self) -> None:
         # Guards against requests to a leaving target while the store does not answer.
         async def script(
@@ -30,12 +38,85 @@
             dialer.leaving = {"q1", "o1"}
             for path in PATHS:
                 await self.send_many(service, path)
-            names = [name for name, _ in dialer.sent]
-            self.assertEqual(names.count("q1"), 1)
-            self.assertEqual(names.count("o1"), 1)
+            self.assertEqual(self.count_sent(dialer, "q1"), 1)
+            self.assertEqual(self.count_sent(dialer, "o1"), 1)
+
+        self.run_with(script)
+
+    def test_later_run_of_the_target_gets_requests(self) -> None:
+        # Guards against a target that gets nothing after its restart.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            dialer.leaving = {"o1"}
+            await self.send_many(service, "/s/1")
+            dialer.leaving = set()
+            dialer.sent.clear()
+            view.apply(TargetChange("o1", make_order_target("o1", started_ms=7)))
+            await self.send_many(service, "/s/1")
+            self.assertGreater(self.count_sent(dialer, "o1"), 1)
+
+        self.run_with(script)
+
+    def test_registration_that_lapses_and_returns_does_not_end_it(self) -> None:
+        # Guards against requests to a leaving target whose registration expired in an
+        # outage of the store and came back before the target could report its state.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            dialer.leaving = {"o1"}
+            await self.send_many(service, "/s/1")
+            view.apply(TargetChange("o1", None))
+            view.apply(TargetChange("o1", make_order_target("o1")))
+            await self.send_many(service, "/s/1")
+            self.assertEqual(self.count_sent(dialer, "o1"), 1)
+
+        self.run_with(script)
+
+    def test_answer_to_the_previous_run_does_not_exclude_its_successor(self) -> None:
+        # Guards against a restarted target without requests because an answer to a
+        # request from before its restart came last.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            view.apply(TargetChange("o2", None))
+            dialer.leaving = {"o1"}
+            dialer.script = lambda target_id, request: 0.1
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.send, service, "/s/1")
+                await anyio.sleep(0.05)
+                view.apply(TargetChange("o1", make_order_target("o1", started_ms=7)))
+            dialer.leaving = set()
+            await self.send_many(service, "/s/1")
 
         self.run_with(script)
 
 
+class HandOverTest(unittest.TestCase):
+    """An answer announces a shutdown while another attempt connects."""
+
+    async def _send(self) -> FakeDialer:
+        timers = TimerService(LoopClock())
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(timers.run)
+            made = make_direct_service(timers, tasks, [make_order_target("o1")])
+            service, dialer, _ = made
+            dialer.connect_s = CONNECT_TIME_S
+            dialer.leaving = {"o1"}
+            for path in PATHS[:2]:
+                call = Call(path)
+                tasks.start_soon(
+                    service.application, call.scope, call.receive, call.send
+                )
+                await anyio.sleep(CONNECT_TIME_S / 2)
+            await anyio.sleep(CONNECT_TIME_S)
+            tasks.cancel_scope.cancel()
+        return dialer
+
+    def test_shutdown_announced_while_connecting_is_respected(self) -> None:
+        # Guards against a request that was chosen before the answer and written after.
+        self.assertEqual(len(run_virtual(self._send).sent), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
