Send nothing to a target within the pause that it asks for

A target that turns requests away at once looked idle, and drew three times as many as before.

Cause: the time in the answer was dropped. Every refusal counted as a full queue and led to a backoff of 0.1 s; a backoff is a preference, too, as at least half of the targets are always offered.

Change: the pause excludes the target where one is chosen, whatever share of the pool pauses, and again between connecting and writing. While all fit targets pause, a request is refused at once, until the first of them takes requests.

Ruled out: requests under way (all were chosen after the refusal).

--- a/reedspar/direct/attempt_checks.py
+++ b/reedspar/direct/attempt_checks.py
@@ -48,11 +48,15 @@
         )
         if unavailable:
             return _refuse(target_id, f"while connecting was found: {unavailable}")
+        now_s = self._timers.now_s()
+        if known is not None and self._notices.pause_left_s(
+            known.record.boot_id, now_s
+        ):
+            return _refuse(target_id, "asked for a pause while this entry connected")
         attempt = self._loads.for_target(target_id).own_attempts.get(request_id)
         if attempt is None:
             return None
         version = self._version_of(target_id, attempt)
-        now_s = self._timers.now_s()
         if version is not None and not self._may_begin(
             attempt, version, now_s, check_interval_s
         ):
--- a/reedspar/direct/eligibility.py
+++ b/reedspar/direct/eligibility.py
@@ -55,9 +55,13 @@
         """Return the eligible targets that may be sent to now.
 
         Excluding every target in backoff could overload the remaining ones, so at least
-        half of the targets are returned.
+        half of the targets are returned, of those that have not asked for a pause.
         """
-        pairs = [(known, self._loads.for_target(known.record.id)) for known in eligible]
+        pairs = [
+            (known, self._loads.for_target(known.record.id))
+            for known in eligible
+            if not self._pause_left_s(known, now_s)
+        ]
         pairs = [pair for pair in pairs if now_s >= pair[1].not_accepting_until_s]
         pairs = [
             (known, load)
@@ -70,6 +74,15 @@
         pairs.sort(key=lambda pair: pair[1].backoff_until_s)
         return pairs[: (len(pairs) + 1) // 2]
 
+    def common_pause_s(self, eligible: list[KnownTarget], now_s: float) -> float:
+        """Return the time until the first of the targets ends its pause.
+
+        It is 0 if one of them has not asked for any.
+        """
+        return min(
+            (self._pause_left_s(known, now_s) for known in eligible), default=0.0
+        )
+
     def can_begin_in_time(
         self, record: TargetRecord, request: Request, expected_wait_s: float
     ) -> bool:
@@ -79,6 +92,9 @@
             return True
         return self._versions.may_serve(request.model, version, expected_wait_s)
 
+    def _pause_left_s(self, known: KnownTarget, now_s: float) -> float:
+        return self._notices.pause_left_s(known.record.boot_id, now_s)
+
     def _is_eligible(self, known: KnownTarget, request: Request, now_s: float) -> bool:
         record = known.record
         if ineligibility_reason(record, self._view, self._loads, self._notices):
--- a/reedspar/direct/target_choice.py
+++ b/reedspar/direct/target_choice.py
@@ -159,7 +159,11 @@
             )
         ]
         if not candidates:
-            detail = "every fit target is cold, at its limit or about to switch"
+            pause_s = self._eligibility.common_pause_s(eligible, now_s)
+            if pause_s:
+                detail = f"every fit target wants no requests for {pause_s:.2f} s"
+                return self._refusals.refuse(detail, pause_s)
+            detail = "every fit target is cold, at its limit, pauses or is to switch"
             return self._refusals.refuse(detail, RETRY_AFTER_S)
         candidates = [
             candidate
