Tell the other entries of a shutdown that a target announces in an answer

While the store does not answer, each entry learned of a leaving target from an answer of its own only.

Change: the first entry that gets such an answer tells all others, once for each run of the target; what is heard from a peer is not passed on.

--- a/reedspar/direct/notices.py
+++ b/reedspar/direct/notices.py
@@ -6,6 +6,7 @@
 
 import logging
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -26,6 +27,10 @@
 _logger = logging.getLogger(__name__)
 
 
+ShutdownListener = Callable[[str, str], None]
+"""Called with the target's id and boot id."""
+
+
 @dataclass(frozen=True, slots=True)
 class TargetNotice:
     """What the head of one answer says of the target itself."""
@@ -72,6 +77,7 @@
         self._timers = timers
         self._announced: dict[str, _Announced] = {}
         self._counts: Counter[str] = Counter(leaving=0, pause=0)
+        self._shutdown_listeners: list[ShutdownListener] = []
         self._bucket = TokenBucket(LOG_LINES_PER_S, LOG_LINES_BURST)
 
     def read_counts(self) -> list[tuple[float, dict[str, str]]]:
@@ -88,23 +94,35 @@
         announced = self._announced.get(boot_id)
         return max(0.0, announced.pause_until_s - now_s) if announced else 0.0
 
+    def on_shutdown(self, listener: ShutdownListener) -> None:
+        """Call `listener` when an answer is the first to announce a shutdown."""
+        self._shutdown_listeners.append(listener)
+
     def record(self, notice: TargetNotice) -> None:
         """Record what an answer announces."""
         if notice.is_leaving:
-            self._record_leaving(notice)
+            is_new = self.record_shutdown(notice.target_id, notice.boot_id)
+            if is_new:
+                for listener in self._shutdown_listeners:
+                    listener(notice.target_id, notice.boot_id)
         if notice.pause_s is not None:
             self._record_pause(notice, notice.pause_s)
 
-    def _record_leaving(self, notice: TargetNotice) -> None:
+    def record_shutdown(self, target_id: str, boot_id: str, peer: str = "") -> bool:
+        """Record an announced shutdown; return whether it was unknown.
+
+        `peer` is the entry that tells of it, empty for an answer to this entry.
+        """
         now_s = self._timers.now_s()
-        announced = self._find_or_add(notice.boot_id, now_s)
+        announced = self._find_or_add(boot_id, now_s)
         announced.expires_s = max(announced.expires_s, now_s + LEAVING_TTL_S)
         if announced.is_leaving:
-            return
+            return False
         announced.is_leaving = True
         self._counts["leaving"] += 1
-        extra = {"target": notice.target_id, "request": notice.request_id}
+        extra = {"target": target_id, "peer": peer}
         _logger.info("target announces its shutdown", extra=extra)
+        return True
 
     def _record_pause(self, notice: TargetNotice, pause_s: float) -> None:
         """Extend the pause; a shorter one asked for later does not cut it."""
--- a/reedspar/direct/service.py
+++ b/reedspar/direct/service.py
@@ -34,6 +34,7 @@
 from .rate_limits import RateLimits
 from .replaced_weights_log import ReplacedWeightsLog
 from .send_limits import SendLimits
+from .shutdown_news import ShutdownNews
 from .target_choice import DirectChooser
 from .versions import VersionRule
 
@@ -162,6 +163,7 @@
     notices = TargetNotices(loads, timers)
     dialer.on_notice(rate_limits.record_notice)
     dialer.on_notice(notices.record)
+    ShutdownNews(settings.name, notices, view, network)
     send_limits = SendLimits(cold_limits, rate_limits)
     leaving_targets_log = LeavingTargetsLog(view, timers)
     dialer.on_notice(leaving_targets_log.record_notice)
--- a/reedspar/direct/tests/test_announced_shutdowns.py
+++ b/reedspar/direct/tests/test_announced_shutdowns.py
@@ -1,15 +1,26 @@
 """Tests of requests to targets that announce their shutdown in their answers."""
 
 import unittest
+from typing import Any
 
 import anyio
 
-from reedspar.direct import DirectService
+from reedspar.direct import DirectService, TargetNotice
+from reedspar.direct.loads import TargetLoads
+from reedspar.direct.notices import TargetNotices
+from reedspar.direct.shutdown_news import ShutdownNews
 from reedspar.direct.tests.cases import Call, DirectTestCase, make_order_target
 from reedspar.direct.tests.fakes import FakeDialer, make_direct_service
-from reedspar.fleet import FleetView, TargetChange
+from reedspar.fleet import (
+    DaemonChange,
+    DaemonRecord,
+    FleetView,
+    TargetChange,
+    TargetLeavingNews,
+)
+from reedspar.requests.tests.fakes import FakeNetwork
 from reedspar.requests.tests.virtual_time import LoopClock, run_virtual
-from reedspar.timers import TimerService
+from reedspar.timers import TimerService, VirtualClock
 
 CALLS = 20
 CONNECT_TIME_S = 0.3
@@ -118,5 +129,34 @@
         self.assertEqual(len(run_virtual(self._send).sent), 1)
 
 
+class ShutdownNewsTest(unittest.TestCase):
+    """Entry `e0` among three, with a network that records what it sends."""
+
+    def setUp(self) -> None:
+        timers = TimerService(VirtualClock(100.0))
+        self.network = FakeNetwork()
+        self.notices = TargetNotices(TargetLoads(), timers)
+        view = FleetView(timers)
+        for name in ("e0", "e1", "e2"):
+            record = DaemonRecord(name, "entry", "a", "r", "10.0.0.1", 1, 2)
+            view.apply(DaemonChange(name, record))
+        network: Any = self.network
+        ShutdownNews("e0", self.notices, view, network)
+
+    def test_first_answer_that_announces_a_shutdown_is_passed_on(self) -> None:
+        for _ in range(2):
+            self.notices.record(TargetNotice("t1", "t1:7", "r1", is_leaving=True))
+        news = TargetLeavingNews("t1", "t1:7")
+        self.assertEqual(self.network.sent, [("e1", news), ("e2", news)])
+
+    def test_shutdown_that_another_entry_reports_is_known_here(self) -> None:
+        # Guards against requests to a leaving target from entries that it has not
+        # answered since, and against passing on what is known everywhere.
+        self.network.deliver("e1", TargetLeavingNews("t1", "t1:7"))
+        self.assertTrue(self.notices.is_leaving("t1:7"))
+        self.notices.record(TargetNotice("t1", "t1:7", "r1", is_leaving=True))
+        self.assertEqual(self.network.sent, [])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/reedspar/direct/tests/test_notices.py
+++ b/reedspar/direct/tests/test_notices.py
@@ -33,6 +33,7 @@
             self.record(is_leaving=True)
             self.record(is_leaving=True)
         self.assertEqual(len(logs.records), 1)
+        self.assertEqual(vars(logs.records[0])["peer"], "")
         self.assertTrue(self.notices.is_leaving(BOOT))
         self.assertFalse(self.notices.is_leaving("t1:8"))
         self.assertEqual(self.counts, {"leaving": 1, "pause": 0})
--- a/reedspar/fleet/__init__.py
+++ b/reedspar/fleet/__init__.py
@@ -13,7 +13,12 @@
 )
 from .exchange import FleetExchange, create_fleet_exchange
 from .feed import FleetCodec, FleetFeed, FleetPrefix, create_fleet_feed
-from .messages import TargetLimitNews, TargetLoadNews, register_messages
+from .messages import (
+    TargetLeavingNews,
+    TargetLimitNews,
+    TargetLoadNews,
+    register_messages,
+)
 from .prefix_cache import read_deferral_counts
 from .records import DaemonRecord, NamedVersion, TargetRecord, TargetState
 from .registration import Registration, create_registration
@@ -42,6 +47,7 @@
     "Registration",
     "RoutesChange",
     "TargetChange",
+    "TargetLeavingNews",
     "TargetLimitNews",
     "TargetLoadNews",
     "TargetRecord",
--- a/reedspar/fleet/fleet.capnp
+++ b/reedspar/fleet/fleet.capnp
@@ -78,3 +78,8 @@
   ratePerS @3 :Float64;
   ageMs @4 :UInt64;
 }
+
+struct TargetLeavingNews {
+  targetId @0 :Text;
+  bootId @1 :Text;
+}
--- a/reedspar/fleet/messages.py
+++ b/reedspar/fleet/messages.py
@@ -13,6 +13,7 @@
     "FleetRequest",
     "PrefixState",
     "RemovalQuery",
+    "TargetLeavingNews",
     "TargetLimitNews",
     "TargetLoadNews",
     "VersionAge",
@@ -136,6 +137,14 @@
     """Current duration of a request relative to the usual one."""
 
 
+@dataclass(frozen=True, slots=True)
+class TargetLeavingNews:
+    """Tells other entries that a target has announced its shutdown in an answer."""
+
+    target_id: str
+    boot_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class TargetLimitNews:
     """Tells other entries which rate limit the answers of a target name."""
@@ -162,6 +171,7 @@
         RemovalQuery,
         VersionAgeRequest,
         VersionAge,
+        TargetLeavingNews,
         TargetLimitNews,
         TargetLoadNews,
     )
