Keep a named rate limit while the target's registration lapses

One that expired in an outage of the store and came back seconds later had no limit any more, and got requests at the full rate until an answer named it again.

The new test fails on the code before (the target gets a request after its registration is back).

--- a/reedspar/direct/loads.py
+++ b/reedspar/direct/loads.py
@@ -11,7 +11,6 @@
     "AverageLoad",
     "AverageRule",
     "LoadReport",
-    "NamedLimit",
     "OwnAttempt",
     "TargetLoad",
     "TargetLoads",
@@ -90,23 +89,6 @@
         return {name: round((at_s - event_s) * 1000) for name, at_s in times_s.items()}
 
 
-@dataclass(slots=True)
-class NamedLimit:
-    """The rate limit that a target has named, if any."""
-
-    rate_per_s: float | None = None
-    """Requests a second that the target takes from all entries together."""
-    valid_from_s: float = float("-inf")
-    """Time up to which earlier evidence is outdated."""
-    heard_at_s: float = float("-inf")
-    """When evidence last arrived."""
-    bucket: TokenBucket | None = None
-    """This entry's share of the limit."""
-    announced_per_s: float | None = None
-    """The limit that was last announced, by this entry or to it."""
-    announced_at_s: float = float("-inf")
-
-
 @dataclass(slots=True)
 class TargetLoad:
     """Load of one target as this entry knows it."""
@@ -119,7 +101,6 @@
     backoff_until_s: float = float("-inf")
     failures: int = 0
     cold_bucket: TokenBucket | None = None
-    named_limit: NamedLimit = field(default_factory=NamedLimit)
     replaced_boot_id: str = ""
     """Boot id of the target that another one has replaced at its address."""
     not_accepting_until_s: float = float("-inf")
@@ -301,6 +282,17 @@
             load = self._loads[target_id] = TargetLoad()
         return load
 
+    def find_attempt(self, target_id: str, request_id: str) -> OwnAttempt | None:
+        """Return this entry's attempt of a request at a target, if it is open."""
+        load = self._loads.get(target_id)
+        return load.own_attempts.get(request_id) if load is not None else None
+
+    def count_unsent(self, target_id: str) -> int:
+        """Return the number of own attempts at a target that are still connecting."""
+        load = self._loads.get(target_id)
+        attempts = load.own_attempts.values() if load is not None else ()
+        return sum(attempt.handed_over_s is None for attempt in attempts)
+
     def remove(self, target_id: str) -> None:
         """Remove a target that no longer exists, unless it has open attempts."""
         load = self._loads.get(target_id)
@@ -308,10 +300,9 @@
             del self._loads[target_id]
 
     def reset_after_restart(self, target_id: str) -> None:
-        """Discard what was reported and named before a target's restart."""
+        """Discard what was reported before a target's restart."""
         load = self._loads.get(target_id)
         if load is not None:
             load.report = None
-            load.named_limit = NamedLimit()
             load.failures = 0
             load.backoff_until_s = float("-inf")
--- a/reedspar/direct/notices.py
+++ b/reedspar/direct/notices.py
@@ -13,7 +13,7 @@
 from reedspar.timers import TimerService
 from reedspar.utils import TokenBucket
 
-from .loads import OwnAttempt, TargetLoads
+from .loads import TargetLoads
 
 __all__ = ["NoticeListener", "TargetNotice", "TargetNotices"]
 
@@ -150,20 +150,19 @@
             "request": notice.request_id,
             "pause_s": notice.pause_s,
         }
-        attempt = self._find_attempt(notice)
+        attempt = self._loads.find_attempt(notice.target_id, notice.request_id)
         if is_repeated and attempt is not None:
             extra |= attempt.times_since_ms(announced.paused_at_s, now_s)
         _logger.info("target asks for a pause", extra=extra)
 
-    def _find_attempt(self, notice: TargetNotice) -> OwnAttempt | None:
-        load = self._loads.for_target(notice.target_id)
-        return load.own_attempts.get(notice.request_id)
-
     def _find_or_add(self, boot_id: str, now_s: float) -> _Announced:
-        """Return what a run has announced, and forget what has expired."""
-        self._announced = {
-            known_id: announced
-            for known_id, announced in self._announced.items()
-            if now_s < announced.expires_s or known_id == boot_id
-        }
-        return self._announced.setdefault(boot_id, _Announced())
+        """Return what a run has announced; a new run replaces what has expired."""
+        announced = self._announced.get(boot_id)
+        if announced is None:
+            self._announced = {
+                known_id: known
+                for known_id, known in self._announced.items()
+                if now_s < known.expires_s
+            }
+            announced = self._announced[boot_id] = _Announced()
+        return announced
--- a/reedspar/direct/rate_limits.py
+++ b/reedspar/direct/rate_limits.py
@@ -8,18 +8,19 @@
 
 import logging
 from collections import Counter
+from dataclasses import dataclass
 
-from reedspar.fleet import FleetView, KnownTarget, TargetLimitNews
+from reedspar.fleet import FleetView, TargetLimitNews, TargetRecord
 from reedspar.links import Network, Role
 from reedspar.messages import Sender
 from reedspar.timers import TimerService
 from reedspar.utils import TokenBucket, update_bucket
 
-from .loads import NamedLimit, TargetLoad, TargetLoads
+from .loads import TargetLoads
 from .notices import TargetNotice
 from .sender_ranking import SenderRanking
 
-__all__ = ["RateLimits"]
+__all__ = ["NamedLimit", "RateLimits"]
 
 SENDERS_MIN = 4
 SENDERS_MAX = 9
@@ -47,6 +48,23 @@
 _logger = logging.getLogger(__name__)
 
 
+@dataclass(slots=True)
+class NamedLimit:
+    """The rate limit that a target has named, if any."""
+
+    rate_per_s: float | None = None
+    """Requests a second that the target takes from all entries together."""
+    valid_from_s: float = float("-inf")
+    """Time up to which earlier evidence is outdated."""
+    heard_at_s: float = float("-inf")
+    """When evidence last arrived."""
+    bucket: TokenBucket | None = None
+    """This entry's share of the limit."""
+    announced_per_s: float | None = None
+    """The limit that was last announced, by this entry or to it."""
+    announced_at_s: float = float("-inf")
+
+
 class RateLimits:
     """Keeps the rate limits of targets, and this entry's share of each."""
 
@@ -65,6 +83,8 @@
         self._view = view
         self._network = network
         self._timers = timers
+        self._limits: dict[str, NamedLimit] = {}
+        """Limits by boot id; they outlast a registration that lapses."""
         self._counts: Counter[str] = Counter(named=0, ended=0)
         network.subscribe(TargetLimitNews, self._handle_news)
 
@@ -72,22 +92,29 @@
         """Return the counts of limits that began and ended, with labels."""
         return [(count, {"change": change}) for change, count in self._counts.items()]
 
-    def may_send(self, target_id: str, load: TargetLoad, now_s: float) -> bool:
+    def rate_per_s(self, boot_id: str) -> float | None:
+        """Return the rate that a run of a target has named, None without a limit."""
+        limit = self._limits.get(boot_id)
+        if limit is None or not _is_recent(limit, self._timers.now_s()):
+            return None
+        return limit.rate_per_s
+
+    def may_send(self, target: TargetRecord, now_s: float) -> bool:
         """Return whether one more request may be sent to a target now."""
-        limit = load.named_limit
-        if limit.rate_per_s is not None and now_s - limit.heard_at_s >= LIMIT_TTL_S:
-            limit = load.named_limit = NamedLimit()
-        if limit.rate_per_s is None:
+        rate_per_s = self.rate_per_s(target.boot_id)
+        if rate_per_s is None:
             return True
-        if not self._ranking.is_sender(target_id, _senders_max(limit.rate_per_s)):
+        if not self._ranking.is_sender(target.id, _senders_max(rate_per_s)):
             return False
-        return self._update_bucket(load, limit.rate_per_s, now_s).is_ready(now_s)
+        limit = self._limits[target.boot_id]
+        return self._update_bucket(limit, rate_per_s, now_s).is_ready(now_s)
 
-    def record_sent(self, load: TargetLoad, now_s: float) -> None:
+    def record_sent(self, target: TargetRecord, now_s: float) -> None:
         """Count a request to a target, if it has named a limit."""
-        rate_per_s = load.named_limit.rate_per_s
+        rate_per_s = self.rate_per_s(target.boot_id)
         if rate_per_s is not None:
-            self._update_bucket(load, rate_per_s, now_s).consume(1, now_s)
+            limit = self._limits[target.boot_id]
+            self._update_bucket(limit, rate_per_s, now_s).consume(1, now_s)
 
     def record_notice(self, notice: TargetNotice) -> None:
         """Record the limit that an answer names, if any.
@@ -95,29 +122,40 @@
         An answer with a limit shows the state when it arrives.  One without shows that
         after its request was sent: an answer with a limit may have overtaken it.
         """
-        target_id = notice.target_id
-        known = self._view.target(target_id)
-        if known is None or not notice.shows_rate_limit:
+        if not notice.shows_rate_limit:
             return
         now_s = self._timers.now_s()
         valid_from_s: float | None = now_s
         if notice.rate_per_s is None:
-            own_attempts = self._loads.for_target(target_id).own_attempts
-            attempt = own_attempts.get(notice.request_id)
+            attempt = self._loads.find_attempt(notice.target_id, notice.request_id)
             valid_from_s = attempt.handed_over_s if attempt is not None else None
         if valid_from_s is None:
             return
-        limit = self._loads.for_target(target_id).named_limit
-        self._apply(target_id, notice.rate_per_s, valid_from_s)
+        limit = self._find_or_add(notice.boot_id, now_s)
+        self._apply(notice.target_id, limit, notice.rate_per_s, valid_from_s)
         if self._is_due(limit, now_s):
-            self._announce(known, limit, now_s)
+            self._announce(notice.target_id, notice.boot_id, limit, now_s)
+
+    def _find_or_add(self, boot_id: str, now_s: float) -> NamedLimit:
+        """Return the limit of a run; a new one replaces those without evidence."""
+        limit = self._limits.get(boot_id)
+        if limit is None:
+            self._limits = {
+                known_id: known
+                for known_id, known in self._limits.items()
+                if _is_recent(known, now_s)
+            }
+            limit = self._limits[boot_id] = NamedLimit()
+        return limit
 
     def _apply(
-        self, target_id: str, rate_per_s: float | None, valid_from_s: float
+        self,
+        target_id: str,
+        limit: NamedLimit,
+        rate_per_s: float | None,
+        valid_from_s: float,
     ) -> bool:
         """Apply what an answer shows; return False if later evidence is known."""
-        load = self._loads.for_target(target_id)
-        limit = load.named_limit
         if valid_from_s < limit.valid_from_s:
             return False
         now_s = self._timers.now_s()
@@ -131,8 +169,8 @@
             self._counts["ended"] += 1
         elif previous_per_s is None:
             # Requests that are being sent reach the target under the limit.
-            bucket = self._update_bucket(load, rate_per_s, now_s)
-            bucket.consume(_count_unsent(load), now_s)
+            bucket = self._update_bucket(limit, rate_per_s, now_s)
+            bucket.consume(self._loads.count_unsent(target_id), now_s)
             self._counts["named"] += 1
         _logger.info(
             "rate limit of a target changed",
@@ -149,11 +187,13 @@
             return True
         return abs(rate_per_s - told_per_s) > ANNOUNCED_CHANGE_MIN * told_per_s
 
-    def _announce(self, known: KnownTarget, limit: NamedLimit, now_s: float) -> None:
+    def _announce(
+        self, target_id: str, boot_id: str, limit: NamedLimit, now_s: float
+    ) -> None:
         limit.announced_per_s, limit.announced_at_s = limit.rate_per_s, now_s
         news = TargetLimitNews(
-            known.record.id,
-            known.record.boot_id,
+            target_id,
+            boot_id,
             limit.rate_per_s is not None,
             limit.rate_per_s or 0.0,
             max(0, round((now_s - limit.valid_from_s) * 1000)),
@@ -162,23 +202,20 @@
             self._network.send(peer, news)
 
     def _handle_news(self, sender: Sender, news: TargetLimitNews) -> None:
-        known = self._view.target(news.target_id)
-        if known is None or known.record.boot_id != news.boot_id:
-            return
         now_s = self._timers.now_s()
         rate_per_s = news.rate_per_s if news.is_limited else None
-        if self._apply(news.target_id, rate_per_s, now_s - news.age_ms / 1000):
-            limit = self._loads.for_target(news.target_id).named_limit
+        limit = self._find_or_add(news.boot_id, now_s)
+        valid_from_s = now_s - news.age_ms / 1000
+        if self._apply(news.target_id, limit, rate_per_s, valid_from_s):
             limit.announced_per_s, limit.announced_at_s = rate_per_s, now_s
 
     def _update_bucket(
-        self, load: TargetLoad, rate_per_s: float, now_s: float
+        self, limit: NamedLimit, rate_per_s: float, now_s: float
     ) -> TokenBucket:
         senders = min(
             _senders_max(rate_per_s), max(SENDERS_MIN, self._ranking.entry_count)
         )
         share_per_s = max(RATE_MIN_PER_S, rate_per_s) / senders
-        limit = load.named_limit
         limit.bucket = update_bucket(limit.bucket, share_per_s, TOKENS_MAX, now_s)
         return limit.bucket
 
@@ -188,6 +225,6 @@
     return min(SENDERS_MAX, SENDERS_MIN + int(SENDERS_PER_RATE_S * rate_per_s))
 
 
-def _count_unsent(load: TargetLoad) -> int:
-    """Return the number of own attempts that are still connecting."""
-    return sum(a.handed_over_s is None for a in load.own_attempts.values())
+def _is_recent(limit: NamedLimit, now_s: float) -> bool:
+    """Return whether there is evidence of a limit, or of its end, that still counts."""
+    return now_s - limit.heard_at_s < LIMIT_TTL_S
--- a/reedspar/direct/send_limits.py
+++ b/reedspar/direct/send_limits.py
@@ -25,11 +25,10 @@
         now_s: float,
     ) -> bool:
         """Return whether one more request may be sent to a target now."""
-        target_id = known.record.id
-        if not self._named.may_send(target_id, load, now_s):
+        if not self._named.may_send(known.record, now_s):
             return False
         return not known.is_cold(now_s) or self._cold.may_send(
-            target_id, load, _cold_rate_per_s(service), now_s
+            known.record.id, load, _cold_rate_per_s(service), now_s
         )
 
     def record_sent(
@@ -40,8 +39,10 @@
         now_s: float,
     ) -> None:
         """Count a request to a target."""
-        self._named.record_sent(load, now_s)
-        if known is not None and known.is_cold(now_s):
+        if known is None:
+            return
+        self._named.record_sent(known.record, now_s)
+        if known.is_cold(now_s):
             self._cold.record_sent(load, _cold_rate_per_s(service), now_s)
 
 
--- a/reedspar/direct/tests/test_rate_limit_load.py
+++ b/reedspar/direct/tests/test_rate_limit_load.py
@@ -230,8 +230,7 @@
             end_s = NAMED_S + LIMITED_S + RECOVERY_S
             await fleet.send_requests(end_s + 3.0)
             for entry in fleet.entries:
-                load = entry.service.loads.for_target("o0")
-                self.assertIsNone(load.named_limit.rate_per_s)
+                self.assertIsNone(entry.service.rate_limits.rate_per_s("o0:0"))
             late = [at for at in fleet.arrivals("o0") if at >= end_s]
             usual = 3.0 * REQUESTS_PER_S / TARGET_COUNT
             self.assertGreaterEqual(len(late), 0.5 * usual)
--- a/reedspar/direct/tests/test_rate_limits.py
+++ b/reedspar/direct/tests/test_rate_limits.py
@@ -1,11 +1,14 @@
 """Tests of the rate limits that targets name in their answers."""
 
 import unittest
+from dataclasses import replace
 
-from reedspar.direct import TargetNotice
+from reedspar.direct import DirectService, TargetNotice
 from reedspar.direct.loads import OwnAttempt, TargetLoads
 from reedspar.direct.rate_limits import LIMIT_TTL_S, RateLimits
 from reedspar.direct.sender_ranking import SenderRanking
+from reedspar.direct.tests.cases import Call, DirectTestCase, make_order_target
+from reedspar.direct.tests.fakes import FakeDialer
 from reedspar.fleet import (
     DaemonChange,
     DaemonRecord,
@@ -27,7 +30,8 @@
         self.loads = TargetLoads()
         self.network = FakeNetwork()
         view = FleetView(timers)
-        view.apply(TargetChange("t1", make_target("t1", started_ms=7)))
+        self.target = make_target("t1", started_ms=7)
+        view.apply(TargetChange("t1", self.target))
         for name in ENTRIES:
             record = DaemonRecord(name, "entry", "a", "r", "10.0.0.1", 1, 2)
             view.apply(DaemonChange(name, record))
@@ -54,7 +58,7 @@
 
     @property
     def rate_per_s(self) -> float | None:
-        return self.loads.for_target("t1").named_limit.rate_per_s
+        return self.limits.rate_per_s("t1:7")
 
     def test_later_answer_without_a_limit_ends_it(self) -> None:
         self.hand_over("r1")
@@ -78,8 +82,11 @@
     def test_limit_of_an_earlier_run_of_the_target_is_discarded(self) -> None:
         self.hand_over("r1")
         self.answer("r1", 1.5)
-        self.loads.reset_after_restart("t1")
-        self.assertIsNone(self.rate_per_s)
+        restarted = replace(self.target, started_ms=8)
+        for _ in range(5):
+            self.assertTrue(self.limits.may_send(restarted, self.clock.now_s()))
+            self.limits.record_sent(restarted, self.clock.now_s())
+        self.assertIsNone(self.limits.rate_per_s("t1:8"))
 
     def test_changed_limit_is_announced_to_the_other_entries(self) -> None:
         self.hand_over("r1")
@@ -120,13 +127,37 @@
         # Guards against a target that gets no requests after the announcement of the
         # end of its limit was lost.
         self.receive(1.0)
-        load = self.loads.for_target("t1")
-        self.limits.record_sent(load, self.clock.now_s())
-        self.assertFalse(self.limits.may_send("t1", load, self.clock.now_s()))
+        self.limits.record_sent(self.target, self.clock.now_s())
+        self.assertFalse(self.limits.may_send(self.target, self.clock.now_s()))
         self.clock.advance(LIMIT_TTL_S)
-        self.assertTrue(self.limits.may_send("t1", load, self.clock.now_s()))
+        self.assertTrue(self.limits.may_send(self.target, self.clock.now_s()))
         self.assertIsNone(self.rate_per_s)
 
 
+class LapsedRegistrationTest(DirectTestCase):
+    async def send_many(self, service: DirectService) -> None:
+        for _ in range(20):
+            call = Call("/s/1")
+            await service.application(call.scope, call.receive, call.send)
+
+    def test_limit_outlasts_a_registration_that_lapses(self) -> None:
+        # Guards against a target over its limit because its registration expired in
+        # an outage of the store and came back.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            dialer.rate_limits = {"o1": 0.0}
+            await self.send_many(service)
+            sent_before = [name for name, _ in dialer.sent].count("o1")
+            self.assertGreater(sent_before, 0)
+            view.apply(TargetChange("o1", None))
+            view.apply(TargetChange("o1", make_order_target("o1")))
+            await self.send_many(service)
+            sent = [name for name, _ in dialer.sent].count("o1")
+            self.assertEqual(sent, sent_before)
+
+        self.run_with(script)
+
+
 if __name__ == "__main__":
     unittest.main()
