Start no attempts while the target beside an agent pauses

The same cause, looked for on the other request path: an answer of 503 with Retry-After counted there as a complete one. It raised the limit of the target, and the next attempt went out at once.

Change: the agent reads the pause, refuses what waits and what comes, each with the rest of the pause as its delay, and reports the target as down meanwhile. A restart of the target ends it. Announced shutdowns have no form on this path: an agent that leaves reports so, and refuses by itself.

--- a/reedspar/targets/controller.py
+++ b/reedspar/targets/controller.py
@@ -27,6 +27,7 @@
 from .crash_suspects import CrashSuspects
 from .dispatcher import AttemptDispatcher
 from .gate import ColdStartGate, GateSettings
+from .pause import TargetPause
 from .queue import AttemptQueue
 from .reports import ReportPublisher
 from .runner import AttemptOutcome, AttemptRunner
@@ -94,6 +95,7 @@
         self._gate = ColdStartGate(gate_settings)
         self._incarnation = incarnation
         self._crashes = CrashSuspects()
+        self._pause = TargetPause(timers, self._handle_target_pause_end)
         self._is_reachable = False
         self._is_draining = False
         self._switching_models: set[str] = set()
@@ -133,7 +135,7 @@
             return TargetStatus.LEAVING
         if not self._is_reachable or not self._offers.is_offering():
             return TargetStatus.DOWN
-        if self._switching_models:
+        if self._switching_models or self._pause.left_s:
             return TargetStatus.DOWN
         return TargetStatus.COLD if self._gate.is_cold else TargetStatus.READY
 
@@ -158,7 +160,7 @@
     async def begin_switch(self, model: str) -> None:
         """Refuse new work and wait until nothing uses the model's old weights."""
         self._switching_models.add(model)
-        self._dispatcher.refuse_queued(Reason.DRAINING, "switching weights")
+        self._refuse_queued(Reason.DRAINING, "switching weights")
         self._reports.publish_if_changed()
         await self._dispatcher.wait_idle()
 
@@ -172,7 +174,7 @@
         if self._is_draining:
             return
         self._is_draining = True
-        self._dispatcher.refuse_queued(Reason.DRAINING, "leaving")
+        self._refuse_queued(Reason.DRAINING, "leaving")
         self._reports.publish()
 
     async def drain(self, timeout_s: float) -> bool:
@@ -185,6 +187,14 @@
             await self._dispatcher.wait_delivered()
         return self._dispatcher.running_count == 0
 
+    def _refuse_queued(
+        self, reason: Reason, detail: str, retry_after_s: float | None = None
+    ) -> None:
+        step = Step.AGENT_ADMIT
+        self._dispatcher.refuse_queued(
+            Failure(reason, step, detail=detail, retry_after_s=retry_after_s)
+        )
+
     def _accepts_digest(self, digest: str) -> bool:
         return any(weights.root_digest == digest for weights in self._offers.offered())
 
@@ -213,6 +223,9 @@
             return Failure(Reason.NO_TARGET, step, detail=f"not of pool {start.pool}")
         if self._is_draining or self._switching_models:
             return Failure(Reason.DRAINING, step)
+        if pause_s := self._pause.left_s:
+            detail = "the target asked for a pause"
+            return Failure(Reason.OVERLOADED, step, "", detail, pause_s)
         failure = self._check_work_allowed()
         if failure is not None:
             return failure
@@ -229,12 +242,19 @@
 
     def record_outcome(self, start: AttemptStart, outcome: AttemptOutcome) -> None:
         """Process the outcome of an attempt."""
-        if outcome.kind is EndKind.COMPLETE:
+        if outcome.pause_s:
+            self._pause.extend(outcome.pause_s)
+            detail = "the target asked for a pause"
+            self._refuse_queued(Reason.OVERLOADED, detail, self._pause.left_s)
+        elif outcome.kind is EndKind.COMPLETE:
             self._gate.record_completed()
         elif outcome.reason is not Reason.CANCELLED:
             self._handle_broken_attempt(start, outcome.reason)
         self._reports.publish_if_changed()
 
+    def _handle_target_pause_end(self) -> None:
+        self._reports.publish_if_changed()
+
     def _handle_broken_attempt(self, start: AttemptStart, reason: Reason) -> None:
         if reason is Reason.TIMEOUT:
             return
@@ -313,6 +333,7 @@
         now_s = self._timers.now_s()
         previous = self._gate.boot_id
         if self._gate.record_boot(state.boot_id, now_s) and previous:
+            self._pause.end()
             self._report_crash(previous)
         self._gate.record_report(is_cold=state.is_cold, now_s=now_s)
         self._is_reachable = True
--- a/reedspar/targets/dispatcher.py
+++ b/reedspar/targets/dispatcher.py
@@ -95,10 +95,10 @@
             if record.start is not None and record.phase is AttemptPhase.RUNNING
         ]
 
-    def refuse_queued(self, reason: Reason, detail: str) -> None:
+    def refuse_queued(self, failure: Failure) -> None:
         """Refuse all queued attempts; they provably did not run."""
         while (record := self._queue.pop()) is not None:
-            self._refuse(record, Failure(reason, Step.AGENT_ADMIT, detail=detail))
+            self._refuse(record, failure)
 
     def dispatch_queued(self) -> None:
         """Start queued attempts while the gate has room."""
--- a/reedspar/targets/runner.py
+++ b/reedspar/targets/runner.py
@@ -17,6 +17,7 @@
 from reedspar.platform import Target, TargetRequest, TargetResponse
 from reedspar.timers import Clock
 
+from .pause import read_pause_s
 from .table import AttemptRecord
 
 __all__ = ["AttemptOutcome", "AttemptRunner", "RunHandle"]
@@ -55,6 +56,8 @@
     kind: EndKind
     reason: Reason = Reason.UNAVAILABLE
     detail: str = ""
+    pause_s: float | None = None
+    """Time for which the target wants no more requests, if it asked for it."""
 
 
 @dataclass
@@ -161,7 +164,8 @@
             while record.unacknowledged_bytes > UNACKNOWLEDGED_MAX_BYTES:
                 handle.acknowledged = anyio.Event()
                 await handle.acknowledged.wait()
-        return AttemptOutcome(EndKind.COMPLETE)
+        pause_s = read_pause_s(response.status, response.headers)
+        return AttemptOutcome(EndKind.COMPLETE, pause_s=pause_s)
 
 
 def _make_request(start: AttemptStart, timeout_s: float) -> TargetRequest:
--- a/reedspar/targets/tests/fakes.py
+++ b/reedspar/targets/tests/fakes.py
@@ -88,10 +88,13 @@
 
 
 class FakeResponse:
-    status = 200
-    headers = (("content-type", "text/plain"), ("transfer-encoding", "chunked"))
-
     def __init__(self, target: "FakeTarget", digest: str) -> None:
+        self.status = target.status
+        self.headers = (
+            ("content-type", "text/plain"),
+            ("transfer-encoding", "chunked"),
+            *target.headers,
+        )
         self.target = target
         self.weights_digest = digest
 
@@ -111,6 +114,8 @@
         self.state = EngineState("boot-1", loaded={"quotes": DIGEST})
         self.release = anyio.Event()
         self.breaks = False
+        self.status = 200
+        self.headers: tuple[tuple[str, str], ...] = ()
         self.digest = DIGEST
         self.runs: list[str] = []
         self.polls = 0
--- a/reedspar/utils/__init__.py
+++ b/reedspar/utils/__init__.py
@@ -1,7 +1,7 @@
 """Helpers shared by several packages."""
 
 from .hashing import digest_bytes, rank_by_rendezvous, rendezvous_score
-from .headers import HOP_BY_HOP_HEADERS
+from .headers import HOP_BY_HOP_HEADERS, parse_non_negative
 from .lazy_imports import create_lazy_getattr
 from .sampling import sample_up_to
 from .token_bucket import TokenBucket, update_bucket
@@ -11,6 +11,7 @@
     "TokenBucket",
     "create_lazy_getattr",
     "digest_bytes",
+    "parse_non_negative",
     "rank_by_rendezvous",
     "rendezvous_score",
     "sample_up_to",
--- a/reedspar/utils/headers.py
+++ b/reedspar/utils/headers.py
@@ -1,6 +1,8 @@
 """HTTP headers that proxies do not forward."""
 
-__all__ = ["HOP_BY_HOP_HEADERS"]
+import math
+
+__all__ = ["HOP_BY_HOP_HEADERS", "parse_non_negative"]
 
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -17,3 +19,12 @@
 )
 """Connection-specific headers (RFC 9110, section 7.6.1) and the framing headers, which
 each hop sets for its own message."""
+
+
+def parse_non_negative(text: str) -> float | None:
+    """Return a finite number of at least 0; None if `text` is anything else."""
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if math.isfinite(value) and value >= 0 else None
