Tell a caller whose attempts were refused when a target takes requests again

Callers retry once: one that returns at once is refused again, and gives up.

Cause: only refusals without any attempt asked the choice of targets for a delay.

Change: the delay of a refused request is that of a new one, if none would be taken now; without it the caller still returns at once, as another target has room. The new test fails before.

--- a/reedspar/direct/tests/test_pauses.py
+++ b/reedspar/direct/tests/test_pauses.py
@@ -141,6 +141,14 @@
             middle = self.calls[len(self.calls) // 2]
             self.assertGreaterEqual(float(middle.headers["retry-after"]), 1.0)
 
+    def test_refusal_after_an_attempt_tells_when_the_first_pause_ends(self) -> None:
+        # Guards against callers that come back at once, use up their retry and are
+        # refused again.
+        for path in PATHS:
+            self.run_calls(path, set(TARGETS))
+            self.assertEqual(len(self.sent), len(TARGETS))
+            self.assertGreaterEqual(float(self.calls[1].headers["retry-after"]), 2.9)
+
     def test_pause_that_was_asked_for_while_connecting_is_respected(self) -> None:
         # Guards against requests that were chosen before the refusal and written after.
         self.connect_s = 0.3
--- a/reedspar/requests/relay.py
+++ b/reedspar/requests/relay.py
@@ -5,7 +5,8 @@
 the caller, or if the stream can be resumed.
 """
 
-from dataclasses import dataclass, field
+from collections.abc import Collection
+from dataclasses import dataclass, field, replace
 
 import anyio
 
@@ -74,6 +75,9 @@
 
     async def apply(self, request: Request, proceed: Proceed) -> Answer:
         """Return the answer; `proceed` is not called, as this is the last filter."""
+        return self._add_retry_delay(request, await self._make_attempts(request))
+
+    async def _make_attempts(self, request: Request) -> Answer:
         state = _RelayState(StreamForwarder(request, self._client))
         while True:
             chosen = await self._choose_or_wait(request, state)
@@ -89,6 +93,22 @@
                 assert state.result is not None
                 return state.result
 
+    def _add_retry_delay(self, request: Request, answer: Answer) -> Answer:
+        """Tell the caller of a refusal when a target takes requests, if none does now.
+
+        A refusal by a target has no delay, as another target may take the request.
+        """
+        failure = answer.failure
+        if answer.outcome is not Outcome.NOT_RUN or failure is None:
+            return answer
+        if failure.retry_after_s is not None or failure.reason in FINAL_REASONS:
+            return answer
+        chosen = self._choose(request, ())
+        if not isinstance(chosen, Failure):
+            return answer
+        delayed = replace(failure, retry_after_s=chosen.retry_after_s)
+        return replace(answer, failure=delayed)
+
     def _is_within_budget(self, request: Request, state: _RelayState) -> bool:
         """Return whether the attempt is the first or the retry budget allows it."""
         budget = self._budgets.for_pool(request.pool)
@@ -112,7 +132,7 @@
         """Choose a target; if there is none, wait for one if that may help."""
         if state.forwarder.has_started:
             request.weights_digest = state.forwarder.weights_digest
-        chosen = self._choose(request, state)
+        chosen = self._choose(request, state.tried)
         for _ in range(round(self._options.retry_wait_s / TARGET_POLL_INTERVAL_S)):
             if not isinstance(chosen, Failure):
                 self._last_served_s[request.pool] = self._timers.now_s()
@@ -120,7 +140,7 @@
             if not self._should_wait(request, chosen, is_retry=bool(state.tried)):
                 break
             await anyio.sleep(TARGET_POLL_INTERVAL_S)
-            chosen = self._choose(request, state)
+            chosen = self._choose(request, state.tried)
         return chosen
 
     def _should_wait(
@@ -138,11 +158,13 @@
             return False
         return self._timers.now_s() - last_served_s < RECENTLY_SERVED_S
 
-    def _choose(self, request: Request, state: _RelayState) -> ChosenTarget | Failure:
+    def _choose(
+        self, request: Request, tried: Collection[str]
+    ) -> ChosenTarget | Failure:
         self._timers.check_pause()
         if request.deadline_s <= self._timers.now_s():
             return Failure(Reason.EXPIRED, Step.ROUTE, detail="the deadline has passed")
-        return self._chooser.choose(request, state.tried)
+        return self._chooser.choose(request, tried)
 
     async def _attempt(
         self, request: Request, chosen: ChosenTarget, state: _RelayState
