--- a/reedspar/direct/attempt_checks.py
+++ b/reedspar/direct/attempt_checks.py
@@ -40,19 +40,10 @@
 
         `check_interval_s` is the time between two calls of `check_waiting`.
         """
-        known = self._view.target(target_id)
-        unavailable = (
-            ineligibility_reason(known.record, self._view, self._loads, self._notices)
-            if known
-            else "it is gone"
-        )
+        now_s = self._timers.now_s()
+        unavailable = self._unavailable_reason(target_id, now_s)
         if unavailable:
             return _refuse(target_id, f"while connecting was found: {unavailable}")
-        now_s = self._timers.now_s()
-        if known is not None and self._notices.pause_left_s(
-            known.record.boot_id, now_s
-        ):
-            return _refuse(target_id, "asked for a pause while this entry connected")
         attempt = self._loads.for_target(target_id).own_attempts.get(request_id)
         if attempt is None:
             return None
@@ -65,6 +56,17 @@
         attempt.handed_over_s = now_s
         return None
 
+    def _unavailable_reason(self, target_id: str, now_s: float) -> str:
+        """Return why a target may get no request now, or an empty string."""
+        known = self._view.target(target_id)
+        if known is None:
+            return "it is gone"
+        if self._notices.pause_left_s(known.record.boot_id, now_s):
+            return "it asked for a pause"
+        return ineligibility_reason(
+            known.record, self._view, self._loads, self._notices
+        )
+
     def check_waiting(
         self, target_id: str, request_id: str, check_interval_s: float
     ) -> Failure | None:
--- a/reedspar/direct/notices.py
+++ b/reedspar/direct/notices.py
@@ -1,8 +1,4 @@
-"""What targets announce about themselves in the heads of their answers.
-
-An announcement concerns one run of a target's process.  It is kept apart from the
-loads, which are discarded while a registration is missing: it outlasts that.
-"""
+"""What targets announce about themselves in the heads of their answers."""
 
 import logging
 from collections import Counter
@@ -14,6 +10,7 @@
 from reedspar.utils import TokenBucket
 
 from .loads import TargetLoads
+from .run_states import RunStates
 
 __all__ = ["NoticeListener", "TargetNotice", "TargetNotices"]
 
@@ -75,7 +72,9 @@
     def __init__(self, loads: TargetLoads, timers: TimerService) -> None:
         self._loads = loads
         self._timers = timers
-        self._announced: dict[str, _Announced] = {}
+        self._announced = RunStates(
+            _Announced, lambda announced, now_s: now_s >= announced.expires_s
+        )
         self._counts: Counter[str] = Counter(leaving=0, pause=0)
         self._shutdown_listeners: list[ShutdownListener] = []
         self._bucket = TokenBucket(LOG_LINES_PER_S, LOG_LINES_BURST)
@@ -86,12 +85,12 @@
 
     def is_leaving(self, boot_id: str) -> bool:
         """Return whether a run of a target has announced its shutdown."""
-        announced = self._announced.get(boot_id)
+        announced = self._announced.find(boot_id, self._timers.now_s())
         return announced is not None and announced.is_leaving
 
     def pause_left_s(self, boot_id: str, now_s: float) -> float:
         """Return for how long a run of a target wants no requests, 0 if it does."""
-        announced = self._announced.get(boot_id)
+        announced = self._announced.find(boot_id, now_s)
         return max(0.0, announced.pause_until_s - now_s) if announced else 0.0
 
     def on_shutdown(self, listener: ShutdownListener) -> None:
@@ -114,7 +113,7 @@
         `peer` is the entry that tells of it, empty for an answer to this entry.
         """
         now_s = self._timers.now_s()
-        announced = self._find_or_add(boot_id, now_s)
+        announced = self._announced.find_or_add(boot_id, now_s)
         announced.expires_s = max(announced.expires_s, now_s + LEAVING_TTL_S)
         if announced.is_leaving:
             return False
@@ -127,7 +126,7 @@
     def _record_pause(self, notice: TargetNotice, pause_s: float) -> None:
         """Extend the pause; a shorter one asked for later does not cut it."""
         now_s = self._timers.now_s()
-        announced = self._find_or_add(notice.boot_id, now_s)
+        announced = self._announced.find_or_add(notice.boot_id, now_s)
         is_repeated = now_s < announced.pause_until_s
         if not is_repeated:
             announced.paused_at_s = now_s
@@ -154,15 +153,3 @@
         if is_repeated and attempt is not None:
             extra |= attempt.times_since_ms(announced.paused_at_s, now_s)
         _logger.info("target asks for a pause", extra=extra)
-
-    def _find_or_add(self, boot_id: str, now_s: float) -> _Announced:
-        """Return what a run has announced; a new run replaces what has expired."""
-        announced = self._announced.get(boot_id)
-        if announced is None:
-            self._announced = {
-                known_id: known
-                for known_id, known in self._announced.items()
-                if now_s < known.expires_s
-            }
-            announced = self._announced[boot_id] = _Announced()
-        return announced
--- a/reedspar/direct/rate_limits.py
+++ b/reedspar/direct/rate_limits.py
@@ -18,6 +18,7 @@
 
 from .loads import TargetLoads
 from .notices import TargetNotice
+from .run_states import RunStates
 from .sender_ranking import SenderRanking
 
 __all__ = ["NamedLimit", "RateLimits"]
@@ -83,8 +84,7 @@
         self._view = view
         self._network = network
         self._timers = timers
-        self._limits: dict[str, NamedLimit] = {}
-        """Limits by boot id; they outlast a registration that lapses."""
+        self._limits = RunStates(NamedLimit, _is_forgotten)
         self._counts: Counter[str] = Counter(named=0, ended=0)
         network.subscribe(TargetLimitNews, self._handle_news)
 
@@ -94,27 +94,23 @@
 
     def rate_per_s(self, boot_id: str) -> float | None:
         """Return the rate that a run of a target has named, None without a limit."""
-        limit = self._limits.get(boot_id)
-        if limit is None or not _is_recent(limit, self._timers.now_s()):
-            return None
-        return limit.rate_per_s
+        limit = self._limits.find(boot_id, self._timers.now_s())
+        return limit.rate_per_s if limit is not None else None
 
     def may_send(self, target: TargetRecord, now_s: float) -> bool:
         """Return whether one more request may be sent to a target now."""
-        rate_per_s = self.rate_per_s(target.boot_id)
-        if rate_per_s is None:
+        limit = self._limits.find(target.boot_id, now_s)
+        if limit is None or limit.rate_per_s is None:
             return True
-        if not self._ranking.is_sender(target.id, _senders_max(rate_per_s)):
+        if not self._ranking.is_sender(target.id, _senders_max(limit.rate_per_s)):
             return False
-        limit = self._limits[target.boot_id]
-        return self._update_bucket(limit, rate_per_s, now_s).is_ready(now_s)
+        return self._update_bucket(limit, limit.rate_per_s, now_s).is_ready(now_s)
 
     def record_sent(self, target: TargetRecord, now_s: float) -> None:
         """Count a request to a target, if it has named a limit."""
-        rate_per_s = self.rate_per_s(target.boot_id)
-        if rate_per_s is not None:
-            limit = self._limits[target.boot_id]
-            self._update_bucket(limit, rate_per_s, now_s).consume(1, now_s)
+        limit = self._limits.find(target.boot_id, now_s)
+        if limit is not None and limit.rate_per_s is not None:
+            self._update_bucket(limit, limit.rate_per_s, now_s).consume(1, now_s)
 
     def record_notice(self, notice: TargetNotice) -> None:
         """Record the limit that an answer names, if any.
@@ -131,23 +127,11 @@
             valid_from_s = attempt.handed_over_s if attempt is not None else None
         if valid_from_s is None:
             return
-        limit = self._find_or_add(notice.boot_id, now_s)
+        limit = self._limits.find_or_add(notice.boot_id, now_s)
         self._apply(notice.target_id, limit, notice.rate_per_s, valid_from_s)
         if self._is_due(limit, now_s):
             self._announce(notice.target_id, notice.boot_id, limit, now_s)
 
-    def _find_or_add(self, boot_id: str, now_s: float) -> NamedLimit:
-        """Return the limit of a run; a new one replaces those without evidence."""
-        limit = self._limits.get(boot_id)
-        if limit is None:
-            self._limits = {
-                known_id: known
-                for known_id, known in self._limits.items()
-                if _is_recent(known, now_s)
-            }
-            limit = self._limits[boot_id] = NamedLimit()
-        return limit
-
     def _apply(
         self,
         target_id: str,
@@ -204,7 +188,7 @@
     def _handle_news(self, sender: Sender, news: TargetLimitNews) -> None:
         now_s = self._timers.now_s()
         rate_per_s = news.rate_per_s if news.is_limited else None
-        limit = self._find_or_add(news.boot_id, now_s)
+        limit = self._limits.find_or_add(news.boot_id, now_s)
         valid_from_s = now_s - news.age_ms / 1000
         if self._apply(news.target_id, limit, rate_per_s, valid_from_s):
             limit.announced_per_s, limit.announced_at_s = rate_per_s, now_s
@@ -225,6 +209,6 @@
     return min(SENDERS_MAX, SENDERS_MIN + int(SENDERS_PER_RATE_S * rate_per_s))
 
 
-def _is_recent(limit: NamedLimit, now_s: float) -> bool:
-    """Return whether there is evidence of a limit, or of its end, that still counts."""
-    return now_s - limit.heard_at_s < LIMIT_TTL_S
+def _is_forgotten(limit: NamedLimit, now_s: float) -> bool:
+    """Return whether the last evidence of a limit, or of its end, is too old."""
+    return now_s - limit.heard_at_s >= LIMIT_TTL_S
