Replace watches that were pending in an outage once the store answers

Cause: in a silent outage from 10.4 to 17.5 s the pending watches were dropped without an answer, and only lease renewals failed. The entries that the store served afterwards waited on these watches until 26.4 and 27.2 s. The one with a new watch was refused by the store at 20.7 s; the target's word of 21.2 s was known to none of six entries before its removal, at 26.9 s.

Change: a watch during which another call failed is replaced at the next call that succeeds, once for each outage.

Both new tests fail before: the news do not come, and no watch is replaced.

--- a/reedspar/fleet/feed.py
+++ b/reedspar/fleet/feed.py
@@ -31,7 +31,7 @@
 """Bounds of the random delay between calls while the store is unavailable.
 
 The end of an outage is noticed in time, and 15 daemons don't call simultaneously.  Only
-one prefix retries for all, because refused calls count as calls, too."""
+one prefix retries for all, because refused calls count as calls."""
 DEFAULT_BATCH_INTERVAL_S = 0.03
 """Pause between two watches, so that one call returns several successive changes.
 
@@ -97,9 +97,7 @@
             item.prefix: PrefixCache(item.prefix, item.defers_outage_removals)
             for item in prefixes
         }
-        self._gates = {
-            item.prefix: WatchGate(is_open=not item.is_pushed) for item in prefixes
-        }
+        self._gates = {p.prefix: WatchGate(not p.is_pushed) for p in prefixes}
         self._peer_polls: dict[str, Callable[[], Awaitable[bool]]] = {}
         self._entries_listeners: list[EntriesListener] = []
         self._min_batch_interval_s = 0.0
@@ -194,17 +192,20 @@
         for prefix, cache in self._caches.items():
             if self._gates[prefix].is_open:
                 cache.record_store_success(now_s)
+                self._gates[prefix].cancel_suspect_call()
             else:
                 cache.mark_available(now_s)
 
     def record_store_failure(self) -> None:
         """Record that a call of this daemon to the store has failed.
 
-        Prefixes that are watched stay available until their watches fail.
+        Prefixes stay available until their watches fail.  The store may have dropped
+        these without an answer, so they are replaced once it answers.
         """
         for prefix, cache in self._caches.items():
             if self._gates[prefix].is_open:
                 cache.record_store_failure(self._timers.now_s())
+                self._gates[prefix].suspect_call()
             else:
                 cache.mark_unavailable()
 
@@ -215,8 +216,7 @@
     async def run(self) -> None:
         """Follow every prefix until cancelled.
 
-        The prefixes up to the last document are read first, since their entries decide
-        how the other prefixes are read.
+        The prefixes up to the last document decide how others are read, so are first.
         """
         documents = [n for n, p in enumerate(self._caches) if self._is_peer_document(p)]
         caches = list(self._caches.values())
--- a/reedspar/fleet/tests/fakes.py
+++ b/reedspar/fleet/tests/fakes.py
@@ -46,6 +46,7 @@
         self.is_unavailable = False
         self.calls: list[str] = []
         self.interruption_count = 0
+        self.lost_watch_count = 0
         self._changed = anyio.Event()
 
     def put(self, key: str, value: bytes | None) -> int:
@@ -73,6 +74,10 @@
         self._changed.set()
         self._changed = anyio.Event()
 
+    def lose_watches(self) -> None:
+        """Never answer the pending watches; later calls are answered."""
+        self.lost_watch_count += 1
+
     def expire_lease(self, lease_id: str) -> None:
         """End a lease and remove its entries, as the end of its time to live does."""
         for key in self.leases.pop(lease_id, set()):
@@ -90,8 +95,11 @@
     ) -> WatchedChanges | Failure:
         self.calls.append("watch")
         interruption_count = self.interruption_count
+        lost_watch_count = self.lost_watch_count
         with anyio.move_on_after(timeout_s):
             while not self.is_unavailable:
+                if self.lost_watch_count != lost_watch_count:
+                    await anyio.sleep_forever()
                 if self.interruption_count != interruption_count:
                     return Failure(Reason.OUTCOME_UNKNOWN, Step.KEY_VALUE)
                 if after_revision < self.first_kept_revision:
--- a/reedspar/fleet/tests/test_feed.py
+++ b/reedspar/fleet/tests/test_feed.py
@@ -59,6 +59,35 @@
 
         self.follow(script)
 
+    def test_watch_that_was_lost_in_an_outage_is_replaced_at_its_end(self) -> None:
+        # Guards against late news after an outage in which the store drops the pending
+        # watches without an answer: only the renewals of the lease fail, then succeed.
+        async def script(store: FakeStore, feed: FleetFeed) -> None:
+            await anyio.sleep(PROPAGATION_TIME_S)
+            store.lose_watches()
+            feed.record_store_failure()
+            store.put("targets/t2", b'{"zone": "c"}')
+            await anyio.sleep(PROPAGATION_TIME_S)
+            self.assertEqual(self.ids(), ["t1"])
+            feed.record_store_success()
+            await anyio.sleep(PROPAGATION_TIME_S)
+            self.assertEqual(self.ids(), ["t1", "t2"])
+
+        self.follow(script)
+
+    def test_watches_are_replaced_once_after_an_outage(self) -> None:
+        # Guards against a call of the store for each renewal that succeeds.
+        async def script(store: FakeStore, feed: FleetFeed) -> None:
+            await anyio.sleep(PROPAGATION_TIME_S)
+            calls = len(store.calls)
+            feed.record_store_failure()
+            for _ in range(3):
+                feed.record_store_success()
+                await anyio.sleep(PROPAGATION_TIME_S)
+            self.assertEqual(len(store.calls) - calls, len(PREFIXES))
+
+        self.follow(script)
+
     def test_polled_document_is_read_rarely(self) -> None:
         # A document of a thousand routes changes ten times in succession.  If daemons
         # that need little of it read each revision, they saturate the links between
--- a/reedspar/fleet/watch_gate.py
+++ b/reedspar/fleet/watch_gate.py
@@ -18,6 +18,7 @@
         if is_open:
             self._opened.set()
         self._scope: anyio.CancelScope | None = None
+        self._is_suspect = False
 
     @property
     def is_open(self) -> bool:
@@ -33,10 +34,22 @@
         if self._scope is not None:
             self._scope.cancel()
 
+    def suspect_call(self) -> None:
+        """Record that the call in progress may never be answered."""
+        self._is_suspect = self._scope is not None
+
+    def cancel_suspect_call(self) -> None:
+        """Cancel the call in progress if it may never be answered."""
+        if self._is_suspect and self._scope is not None:
+            self._scope.cancel()
+
     async def run(self, call: Callable[[], Awaitable[ResultT]]) -> ResultT | None:
-        """Call once the gate is open; return None if it closes during the call."""
+        """Call once the gate is open; return None if the call is cancelled."""
         while not self._opened.is_set():
             await self._opened.wait()
-        with anyio.CancelScope() as self._scope:
-            return await call()
+        try:
+            with anyio.CancelScope() as self._scope:
+                return await call()
+        finally:
+            self._scope, self._is_suspect = None, False
         return None
