Say in code comments what a newcomer would ask about pauses and announcements

Read as a newcomer: the time to live of an announcement, which targets a backoff never leaves out, and named constants and arguments in place of bare ones. No behaviour has changed.

--- a/reedspar/direct/eligibility.py
+++ b/reedspar/direct/eligibility.py
@@ -54,8 +54,9 @@
     ) -> list[tuple[KnownTarget, TargetLoad]]:
         """Return the eligible targets that may be sent to now.
 
-        Excluding every target in backoff could overload the remaining ones, so at least
-        half of the targets are returned, of those that have not asked for a pause.
+        Targets that have asked for a pause are never among them.  Excluding every
+        target in backoff could overload the remaining ones, so at least half of the
+        others are returned.
         """
         pairs = [
             (known, self._loads.for_target(known.record.id))
@@ -75,10 +76,7 @@
         return pairs[: (len(pairs) + 1) // 2]
 
     def common_pause_s(self, eligible: list[KnownTarget], now_s: float) -> float:
-        """Return the time until the first of the targets ends its pause.
-
-        It is 0 if one of them has not asked for any.
-        """
+        """Return the time until the first pause ends; 0 if a target is not pausing."""
         return min(
             (self._pause_left_s(known, now_s) for known in eligible), default=0.0
         )
@@ -117,7 +115,7 @@
     notices: TargetNotices,
 ) -> str:
     """Return why a target may get no request at all, or an empty string."""
-    # The registration is late, or says nothing, while the store does not answer.
+    # While the store does not answer, only an announcement tells that a target leaves.
     if record.state is not TargetState.READY or notices.is_leaving(record.boot_id):
         return "it leaves"
     if record.zone in view.zones_out:
--- a/reedspar/direct/notices.py
+++ b/reedspar/direct/notices.py
@@ -17,7 +17,8 @@
 LEAVING_TTL_S = 600.0
 """Time without evidence after which an announced shutdown is forgotten.
 
-A target that leaves ends within a minute, and its next run has another boot id."""
+It bounds the number of runs that are kept.  The next run of a target has another boot
+id, and gets requests at once."""
 LOG_LINES_PER_S = 5.0
 LOG_LINES_BURST = 20.0
 
@@ -39,8 +40,8 @@
     is_leaving: bool = False
     """The target has announced its shutdown."""
     pause_s: float | None = None
-    """Time for which the target wants no requests from this entry, None if it says no
-    such thing."""
+    """Time for which the target wants no requests from this entry, if it asks for a
+    pause."""
     rate_per_s: float | None = None
     """Requests a second that the target takes from all entries, None if unlimited."""
     shows_rate_limit: bool = True
--- a/reedspar/targets/controller.py
+++ b/reedspar/targets/controller.py
@@ -225,7 +225,9 @@
             return Failure(Reason.DRAINING, step)
         if pause_s := self._pause.left_s:
             detail = "the target asked for a pause"
-            return Failure(Reason.OVERLOADED, step, "", detail, pause_s)
+            return Failure(
+                Reason.OVERLOADED, step, detail=detail, retry_after_s=pause_s
+            )
         failure = self._check_work_allowed()
         if failure is not None:
             return failure
--- a/reedspar/targets/pause.py
+++ b/reedspar/targets/pause.py
@@ -10,6 +10,8 @@
 
 RETRY_AFTER_HEADER = "retry-after"
 SERVICE_UNAVAILABLE_STATUS = 503
+LOGGED_VALUE_MAX = 40
+"""Maximum number of characters of a header's value in a log line."""
 
 _logger = logging.getLogger(__name__)
 
@@ -58,5 +60,6 @@
         return None
     pause_s = parse_non_negative(text)
     if pause_s is None:
-        _logger.warning("pause of a target is unreadable", extra={"value": text[:40]})
+        extra = {"value": text[:LOGGED_VALUE_MAX]}
+        _logger.warning("pause of a target is unreadable", extra=extra)
     return pause_s
