--- a/reedspar/direct/client.py
+++ b/reedspar/direct/client.py
@@ -45,6 +45,8 @@
     """Answer of a target while it arrives, with the load report from its headers."""
 
     load: LoadReport | None
+    is_delimited: bool
+    """Whether a length or chunks tell where the body ends."""
 
 
 class TargetDialer(Protocol):
@@ -229,7 +231,10 @@
             if response.load is not None:
                 self._record_report(attempt.target, response.load)
             self._mark_received(attempt)
-            return await self._read_body(attempt, running, response)
+            failure = await self._read_body(attempt, running, response)
+            if failure is None and attempt.assembly.ends_inside_event:
+                _log_truncated(attempt, response)
+            return failure
 
     async def _read_body(
         self, attempt: OpenAttempt, running: _RunningAttempt, response: TargetResponse
@@ -253,6 +258,19 @@
         attempt.wake()
 
 
+def _log_truncated(attempt: OpenAttempt, response: DirectResponse) -> None:
+    assembly = attempt.assembly
+    _logger.warning(
+        "stream ended inside an event",
+        extra={
+            "target": attempt.target,
+            "attempt": assembly.start.request_id,
+            "size_bytes": assembly.size_bytes,
+            "is_delimited": response.is_delimited,
+        },
+    )
+
+
 def _awaits_head(running: _RunningAttempt) -> bool:
     """Return whether a running attempt has not received its answer's head."""
     assembly = running.attempt.assembly
--- a/reedspar/direct/tests/fakes.py
+++ b/reedspar/direct/tests/fakes.py
@@ -103,8 +103,10 @@
         content_type: str = "text/plain",
         weights: str = "1",
         load: LoadReport | None = None,
+        is_delimited: bool = True,
     ) -> None:
         self.status = status
+        self.is_delimited = is_delimited
         self.headers = (("content-type", content_type),)
         self.weights_digest = weights
         self.load = load
--- a/reedspar/requests/assembly.py
+++ b/reedspar/requests/assembly.py
@@ -22,6 +22,8 @@
 )
 from reedspar.errors import Failure, Reason, Step
 
+from .event_stream import EventBoundary, is_event_stream
+
 __all__ = ["AnswerAssembly", "Progress", "Verdict"]
 
 
@@ -78,17 +80,27 @@
     pieces: list[bytes] = field(default_factory=list)
     pending_bytes: int = 0
     _hash: "hashlib._Hash" = field(default_factory=hashlib.sha256)
+    _event_boundary: EventBoundary | None = None
+    """None unless the answer is a stream of events."""
 
     @property
     def is_open(self) -> bool:
         """Return whether the verdict is still open."""
         return self.verdict is Verdict.OPEN
 
+    @property
+    def ends_inside_event(self) -> bool:
+        """Return whether the answer is a stream whose last event is incomplete."""
+        boundary = self._event_boundary
+        return boundary is not None and boundary.is_inside_event
+
     def on_head(self, message: AttemptHead) -> Progress:
         """Store the status and headers; repeated ones are ignored."""
         if self.head is not None or not self.is_open:
             return Progress.NOTHING
         self.head = message
+        if is_event_stream(message.headers):
+            self._event_boundary = EventBoundary()
         return Progress.CHANGED
 
     def on_data(self, message: AttemptData, limit_bytes: int) -> Progress:
@@ -108,6 +120,8 @@
             return Progress.FULL
         self._hash.update(data)
         self.pieces.append(data)
+        if self._event_boundary is not None:
+            self._event_boundary.feed(data)
         self.size_bytes += len(data)
         self.pending_bytes += len(data)
         return self._check_end() or Progress.CHANGED
--- a/reedspar/requests/event_stream.py
+++ b/reedspar/requests/event_stream.py
@@ -4,12 +4,48 @@
 with a blank line and its ``id`` field identifies it.
 """
 
-__all__ = ["EVENT_STREAM_TYPE", "LAST_EVENT_ID_HEADER", "EventSplitter"]
+from collections.abc import Iterable
+
+from reedspar.attempts import Header
+
+__all__ = [
+    "EVENT_STREAM_TYPE",
+    "LAST_EVENT_ID_HEADER",
+    "EventBoundary",
+    "EventSplitter",
+    "is_event_stream",
+]
 
 EVENT_STREAM_TYPE = "text/event-stream"
 LAST_EVENT_ID_HEADER = "last-event-id"
 EVENT_DELIMITERS = (b"\n\n", b"\r\n\r\n")
 ID_FIELD = b"id:"
+BLANK_LINE_MAX_BYTES = 4
+"""Length of two line ends, each of which may be LF, CR or CRLF."""
+
+
+def is_event_stream(headers: Iterable[Header]) -> bool:
+    """Return whether a body is a plain stream of events."""
+    values = {header.name.lower(): header.value.lower() for header in headers}
+    is_plain = values.get("content-encoding", "identity") == "identity"
+    return is_plain and values.get("content-type", "").startswith(EVENT_STREAM_TYPE)
+
+
+class EventBoundary:
+    """Tracks whether the bytes of a stream so far end inside an event."""
+
+    def __init__(self) -> None:
+        self._tail = b""
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether an event has begun and has not ended."""
+        lines = self._tail.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+        return bool(lines) and not lines.endswith(b"\n\n")
+
+    def feed(self, data: bytes) -> None:
+        """Append bytes."""
+        self._tail = (self._tail + data[-BLANK_LINE_MAX_BYTES:])[-BLANK_LINE_MAX_BYTES:]
 
 
 class EventSplitter:
