--- a/reedspar/requests/assembly.py
+++ b/reedspar/requests/assembly.py
@@ -140,14 +140,12 @@
     def on_direct_end(self, failure: Failure | None) -> Progress:
         """Handle the end of an answer that came directly from the target.
 
-        TCP keeps the bytes in order and HTTP framing shows whether the answer is
-        complete, so there is no digest to check.
+        TCP keeps the bytes in order, so there is no digest to check.
         """
         if not self.is_open:
             return Progress.NOTHING
         if failure is None:
-            self.verdict = Verdict.COMPLETE
-            return Progress.CHANGED
+            return self._complete()
         may_have_run = self.head is not None or failure.reason in INCONCLUSIVE_REASONS
         self.verdict = Verdict.UNKNOWN if may_have_run else Verdict.NOT_RUN
         self.failure = failure
@@ -220,6 +218,17 @@
                 Reason.CORRUPT,
                 "length or digest differ from the end's",
             )
+        return self._complete()
+
+    def _complete(self) -> Progress:
+        """Handle the regular end of an answer.
+
+        The end of a connection may be the end of the answer on it, so the framing does
+        not show whether a stream of events was broken off.
+        """
+        if self.ends_inside_event:
+            detail = "the stream ended inside an event"
+            return self._finish(Verdict.UNKNOWN, Reason.OUTCOME_UNKNOWN, detail)
         self.verdict = Verdict.COMPLETE
         return Progress.CHANGED
 
--- a/reedspar/requests/tests/test_assembly.py
+++ b/reedspar/requests/tests/test_assembly.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from dataclasses import replace
 from typing import Any
 
 from hypothesis import given, settings
@@ -14,6 +15,7 @@
     AttemptPhase,
     AttemptStart,
     AttemptStatus,
+    Header,
 )
 from reedspar.errors import Reason
 from reedspar.requests.assembly import AnswerAssembly, Progress, Verdict
@@ -103,6 +105,33 @@
         begun.on_status(status, 7)
         self.assertIs(begun.verdict, Verdict.UNKNOWN)
 
+    def test_stream_that_ends_inside_an_event_is_unknown(self) -> None:
+        # Guards against an agent's confirmed end of a stream that its target broke off.
+        for body, verdict in (
+            (b"id: 1\n\nid: 2\nda", Verdict.UNKNOWN),
+            (b"id: 1\n", Verdict.UNKNOWN),
+            (b"id: 1\n\n", Verdict.COMPLETE),
+            (b"", Verdict.COMPLETE),
+        ):
+            for is_reversed in (False, True):
+                assembly = AnswerAssembly(START, "t1")
+                messages = make_answer(START, body, "Text/Event-Stream", cut=2)
+                if is_reversed:
+                    messages = [messages[0], messages[-1], *messages[1:-1]]
+                for message in messages:
+                    feed(assembly, message)
+                self.assertIs(assembly.verdict, verdict, body)
+
+    def test_encoded_stream_is_not_searched_for_events(self) -> None:
+        # Guards against breaking off a compressed stream, whose bytes have no lines.
+        assembly = AnswerAssembly(START, "t1")
+        head, *rest = make_answer(START, b"\x1f\x8b", "text/event-stream")
+        encoding = Header("Content-Encoding", "gzip")
+        assembly.on_head(replace(head, headers=(*head.headers, encoding)))
+        for message in rest:
+            feed(assembly, message)
+        self.assertIs(assembly.verdict, Verdict.COMPLETE)
+
     def test_data_beyond_the_buffer_limit_is_not_accepted(self) -> None:
         assembly = AnswerAssembly(START, "t1")
         assembly.on_head(make_answer(START, b"x")[0])
