--- a/reedspar/fleet/__init__.py
+++ b/reedspar/fleet/__init__.py
@@ -12,7 +12,7 @@
     ZoneChange,
 )
 from .exchange import FleetExchange, create_fleet_exchange
-from .feed import FleetCodec, FleetFeed, FleetPrefix, create_fleet_feed
+from .feed import FleetCodec, FleetFeed, create_fleet_feed
 from .messages import (
     TargetLeavingNews,
     TargetLimitNews,
@@ -20,6 +20,7 @@
     register_messages,
 )
 from .prefix_cache import read_deferral_counts
+from .prefix_options import FleetPrefix
 from .records import DaemonRecord, NamedVersion, TargetRecord, TargetState
 from .registration import Registration, create_registration
 from .store import (
--- a/reedspar/fleet/feed.py
+++ b/reedspar/fleet/feed.py
@@ -3,7 +3,6 @@
 import logging
 import random
 from collections.abc import Awaitable, Callable, Iterable, Sequence
-from dataclasses import dataclass
 from typing import Protocol
 
 import anyio
@@ -13,11 +12,12 @@
 
 from .changes import FleetChange
 from .prefix_cache import PrefixCache
+from .prefix_options import FleetPrefix
 from .store import Listing, WatchableStore, WatchedChanges, WatchedEntry
 from .view import FleetView
 from .watch_gate import WatchGate
 
-__all__ = ["FleetCodec", "FleetFeed", "FleetPrefix", "create_fleet_feed"]
+__all__ = ["FleetCodec", "FleetFeed", "create_fleet_feed"]
 
 WATCH_TIMEOUT_S = 15.0
 """Timeout of one watch; each watch counts as a call.
@@ -32,10 +32,6 @@
 
 The end of an outage is noticed in time, and 15 daemons don't call simultaneously.  Only
 one prefix retries for all, because refused calls count as calls."""
-DEFAULT_BATCH_INTERVAL_S = 0.03
-"""Pause between two watches, so that one call returns several successive changes.
-
-It saves about half of the calls while many targets change, and adds 30 ms of delay."""
 POLL_JITTER_MIN = 0.5
 POLL_JITTER_MAX = 1.5
 """Bounds of the random factor of a poll interval, which spreads the daemons' reads."""
@@ -54,27 +50,6 @@
         ...
 
 
-@dataclass(frozen=True, slots=True)
-class FleetPrefix:
-    """A prefix of the store to follow, and how to follow it."""
-
-    prefix: str
-    defers_outage_removals: bool = False
-    batch_interval_s: float = DEFAULT_BATCH_INTERVAL_S
-    """Pause between two watches; changes made during it are returned by one call."""
-    poll_interval_s: float | None = None
-    """Mean interval between reads of a polled prefix; None to watch the prefix.
-
-    Prefixes whose changes are not urgent are polled.  Each read asks peers, and
-    the store only if they don't answer."""
-    is_relayed: bool = False
-    """A few daemons of each region (readers) watch the prefix for the others."""
-    is_pushed: bool = False
-    """Readers push changes of this relayed prefix, as its entries are small.
-
-    It is not watched until the relay selects this daemon as a reader."""
-
-
 class FleetFeed:
     """Follows prefixes of the store, with one task for each."""
 
@@ -288,6 +263,7 @@
             await self._wait_for_store(cache, listing)
             return False
         self._handle_answer(cache, now_s)
+        _log_outdated_entries(cache, listing)
         self._apply_changes(cache, cache.apply_listing(listing, now_s))
         self._mark_listed(cache)
         return True
@@ -388,6 +364,22 @@
             self._apply_changes(cache, cache.release_deferred(self._timers.now_s()))
 
 
+def _log_outdated_entries(cache: PrefixCache, listing: Listing) -> None:
+    """Log a listing by the store with entries that are older than what is known."""
+    outdated = cache.count_outdated(listing)
+    if outdated:
+        _logger.warning(
+            "store lists older entries than it did before",
+            extra={
+                "prefix": cache.prefix,
+                "listed": len(listing.entries),
+                "outdated": outdated,
+                "revision": listing.revision,
+                "known_revision": cache.max_known_revision,
+            },
+        )
+
+
 def create_fleet_feed(
     store: WatchableStore,
     view: FleetView,
--- a/reedspar/fleet/prefix_cache.py
+++ b/reedspar/fleet/prefix_cache.py
@@ -109,6 +109,14 @@
         newer = [e for e in self._entries.values() if e.revision > revision]
         return sorted(newer, key=lambda entry: entry.revision)
 
+    def count_outdated(self, listing: Listing) -> int:
+        """Return how many listed entries have a lower revision than the cached ones."""
+        return sum(
+            known.revision > entry.revision
+            for entry in listing.entries
+            if (known := self._entries.get(entry.key)) is not None
+        )
+
     def mark_unavailable(self) -> bool:
         """Record a failed call; return whether the state has changed."""
         is_changed = not self._is_unavailable
