--- a/reedspar/fleet/__init__.py
+++ b/reedspar/fleet/__init__.py
@@ -23,6 +23,12 @@
 from .prefix_options import FleetPrefix
 from .records import DaemonRecord, NamedVersion, TargetRecord, TargetState
 from .registration import Registration, create_registration
+from .revisions import (
+    describe_revision,
+    epoch_of,
+    join_revision,
+    revision_in_epoch,
+)
 from .store import (
     LeasingStore,
     Listing,
@@ -61,6 +67,10 @@
     "create_fleet_exchange",
     "create_fleet_feed",
     "create_registration",
+    "describe_revision",
+    "epoch_of",
+    "join_revision",
     "read_deferral_counts",
     "register_messages",
+    "revision_in_epoch",
 ]
--- a/reedspar/fleet/deferred_removals.py
+++ b/reedspar/fleet/deferred_removals.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from .revisions import describe_revision
 from .store import WatchedEntry
 
 __all__ = ["DeferredRemovals"]
@@ -66,7 +67,7 @@
             "deferral of a removal ended",
             extra={
                 "key": deferral.entry.key,
-                "revision": deferral.entry.revision,
+                **describe_revision(deferral.entry.revision),
                 "outcome": outcome,
                 "deferred_ms": round((now_s - deferral.deferred_at_s) * 1000),
             },
--- a/reedspar/fleet/exchange.py
+++ b/reedspar/fleet/exchange.py
@@ -21,6 +21,7 @@
 from .prefix_poll import PrefixPoll
 from .relay import RegionRelay
 from .removal_queries import RemovalQueries
+from .revisions import describe_revision
 from .store import Listing
 from .version_ages import VersionAges
 from .view import FleetView
@@ -176,7 +177,7 @@
                 extra={
                     "peer": sender.name,
                     "prefix": message.prefix,
-                    "revision": message.revision,
+                    **describe_revision(message.revision),
                     "count": change_count,
                 },
             )
--- a/reedspar/fleet/feed.py
+++ b/reedspar/fleet/feed.py
@@ -13,6 +13,7 @@
 from .changes import FleetChange
 from .prefix_cache import PrefixCache
 from .prefix_options import FleetPrefix
+from .revisions import describe_revision
 from .store import Listing, WatchableStore, WatchedChanges, WatchedEntry
 from .view import FleetView
 from .watch_gate import WatchGate
@@ -292,7 +293,7 @@
             elif result.reason is Reason.EXPIRED:
                 _logger.warning(
                     "history of the store is gone; listing again",
-                    extra={"prefix": cache.prefix, "revision": cache.revision},
+                    extra={"prefix": cache.prefix, **describe_revision(cache.revision)},
                 )
                 await self._list(cache)
             else:
@@ -374,8 +375,7 @@
                 "prefix": cache.prefix,
                 "listed": len(listing.entries),
                 "outdated": outdated,
-                "revision": listing.revision,
-                "known_revision": cache.max_known_revision,
+                **describe_revision(listing.revision),
             },
         )
 
