--- a/reedspar/fleet/feed.py
+++ b/reedspar/fleet/feed.py
@@ -15,6 +15,7 @@
 from .prefix_options import FleetPrefix
 from .revisions import describe_revision
 from .store import Listing, WatchableStore, WatchedChanges, WatchedEntry
+from .store_retry import StoreRetry
 from .view import FleetView
 from .watch_gate import WatchGate
 
@@ -27,12 +28,6 @@
 EXPIRED, after which the prefix has to be listed again."""
 RECOVERY_WATCH_TIMEOUT_S = 0.05
 """Watch timeout after a failure, short so that recovery is detected early."""
-RETRY_DELAY_MIN_S = 0.3
-RETRY_DELAY_MAX_S = 0.6
-"""Bounds of the random delay between calls while the store is unavailable.
-
-The end of an outage is noticed in time, and 15 daemons don't call simultaneously.  Only
-one prefix retries for all, because refused calls count as calls."""
 POLL_JITTER_MIN = 0.5
 POLL_JITTER_MAX = 1.5
 """Bounds of the random factor of a poll interval, which spreads the daemons' reads."""
@@ -78,8 +73,7 @@
         self._entries_listeners: list[EntriesListener] = []
         self._min_batch_interval_s = 0.0
         self._listed: set[str] = set()
-        self._retrying_cache: PrefixCache | None = None
-        self._store_answered = anyio.Event()
+        self._retry = StoreRetry(rng)
         self._initialized = anyio.Event()
         timers.call_every(DEFERRED_CHECK_INTERVAL_S, self._release_deferred)
 
@@ -316,29 +310,17 @@
             _logger.warning(
                 "store lost", extra={"prefix": cache.prefix, "failure": str(failure)}
             )
-        if self._retrying_cache is None:
-            self._retrying_cache = cache
-        if self._retrying_cache is cache:
-            await anyio.sleep(self._rng.uniform(RETRY_DELAY_MIN_S, RETRY_DELAY_MAX_S))
-        else:
-            await self._store_answered.wait()
+        await self._retry.wait(cache)
 
     def _handle_answer(self, cache: PrefixCache, now_s: float) -> None:
         self.record_store_success()
         if cache.mark_available(now_s):
             _logger.info("store regained", extra={"prefix": cache.prefix})
-        if self._retrying_cache is not None:
-            self._release_waiting_prefixes()
+        self._retry.end()
 
     def _hand_over_to_peers(self, cache: PrefixCache) -> None:
         cache.mark_unwatched()
-        if self._retrying_cache is cache:
-            self._release_waiting_prefixes()
-
-    def _release_waiting_prefixes(self) -> None:
-        self._retrying_cache = None
-        self._store_answered.set()
-        self._store_answered = anyio.Event()
+        self._retry.hand_over(cache)
 
     def _mark_listed(self, cache: PrefixCache) -> None:
         self._listed.add(cache.prefix)
--- a/reedspar/fleet/tests/test_feed.py
+++ b/reedspar/fleet/tests/test_feed.py
@@ -7,7 +7,8 @@
 import anyio
 
 from reedspar.fleet import FleetFeed, FleetPrefix, FleetView, create_fleet_feed
-from reedspar.fleet.feed import DEFERRED_CHECK_INTERVAL_S, RETRY_DELAY_MAX_S
+from reedspar.fleet.feed import DEFERRED_CHECK_INTERVAL_S
+from reedspar.fleet.store_retry import RETRY_DELAY_MAX_S
 from reedspar.fleet.tests.fakes import FakeCodec, FakeStore
 from reedspar.timers import TimerService, VirtualClock
 
@@ -167,7 +168,7 @@
             store.is_unavailable = True
             store.put("zones/c", b"{}")
             await anyio.sleep(PROPAGATION_TIME_S)
-            self.assertIs(feed._retrying_cache, feed.caches["zones/"])
+            self.assertIs(feed._retry.retrying_cache, feed.caches["zones/"])
             feed.set_watched("zones/", False)
             store.is_unavailable = False
             store.put("targets/t2", b"{}")
@@ -207,7 +208,7 @@
                 with anyio.fail_after(2 * RETRY_DELAY_MAX_S):
                     await feed.wait_initialized()
                 # Otherwise no other prefix would call the store again.
-                self.assertIsNone(feed._retrying_cache)
+                self.assertIsNone(feed._retry.retrying_cache)
                 self.assertFalse(feed.is_store_unavailable)
                 tasks.cancel_scope.cancel()
             self.assertEqual(store.calls.count("list"), 1)
