--- a/reedspar/fleet/prefix_cache.py
+++ b/reedspar/fleet/prefix_cache.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from .deferred_removals import DeferredRemovals
+from .restores import RestoreTracker
 from .store import Listing, WatchedEntry
 
 __all__ = ["LEASE_EXPIRY_GRACE_S", "PrefixCache", "read_deferral_counts"]
@@ -46,6 +47,7 @@
     """No change up to this revision was missed; a watch continues from it."""
     _entries: dict[str, WatchedEntry] = field(default_factory=dict)
     _deferred: DeferredRemovals = field(init=False)
+    _restores: RestoreTracker = field(default_factory=RestoreTracker)
     _newest_revision: int = 0
     """Newest revision of all cached entries and removals."""
     _digest: int = 0
@@ -165,6 +167,7 @@
     ) -> list[WatchedEntry]:
         """Apply a full listing; cached entries that it lacks were removed."""
         listed = {entry.key for entry in listing.entries}
+        self._restores.drop_unlisted(listed)
         removed = [
             WatchedEntry(key, None, listing.revision)
             for key, entry in self._entries.items()
@@ -185,16 +188,21 @@
     ) -> list[WatchedEntry]:
         """Apply newer entries; return those that have changed the cache.
 
-        Removals from an authoritative source are never deferred.
+        Removals from an authoritative source are deferred only after a restore.
         """
+        entries = tuple(entries)
+        newest = max((entry.revision for entry in entries), default=0)
+        self._restores.record_revision(max(newest, revision), now_s)
         changed = []
         for entry in entries:
             known = self._entries.get(entry.key)
             if known is not None and entry.revision <= known.revision:
                 continue
-            if not is_authoritative and self._must_defer(entry, known, now_s):
+            if self._must_defer(entry, known, now_s, is_authoritative):
                 self._deferred.add(entry, now_s)
                 continue
+            if self._restores.hold_back(entry, known, now_s):
+                continue
             self._deferred.discard(entry, now_s)
             self._cache_entry(entry)
             changed.append(entry)
@@ -202,10 +210,11 @@
         return changed
 
     def release_deferred(self, now_s: float) -> list[WatchedEntry]:
-        """Apply and return the deferred removals once the grace period has ended."""
-        if self._may_have_expired(now_s):
-            return []
-        due = self._deferred.pop_all(now_s)
+        """Apply and return the deferred changes whose grace period has ended."""
+        due = self._restores.pop_due(now_s)
+        is_doubtful = self._restores.is_removal_doubtful(now_s)
+        if not is_doubtful and not self._may_have_expired(now_s):
+            due += self._deferred.pop_all(now_s)
         for entry in due:
             self._cache_entry(entry)
         return due
@@ -216,11 +225,17 @@
         self._newest_revision = max(self._newest_revision, entry.revision)
 
     def _must_defer(
-        self, entry: WatchedEntry, known: WatchedEntry | None, now_s: float
+        self,
+        entry: WatchedEntry,
+        known: WatchedEntry | None,
+        now_s: float,
+        is_authoritative: bool,
     ) -> bool:
-        if entry.value is not None or not self.defers_outage_removals:
+        if entry.value is not None or known is None or known.value is None:
             return False
-        if known is None or known.value is None:
+        if self._restores.must_keep(entry, known, now_s):
+            return True
+        if is_authoritative or not self.defers_outage_removals:
             return False
         # A lease that could not be renewed during an outage expires though its holder
         # is alive.  If such removals were applied at once, all targets would be missing
--- a/reedspar/fleet/tests/test_prefix_cache.py
+++ b/reedspar/fleet/tests/test_prefix_cache.py
@@ -5,8 +5,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from reedspar.fleet import Listing, WatchedEntry, read_deferral_counts
+from reedspar.fleet import (
+    Listing,
+    WatchedEntry,
+    join_revision,
+    read_deferral_counts,
+)
 from reedspar.fleet.prefix_cache import LEASE_EXPIRY_GRACE_S, PrefixCache
+from reedspar.fleet.restores import RESTORED_ENTRY_HOLD_S, RESTORED_REMOVAL_GRACE_S
 
 PUT = WatchedEntry("t/1", b"a", 5)
 GONE = WatchedEntry("t/1", None, 9)
@@ -178,5 +184,91 @@
         self.assertEqual(cache.apply([GONE], 9, 1.1), [GONE])
 
 
+class RestoreTest(unittest.TestCase):
+    """The store comes back from a copy at 20 s, with the next epoch."""
+
+    def setUp(self) -> None:
+        self.cache = PrefixCache("t/")
+        entries = [make_entry(1, n, f"t/{n}") for n in (1, 2, 3)]
+        self.cache.apply_listing(Listing(tuple(entries), join_revision(1, 3)), 0.0)
+        self.cache.apply([make_entry(1, 9, "t/3", None)], join_revision(1, 9), 15.0)
+
+    def restore(self, *numbers: int) -> list[WatchedEntry]:
+        """List a copy with some of the entries; return the changes."""
+        entries = tuple(make_entry(2, n, f"t/{n}") for n in numbers)
+        return self.cache.apply_listing(Listing(entries, join_revision(2, 5)), 20.0)
+
+    def known_keys(self) -> list[str]:
+        entries = self.cache.entries_after(0)
+        return sorted(entry.key for entry in entries if entry.value is not None)
+
+    def test_entry_that_the_copy_lacks_is_kept_until_rewritten(self) -> None:
+        # Guards against taking a live target, or an operator's order, for gone because
+        # it was written after the copy was made.
+        self.restore(1)
+        self.assertEqual(self.known_keys(), ["t/1", "t/2"])
+        back = make_entry(2, 6, "t/2")
+        self.assertEqual(self.cache.apply([back], join_revision(2, 6), 21.0), [back])
+        self.assertEqual(self.cache.release_deferred(60.0), [])
+
+    def test_entry_that_is_not_rewritten_is_removed(self) -> None:
+        # Guards against keeping the entry of a target that ended during the outage.
+        self.restore(1)
+        end_s = 20.0 + RESTORED_REMOVAL_GRACE_S
+        self.assertEqual(self.cache.release_deferred(end_s - 0.1), [])
+        (removal,) = self.cache.release_deferred(end_s)
+        self.assertEqual((removal.key, removal.value), ("t/2", None))
+
+    def test_entry_that_peers_lack_after_the_restore_is_kept_as_well(self) -> None:
+        # Guards against the listing of a peer that has started after the restore.
+        listing = Listing((make_entry(2, 1, "t/1"),), join_revision(2, 5))
+        self.cache.apply_listing(listing, 20.0, is_authoritative=True)
+        self.assertEqual(self.known_keys(), ["t/1", "t/2"])
+
+    def test_removal_after_the_restore_is_applied_immediately(self) -> None:
+        # Guards against requests to a target that leaves just after a restore.
+        self.restore(1, 2)
+        gone = make_entry(2, 6, "t/2", None)
+        self.assertEqual(self.cache.apply([gone], join_revision(2, 6), 20.5), [gone])
+
+    def test_removed_entry_that_the_copy_has_again_is_held_back(self) -> None:
+        # Guards against requests to a target that left after the copy was made.
+        self.restore(1, 2, 3)
+        self.assertEqual(self.known_keys(), ["t/1", "t/2"])
+        end_s = 20.0 + RESTORED_ENTRY_HOLD_S
+        self.assertEqual(self.cache.release_deferred(end_s - 0.1), [])
+        self.cache.release_deferred(end_s)
+        self.assertEqual(self.known_keys(), ["t/1", "t/2", "t/3"])
+
+    def test_held_back_entry_that_the_store_removes_stays_removed(self) -> None:
+        self.restore(1, 2, 3)
+        self.cache.apply([make_entry(2, 6, "t/3", None)], join_revision(2, 6), 23.0)
+        self.assertEqual(self.cache.release_deferred(60.0), [])
+        self.restore(1, 2, 3)
+        listing = Listing((make_entry(2, 1, "t/1"),), join_revision(2, 7))
+        self.cache.apply_listing(listing, 23.0)
+        self.cache.release_deferred(60.0)
+        self.assertNotIn("t/3", self.known_keys())
+
+    def test_removed_entry_that_is_rewritten_is_applied_immediately(self) -> None:
+        # Guards against leaving out a target that has registered again.
+        self.restore(1, 2, 3)
+        back = make_entry(2, 6, "t/3")
+        self.assertEqual(self.cache.apply([back], join_revision(2, 6), 20.5), [back])
+
+    def test_first_listing_is_not_a_restore(self) -> None:
+        cache = PrefixCache("t/")
+        entries = (make_entry(4, 1, "t/1"),)
+        cache.apply_listing(Listing(entries, join_revision(4, 3)), 0.0)
+        gone = [WatchedEntry("t/1", None, join_revision(4, 4))]
+        self.assertEqual(cache.apply_listing(Listing((), gone[0].revision), 0.1), gone)
+
+
+def make_entry(
+    epoch: int, revision: int, key: str, value: bytes | None = b"v"
+) -> WatchedEntry:
+    return WatchedEntry(key, value, join_revision(epoch, revision))
+
+
 if __name__ == "__main__":
     unittest.main()
