--- a/reedspar/fleet/view.py
+++ b/reedspar/fleet/view.py
@@ -16,7 +16,8 @@
     WeightsChange,
     ZoneChange,
 )
-from .records import DaemonRecord, NamedVersion, TargetRecord
+from .records import DaemonRecord, NamedVersion, TargetRecord, TargetState
+from .revisions import epoch_of
 
 __all__ = ["FleetView", "KnownTarget"]
 
@@ -32,8 +33,12 @@
 class KnownTarget:
     """A target's record, and the time until which the target may be cold."""
 
-    def __init__(self, record: TargetRecord, now_s: float, cold_s: float) -> None:
+    def __init__(
+        self, record: TargetRecord, now_s: float, cold_s: float, revision: int = 0
+    ) -> None:
         self.record = record
+        self.revision = revision
+        """Revision of the store at which the record was written."""
         self.cold_until_s = now_s + max(record.cold_left_s, cold_s)
 
     def is_cold(self, now_s: float) -> bool:
@@ -163,6 +168,7 @@
         if isinstance(change, RoutesChange):
             is_changed = self._apply_routes(change.table)
         elif isinstance(change, TargetChange):
+            change = self._keep_leaving(change)
             is_changed = self._apply_target(change)
         elif isinstance(change, DaemonChange):
             is_changed = self._apply_daemon(change)
@@ -183,6 +189,19 @@
         _logger.info("routes in force", extra={"version": table.version})
         return True
 
+    def _keep_leaving(self, change: TargetChange) -> TargetChange:
+        """Return a change that does not take back what a restored store has lost.
+
+        The copy may be older than a target's word that it leaves.
+        """
+        known, record = self._targets.get(change.target_id), change.record
+        if known is None or record is None or self._is_restart(known, record):
+            return change
+        is_restored = epoch_of(known.revision) < epoch_of(change.revision)
+        if known.record.state is not TargetState.LEAVING or not is_restored:
+            return change
+        return replace(change, record=replace(record, state=TargetState.LEAVING))
+
     def _apply_target(self, change: TargetChange) -> bool:
         known = self._targets.get(change.target_id)
         record = change.record
@@ -196,7 +215,8 @@
         if known is not None and known.record == record:
             return False
         now_s = self._timers.now_s()
-        updated = KnownTarget(record, now_s, self._initial_cold_s(known, record))
+        cold_s = self._initial_cold_s(known, record)
+        updated = KnownTarget(record, now_s, cold_s, change.revision)
         if known is not None and not self._is_restart(known, record):
             updated.cold_until_s = max(updated.cold_until_s, known.cold_until_s)
         if known is not None:
