--- a/reedspar/fleet/registration.py
+++ b/reedspar/fleet/registration.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from reedspar.errors import Failure, Reason
+from reedspar.errors import Failure, Reason, Step
 from reedspar.timers import TimerService
 
 from .store import LeasingStore
@@ -50,6 +50,8 @@
         self._expected_revision = expected_revision
         self._store_latency = StoreLatencyMonitor(timers)
         self._lease_id = ""
+        self._epoch = 0
+        """Epoch of the store in which the entry is known to exist."""
         self._is_leaving = False
         self._wakeup = anyio.Event()
         timers.on_pause(lambda gap_s: self._wakeup.set())
@@ -97,9 +99,11 @@
         lease_id = await self._store.grant_lease(LEASE_TTL_S)
         if isinstance(lease_id, Failure):
             return lease_id
+        epoch = self._store.epoch
         failure = await self._write(lease_id)
         if failure is None:
             self._lease_id = lease_id
+            self._epoch = epoch
             _logger.info("registered", extra={"key": self._key})
         return failure
 
@@ -126,8 +130,26 @@
         failure = await self._store.renew_lease(self._lease_id)
         if failure is not None and failure.reason is Reason.NOT_FOUND:
             self._lease_id = ""
+        if failure is None and self._store.epoch != self._epoch:
+            return await self._verify()
         return failure
 
+    async def _verify(self) -> Failure | None:
+        """Check that the store still has the entry, once it was restored from a copy.
+
+        The copy may have been made between the grant of the lease and the write.
+        """
+        epoch = self._store.epoch
+        current = await self._store.get(self._key)
+        if isinstance(current, Failure):
+            return current
+        if current is None or current.value != self._value:
+            self._lease_id = ""
+            detail = f"{self._key}: lost in a restore"
+            return Failure(Reason.NOT_FOUND, Step.KEY_VALUE, detail=detail)
+        self._epoch = epoch
+        return None
+
 
 def create_registration(
     key: str,
--- a/reedspar/fleet/store.py
+++ b/reedspar/fleet/store.py
@@ -44,6 +44,11 @@
 class WatchableStore(Protocol):
     """The listing and watching calls of the platform's store; each call is billed."""
 
+    @property
+    def epoch(self) -> int:
+        """Return the epoch of the last answer; it rises when the store is restored."""
+        ...
+
     async def list_entries(self, prefix: str) -> Listing | Failure:
         """Return every entry below a prefix."""
         ...
@@ -62,6 +67,11 @@
 class LeasingStore(KeyValueStore, Protocol):
     """A key-value store whose leases can be ended before they expire."""
 
+    @property
+    def epoch(self) -> int:
+        """Return the epoch of the last answer; it rises when the store is restored."""
+        ...
+
     async def end_lease(self, lease_id: str) -> Failure | None:
         """End a lease and remove its entries."""
         ...
--- a/reedspar/fleet/tests/fakes.py
+++ b/reedspar/fleet/tests/fakes.py
@@ -39,6 +39,7 @@
 
     def __init__(self) -> None:
         self.revision = 1
+        self.epoch = 0
         self.log: list[WatchedEntry] = []
         self.current: dict[str, WatchedEntry] = {}
         self.leases: dict[str, set[str]] = {}
--- a/reedspar/fleet/tests/test_registration.py
+++ b/reedspar/fleet/tests/test_registration.py
@@ -55,6 +55,28 @@
 
         self.run_with(script)
 
+    def test_entry_that_a_restore_has_lost_is_rewritten(self) -> None:
+        # Guards against a daemon that renews its lease and is never listed again: the
+        # copy from which the store was restored has its lease and not yet its entry.
+        async def script(store: FakeStore, registration: Registration) -> None:
+            store.epoch += 1
+            store.put(KEY, None)
+            await anyio.sleep(2.0)
+            self.assertEqual(store.current[KEY].value, b"me")
+            self.assertTrue(registration.is_registered)
+
+        self.run_with(script)
+
+    def test_entry_is_read_once_after_a_restore(self) -> None:
+        # Guards against a call for each renewal after a restore.
+        async def script(store: FakeStore, registration: Registration) -> None:
+            store.epoch += 1
+            await anyio.sleep(2.5)
+            self.assertEqual(store.calls.count("get"), 1)
+            self.assertEqual(len(store.leases), 1)
+
+        self.run_with(script)
+
     def test_entry_of_previous_daemon_is_replaced(self) -> None:
         # A daemon is killed and restarts before its old lease ends.  The new entry must
         # remain when it does.
