--- a/reedspar/fleet/feed.py
+++ b/reedspar/fleet/feed.py
@@ -285,14 +285,20 @@
                 batch_interval_s = self._prefixes[cache.prefix].batch_interval_s
                 await anyio.sleep(max(batch_interval_s, self._min_batch_interval_s))
             elif result.reason is Reason.EXPIRED:
-                _logger.warning(
-                    "history of the store is gone; listing again",
-                    extra={"prefix": cache.prefix, **describe_revision(cache.revision)},
-                )
-                await self._list(cache)
+                await self._list_again(cache)
             else:
                 await self._wait_for_store(cache, result)
 
+    async def _list_again(self, cache: PrefixCache) -> None:
+        """List a prefix whose changes can't be watched from its revision."""
+        revision = cache.revision
+        extra = {"prefix": cache.prefix, **describe_revision(revision)}
+        _logger.warning("history of the store is gone; listing again", extra=extra)
+        await self._list(cache)
+        if cache.revision <= revision:
+            # The next watch would fail in the same way.
+            await self._retry.pause()
+
     async def _watch(self, cache: PrefixCache) -> WatchedChanges | Failure:
         wait_s = RECOVERY_WATCH_TIMEOUT_S if cache.is_unavailable else WATCH_TIMEOUT_S
         is_relayed_document = self._is_relayed_document(cache.prefix)
--- a/reedspar/fleet/tests/fakes.py
+++ b/reedspar/fleet/tests/fakes.py
@@ -3,6 +3,7 @@
 import json
 
 import anyio
+import anyio.lowlevel
 
 from reedspar.errors import Failure, Reason, Step
 from reedspar.fleet import (
@@ -86,6 +87,7 @@
 
     async def list_entries(self, prefix: str) -> Listing | Failure:
         self.calls.append("list")
+        await anyio.lowlevel.checkpoint()
         if self.is_unavailable:
             return Failure(Reason.UNAVAILABLE, Step.KEY_VALUE)
         found = [e for key, e in self.current.items() if key.startswith(prefix)]
--- a/reedspar/fleet/tests/test_feed.py
+++ b/reedspar/fleet/tests/test_feed.py
@@ -76,6 +76,18 @@
 
         self.follow(script)
 
+    def test_listing_that_brings_nothing_new_is_not_repeated_at_once(self) -> None:
+        # Guards against calling the store in a loop while it answers each watch that
+        # its history is gone.
+        async def script(store: FakeStore, feed: FleetFeed) -> None:
+            store.first_kept_revision = store.revision + 5
+            store.interrupt_watches()
+            calls = len(store.calls)
+            await anyio.sleep(2.0)
+            self.assertLessEqual(len(store.calls) - calls, 30)
+
+        self.follow(script)
+
     def test_watches_are_replaced_once_after_an_outage(self) -> None:
         # Guards against a call of the store for each renewal that succeeds.
         async def script(store: FakeStore, feed: FleetFeed) -> None:
