--- a/reedspar/fleet/feed.py
+++ b/reedspar/fleet/feed.py
@@ -32,6 +32,7 @@
 POLL_JITTER_MAX = 1.5
 """Bounds of the random factor of a poll interval, which spreads the daemons' reads."""
 DEFERRED_CHECK_INTERVAL_S = 0.25
+EPOCH_CHECK_INTERVAL_S = 0.25
 
 EntriesListener = Callable[[str, Sequence[WatchedEntry]], None]
 
@@ -75,7 +76,9 @@
         self._listed: set[str] = set()
         self._retry = StoreRetry(rng)
         self._initialized = anyio.Event()
+        self._epoch = 0
         timers.call_every(DEFERRED_CHECK_INTERVAL_S, self._release_deferred)
+        timers.call_every(EPOCH_CHECK_INTERVAL_S, self._check_epoch)
 
     @property
     def is_initialized(self) -> bool:
@@ -348,6 +351,13 @@
             if change is not None:
                 self._view.apply(change)
 
+    def _check_epoch(self) -> None:
+        """Replace the watches of an earlier epoch, which may never be answered."""
+        if self._store.epoch > self._epoch:
+            self._epoch = self._store.epoch
+            for gate in self._gates.values():
+                gate.cancel_call()
+
     def _release_deferred(self) -> None:
         for cache in self._caches.values():
             self._apply_changes(cache, cache.release_deferred(self._timers.now_s()))
--- a/reedspar/fleet/tests/test_feed.py
+++ b/reedspar/fleet/tests/test_feed.py
@@ -7,7 +7,7 @@
 import anyio
 
 from reedspar.fleet import FleetFeed, FleetPrefix, FleetView, create_fleet_feed
-from reedspar.fleet.feed import DEFERRED_CHECK_INTERVAL_S
+from reedspar.fleet.feed import DEFERRED_CHECK_INTERVAL_S, EPOCH_CHECK_INTERVAL_S
 from reedspar.fleet.store_retry import RETRY_DELAY_MAX_S
 from reedspar.fleet.tests.fakes import FakeCodec, FakeStore
 from reedspar.timers import TimerService, VirtualClock
@@ -76,6 +76,25 @@
 
         self.follow(script)
 
+    def test_watch_of_an_earlier_epoch_is_replaced(self) -> None:
+        # Guards against late news after a restore in which the store drops the pending
+        # watches without an answer: only other calls tell that the epoch has risen.
+        async def script(store: FakeStore, feed: FleetFeed) -> None:
+            await anyio.sleep(PROPAGATION_TIME_S)
+            store.lose_watches()
+            store.put("targets/t2", b'{"zone": "c"}')
+            await anyio.sleep(PROPAGATION_TIME_S)
+            self.assertEqual(self.ids(), ["t1"])
+            store.epoch += 1
+            for _ in range(3):
+                self.clock.advance(EPOCH_CHECK_INTERVAL_S)
+                self.timers.run_due()
+                await anyio.sleep(PROPAGATION_TIME_S)
+            self.assertEqual(self.ids(), ["t1", "t2"])
+            self.assertLessEqual(store.calls.count("watch"), 3 * len(PREFIXES))
+
+        self.follow(script)
+
     def test_listing_that_brings_nothing_new_is_not_repeated_at_once(self) -> None:
         # Guards against calling the store in a loop while it answers each watch that
         # its history is gone.
--- a/reedspar/fleet/watch_gate.py
+++ b/reedspar/fleet/watch_gate.py
@@ -31,6 +31,10 @@
             self._opened.set()
             return
         self._opened = anyio.Event()
+        self.cancel_call()
+
+    def cancel_call(self) -> None:
+        """Cancel the call in progress, if any."""
         if self._scope is not None:
             self._scope.cancel()
 
@@ -40,8 +44,8 @@
 
     def cancel_suspect_call(self) -> None:
         """Cancel the call in progress if it may never be answered."""
-        if self._is_suspect and self._scope is not None:
-            self._scope.cancel()
+        if self._is_suspect:
+            self.cancel_call()
 
     async def run(self, call: Callable[[], Awaitable[ResultT]]) -> ResultT | None:
         """Call once the gate is open; return None if the call is cancelled."""
