--- a/reedspar/fleet/tests/test_view.py
+++ b/reedspar/fleet/tests/test_view.py
@@ -141,6 +141,22 @@
         self.view.apply(TargetChange("t1", moved, join_revision(3, 5)))
         self.assertEqual(self.state_of("t1"), TargetState.LEAVING)
         self.assertEqual([c.record.state for c in changes], [TargetState.LEAVING])
+        self.view.apply(TargetChange("t1", ready, join_revision(3, 6)))
+        self.assertEqual(self.state_of("t1"), TargetState.READY)
+
+    def test_earlier_run_in_a_restored_copy_is_not_a_restart(self) -> None:
+        # Guards against a crash that is seen when the store is restored from a copy of
+        # before a target's restart; its requests would be refused as its cause.
+        changes: list[Any] = []
+        earlier = make_target("t1", started_ms=7)
+        later = make_target("t1", started_ms=8)
+        self.view.apply(TargetChange("t1", later, join_revision(1, 9)))
+        self.view.on_change(changes.append)
+        self.view.apply(TargetChange("t1", earlier, join_revision(2, 5)))
+        self.view.apply(TargetChange("t1", later, join_revision(2, 6)))
+        self.assertEqual(changes, [])
+        self.view.apply(TargetChange("t1", earlier, join_revision(2, 7)))
+        self.assertEqual([change.record for change in changes], [earlier])
 
     def test_leaving_ends_with_the_run_or_within_one_history(self) -> None:
         # Guards against leaving out a target that has started again.
--- a/reedspar/fleet/view.py
+++ b/reedspar/fleet/view.py
@@ -168,7 +168,7 @@
         if isinstance(change, RoutesChange):
             is_changed = self._apply_routes(change.table)
         elif isinstance(change, TargetChange):
-            change = self._keep_leaving(change)
+            change = self._keep_newer_state(change)
             is_changed = self._apply_target(change)
         elif isinstance(change, DaemonChange):
             is_changed = self._apply_daemon(change)
@@ -189,18 +189,22 @@
         _logger.info("routes in force", extra={"version": table.version})
         return True
 
-    def _keep_leaving(self, change: TargetChange) -> TargetChange:
-        """Return a change that does not take back what a restored store has lost.
+    def _keep_newer_state(self, change: TargetChange) -> TargetChange:
+        """Return a change without what a restored store has older than this view.
 
-        The copy may be older than a target's word that it leaves.
+        The copy may be of before a target's restart or its word that it leaves.
         """
         known, record = self._targets.get(change.target_id), change.record
-        if known is None or record is None or self._is_restart(known, record):
+        if known is None or record is None:
             return change
-        is_restored = epoch_of(known.revision) < epoch_of(change.revision)
-        if known.record.state is not TargetState.LEAVING or not is_restored:
+        if epoch_of(known.revision) >= epoch_of(change.revision):
             return change
-        return replace(change, record=replace(record, state=TargetState.LEAVING))
+        if record.started_ms < known.record.started_ms:
+            return replace(change, record=known.record)
+        is_leaving = known.record.state is TargetState.LEAVING
+        if is_leaving and not self._is_restart(known, record):
+            return replace(change, record=replace(record, state=TargetState.LEAVING))
+        return change
 
     def _apply_target(self, change: TargetChange) -> bool:
         known = self._targets.get(change.target_id)
@@ -213,6 +217,7 @@
             _logger.info("target gone", extra={"target": change.target_id})
             return True
         if known is not None and known.record == record:
+            known.revision = change.revision
             return False
         now_s = self._timers.now_s()
         cold_s = self._initial_cold_s(known, record)
