--- a/reedspar/fleet/feed.py
+++ b/reedspar/fleet/feed.py
@@ -46,6 +46,10 @@
         """Return the change that an entry describes, None if it describes none."""
         ...
 
+    def is_older(self, entry: WatchedEntry, known: WatchedEntry) -> bool:
+        """Return whether an entry's value is provably older than a known one's."""
+        ...
+
 
 class FleetFeed:
     """Follows prefixes of the store, with one task for each."""
@@ -66,7 +70,9 @@
         self._rng = rng
         self._prefixes = {item.prefix: item for item in prefixes}
         self._caches = {
-            item.prefix: PrefixCache(item.prefix, item.defers_outage_removals)
+            item.prefix: PrefixCache(
+                item.prefix, item.defers_outage_removals, codec.is_older
+            )
             for item in prefixes
         }
         self._gates = {p.prefix: WatchGate(not p.is_pushed) for p in prefixes}
--- a/reedspar/fleet/prefix_cache.py
+++ b/reedspar/fleet/prefix_cache.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from .deferred_removals import DeferredRemovals
-from .restores import RestoreTracker
+from .restores import IsOlder, RestoreTracker
 from .store import Listing, WatchedEntry
 
 __all__ = ["LEASE_EXPIRY_GRACE_S", "PrefixCache", "read_deferral_counts"]
@@ -43,11 +43,13 @@
     """Defer removals during and shortly after an outage.
 
     Leases of live processes may have expired because they could not be renewed."""
+    is_older: IsOlder = lambda entry, known: False
+    """Tells of two values of a key whether the first is provably older."""
     revision: int = 0
     """No change up to this revision was missed; a watch continues from it."""
     _entries: dict[str, WatchedEntry] = field(default_factory=dict)
     _deferred: DeferredRemovals = field(init=False)
-    _restores: RestoreTracker = field(default_factory=RestoreTracker)
+    _restores: RestoreTracker = field(init=False)
     _newest_revision: int = 0
     """Newest revision of all cached entries and removals."""
     _digest: int = 0
@@ -62,6 +64,7 @@
 
     def __post_init__(self) -> None:
         self._deferred = DeferredRemovals(self.prefix)
+        self._restores = RestoreTracker(self.is_older)
 
     @property
     def deferral_counts(self) -> dict[str, int]:
--- a/reedspar/fleet/restores.py
+++ b/reedspar/fleet/restores.py
@@ -1,31 +1,41 @@
 """Entries of a restored store that contradict what was known before the restore.
 
-The copy lacks what was written after it was made, and has again what was removed after
-it.  Until operators, targets and daemons have written their entries again, or leases
-have ended, the earlier state is more likely to hold.
+The copy lacks what was written after it was made, and has again what was removed or
+replaced after it.  Until operators, targets and daemons have written their entries
+again, or leases have ended, the earlier state is more likely to hold.
 """
 
 import logging
+from collections.abc import Callable
 
 from .revisions import describe_revision, epoch_of
 from .store import WatchedEntry
 
-__all__ = ["RESTORED_ENTRY_HOLD_S", "RESTORED_REMOVAL_GRACE_S", "RestoreTracker"]
+__all__ = [
+    "RESTORED_ENTRY_HOLD_S",
+    "RESTORED_REMOVAL_GRACE_S",
+    "IsOlder",
+    "RestoreTracker",
+]
 
 RESTORED_REMOVAL_GRACE_S = 2.0
 """How long an entry that the copy lacks is kept; it is written again in this time."""
 RESTORED_ENTRY_HOLD_S = 5.0
-"""How long a removed entry that the copy has again is held back.
+"""How long an earlier entry that the copy has again is held back.
 
 It is longer than the leases of targets and daemons, which end if nobody renews them."""
 
+IsOlder = Callable[[WatchedEntry, WatchedEntry], bool]
+"""Tells of two entries with values whether the first value is provably older."""
+
 _logger = logging.getLogger(__name__)
 
 
 class RestoreTracker:
     """Tells which entries contradict the state of an earlier epoch."""
 
-    def __init__(self) -> None:
+    def __init__(self, is_older: IsOlder) -> None:
+        self._is_older = is_older
         self._epoch: int | None = None
         self._restored_s = float("-inf")
         self._first_revision = 0
@@ -57,19 +67,21 @@
     def hold_back(
         self, entry: WatchedEntry, known: WatchedEntry | None, now_s: float
     ) -> bool:
-        """Hold back an entry that was removed after the copy was made, if it is one."""
+        """Hold back an entry that the copy has again, if it is one."""
         self._held.pop(entry.key, None)
-        if entry.value is None or known is None or known.value is not None:
+        if entry.value is None or known is None or self._is_hold_over(now_s):
             return False
         if epoch_of(known.revision) == epoch_of(entry.revision):
             return False
-        is_first = entry.revision <= self._first_revision
-        if not is_first or self._is_hold_over(now_s):
-            return False
-        self._held[entry.key] = entry
-        extra = {"key": entry.key, **describe_revision(entry.revision)}
-        _logger.info("removed entry is back after a restore; held back", extra=extra)
-        return True
+        if known.value is None:
+            is_earlier = entry.revision <= self._first_revision
+        else:
+            is_earlier = self._is_older(entry, known)
+        if is_earlier:
+            self._held[entry.key] = entry
+            extra = {"key": entry.key, **describe_revision(entry.revision)}
+            _logger.info("restored entry is held back", extra=extra)
+        return is_earlier
 
     def drop_unlisted(self, listed_keys: set[str]) -> None:
         """Drop the held entries that a newer listing lacks."""
--- a/reedspar/fleet/tests/fakes.py
+++ b/reedspar/fleet/tests/fakes.py
@@ -198,3 +198,9 @@
         if kind == "versions":
             return WeightsChange(name, int(entry.value))
         return TargetChange(name, make_target(name, **json.loads(entry.value)))
+
+    def is_older(self, entry: WatchedEntry, known: WatchedEntry) -> bool:
+        """Return whether a named version is lower; other values have no order."""
+        if not entry.key.startswith("versions/"):
+            return False
+        return int(entry.value or 0) < int(known.value or 0)
--- a/reedspar/fleet/tests/test_prefix_cache.py
+++ b/reedspar/fleet/tests/test_prefix_cache.py
@@ -256,6 +256,29 @@
         back = make_entry(2, 6, "t/3")
         self.assertEqual(self.cache.apply([back], join_revision(2, 6), 20.5), [back])
 
+    def test_older_value_that_the_copy_has_again_is_held_back(self) -> None:
+        # Guards against a daemon that starts after a restore and gets from its peers
+        # a configuration with keys that operators had revoked.
+        cache = PrefixCache("t/", is_older=lambda e, known: e.value < known.value)
+        new = make_entry(1, 9, "t/1", b"5")
+        cache.apply_listing(Listing((new,), join_revision(1, 9)), 0.0)
+        old = make_entry(2, 4, "t/1", b"4")
+        cache.apply_listing(Listing((old,), join_revision(2, 5)), 20.0)
+        self.assertEqual(cache.entries_after(0), [new])
+        rewritten = make_entry(2, 6, "t/1", b"5")
+        cache.apply([rewritten], join_revision(2, 6), 20.3)
+        self.assertEqual(cache.entries_after(0), [rewritten])
+        lower = make_entry(2, 7, "t/1", b"3")
+        cache.apply([lower], join_revision(2, 7), 20.4)
+        self.assertEqual(cache.entries_after(0), [lower])
+
+    def test_older_value_counts_if_it_is_not_rewritten(self) -> None:
+        cache = PrefixCache("t/", is_older=lambda e, known: e.value < known.value)
+        cache.apply([make_entry(1, 9, "t/1", b"5")], join_revision(1, 9), 0.0)
+        old = make_entry(2, 4, "t/1", b"4")
+        cache.apply([old], join_revision(2, 5), 20.0)
+        self.assertEqual(cache.release_deferred(20.0 + RESTORED_ENTRY_HOLD_S), [old])
+
     def test_first_listing_is_not_a_restore(self) -> None:
         cache = PrefixCache("t/")
         entries = (make_entry(4, 1, "t/1"),)
--- a/reedspar/fleet/tests/test_view.py
+++ b/reedspar/fleet/tests/test_view.py
@@ -1,8 +1,6 @@
 """Tests of a daemon's view of the fleet."""
 
 import unittest
-from dataclasses import replace
-from typing import Any
 
 from reedspar.fleet import (
     DaemonChange,
@@ -10,10 +8,8 @@
     FleetView,
     RoutesChange,
     TargetChange,
-    TargetState,
     WeightsChange,
     ZoneChange,
-    join_revision,
 )
 from reedspar.fleet.tests.fakes import make_target
 from reedspar.routes import RouteTable, ServiceParameters
@@ -126,55 +122,6 @@
         self.assertFalse(self.view.is_superseded("t1"))
         self.assertTrue(self.view.is_superseded("t2"))
 
-    def test_leaving_that_a_restored_copy_lacks_still_holds(self) -> None:
-        # Guards against requests to a target that said that it leaves after the copy
-        # was made from which the store was restored.
-        changes: list[Any] = []
-        leaving = make_target("t1", state=TargetState.LEAVING, started_ms=7)
-        ready = make_target("t1", started_ms=7)
-        self.view.apply(TargetChange("t1", leaving, join_revision(1, 9)))
-        self.view.on_change(changes.append)
-        self.view.apply(TargetChange("t1", ready, join_revision(2, 5)))
-        self.assertEqual(self.state_of("t1"), TargetState.LEAVING)
-        self.assertEqual(changes, [])
-        moved = replace(ready, zone="b")
-        self.view.apply(TargetChange("t1", moved, join_revision(3, 5)))
-        self.assertEqual(self.state_of("t1"), TargetState.LEAVING)
-        self.assertEqual([c.record.state for c in changes], [TargetState.LEAVING])
-        self.view.apply(TargetChange("t1", ready, join_revision(3, 6)))
-        self.assertEqual(self.state_of("t1"), TargetState.READY)
-
-    def test_earlier_run_in_a_restored_copy_is_not_a_restart(self) -> None:
-        # Guards against a crash that is seen when the store is restored from a copy of
-        # before a target's restart; its requests would be refused as its cause.
-        changes: list[Any] = []
-        earlier = make_target("t1", started_ms=7)
-        later = make_target("t1", started_ms=8)
-        self.view.apply(TargetChange("t1", later, join_revision(1, 9)))
-        self.view.on_change(changes.append)
-        self.view.apply(TargetChange("t1", earlier, join_revision(2, 5)))
-        self.view.apply(TargetChange("t1", later, join_revision(2, 6)))
-        self.assertEqual(changes, [])
-        self.view.apply(TargetChange("t1", earlier, join_revision(2, 7)))
-        self.assertEqual([change.record for change in changes], [earlier])
-
-    def test_leaving_ends_with_the_run_or_within_one_history(self) -> None:
-        # Guards against leaving out a target that has started again.
-        leaving = make_target("t1", state=TargetState.LEAVING, started_ms=7)
-        for record, revision in (
-            (make_target("t1", started_ms=8), join_revision(2, 5)),
-            (make_target("t1", started_ms=7), join_revision(1, 10)),
-        ):
-            self.view.apply(TargetChange("t1", None))
-            self.view.apply(TargetChange("t1", leaving, join_revision(1, 9)))
-            self.view.apply(TargetChange("t1", record, revision))
-            self.assertEqual(self.state_of("t1"), TargetState.READY)
-
-    def state_of(self, target_id: str) -> TargetState:
-        known = self.view.target(target_id)
-        assert known is not None
-        return known.record.state
-
     def test_target_remains_if_another_address_or_pool_is_registered(self) -> None:
         self.view.apply(TargetChange("t1", make_target("t1"), revision=5))
         self.view.apply(TargetChange("t2", make_target("t2", port=81), revision=6))
--- a/reedspar/fleet/view.py
+++ b/reedspar/fleet/view.py
@@ -16,8 +16,7 @@
     WeightsChange,
     ZoneChange,
 )
-from .records import DaemonRecord, NamedVersion, TargetRecord, TargetState
-from .revisions import epoch_of
+from .records import DaemonRecord, NamedVersion, TargetRecord
 
 __all__ = ["FleetView", "KnownTarget"]
 
@@ -33,12 +32,8 @@
 class KnownTarget:
     """A target's record, and the time until which the target may be cold."""
 
-    def __init__(
-        self, record: TargetRecord, now_s: float, cold_s: float, revision: int = 0
-    ) -> None:
+    def __init__(self, record: TargetRecord, now_s: float, cold_s: float) -> None:
         self.record = record
-        self.revision = revision
-        """Revision of the store at which the record was written."""
         self.cold_until_s = now_s + max(record.cold_left_s, cold_s)
 
     def is_cold(self, now_s: float) -> bool:
@@ -168,7 +163,6 @@
         if isinstance(change, RoutesChange):
             is_changed = self._apply_routes(change.table)
         elif isinstance(change, TargetChange):
-            change = self._keep_newer_state(change)
             is_changed = self._apply_target(change)
         elif isinstance(change, DaemonChange):
             is_changed = self._apply_daemon(change)
@@ -189,23 +183,6 @@
         _logger.info("routes in force", extra={"version": table.version})
         return True
 
-    def _keep_newer_state(self, change: TargetChange) -> TargetChange:
-        """Return a change without what a restored store has older than this view.
-
-        The copy may be of before a target's restart or its word that it leaves.
-        """
-        known, record = self._targets.get(change.target_id), change.record
-        if known is None or record is None:
-            return change
-        if epoch_of(known.revision) >= epoch_of(change.revision):
-            return change
-        if record.started_ms < known.record.started_ms:
-            return replace(change, record=known.record)
-        is_leaving = known.record.state is TargetState.LEAVING
-        if is_leaving and not self._is_restart(known, record):
-            return replace(change, record=replace(record, state=TargetState.LEAVING))
-        return change
-
     def _apply_target(self, change: TargetChange) -> bool:
         known = self._targets.get(change.target_id)
         record = change.record
@@ -217,11 +194,9 @@
             _logger.info("target gone", extra={"target": change.target_id})
             return True
         if known is not None and known.record == record:
-            known.revision = change.revision
             return False
         now_s = self._timers.now_s()
-        cold_s = self._initial_cold_s(known, record)
-        updated = KnownTarget(record, now_s, cold_s, change.revision)
+        updated = KnownTarget(record, now_s, self._initial_cold_s(known, record))
         if known is not None and not self._is_restart(known, record):
             updated.cold_until_s = max(updated.cold_until_s, known.cold_until_s)
         if known is not None:
