--- a/reedspar/fleet/feed.py
+++ b/reedspar/fleet/feed.py
@@ -340,6 +340,7 @@
     def _mark_listed(self, cache: PrefixCache) -> None:
         self._listed.add(cache.prefix)
         if len(self._listed) == len(self._caches) and not self._initialized.is_set():
+            self._epoch = self._store.epoch
             self._view.mark_initialized()
             self._initialized.set()
 
@@ -359,7 +360,7 @@
 
     def _check_epoch(self) -> None:
         """Replace the watches of an earlier epoch, which may never be answered."""
-        if self._store.epoch > self._epoch:
+        if self.is_initialized and self._store.epoch > self._epoch:
             self._epoch = self._store.epoch
             for gate in self._gates.values():
                 gate.cancel_call()
--- a/reedspar/fleet/tests/test_feed.py
+++ b/reedspar/fleet/tests/test_feed.py
@@ -95,6 +95,26 @@
 
         self.follow(script)
 
+    def test_first_epoch_is_not_a_restore(self) -> None:
+        # Guards against unnecessary calls to the store at each start of a daemon.
+        async def run() -> None:
+            store = FakeStore()
+            store.epoch = 3
+            feed = create_fleet_feed(
+                store, self.view, FakeCodec(), self.timers, PREFIXES, random.Random(1)
+            )
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(feed.run)
+                await feed.wait_initialized()
+                for _ in range(3):
+                    await anyio.sleep(PROPAGATION_TIME_S)
+                    self.clock.advance(EPOCH_CHECK_INTERVAL_S)
+                    self.timers.run_due()
+                self.assertEqual(store.calls.count("watch"), len(PREFIXES))
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+
     def test_listing_that_brings_nothing_new_is_not_repeated_at_once(self) -> None:
         # Guards against calling the store in a loop while it answers each watch that
         # its history is gone.
