--- a/reedspar/fleet/exchange.py
+++ b/reedspar/fleet/exchange.py
@@ -67,6 +67,7 @@
         self._feed = feed
         self._view = view
         self._network = network
+        self._timers = timers
         self._rng = rng
         network.subscribe(FleetRequest, self._handle_request)
         network.subscribe(FleetEntries, self._handle_entries)
@@ -79,7 +80,9 @@
         pushed = [cache.prefix for cache in feed.pushed_caches]
         for cache in [*feed.relayed_caches, *feed.polled_caches]:
             if cache.prefix in pushed:
-                prefix_poll = PrefixPoll(name, region, cache, view, network, rng)
+                prefix_poll = PrefixPoll(
+                    name, region, cache, view, network, timers, rng
+                )
                 feed.set_peer_poll(cache.prefix, prefix_poll.poll)
                 continue
             is_relayed = self._relay.is_relayed(cache.prefix)
@@ -187,7 +190,7 @@
         cache = self._feed.caches[message.prefix]
         if cache not in self._feed.pushed_caches:
             newest = max(entry.revision for entry in message.entries)
-            cache.advance_revision(newest, message.revision)
+            cache.advance_revision(newest, message.revision, self._timers.now_s())
 
 
 def create_fleet_exchange(
--- a/reedspar/fleet/prefix_cache.py
+++ b/reedspar/fleet/prefix_cache.py
@@ -132,12 +132,13 @@
         """Clear the failure state of a prefix that is no longer read from the store."""
         self._is_unavailable = False
 
-    def advance_revision(self, newest: int, covered: int) -> None:
+    def advance_revision(self, newest: int, covered: int, now_s: float) -> None:
         """Advance to the revision up to which a peer has missed no change.
 
         Has no effect unless the peer's newest entry is known here.
         """
         if newest <= self._newest_revision:
+            self._restores.record_revision(covered, now_s)
             self.revision = max(self.revision, covered)
 
     def record_store_success(self, now_s: float) -> None:
--- a/reedspar/fleet/prefix_poll.py
+++ b/reedspar/fleet/prefix_poll.py
@@ -6,6 +6,7 @@
 
 from reedspar.links import Network, Role
 from reedspar.messages import Sender
+from reedspar.timers import TimerService
 
 from .messages import DocumentNews, DocumentRequest, FleetEntries
 from .prefix_cache import PrefixCache
@@ -28,6 +29,7 @@
         cache: PrefixCache,
         view: FleetView,
         network: Network,
+        timers: TimerService,
         rng: random.Random,
     ) -> None:
         self._name = name
@@ -35,6 +37,7 @@
         self._cache = cache
         self._view = view
         self._network = network
+        self._timers = timers
         self._rng = rng
         self._selection = ReaderSelection(READERS_KEY, 0.0)
         self._answered = anyio.Event()
@@ -70,6 +73,8 @@
         """Handle the answer of a peer that has no entry below the prefix."""
         if answer.prefix == self._cache.prefix and answer.covered_revision:
             self._cache.advance_revision(
-                answer.newest_revision, answer.covered_revision
+                answer.newest_revision,
+                answer.covered_revision,
+                self._timers.now_s(),
             )
             self._answered.set()
--- a/reedspar/fleet/relay.py
+++ b/reedspar/fleet/relay.py
@@ -202,7 +202,8 @@
     def _sync_document(self, peer: str, state: PrefixState) -> None:
         """Request a document of which a reader has a newer revision."""
         cache = self._caches[state.prefix]
-        cache.advance_revision(state.newest_revision, state.covered_revision)
+        newest, covered = state.newest_revision, state.covered_revision
+        cache.advance_revision(newest, covered, self._timers.now_s())
         if state.newest_revision > cache.newest_revision:
             self._request_newer(peer, state)
 
@@ -212,7 +213,8 @@
         if state.covered_revision < cache.newest_revision:
             return
         if state.digest == cache.digest:
-            cache.advance_revision(cache.newest_revision, state.covered_revision)
+            newest, covered = cache.newest_revision, state.covered_revision
+            cache.advance_revision(newest, covered, self._timers.now_s())
         elif state.newest_revision > cache.newest_revision:
             self._request_newer(peer, state)
         elif self._limiters[state.prefix].allow_full_request(self._timers.now_s()):
--- a/reedspar/fleet/tests/test_prefix_cache.py
+++ b/reedspar/fleet/tests/test_prefix_cache.py
@@ -1,6 +1,7 @@
 """Tests of merging the store's entries by revision."""
 
 import unittest
+from copy import deepcopy
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -44,9 +45,9 @@
         # older revision, the store would send the whole document again.
         cache = PrefixCache("t/")
         cache.apply([PUT], 5, 0.0)
-        cache.advance_revision(newest=9, covered=12)
+        cache.advance_revision(newest=9, covered=12, now_s=0.0)
         self.assertEqual(cache.revision, 5)
-        cache.advance_revision(newest=5, covered=8)
+        cache.advance_revision(newest=5, covered=8, now_s=0.0)
         self.assertEqual(cache.revision, 8)
 
     @given(st.permutations(list(range(1, 9))), st.sets(st.integers(1, 8)))
@@ -279,6 +280,24 @@
         cache.apply([old], join_revision(2, 5), 20.0)
         self.assertEqual(cache.release_deferred(20.0 + RESTORED_ENTRY_HOLD_S), [old])
 
+    def test_entry_long_after_a_restore_that_brought_nothing_is_applied(self) -> None:
+        # Guards against ignoring for seconds that operators take a zone out of service
+        # again, at a daemon that heard of the restore only by its peers' revisions.
+        cache = PrefixCache("z/")
+        gone = [make_entry(1, 3, "z/a"), make_entry(1, 4, "z/a", None)]
+        cache.apply(gone, join_revision(1, 4), 0.0)
+        cache.advance_revision(join_revision(1, 4), join_revision(2, 9), 20.0)
+        again = make_entry(2, 30, "z/a")
+        for is_authoritative in (False, True):
+            other = deepcopy(cache)
+            changed = other.apply(
+                [again],
+                join_revision(2, 30),
+                90.0,
+                is_authoritative=is_authoritative,
+            )
+            self.assertEqual(changed, [again])
+
     def test_first_listing_is_not_a_restore(self) -> None:
         cache = PrefixCache("t/")
         entries = (make_entry(4, 1, "t/1"),)
