--- a/reedspar/fleet/restores.py
+++ b/reedspar/fleet/restores.py
@@ -68,7 +68,7 @@
         self, entry: WatchedEntry, known: WatchedEntry | None, now_s: float
     ) -> bool:
         """Hold back an entry that the copy has again, if it is one."""
-        self._held.pop(entry.key, None)
+        held = self._held.pop(entry.key, None)
         if entry.value is None or known is None or self._is_hold_over(now_s):
             return False
         if epoch_of(known.revision) == epoch_of(entry.revision):
@@ -79,6 +79,7 @@
             is_earlier = self._is_older(entry, known)
         if is_earlier:
             self._held[entry.key] = entry
+        if is_earlier and held is None:
             extra = {"key": entry.key, **describe_revision(entry.revision)}
             _logger.info("restored entry is held back", extra=extra)
         return is_earlier
