--- a/reedspar/direct/crashes.py
+++ b/reedspar/direct/crashes.py
@@ -47,17 +47,24 @@
             self._check_crash(previous)
 
     def _check_crash(self, previous: KnownTarget) -> None:
-        horizon_s = self._timers.now_s() - SUSPECT_WINDOW_S
-        fingerprints = {
-            fingerprint
+        now_s = self._timers.now_s()
+        broken = [
+            (at_s, fingerprint)
             for at_s, target_id, fingerprint in self._broken
-            if at_s >= horizon_s and target_id == previous.record.id
-        }
-        if not fingerprints:
+            if at_s >= now_s - SUSPECT_WINDOW_S and target_id == previous.record.id
+        ]
+        if not broken:
             return
         boot_id = previous.record.boot_id
+        fingerprints = {fingerprint for _, fingerprint in broken}
         _logger.info(
-            "target crashed", extra={"target": boot_id, "requests": len(fingerprints)}
+            "target crashed",
+            extra={
+                "target": boot_id,
+                "requests": len(fingerprints),
+                "fingerprints": sorted(fingerprints),
+                "since_first_break_s": round(now_s - min(broken)[0], 3),
+            },
         )
         # Each entry reports its own requests to the same crash.
         self._report_crash(boot_id, tuple(sorted(fingerprints)))
--- a/reedspar/direct/request_log.py
+++ b/reedspar/direct/request_log.py
@@ -98,6 +98,7 @@
             "path": request.path,
             "pool": request.pool,
             "workspace": request.workspace,
+            "fingerprint": request.fingerprint,
             "model": request.model,
             "prompt_tokens": request.prompt_tokens,
             "allowed_ms": round((request.deadline_s - request.arrived_s) * 1000),
--- a/reedspar/requests/quarantine.py
+++ b/reedspar/requests/quarantine.py
@@ -6,6 +6,7 @@
 so that the next crash or answer identifies the cause.
 """
 
+import logging
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -20,6 +21,8 @@
 SUSPECT_CRASHES_MIN = 2
 """Number of crashes that make a fingerprint a suspect."""
 
+_logger = logging.getLogger(__name__)
+
 
 class Standing(Enum):
     """Whether a fingerprint runs normally, runs alone or is refused."""
@@ -64,11 +67,14 @@
         while len(self._crashes) > CRASHES_MAX:
             self._crashes.popitem(last=False)
         self._update_blamed()
+        self._log_suspects(self._crashes[crash_id], now_s)
         return True
 
     def on_answered(self, fingerprint: str, now_s: float) -> None:
         """Clear a fingerprint that a target answered without crashing."""
         if any(fingerprint in crash.fingerprints for crash in self._crashes.values()):
+            if fingerprint in self._suspects():
+                _logger.info("request cleared", extra={"fingerprint": fingerprint})
             self._cleared_s[fingerprint] = now_s
             self._update_blamed()
 
@@ -111,6 +117,27 @@
             if fingerprint not in suspects:
                 del self._blamed_s[fingerprint]
 
+    def _log_suspects(self, crash: Crash, now_s: float) -> None:
+        """Log the suspects in flight at a crash, with the number of their crashes."""
+        suspects = crash.fingerprints & self._suspects()
+        if not suspects:
+            return
+        counts = {
+            fingerprint: sum(
+                fingerprint in other.fingerprints for other in self._crashes.values()
+            )
+            for fingerprint in sorted(suspects)
+        }
+        _logger.info(
+            "requests suspected of a crash",
+            extra={
+                "target": crash.crash_id,
+                "age_s": round(now_s - crash.at_s, 3),
+                "crashes_by_fingerprint": counts,
+                "blamed": sorted(self._blamed_s.keys() & counts.keys()),
+            },
+        )
+
     def _remove_expired(self, now_s: float) -> None:
         if not self._crashes:
             return
