--- a/reedspar/direct/tests/fakes.py
+++ b/reedspar/direct/tests/fakes.py
@@ -140,12 +140,17 @@
         """Targets that announce their shutdown in their answers."""
         self.pauses_s: dict[str, float] = {}
         """Pauses for which targets ask when they refuse a request."""
+        self.crashed: set[str] = set()
+        """Targets whose processes are gone while their registrations last."""
         self._notice_listeners: list[NoticeListener] = []
         self.script: Script = lambda target_id, request: FakeResponse([b"ok"])
 
     def has_address(self, target_id: str) -> bool:
         return self._view.target(target_id) is not None
 
+    async def refuses_connections(self, target_id: str) -> bool:
+        return target_id in self.crashed
+
     def on_notice(self, listener: NoticeListener) -> None:
         self._notice_listeners.append(listener)
 
@@ -175,6 +180,9 @@
         if failure is not None:
             yield failure
             return
+        if target_id in self.crashed:
+            yield unreachable(target_id)
+            return
         known = self._view.target(target_id)
         boot_id = known.record.boot_id if known is not None else ""
         self.sent.append((target_id, request))
--- a/reedspar/direct/tests/test_crashes.py
+++ b/reedspar/direct/tests/test_crashes.py
@@ -3,6 +3,8 @@
 import unittest
 from typing import Any
 
+import anyio
+
 from reedspar.direct import DirectService
 from reedspar.direct.crashes import CrashDetector
 from reedspar.direct.tests.cases import (
@@ -98,5 +100,54 @@
         detector.on_target_change(TargetChange("t1", None), None)
 
 
+class EarlyCrashTest(DirectTestCase):
+    targets = [make_order_target(f"o{number}") for number in range(8)]
+
+    def test_request_is_refused_while_registrations_of_its_targets_last(self) -> None:
+        # Guards against a request that ends target after target before the first
+        # registration has lapsed.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            def crash(target_id: str, request: Any) -> Any:
+                if request.path != "/s/deadly":
+                    return FakeResponse([b"fine"])
+                dialer.crashed.add(target_id)
+                return broken(target_id)
+
+            dialer.script = crash
+            for _ in range(5):
+                call = Call("/s/deadly", "GET")
+                await service.application(call.scope, call.receive, call.send)
+                await anyio.sleep(0.3)
+            self.assertIn(b"quarantined", call.body)
+            self.assertLessEqual(len(dialer.crashed), 3)
+            other = Call("/s/harmless", "GET")
+            await service.application(other.scope, other.receive, other.send)
+            self.assertEqual(other.status, 200)
+
+        self.run_with(script)
+
+    def test_request_whose_targets_break_off_and_live_is_not_refused(self) -> None:
+        # Guards against refusing a request whose answers are cut by targets that
+        # have not crashed.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            dialer.script = lambda target_id, request: broken(target_id)
+            for _ in range(4):
+                call = Call("/s/unlucky", "GET")
+                await service.application(call.scope, call.receive, call.send)
+                await anyio.sleep(0.3)
+                self.assertNotIn(b"quarantined", call.body)
+            dialer.script = lambda target_id, request: FakeResponse([b"fine"])
+            await anyio.sleep(0.5)
+            call = Call("/s/unlucky", "GET")
+            await service.application(call.scope, call.receive, call.send)
+            self.assertEqual(call.status, 200)
+
+        self.run_with(script)
+
+
 if __name__ == "__main__":
     unittest.main()
