--- a/reedspar/direct/client.py
+++ b/reedspar/direct/client.py
@@ -60,6 +60,10 @@
         """Call `listener` for each answer, before it is yielded."""
         ...
 
+    async def refuses_connections(self, target_id: str) -> bool:
+        """Return whether no process listens at the target's address."""
+        ...
+
     def send(
         self,
         target_id: str,
--- a/reedspar/direct/service.py
+++ b/reedspar/direct/service.py
@@ -26,7 +26,7 @@
 from .attempt_checks import AttemptChecks
 from .client import DirectAttemptClient, TargetDialer, create_direct_attempt_client
 from .cold_limits import ColdLimits
-from .crashes import CrashDetector
+from .crashes import create_crash_detector
 from .filters import DeadlineFilter, RouteIdentificationFilter
 from .leaving_targets_log import LeavingTargetsLog
 from .loads import TargetLoads
@@ -131,13 +131,6 @@
         self._budgets.set_burst(RETRY_SLACK_FRACTION * self._retry_slack / count)
 
 
-def _pass_to_crash_detector(
-    crashes: CrashDetector, view: FleetView, change: FleetChange
-) -> None:
-    if isinstance(change, TargetChange):
-        crashes.on_target_change(change, view.target(change.target_id))
-
-
 def create_direct_service(
     *,
     settings: SiteSettings,
@@ -178,7 +171,7 @@
         rng,
         lambda: [entry.name for entry in view.daemons(Role.ENTRY.value)],
     )
-    crashes = CrashDetector(timers, gossip.report_crash)
+    crashes = create_crash_detector(view, dialer, tasks, timers, gossip.report_crash)
     chooser = DirectChooser(
         view,
         loads,
@@ -201,7 +194,6 @@
         view, loads, cold_limits, budgets, bounds.retry_slack, timers
     )
     view.on_change(follower.apply_change)
-    view.on_change(lambda change: _pass_to_crash_detector(crashes, view, change))
     relay_options = RelayOptions(retry_wait_s=0.0, deadline_margin_s=0.0)
     filters: list[Filter] = [
         *first_filters,
--- a/reedspar/direct/target_choice.py
+++ b/reedspar/direct/target_choice.py
@@ -67,6 +67,8 @@
     """The target of one attempt (see `ChosenTarget`)."""
 
     name: str
+    boot_id: str
+    """Run of the target's process for which it was chosen."""
     raw_estimate_s: float
     """Estimated time to the first event, before calibration."""
     weights_digest: str = ""
@@ -187,6 +189,7 @@
         chosen = self._rng.choice(nearly_best)
         return DirectTarget(
             chosen.known.record.id,
+            chosen.known.record.boot_id,
             chosen.raw_estimate_s,
             request.weights_digest,
             version=chosen.known.record.weights.get(request.model),
@@ -236,7 +239,10 @@
             return
         now_s = self._timers.now_s()
         if answer.outcome is Outcome.UNKNOWN:
-            self._crashes.record_broken(chosen.name, request.fingerprint)
+            assert isinstance(chosen, DirectTarget)
+            self._crashes.record_broken(
+                chosen.name, chosen.boot_id, request.fingerprint
+            )
         if failure.reason is Reason.CONFLICT:
             self._mark_replaced(chosen.name)
         elif failure.step is Step.LINK or answer.outcome is Outcome.UNKNOWN:
--- a/reedspar/direct/tests/test_crashes.py
+++ b/reedspar/direct/tests/test_crashes.py
@@ -90,13 +90,15 @@
         """Let an entry see a run of a target break off and disappear."""
         detector = CrashDetector(
             TimerService(VirtualClock()),
-            lambda crash_id, prints: quarantine.on_crash(crash_id, prints, 0.5, 1.0),
+            lambda crash_id, prints, age_s: quarantine.on_crash(
+                crash_id, prints, 0.5, 1.0
+            ),
         )
         record = make_order_target("t1", started_ms=boot)
         detector.on_target_change(
             TargetChange("t1", record), KnownTarget(record, 0.0, 0.0)
         )
-        detector.record_broken("t1", "alike")
+        detector.record_broken("t1", record.boot_id, "alike")
         detector.on_target_change(TargetChange("t1", None), None)
 
 
--- a/reedspar/requests/crash_gossip.py
+++ b/reedspar/requests/crash_gossip.py
@@ -48,9 +48,11 @@
         network.subscribe(CrashNews, self._on_report)
         timers.call_every(REPEAT_INTERVAL_S, self._repeat_recent)
 
-    def report_crash(self, crash_id: str, fingerprints: tuple[str, ...]) -> None:
+    def report_crash(
+        self, crash_id: str, fingerprints: tuple[str, ...], age_s: float
+    ) -> None:
         """Add a crash that this entry detected itself, and report it to others."""
-        self._handle_report(CrashNews(crash_id, fingerprints, 0))
+        self._handle_report(CrashNews(crash_id, fingerprints, round(age_s * 1000)))
 
     def _on_notice(self, sender: Sender, notice: CrashNotice) -> None:
         crash_id = f"{notice.target}/{notice.boot_id}"
