--- a/reedspar/requests/protection_filters.py
+++ b/reedspar/requests/protection_filters.py
@@ -1,7 +1,5 @@
 """Filters that protect targets: quarantine of requests, and admission to a pool."""
 
-import anyio
-
 from reedspar.configuration import WorkspaceConfiguration
 from reedspar.errors import Failure, Reason, Step
 from reedspar.timers import TimerService
@@ -21,49 +19,24 @@
 
 
 class QuarantineFilter:
-    """Refuses requests that crash targets, and runs suspected ones one at a time."""
+    """Refuses requests that crash targets."""
 
     def __init__(self, quarantine: Quarantine, timers: TimerService) -> None:
         self._quarantine = quarantine
         self._timers = timers
-        self._suspect_slot = anyio.Semaphore(1)
 
     async def apply(self, request: Request, proceed: Proceed) -> Answer:
         """Run or refuse the request according to its standing."""
-        standing, after_s = self._get_standing(request)
+        now_s = self._timers.now_s()
+        standing, after_s = self._quarantine.standing(request.fingerprint, now_s)
         if standing is Standing.BLAMED:
             return _refuse_blamed(after_s)
-        if standing is Standing.SUSPECT:
-            return await self._run_alone(request, proceed)
-        return await self._run(request, proceed)
-
-    async def _run_alone(self, request: Request, proceed: Proceed) -> Answer:
-        """Run a suspect alone; an earlier suspect may have cleared or blamed it."""
-        remaining_s = request.deadline_s - self._timers.now_s()
-        with anyio.move_on_after(remaining_s) as scope:
-            await self._suspect_slot.acquire()
-        if scope.cancelled_caught:
-            detail = "other suspects of crashes ran until the deadline"
-            failure = Failure(Reason.EXPIRED, Step.QUARANTINE, detail=detail)
-            return make_not_run(failure)
-        try:
-            standing, after_s = self._get_standing(request)
-            if standing is Standing.BLAMED:
-                return _refuse_blamed(after_s)
-            return await self._run(request, proceed)
-        finally:
-            self._suspect_slot.release()
-
-    async def _run(self, request: Request, proceed: Proceed) -> Answer:
         answer = await proceed(request)
         if answer.outcome is Outcome.ANSWERED:
             now_s = self._timers.now_s()
             self._quarantine.on_answered(request.fingerprint, now_s)
         return answer
 
-    def _get_standing(self, request: Request) -> tuple[Standing, float]:
-        return self._quarantine.standing(request.fingerprint, self._timers.now_s())
-
 
 def _refuse_blamed(after_s: float) -> Answer:
     detail = "requests like this one crashed two targets"
--- a/reedspar/requests/quarantine.py
+++ b/reedspar/requests/quarantine.py
@@ -1,9 +1,8 @@
 """Detection of requests that crash targets, by their fingerprints.
 
-A fingerprint that was in flight at two crashes is a suspect.  It is blamed if it
-was the only suspect in flight at one of them.  An answer clears it, because a
-request that crashes every target is never answered.  Suspects run one at a time,
-so that the next crash or answer identifies the cause.
+A fingerprint that was in flight at two crashes is a suspect, and is not retried.  It is
+blamed if it explains crashes that no other request explains better.  An answer clears
+it, because a request that crashes every target is never answered.
 """
 
 import logging
@@ -12,6 +11,8 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
+from .crash_causes import find_causes, list_crashes
+
 __all__ = ["Crash", "Quarantine", "Standing"]
 
 QUARANTINE_S = 300.0
@@ -25,7 +26,7 @@
 
 
 class Standing(Enum):
-    """Whether a fingerprint runs normally, runs alone or is refused."""
+    """Whether a fingerprint runs normally, runs without a retry or is refused."""
 
     CLEAR = auto()
     SUSPECT = auto()
@@ -49,6 +50,9 @@
     _crashes: OrderedDict[str, Crash] = field(default_factory=OrderedDict)
     _cleared_s: dict[str, float] = field(default_factory=dict)
     _blamed_s: dict[str, float] = field(default_factory=dict)
+    """Time of the last crash of each blamed fingerprint."""
+    _evidence: dict[str, frozenset[str]] = field(default_factory=dict)
+    """Crashes of each fingerprint since it was last answered."""
 
     def on_crash(
         self, crash_id: str, fingerprints: Iterable[str], at_s: float, now_s: float
@@ -66,17 +70,18 @@
         self._crashes[crash_id] = Crash(crash_id, at_s, in_flight)
         while len(self._crashes) > CRASHES_MAX:
             self._crashes.popitem(last=False)
-        self._update_blamed()
+        self._update()
         self._log_suspects(self._crashes[crash_id], now_s)
         return True
 
     def on_answered(self, fingerprint: str, now_s: float) -> None:
         """Clear a fingerprint that a target answered without crashing."""
-        if any(fingerprint in crash.fingerprints for crash in self._crashes.values()):
-            if fingerprint in self._suspects():
-                _logger.info("request cleared", extra={"fingerprint": fingerprint})
-            self._cleared_s[fingerprint] = now_s
-            self._update_blamed()
+        if fingerprint not in self._evidence:
+            return
+        if self._is_suspect(fingerprint):
+            _logger.info("request cleared", extra={"fingerprint": fingerprint})
+        self._cleared_s[fingerprint] = now_s
+        self._update()
 
     def standing(self, fingerprint: str, now_s: float) -> tuple[Standing, float]:
         """Return the fingerprint's standing, and the time it is still refused for."""
@@ -84,7 +89,7 @@
         blamed_s = self._blamed_s.get(fingerprint)
         if blamed_s is not None:
             return Standing.BLAMED, blamed_s + self.quarantine_s - now_s
-        if fingerprint in self._suspects():
+        if self._is_suspect(fingerprint):
             return Standing.SUSPECT, 0.0
         return Standing.CLEAR, 0.0
 
@@ -93,41 +98,34 @@
         self._remove_expired(now_s)
         return list(reversed(self._crashes.values()))
 
-    def _suspects(self) -> set[str]:
-        counts: dict[str, int] = {}
-        for crash in self._crashes.values():
-            for fingerprint in crash.fingerprints:
-                if self._cleared_s.get(fingerprint, -1.0) < crash.at_s:
-                    counts[fingerprint] = counts.get(fingerprint, 0) + 1
-        return {name for name, count in counts.items() if count >= SUSPECT_CRASHES_MIN}
-
-    def _update_blamed(self) -> None:
-        suspects = self._suspects()
-        for crash in self._crashes.values():
-            suspects_in_flight = crash.fingerprints & suspects
-            if len(suspects_in_flight) == 1:
-                (fingerprint,) = suspects_in_flight
-                last_s = max(
-                    other.at_s
-                    for other in self._crashes.values()
-                    if fingerprint in other.fingerprints
-                )
-                self._blamed_s[fingerprint] = last_s
-        for fingerprint in list(self._blamed_s):
-            if fingerprint not in suspects:
-                del self._blamed_s[fingerprint]
+    def _is_suspect(self, fingerprint: str) -> bool:
+        return len(self._evidence.get(fingerprint, ())) >= SUSPECT_CRASHES_MIN
+
+    def _update(self) -> None:
+        """Derive evidence and blame from the crashes and the answers since."""
+        crashes = {
+            crash.crash_id: frozenset(
+                fingerprint
+                for fingerprint in crash.fingerprints
+                if self._cleared_s.get(fingerprint, float("-inf")) < crash.at_s
+            )
+            for crash in self._crashes.values()
+        }
+        self._evidence = list_crashes(crashes)
+        self._blamed_s = {
+            fingerprint: max(self._crashes[crash_id].at_s for crash_id in crash_ids)
+            for fingerprint, crash_ids in find_causes(crashes).items()
+        }
 
     def _log_suspects(self, crash: Crash, now_s: float) -> None:
         """Log the suspects in flight at a crash, with the number of their crashes."""
-        suspects = crash.fingerprints & self._suspects()
-        if not suspects:
-            return
         counts = {
-            fingerprint: sum(
-                fingerprint in other.fingerprints for other in self._crashes.values()
-            )
-            for fingerprint in sorted(suspects)
+            fingerprint: len(self._evidence[fingerprint])
+            for fingerprint in sorted(crash.fingerprints)
+            if self._is_suspect(fingerprint)
         }
+        if not counts:
+            return
         _logger.info(
             "requests suspected of a crash",
             extra={
@@ -139,12 +137,14 @@
         )
 
     def _remove_expired(self, now_s: float) -> None:
-        if not self._crashes:
-            return
         horizon_s = now_s - self.quarantine_s
-        for crash_id, crash in list(self._crashes.items()):
-            if crash.at_s < horizon_s:
-                del self._crashes[crash_id]
-        for times in (self._cleared_s, self._blamed_s):
-            for name in [name for name, at_s in times.items() if at_s < horizon_s]:
-                del times[name]
+        expired = [c.crash_id for c in self._crashes.values() if c.at_s < horizon_s]
+        if not expired:
+            return
+        for crash_id in expired:
+            del self._crashes[crash_id]
+        for name in [
+            name for name, at_s in self._cleared_s.items() if at_s < horizon_s
+        ]:
+            del self._cleared_s[name]
+        self._update()
--- a/reedspar/requests/relay.py
+++ b/reedspar/requests/relay.py
@@ -260,7 +260,7 @@
         # A request that crashes targets would crash another one with each retry.
         now_s = self._timers.now_s()
         standing, _ = self._quarantine.standing(request.fingerprint, now_s)
-        return request.is_idempotent and standing is not Standing.BLAMED
+        return request.is_idempotent and standing is Standing.CLEAR
 
     def _may_retry_server_error(
         self, request: Request, state: _RelayState, answer: Answer
--- a/reedspar/requests/tests/test_quarantine.py
+++ b/reedspar/requests/tests/test_quarantine.py
@@ -2,7 +2,13 @@
 
 import unittest
 
+import anyio
+
+from reedspar.requests.protection_filters import QuarantineFilter
 from reedspar.requests.quarantine import Quarantine, Standing
+from reedspar.requests.request import Answer, Outcome, Request
+from reedspar.requests.tests.test_claims import make_order
+from reedspar.timers import TimerService, VirtualClock
 
 
 class BlameTest(unittest.TestCase):
@@ -25,6 +31,52 @@
         self.assert_blamed("deadly")
         self.assert_not_blamed("a", "b", "c")
 
+    def test_requests_at_several_unrelated_crashes_are_not_blamed(self) -> None:
+        # Guards against refusing sound requests that are in flight when several
+        # targets end at once.
+        for crash in range(8):
+            names = {f"r{crash}", f"r{crash + 1}"}
+            self.quarantine.on_crash(f"t/{crash}", names, 0.0, 0.1)
+        self.assert_not_blamed(*(f"r{number}" for number in range(9)))
+
+    def test_two_requests_that_crash_targets_are_both_blamed(self) -> None:
+        for crash in range(6):
+            name = "first" if crash % 2 else "second"
+            self.quarantine.on_crash(f"t/{crash}", {name, "hot"}, crash, 9.0)
+            self.quarantine.on_answered("hot", crash + 0.5)
+        self.assert_blamed("first", "second")
+        self.assert_not_blamed("hot")
+
+
+class QuarantineFilterTest(unittest.TestCase):
+    def test_suspects_run_beside_each_other(self) -> None:
+        # Guards against requests that wait until their deadlines because others were
+        # in flight at the same crashes.
+        quarantine = Quarantine()
+        for crash in range(2):
+            quarantine.on_crash(f"t/{crash}", {"61", "62"}, 0.0, 0.0)
+        begun: list[str] = []
+
+        async def proceed(request: Request) -> Answer:
+            begun.append(request.fingerprint)
+            await anyio.sleep(0.05)
+            return Answer(Outcome.ANSWERED, 200)
+
+        async def run() -> None:
+            item = QuarantineFilter(quarantine, TimerService(VirtualClock()))
+            async with anyio.create_task_group() as tasks:
+                for body in (b"a", b"b"):
+                    request = make_order("r", "", body)
+                    self.assertIs(
+                        quarantine.standing(request.fingerprint, 0.0)[0],
+                        Standing.SUSPECT,
+                    )
+                    tasks.start_soon(item.apply, request, proceed)
+                await anyio.sleep(0.01)
+                self.assertEqual(sorted(begun), ["61", "62"])
+
+        anyio.run(run)
+
 
 if __name__ == "__main__":
     unittest.main()
