--- a/reedspar/requests/protection_filters.py
+++ b/reedspar/requests/protection_filters.py
@@ -15,6 +15,7 @@
 
 LOAD_REASONS = frozenset({Reason.OVERLOADED, Reason.COLD})
 IDLE_REMOVAL_INTERVAL_S = 10.0
+ERROR_STATUS_MIN = 400
 DEFAULT_WORKSPACE = WorkspaceConfiguration()
 
 
@@ -32,7 +33,8 @@
         if standing is Standing.BLAMED:
             return _refuse_blamed(after_s)
         answer = await proceed(request)
-        if answer.outcome is Outcome.ANSWERED:
+        # A target may refuse a request with an error before it has run it.
+        if answer.outcome is Outcome.ANSWERED and answer.status < ERROR_STATUS_MIN:
             now_s = self._timers.now_s()
             self._quarantine.on_answered(request.fingerprint, now_s)
         return answer
--- a/reedspar/requests/tests/test_quarantine.py
+++ b/reedspar/requests/tests/test_quarantine.py
@@ -77,6 +77,27 @@
 
         anyio.run(run)
 
+    def test_error_of_a_target_does_not_clear_a_request(self) -> None:
+        # Guards against a request that goes on to crash targets since a faulty target
+        # has answered it with an error, which it had not run.
+        quarantine = Quarantine()
+        request = make_order("r", "", b"a")
+        statuses = [500, 503, 200]
+
+        async def proceed(request: Request) -> Answer:
+            return Answer(Outcome.ANSWERED, statuses.pop(0))
+
+        async def run() -> None:
+            item = QuarantineFilter(quarantine, TimerService(VirtualClock()))
+            for crash in range(2):
+                quarantine.on_crash(f"t/{crash}", {"61", "62"}, -1.0, 0.0)
+                await item.apply(request, proceed)
+            quarantine.on_crash("t/2", {"61", "63"}, -1.0, 0.0)
+            answer = await item.apply(request, proceed)
+            self.assertIs(answer.outcome, Outcome.NOT_RUN)
+
+        anyio.run(run)
+
 
 if __name__ == "__main__":
     unittest.main()
