--- a/reedspar/requests/filters.py
+++ b/reedspar/requests/filters.py
@@ -127,9 +127,11 @@
 
 
 def fingerprint_request(request: Request) -> str:
-    """Return a digest that is the same for repeats of a request."""
+    """Return a digest that is the same for repeats of a request by its caller."""
     hashed = hashlib.blake2b(digest_size=16)
-    for part in (request.pool, request.method, request.path):
+    # The pool may change from repeat to repeat if routes are found by host.
+    scope = request.host or request.pool
+    for part in (scope, request.workspace, request.method, request.path):
         hashed.update(part.encode() + b"\0")
     hashed.update(request.body)
     return hashed.hexdigest()
--- a/reedspar/requests/tests/test_quarantine.py
+++ b/reedspar/requests/tests/test_quarantine.py
@@ -1,9 +1,11 @@
 """Tests of the quarantine of requests that crash targets."""
 
 import unittest
+from typing import Any
 
 import anyio
 
+from reedspar.requests.filters import fingerprint_request
 from reedspar.requests.protection_filters import QuarantineFilter
 from reedspar.requests.quarantine import Quarantine, Standing
 from reedspar.requests.request import Answer, Outcome, Request
@@ -99,5 +101,24 @@
         anyio.run(run)
 
 
+class FingerprintTest(unittest.TestCase):
+    def make(self, **changes: Any) -> str:
+        request = make_order("r", "", b"a")
+        for name, value in changes.items():
+            setattr(request, name, value)
+        return fingerprint_request(request)
+
+    def test_request_of_another_caller_has_another_fingerprint(self) -> None:
+        # Guards against refusing all callers that send the same path and body, and
+        # against an answer to one of them that clears another's request.
+        self.assertNotEqual(self.make(), self.make(workspace="other"))
+
+    def test_repeat_that_goes_to_another_pool_has_the_same_fingerprint(self) -> None:
+        # Guards against counting the crashes of one request apart while its route is
+        # split between pools or moves to another one.
+        one, other = (self.make(host="shop.example", pool=name) for name in "ab")
+        self.assertEqual(one, other)
+
+
 if __name__ == "__main__":
     unittest.main()
