--- a/reedspar/requests/crash_gossip.py
+++ b/reedspar/requests/crash_gossip.py
@@ -1,20 +1,20 @@
 """Gossip between entries about crashes of targets, as input of the quarantine.
 
 A crash is reported to a few entries at once.  Recent crashes are also reported to
-a random entry at intervals, so that entries that were unreachable or started later
-receive the reports, too.
+a random entry at intervals.  An entry that starts, was paused, or has a link again to
+another entry asks for what it may have missed.
 """
 
 import random
 from collections.abc import Callable, Iterable
 
 from reedspar.attempts import CrashNotice
-from reedspar.links import Network, Role
+from reedspar.links import LinkChange, LinkEvent, Network, Role
 from reedspar.messages import Sender
 from reedspar.timers import TimerService
-from reedspar.utils import sample_up_to
+from reedspar.utils import TokenBucket, sample_up_to
 
-from .messages import CrashNews
+from .messages import CrashNews, CrashNewsRequest
 from .quarantine import Crash, Quarantine
 
 __all__ = ["CrashGossip", "create_crash_gossip"]
@@ -24,6 +24,12 @@
 REPEAT_INTERVAL_S = 2.0
 REPEATED_REPORTS_MAX = 16
 """Maximum number of recent crashes reported in one repetition."""
+CATCH_UP_INTERVAL_S = 0.5
+CATCH_UP_FANOUT = 2
+"""Number of entries that are asked at once for missed reports."""
+LINK_REQUESTS_PER_S = 1.0
+LINK_REQUESTS_BURST = 3.0
+"""Limit of requests for missed reports as links come up; links come up all the time."""
 
 
 class CrashGossip:
@@ -44,9 +50,16 @@
         self._network = network
         self._timers = timers
         self._rng = rng
+        self._link_requests = TokenBucket(LINK_REQUESTS_PER_S, LINK_REQUESTS_BURST)
         network.subscribe(CrashNotice, self._on_notice)
         network.subscribe(CrashNews, self._on_report)
+        network.subscribe(CrashNewsRequest, self._on_request)
+        network.on_link_event(self._on_link_event)
         timers.call_every(REPEAT_INTERVAL_S, self._repeat_recent)
+        timers.on_pause(self._on_pause)
+        self._catch_up_timer = timers.call_every(
+            CATCH_UP_INTERVAL_S, self._catch_up_after_start
+        )
 
     def report_crash(
         self, crash_id: str, fingerprints: tuple[str, ...], age_s: float
@@ -61,6 +74,33 @@
     def _on_report(self, sender: Sender, report: CrashNews) -> None:
         self._handle_report(report)
 
+    def _on_request(self, sender: Sender, request: CrashNewsRequest) -> None:
+        now_s = self._timers.now_s()
+        for crash in self._quarantine.list_recent(now_s):
+            self._network.send(sender.name, _make_report(crash, now_s))
+
+    def _on_link_event(self, event: LinkEvent) -> None:
+        # Reports to this entry may have been lost with an earlier link.
+        if event.change is not LinkChange.UP or event.peer not in self._list_entries():
+            return
+        if self._link_requests.try_consume(1, self._timers.now_s()):
+            self._network.send(event.peer, CrashNewsRequest())
+
+    def _on_pause(self, gap_s: float) -> None:
+        self._request_missed()
+
+    def _catch_up_after_start(self) -> None:
+        """Ask for the crashes before the start once other entries are known."""
+        if self._request_missed():
+            self._catch_up_timer.cancel()
+
+    def _request_missed(self) -> bool:
+        """Ask a few entries for all recent crashes; return whether there are any."""
+        peers = self._pick_entries(CATCH_UP_FANOUT)
+        for peer in peers:
+            self._network.send(peer, CrashNewsRequest())
+        return bool(peers)
+
     def _handle_report(self, report: CrashNews) -> None:
         now_s = self._timers.now_s()
         at_s = now_s - report.age_ms / 1000
--- a/reedspar/requests/messages.py
+++ b/reedspar/requests/messages.py
@@ -16,6 +16,7 @@
     "ClaimUpdated",
     "ClaimVerdict",
     "CrashNews",
+    "CrashNewsRequest",
     "register_messages",
 ]
 
@@ -31,6 +32,11 @@
     """Time since the crash; an age, as the entries' clocks may differ."""
 
 
+@dataclass(frozen=True, slots=True)
+class CrashNewsRequest:
+    """Asks another entry for all crashes that it knows of."""
+
+
 class ClaimVerdict(Enum):
     """Result of a claim."""
 
@@ -140,6 +146,7 @@
     registry.add_all(
         schema,
         CrashNews,
+        CrashNewsRequest,
         ClaimRequest,
         ClaimReply,
         ClaimUpdate,
--- a/reedspar/requests/requests.capnp
+++ b/reedspar/requests/requests.capnp
@@ -7,6 +7,9 @@
   ageMs @2 :UInt64;
 }
 
+struct CrashNewsRequest {
+}
+
 struct ClaimRequest {
   claimKey @0 :Text;
   token @1 :Text;
--- /dev/null
+++ b/reedspar/requests/tests/test_crash_gossip.py
@@ -0,0 +1,117 @@
+"""Tests of the exchange of crash reports between entries."""
+
+import random
+import unittest
+from typing import Any
+
+from reedspar.links import LinkChange, LinkEvent
+from reedspar.requests.crash_gossip import CrashGossip, create_crash_gossip
+from reedspar.requests.quarantine import Quarantine, Standing
+from reedspar.requests.tests.fakes import FakeNetwork
+from reedspar.timers import TimerService, VirtualClock
+
+NAMES = tuple(f"e{number}" for number in range(9))
+CONTACT_S = 3.0
+"""Time after its start or a fault within which an entry must know the crashes."""
+
+
+class Entry:
+    """One entry's quarantine, with timers that the test advances."""
+
+    def __init__(self, fleet: "Fleet", name: str, seed: int) -> None:
+        self.name = name
+        self.clock = VirtualClock()
+        self.timers = TimerService(self.clock)
+        self.network = FakeNetwork()
+        self.network.on_send = lambda peer, item: fleet.deliver(name, peer, item)
+        self.quarantine = Quarantine()
+        self.gossip: CrashGossip = create_crash_gossip(
+            name,
+            self.quarantine,
+            self.network,  # type: ignore[arg-type]
+            self.timers,
+            random.Random(seed),
+            lambda: fleet.entries,
+        )
+
+    @property
+    def blames(self) -> bool:
+        standing, _ = self.quarantine.standing("deadly", self.clock.now_s())
+        return standing is Standing.BLAMED
+
+
+class Fleet:
+    """Entries that deliver messages to each other at once, but for those cut off."""
+
+    def __init__(self, seed: int, count: int) -> None:
+        self.entries: dict[str, Entry] = {}
+        self.cut_off: set[str] = set()
+        self._seed = seed
+        for name in NAMES[:count]:
+            self.start(name)
+
+    def start(self, name: str) -> Entry:
+        entry = Entry(self, name, hash((self._seed, NAMES.index(name))))
+        self.entries[name] = entry
+        return entry
+
+    def deliver(self, sender: str, peer: str, message: Any) -> None:
+        is_cut = sender in self.cut_off or peer in self.cut_off
+        if peer in self.entries and not is_cut:
+            self.entries[peer].network.deliver(sender, message)
+
+    def crash(self, reporter: str, count: int) -> None:
+        for number in range(count):
+            self.entries[reporter].gossip.report_crash(
+                f"t/{number}", ("deadly", f"r{number}"), 0.0
+            )
+
+    def advance(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.1)):
+            for entry in self.entries.values():
+                entry.clock.advance(0.1)
+                entry.timers.run_due()
+
+
+class CrashGossipTest(unittest.TestCase):
+    def test_entry_that_starts_later_knows_earlier_crashes(self) -> None:
+        # Guards against a restarted entry that hands a request to targets which has
+        # crashed others before.
+        for seed in range(20):
+            fleet = Fleet(seed, 8)
+            fleet.crash("e0", 20)
+            fleet.advance(10.0)
+            late = fleet.start(NAMES[8])
+            fleet.advance(CONTACT_S - 0.5)
+            self.assertTrue(late.blames, f"seed {seed}")
+
+    def test_entry_that_was_cut_off_knows_crashes_once_a_link_is_up(self) -> None:
+        # Guards against an entry that hands out a request which crashed targets while
+        # that entry had no path to the others.
+        for seed in range(20):
+            fleet = Fleet(seed, 9)
+            fleet.advance(1.0)
+            fleet.cut_off = {"e8"}
+            fleet.crash("e0", 20)
+            fleet.advance(0.5)
+            fleet.cut_off = set()
+            apart = fleet.entries["e8"]
+            for listener in apart.network.link_listeners:
+                listener(LinkEvent("e3", 1, LinkChange.UP))
+            self.assertTrue(apart.blames, f"seed {seed}")
+
+    def test_entry_that_was_paused_knows_crashes_at_once(self) -> None:
+        for seed in range(20):
+            fleet = Fleet(seed, 9)
+            fleet.advance(1.0)
+            paused = fleet.entries.pop("e8")
+            fleet.crash("e0", 3)
+            fleet.advance(2.0)
+            fleet.entries["e8"] = paused
+            paused.clock.advance(2.0)
+            paused.timers.run_due()
+            self.assertTrue(paused.blames, f"seed {seed}")
+
+
+if __name__ == "__main__":
+    unittest.main()
