--- a/reedspar/targets/controller.py
+++ b/reedspar/targets/controller.py
@@ -95,6 +95,7 @@
         self._gate = ColdStartGate(gate_settings)
         self._incarnation = incarnation
         self._crashes = CrashSuspects()
+        self._last_crash_notice: CrashNotice | None = None
         self._pause = TargetPause(timers, self._handle_target_pause_end)
         self._is_reachable = False
         self._is_draining = False
@@ -300,6 +301,8 @@
         """
         self._missed_polls += 1
         is_gone = failure.reason is Reason.UNAVAILABLE
+        if is_gone:
+            self._report_crash(self._gate.boot_id)
         if is_gone or self._missed_polls >= MISSED_POLLS_MAX:
             self._mark_unreachable()
 
@@ -336,6 +339,7 @@
         previous = self._gate.boot_id
         if self._gate.record_boot(state.boot_id, now_s) and previous:
             self._pause.end()
+            _logger.warning("target restarted", extra={"boot_id": previous})
             self._report_crash(previous)
         self._gate.record_report(is_cold=state.is_cold, now_s=now_s)
         self._is_reachable = True
@@ -343,16 +347,18 @@
         self._offers.record_engine_state(state)
 
     def _report_crash(self, boot_id: str) -> None:
+        """Report suspects of a run that is over, unless they are reported already."""
         in_flight = self._dispatcher.running_fingerprints()
         suspects = self._crashes.pop_suspects(in_flight, self._timers.now_s())
-        _logger.warning(
-            "target restarted", extra={"boot_id": boot_id, "suspects": len(suspects)}
-        )
-        if not suspects:
-            return
         notice = CrashNotice(
             self._settings.name, self._target_settings.pool, boot_id, suspects
         )
+        if not suspects or notice == self._last_crash_notice:
+            return
+        self._last_crash_notice = notice
+        _logger.warning(
+            "target crashed", extra={"boot_id": boot_id, "suspects": len(suspects)}
+        )
         for peer in self._network.peers(Role.ENTRY):
             self._network.send(peer, notice)
 
--- a/reedspar/targets/tests/test_controller.py
+++ b/reedspar/targets/tests/test_controller.py
@@ -131,6 +131,25 @@
 
         self.run_scenario(scenario)
 
+    def test_crash_is_reported_before_the_target_is_back(self) -> None:
+        # Guards against a request that ends target after target until the first one
+        # has started again.
+        async def scenario() -> None:
+            await self.warm_up()
+            self.target.release = anyio.Event()
+            await self.deliver(make_start("r1"))
+            self.target.breaks = True
+            self.target.state = Failure(Reason.UNAVAILABLE, Step.TARGET_CALL)
+            await self.release()
+            (notice,) = self.network.sent_of(CrashNotice)
+            self.assertEqual(notice.boot_id, "boot-1")
+            self.assertEqual(notice.fingerprints, ("f-r1",))
+            self.target.state = EngineState("boot-2", is_cold=True)
+            await self.advance(3.0)
+            self.assertEqual(len(self.network.sent_of(CrashNotice)), 1)
+
+        self.run_scenario(scenario)
+
     def test_target_restarted_while_idle_gets_no_burst(self) -> None:
         # Guards against sending a burst at the warm limit to a target that restarted
         # while idle: no stream broke, and the next poll is still due.
