--- a/reedspar/direct/crashes.py
+++ b/reedspar/direct/crashes.py
@@ -56,12 +56,17 @@
         self._confirmed: deque[str] = deque(maxlen=CONFIRMED_RUNS_MAX)
         """Runs that a probe has found to be over, by boot id."""
 
-    def record_broken(self, target_id: str, boot_id: str, fingerprint: str) -> None:
-        """Record that a run of a target broke off while it may have run a request."""
+    def record_broken(
+        self, target_id: str, boot_id: str, fingerprint: str, *, is_timeout: bool
+    ) -> None:
+        """Record that a run of a target gave no whole answer to what it may have run.
+
+        A timeout alone is no sign that the target has ended.
+        """
         self._broken.append(_BrokenAttempt(self._timers.now_s(), boot_id, fingerprint))
         if boot_id in self._confirmed:
             self._report(boot_id)
-        else:
+        elif not is_timeout:
             self._probe(target_id, boot_id)
 
     def confirm_crash(self, record: TargetRecord) -> None:
--- a/reedspar/direct/target_choice.py
+++ b/reedspar/direct/target_choice.py
@@ -241,7 +241,10 @@
         if answer.outcome is Outcome.UNKNOWN:
             assert isinstance(chosen, DirectTarget)
             self._crashes.record_broken(
-                chosen.name, chosen.boot_id, request.fingerprint
+                chosen.name,
+                chosen.boot_id,
+                request.fingerprint,
+                is_timeout=failure.reason is Reason.TIMEOUT,
             )
         if failure.reason is Reason.CONFLICT:
             self._mark_replaced(chosen.name)
--- a/reedspar/direct/tests/fakes.py
+++ b/reedspar/direct/tests/fakes.py
@@ -142,6 +142,7 @@
         """Pauses for which targets ask when they refuse a request."""
         self.crashed: set[str] = set()
         """Targets whose processes are gone while their registrations last."""
+        self.probed: list[str] = []
         self._notice_listeners: list[NoticeListener] = []
         self.script: Script = lambda target_id, request: FakeResponse([b"ok"])
 
@@ -149,6 +150,7 @@
         return self._view.target(target_id) is not None
 
     async def refuses_connections(self, target_id: str) -> bool:
+        self.probed.append(target_id)
         return target_id in self.crashed
 
     def on_notice(self, listener: NoticeListener) -> None:
--- a/reedspar/direct/tests/test_crashes.py
+++ b/reedspar/direct/tests/test_crashes.py
@@ -98,7 +98,7 @@
         detector.on_target_change(
             TargetChange("t1", record), KnownTarget(record, 0.0, 0.0)
         )
-        detector.record_broken("t1", record.boot_id, "alike")
+        detector.record_broken("t1", record.boot_id, "alike", is_timeout=False)
         detector.on_target_change(TargetChange("t1", None), None)
 
 
@@ -150,6 +150,19 @@
 
         self.run_with(script)
 
+    def test_target_that_is_silent_until_the_deadline_is_not_probed(self) -> None:
+        # Guards against connections to targets that are only slow.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            dialer.script = lambda target_id, request: 1.0
+            call = Call("/s/slow", "GET", x_allowed_s="0.2")
+            await service.application(call.scope, call.receive, call.send)
+            await anyio.sleep(0.7)
+            self.assertEqual(dialer.probed, [])
+
+        self.run_with(script)
+
 
 if __name__ == "__main__":
     unittest.main()
