--- a/reedspar/direct/attempt_checks.py
+++ b/reedspar/direct/attempt_checks.py
@@ -56,6 +56,12 @@
         attempt.handed_over_s = now_s
         return None
 
+    def record_data(self, target_id: str, request_id: str) -> None:
+        """Record that a part of the answer's body has arrived."""
+        attempt = self._loads.find_attempt(target_id, request_id)
+        if attempt is not None and attempt.first_data_s is None:
+            attempt.first_data_s = self._timers.now_s()
+
     def _unavailable_reason(self, target_id: str, now_s: float) -> str:
         """Return why a target may get no request now, or an empty string."""
         known = self._view.target(target_id)
--- a/reedspar/direct/client.py
+++ b/reedspar/direct/client.py
@@ -254,6 +254,7 @@
             data = AttemptData(*key, assembly.size_bytes, piece)
             room_bytes = assembly.pending_bytes + len(piece)
             assembly.on_data(data, room_bytes)
+            self._checks.record_data(attempt.target, assembly.start.request_id)
             self._mark_received(attempt)
         return None
 
--- a/reedspar/direct/loads.py
+++ b/reedspar/direct/loads.py
@@ -75,6 +75,8 @@
     """Expected time to the first event, calibrated and with the region penalty."""
     handed_over_s: float | None = None
     """Time when the request was sent, None before."""
+    first_data_s: float | None = None
+    """Time when the first bytes of the answer's body arrived, None before."""
 
     def times_since_ms(self, event_s: float, begun_s: float) -> dict[str, int]:
         """Return the attempt's times relative to an event, by the names in logs."""
--- a/reedspar/direct/target_choice.py
+++ b/reedspar/direct/target_choice.py
@@ -57,6 +57,10 @@
 prompt alone exceeds the latency goal."""
 LOCAL_REASONS = frozenset({Reason.SUPERSEDED, Reason.CANCELLED})
 """Failures caused by this entry, which say nothing about the target."""
+CRASH_AFTER_BEGIN_MAX_S = 0.5
+"""Time from the first bytes of an answer to a crash that its request may have caused.
+
+A request that crashes its target does so when it begins to run."""
 GAP_FRACTION = 0.95
 """Fraction of the acceptable gap between two events for which queued prompts may pause
 a stream."""
@@ -233,19 +237,13 @@
     ) -> None:
         """Remove the attempt and update the target's state from its failure, if any."""
         load = self._loads.for_target(chosen.name)
-        load.own_attempts.pop(request.request_id, None)
+        attempt = load.own_attempts.pop(request.request_id, None)
         failure = answer.failure if answer is not None else None
         if answer is None or failure is None or failure.reason in LOCAL_REASONS:
             return
         now_s = self._timers.now_s()
         if answer.outcome is Outcome.UNKNOWN:
-            assert isinstance(chosen, DirectTarget)
-            self._crashes.record_broken(
-                chosen.name,
-                chosen.boot_id,
-                request.fingerprint,
-                is_timeout=failure.reason is Reason.TIMEOUT,
-            )
+            self._record_broken(request, chosen, attempt, failure)
         if failure.reason is Reason.CONFLICT:
             self._mark_replaced(chosen.name)
         elif failure.step is Step.LINK or answer.outcome is Outcome.UNKNOWN:
@@ -253,6 +251,26 @@
         elif answer.outcome is Outcome.NOT_RUN:
             load.record_full(now_s)
 
+    def _record_broken(
+        self,
+        request: Request,
+        chosen: ChosenTarget,
+        attempt: OwnAttempt | None,
+        failure: Failure,
+    ) -> None:
+        """Record an attempt as broken off, unless it cannot have crashed the target."""
+        assert isinstance(chosen, DirectTarget)
+        now_s = self._timers.now_s()
+        begun_s = attempt.first_data_s if attempt is not None else None
+        if begun_s is not None and now_s - begun_s >= CRASH_AFTER_BEGIN_MAX_S:
+            return
+        self._crashes.record_broken(
+            chosen.name,
+            chosen.boot_id,
+            request.fingerprint,
+            is_timeout=failure.reason is Reason.TIMEOUT,
+        )
+
     def _mark_replaced(self, target_id: str) -> None:
         """Exclude a target whose address now belongs to another one.
 
--- a/reedspar/direct/tests/test_crashes.py
+++ b/reedspar/direct/tests/test_crashes.py
@@ -150,6 +150,31 @@
 
         self.run_with(script)
 
+    def test_stream_that_has_run_for_a_while_is_no_suspect_of_a_crash(self) -> None:
+        # Guards against refusing sound streams that were under way at the crashes of
+        # two targets.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            def crash(target_id: str, request: Any) -> Any:
+                if request.path != "/s/long":
+                    return FakeResponse([b"fine"])
+                dialer.crashed.add(target_id)
+                return FakeResponse([b"a", 0.6, broken(target_id)])
+
+            dialer.script = crash
+            for _ in range(2):
+                call = Call("/s/long", "GET")
+                await service.application(call.scope, call.receive, call.send)
+                await anyio.sleep(0.1)
+                self.assertNotIn(b"quarantined", call.body)
+            dialer.script = lambda target_id, request: FakeResponse([b"fine"])
+            call = Call("/s/long", "GET")
+            await service.application(call.scope, call.receive, call.send)
+            self.assertEqual(call.status, 200)
+
+        self.run_with(script)
+
     def test_target_that_is_silent_until_the_deadline_is_not_probed(self) -> None:
         # Guards against connections to targets that are only slow.
         async def script(
