--- a/reedspar/attempts/messages.py
+++ b/reedspar/attempts/messages.py
@@ -26,6 +26,7 @@
     "AttemptStart",
     "AttemptStatus",
     "CrashNotice",
+    "CrashSuspect",
     "EndKind",
     "Header",
     "LoadedWeights",
@@ -227,6 +228,15 @@
     latency_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class CrashSuspect:
+    """A request that was in flight when a target's process crashed."""
+
+    fingerprint: str
+    prompt_parts: tuple[str, ...] = ()
+    """Ids of the parts of its prompt that other requests may share."""
+
+
 @dataclass(frozen=True, slots=True)
 class CrashNotice:
     """Reports which requests were in flight when a target's process crashed."""
--- a/reedspar/direct/crashes.py
+++ b/reedspar/direct/crashes.py
@@ -7,6 +7,7 @@
 
 from anyio.abc import TaskGroup
 
+from reedspar.attempts import CrashSuspect
 from reedspar.fleet import (
     FleetView,
     KnownTarget,
@@ -36,7 +37,7 @@
 class _BrokenAttempt:
     at_s: float
     boot_id: str
-    fingerprint: str
+    suspect: CrashSuspect
 
 
 class CrashDetector:
@@ -57,13 +58,13 @@
         """Runs that a probe has found to be over, by boot id."""
 
     def record_broken(
-        self, target_id: str, boot_id: str, fingerprint: str, *, is_timeout: bool
+        self, target_id: str, boot_id: str, suspect: CrashSuspect, *, is_timeout: bool
     ) -> None:
         """Record that a run of a target gave no whole answer to what it may have run.
 
         A timeout alone is no sign that the target has ended.
         """
-        self._broken.append(_BrokenAttempt(self._timers.now_s(), boot_id, fingerprint))
+        self._broken.append(_BrokenAttempt(self._timers.now_s(), boot_id, suspect))
         if boot_id in self._confirmed:
             self._report(boot_id)
         elif not is_timeout:
@@ -94,7 +95,10 @@
         ]
         if not broken:
             return
-        fingerprints = sorted({attempt.fingerprint for attempt in broken})
+        suspects = sorted(
+            {attempt.suspect for attempt in broken}, key=lambda s: s.fingerprint
+        )
+        fingerprints = [suspect.fingerprint for suspect in suspects]
         age_s = now_s - broken[0].at_s
         _logger.info(
             "target crashed",
@@ -102,6 +106,7 @@
                 "target": boot_id,
                 "requests": len(fingerprints),
                 "fingerprints": fingerprints,
+                "prompt_parts": [suspect.prompt_parts for suspect in suspects],
                 "since_first_break_s": round(age_s, 3),
             },
         )
--- a/reedspar/direct/request_log.py
+++ b/reedspar/direct/request_log.py
@@ -100,6 +100,7 @@
             "workspace": request.workspace,
             "fingerprint": request.fingerprint,
             "model": request.model,
+            "prompt_parts": request.prompt_parts,
             "prompt_tokens": request.prompt_tokens,
             "allowed_ms": round((request.deadline_s - request.arrived_s) * 1000),
             "elapsed_ms": round((now_s - request.arrived_s) * 1000),
--- a/reedspar/direct/target_choice.py
+++ b/reedspar/direct/target_choice.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from reedspar.attempts import CrashSuspect
 from reedspar.errors import Failure, Reason, Step
 from reedspar.fleet import FleetView, KnownTarget
 from reedspar.requests.relay_interfaces import ChosenTarget
@@ -267,7 +268,7 @@
         self._crashes.record_broken(
             chosen.name,
             chosen.boot_id,
-            request.fingerprint,
+            CrashSuspect(request.fingerprint, request.prompt_parts),
             is_timeout=failure.reason is Reason.TIMEOUT,
         )
 
--- a/reedspar/direct/tests/test_crashes.py
+++ b/reedspar/direct/tests/test_crashes.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from reedspar.attempts import CrashSuspect
 from reedspar.direct import DirectService
 from reedspar.direct.crashes import CrashDetector
 from reedspar.direct.tests.cases import (
@@ -98,7 +99,8 @@
         detector.on_target_change(
             TargetChange("t1", record), KnownTarget(record, 0.0, 0.0)
         )
-        detector.record_broken("t1", record.boot_id, "alike", is_timeout=False)
+        suspect = CrashSuspect("alike")
+        detector.record_broken("t1", record.boot_id, suspect, is_timeout=False)
         detector.on_target_change(TargetChange("t1", None), None)
 
 
--- a/reedspar/requests/request.py
+++ b/reedspar/requests/request.py
@@ -106,6 +106,8 @@
     last_event_id: str = ""
     """Event after which the caller wants the stream to resume."""
     model: str = ""
+    prompt_parts: tuple[str, ...] = ()
+    """Ids of the parts of the prompt that other requests may share, in order."""
     prompt_tokens: int = 0
     answer_tokens: int = 0
     """Limit of the answer's length, or the caller's estimate of it."""
