--- a/reedspar/direct/tests/fakes.py
+++ b/reedspar/direct/tests/fakes.py
@@ -219,6 +219,8 @@
         )
         request.host = request.header_map.get("host", "")
         request.model = request.header_map.get("x-model", "")
+        parts = request.header_map.get("x-parts", "")
+        request.prompt_parts = tuple(part for part in parts.split(",") if part)
         request.prompt_tokens = int(request.header_map.get("x-tokens", "0"))
         request.last_event_id = request.header_map.get("last-event-id", "")
         allowed = request.header_map.get("x-allowed-s")
