--- a/reedspar/attempts/attempts.capnp
+++ b/reedspar/attempts/attempts.capnp
@@ -24,6 +24,7 @@
   # Root digest of the weights that must produce the answer; empty: any offered.
   agentIncarnation @13 :UInt64;
   # The agent incarnation that is addressed; any other refuses the attempt.
+  promptParts @14 :List(Text);
 }
 
 struct AttemptRefused {
@@ -117,9 +118,15 @@
   latencyS @10 :Float64;
 }
 
+struct CrashSuspect {
+  fingerprint @0 :Text;
+  promptParts @1 :List(Text);
+}
+
 struct CrashNotice {
   target @0 :Text;
   pool @1 :Text;
-  bootId @2 :Text;
-  fingerprints @3 :List(Text);
+  zone @2 :Text;
+  bootId @3 :Text;
+  suspects @4 :List(CrashSuspect);
 }
--- a/reedspar/attempts/messages.py
+++ b/reedspar/attempts/messages.py
@@ -91,6 +91,8 @@
     fingerprint: str
     weights_digest: str = ""
     agent_incarnation: int = 0
+    prompt_parts: tuple[str, ...] = ()
+    """Ids of the parts of its prompt that other requests may share."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -243,6 +245,7 @@
 
     target: str
     pool: str
+    zone: str
     boot_id: str
     """Identifies the crashed process, so that repeated notices count once."""
-    fingerprints: tuple[str, ...]
+    suspects: tuple[CrashSuspect, ...]
--- a/reedspar/direct/crashes.py
+++ b/reedspar/direct/crashes.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 from anyio.abc import TaskGroup
 
@@ -15,6 +16,7 @@
     TargetRecord,
     TargetState,
 )
+from reedspar.requests.attempt_history import Scope
 from reedspar.timers import TimerService
 
 from .client import TargetDialer
@@ -40,13 +42,27 @@
     suspect: CrashSuspect
 
 
+class CrashReporter(Protocol):
+    """Callback for a crash with the requests of this entry that were in flight."""
+
+    def __call__(
+        self,
+        crash_id: str,
+        scope: Scope,
+        suspects: tuple[CrashSuspect, ...],
+        age_s: float,
+    ) -> None:
+        """Process a crash, or more suspects of one that was reported before."""
+        ...
+
+
 class CrashDetector:
     """Matches broken attempts with runs of targets that ended without shutting down."""
 
     def __init__(
         self,
         timers: TimerService,
-        report_crash: Callable[[str, tuple[str, ...], float], None],
+        report_crash: CrashReporter,
         probe: Callable[[str, str], None] = lambda target_id, boot_id: None,
     ) -> None:
         self._timers = timers
@@ -54,8 +70,8 @@
         self._probe = probe
         self._broken: deque[_BrokenAttempt] = deque(maxlen=BROKEN_ATTEMPTS_MAX)
         self._known: dict[str, KnownTarget] = {}
-        self._confirmed: deque[str] = deque(maxlen=CONFIRMED_RUNS_MAX)
-        """Runs that a probe has found to be over, by boot id."""
+        self._confirmed: deque[TargetRecord] = deque(maxlen=CONFIRMED_RUNS_MAX)
+        """Runs that a probe has found to be over."""
 
     def record_broken(
         self, target_id: str, boot_id: str, suspect: CrashSuspect, *, is_timeout: bool
@@ -65,15 +81,16 @@
         A timeout alone is no sign that the target has ended.
         """
         self._broken.append(_BrokenAttempt(self._timers.now_s(), boot_id, suspect))
-        if boot_id in self._confirmed:
-            self._report(boot_id)
+        ended = next((run for run in self._confirmed if run.boot_id == boot_id), None)
+        if ended is not None:
+            self._report(ended)
         elif not is_timeout:
             self._probe(target_id, boot_id)
 
     def confirm_crash(self, record: TargetRecord) -> None:
         """Process a probe that found a target's run to be over."""
-        self._confirmed.append(record.boot_id)
-        self._report(record.boot_id)
+        self._confirmed.append(record)
+        self._report(record)
 
     def on_target_change(self, change: TargetChange, known: KnownTarget | None) -> None:
         """Process a change of a target; `known` is its new state, None if removed."""
@@ -83,10 +100,11 @@
         if previous is None or previous.record.state is TargetState.LEAVING:
             return
         if known is None or known.record.boot_id != previous.record.boot_id:
-            self._report(previous.record.boot_id)
+            self._report(previous.record)
 
-    def _report(self, boot_id: str) -> None:
+    def _report(self, record: TargetRecord) -> None:
         """Report the crash of a run with the requests that it has broken off so far."""
+        boot_id = record.boot_id
         now_s = self._timers.now_s()
         broken = [
             attempt
@@ -111,7 +129,8 @@
             },
         )
         # Each entry reports its own requests to the same crash.
-        self._report_crash(boot_id, tuple(fingerprints), age_s)
+        scope = (record.pool, record.zone)
+        self._report_crash(boot_id, scope, tuple(suspects), age_s)
 
 
 def create_crash_detector(
@@ -119,7 +138,7 @@
     dialer: TargetDialer,
     tasks: TaskGroup,
     timers: TimerService,
-    report_crash: Callable[[str, tuple[str, ...], float], None],
+    report_crash: CrashReporter,
 ) -> CrashDetector:
     """Create a detector that probes targets in `tasks` and follows `view`."""
 
--- a/reedspar/direct/target_choice.py
+++ b/reedspar/direct/target_choice.py
@@ -74,6 +74,7 @@
     name: str
     boot_id: str
     """Run of the target's process for which it was chosen."""
+    zone: str
     raw_estimate_s: float
     """Estimated time to the first event, before calibration."""
     weights_digest: str = ""
@@ -195,6 +196,7 @@
         return DirectTarget(
             chosen.known.record.id,
             chosen.known.record.boot_id,
+            chosen.known.record.zone,
             chosen.raw_estimate_s,
             request.weights_digest,
             version=chosen.known.record.weights.get(request.model),
--- a/reedspar/direct/tests/test_crashes.py
+++ b/reedspar/direct/tests/test_crashes.py
@@ -91,8 +91,8 @@
         """Let an entry see a run of a target break off and disappear."""
         detector = CrashDetector(
             TimerService(VirtualClock()),
-            lambda crash_id, prints, age_s: quarantine.on_crash(
-                crash_id, prints, 0.5, 1.0
+            lambda crash_id, scope, suspects, age_s: quarantine.on_crash(
+                crash_id, suspects, 0.5, 1.0
             ),
         )
         record = make_order_target("t1", started_ms=boot)
--- /dev/null
+++ b/reedspar/requests/attempt_history.py
@@ -0,0 +1,98 @@
+"""Prompt parts and outcomes of the attempts that this entry has made lately."""
+
+from collections import Counter, OrderedDict, deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+__all__ = ["AttemptHistory", "Scope"]
+
+ATTEMPTS_MAX = 256
+"""Number of attempts kept of each scope."""
+ANSWERS_MAX = 4096
+"""Number of fingerprints and parts of which the last answer is remembered."""
+
+Scope = tuple[str, str]
+"""Pool and availability zone of a target.
+
+Requests of a route may all go to targets of one scope, so that what is usual in one is
+not in another."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Ended:
+    at_s: float
+    prompt_parts: tuple[str, ...]
+    is_answered: bool
+
+
+@dataclass(slots=True)
+class _ScopeHistory:
+    started: deque[tuple[str, ...]] = field(default_factory=deque)
+    """Prompt parts of the attempts, the latest last."""
+    part_counts: Counter[str] = field(default_factory=Counter)
+    ended: deque[_Ended] = field(default_factory=lambda: deque(maxlen=ATTEMPTS_MAX))
+
+
+class AttemptHistory:
+    """Tells how common a prompt part is, and how attempts without it end."""
+
+    def __init__(self) -> None:
+        self._scopes: dict[Scope, _ScopeHistory] = {}
+        self._answered_s: OrderedDict[str, float] = OrderedDict()
+
+    def record_started(self, scope: Scope, prompt_parts: tuple[str, ...]) -> None:
+        """Count an attempt at a target."""
+        if not prompt_parts:
+            return
+        history = self._scopes.setdefault(scope, _ScopeHistory())
+        history.started.append(prompt_parts)
+        history.part_counts.update(prompt_parts)
+        if len(history.started) > ATTEMPTS_MAX:
+            for part in history.started.popleft():
+                history.part_counts[part] -= 1
+                if not history.part_counts[part]:
+                    del history.part_counts[part]
+
+    def record_ended(
+        self,
+        scope: Scope,
+        prompt_parts: tuple[str, ...],
+        now_s: float,
+        *,
+        is_answered: bool,
+    ) -> None:
+        """Record whether an attempt that a target may have run was answered."""
+        if prompt_parts:
+            history = self._scopes.setdefault(scope, _ScopeHistory())
+            history.ended.append(_Ended(now_s, prompt_parts, is_answered))
+
+    def record_answer(self, traits: Iterable[str], at_s: float) -> None:
+        """Record an answer to a request with these fingerprints and prompt parts."""
+        for trait in traits:
+            self._answered_s[trait] = max(at_s, self.last_answer_s(trait))
+            self._answered_s.move_to_end(trait)
+        while len(self._answered_s) > ANSWERS_MAX:
+            self._answered_s.popitem(last=False)
+
+    def last_answer_s(self, trait: str) -> float:
+        """Return the time of the last answer with a fingerprint or prompt part."""
+        return self._answered_s.get(trait, float("-inf"))
+
+    def share_of(self, part: str, scope: Scope) -> float:
+        """Return the share of attempts with a part, estimated high if few are known."""
+        history = self._scopes.get(scope)
+        if history is None:
+            return 1.0
+        return (history.part_counts[part] + 1) / (len(history.started) + 2)
+
+    def count_ended_without(
+        self, part: str, scope: Scope, since_s: float
+    ) -> tuple[int, int]:
+        """Return how many attempts without a part ended, and how many were answered."""
+        history = self._scopes.get(scope)
+        ended = [
+            attempt.is_answered
+            for attempt in (history.ended if history is not None else ())
+            if attempt.at_s >= since_s and part not in attempt.prompt_parts
+        ]
+        return len(ended), sum(ended)
--- a/reedspar/requests/caller_adapter.py
+++ b/reedspar/requests/caller_adapter.py
@@ -19,6 +19,8 @@
 __all__ = ["CallerAdapter", "EncodedAnswer", "PoolAdapter", "read_headers"]
 
 POOLS_PREFIX = "/v1/pools/"
+PROMPT_PARTS_HEADER = "x-prompt-parts"
+"""Ids of the parts of the prompt that other requests may share, with commas between."""
 EXCLUDED_HEADERS = frozenset(
     {
         "connection",
@@ -79,6 +81,8 @@
             "", "", scope["method"], pool, path, headers, body, responder, arrived_s
         )
         request.caller_request_id = request.header_map.get(REQUEST_ID_HEADER, "")
+        parts = request.header_map.get(PROMPT_PARTS_HEADER, "").split(",")
+        request.prompt_parts = tuple(part.strip() for part in parts if part.strip())
         return request
 
     def encode_refusal(self, request: Request, answer: Answer) -> EncodedAnswer:
--- a/reedspar/requests/crash_gossip.py
+++ b/reedspar/requests/crash_gossip.py
@@ -8,14 +8,15 @@
 import random
 from collections.abc import Callable, Iterable
 
-from reedspar.attempts import CrashNotice
+from reedspar.attempts import CrashNotice, CrashSuspect
 from reedspar.links import LinkChange, LinkEvent, Network, Role
 from reedspar.messages import Sender
 from reedspar.timers import TimerService
 from reedspar.utils import TokenBucket, sample_up_to
 
-from .messages import CrashNews, CrashNewsRequest
-from .quarantine import Crash, Quarantine
+from .attempt_history import Scope
+from .messages import CrashNews, CrashNewsRequest, PartVerdictNews
+from .quarantine import Crash, PartVerdict, Quarantine
 
 __all__ = ["CrashGossip", "create_crash_gossip"]
 
@@ -54,6 +55,8 @@
         network.subscribe(CrashNotice, self._on_notice)
         network.subscribe(CrashNews, self._on_report)
         network.subscribe(CrashNewsRequest, self._on_request)
+        network.subscribe(PartVerdictNews, self._on_verdict_news)
+        quarantine.on_verdict(self._tell_verdict)
         network.on_link_event(self._on_link_event)
         timers.call_every(REPEAT_INTERVAL_S, self._repeat_recent)
         timers.on_pause(self._on_pause)
@@ -62,14 +65,20 @@
         )
 
     def report_crash(
-        self, crash_id: str, fingerprints: tuple[str, ...], age_s: float
+        self,
+        crash_id: str,
+        scope: Scope,
+        suspects: tuple[CrashSuspect, ...],
+        age_s: float,
     ) -> None:
         """Add a crash that this entry detected itself, and report it to others."""
-        self._handle_report(CrashNews(crash_id, fingerprints, round(age_s * 1000)))
+        self._handle_report(CrashNews(crash_id, *scope, suspects, round(age_s * 1000)))
 
     def _on_notice(self, sender: Sender, notice: CrashNotice) -> None:
         crash_id = f"{notice.target}/{notice.boot_id}"
-        self._handle_report(CrashNews(crash_id, notice.fingerprints, 0))
+        self._handle_report(
+            CrashNews(crash_id, notice.pool, notice.zone, notice.suspects, 0)
+        )
 
     def _on_report(self, sender: Sender, report: CrashNews) -> None:
         self._handle_report(report)
@@ -78,6 +87,19 @@
         now_s = self._timers.now_s()
         for crash in self._quarantine.list_recent(now_s):
             self._network.send(sender.name, _make_report(crash, now_s))
+        for verdict in self._quarantine.list_blamed_parts(now_s):
+            self._network.send(sender.name, _make_verdict_news(verdict, now_s))
+
+    def _on_verdict_news(self, sender: Sender, news: PartVerdictNews) -> None:
+        at_s = self._timers.now_s() - news.age_ms / 1000
+        verdict = PartVerdict(frozenset(news.parts), at_s, news.is_blamed)
+        self._quarantine.adopt_verdict(verdict)
+
+    def _tell_verdict(self, verdict: PartVerdict) -> None:
+        """Pass a verdict on that is new to this entry, its own or another entry's."""
+        news = _make_verdict_news(verdict, self._timers.now_s())
+        for peer in self._pick_entries(REPORT_FANOUT):
+            self._network.send(peer, news)
 
     def _on_link_event(self, event: LinkEvent) -> None:
         # Reports to this entry may have been lost with an earlier link.
@@ -105,7 +127,7 @@
         now_s = self._timers.now_s()
         at_s = now_s - report.age_ms / 1000
         is_new = self._quarantine.on_crash(
-            report.crash_id, report.fingerprints, at_s, now_s
+            report.crash_id, report.suspects, at_s, now_s, (report.pool, report.zone)
         )
         if is_new:
             for peer in self._pick_entries(REPORT_FANOUT):
@@ -114,11 +136,14 @@
     def _repeat_recent(self) -> None:
         now_s = self._timers.now_s()
         crashes = self._quarantine.list_recent(now_s)[:REPEATED_REPORTS_MAX]
-        if not crashes:
+        verdicts = self._quarantine.list_blamed_parts(now_s)
+        if not crashes and not verdicts:
             return
         for peer in self._pick_entries(1):
             for crash in crashes:
                 self._network.send(peer, _make_report(crash, now_s))
+            for verdict in verdicts:
+                self._network.send(peer, _make_verdict_news(verdict, now_s))
 
     def _pick_entries(self, count: int) -> list[str]:
         peers = [name for name in self._list_entries() if name != self._name]
@@ -126,9 +151,22 @@
 
 
 def _make_report(crash: Crash, now_s: float) -> CrashNews:
-    age_ms = max(0, round((now_s - crash.at_s) * 1000))
-    fingerprints = tuple(sorted(crash.fingerprints))
-    return CrashNews(crash.crash_id, fingerprints, age_ms)
+    suspects = tuple(sorted(crash.suspects, key=lambda item: item.fingerprint))
+    return CrashNews(
+        crash.crash_id, *crash.scope, suspects, _encode_age(crash.at_s, now_s)
+    )
+
+
+def _make_verdict_news(verdict: PartVerdict, now_s: float) -> PartVerdictNews:
+    return PartVerdictNews(
+        tuple(sorted(verdict.parts)),
+        verdict.is_blamed,
+        _encode_age(verdict.at_s, now_s),
+    )
+
+
+def _encode_age(at_s: float, now_s: float) -> int:
+    return max(0, round((now_s - at_s) * 1000))
 
 
 def create_crash_gossip(
--- a/reedspar/requests/messages.py
+++ b/reedspar/requests/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from reedspar.attempts import Header
+from reedspar.attempts import CrashSuspect, Header
 from reedspar.messages import MessageRegistry, load_schema
 
 __all__ = [
@@ -17,6 +17,7 @@
     "ClaimVerdict",
     "CrashNews",
     "CrashNewsRequest",
+    "PartVerdictNews",
     "register_messages",
 ]
 
@@ -27,14 +28,26 @@
 
     crash_id: str
     """Includes the target's boot id, so that repeated reports count once."""
-    fingerprints: tuple[str, ...]
+    pool: str
+    zone: str
+    suspects: tuple[CrashSuspect, ...]
     age_ms: int
     """Time since the crash; an age, as the entries' clocks may differ."""
 
 
 @dataclass(frozen=True, slots=True)
 class CrashNewsRequest:
-    """Asks another entry for all crashes that it knows of."""
+    """Asks another entry for all crashes and verdicts that it knows of."""
+
+
+@dataclass(frozen=True, slots=True)
+class PartVerdictNews:
+    """Tells other entries that prompt parts are blamed for crashes, or cleared."""
+
+    parts: tuple[str, ...]
+    is_blamed: bool
+    age_ms: int
+    """Time since the last crash or answer that the verdict follows from."""
 
 
 class ClaimVerdict(Enum):
@@ -147,6 +160,7 @@
         schema,
         CrashNews,
         CrashNewsRequest,
+        PartVerdictNews,
         ClaimRequest,
         ClaimReply,
         ClaimUpdate,
--- a/reedspar/requests/protection_filters.py
+++ b/reedspar/requests/protection_filters.py
@@ -29,19 +29,23 @@
     async def apply(self, request: Request, proceed: Proceed) -> Answer:
         """Run or refuse the request according to its standing."""
         now_s = self._timers.now_s()
-        standing, after_s = self._quarantine.standing(request.fingerprint, now_s)
+        standing, after_s = self._quarantine.standing(
+            request.fingerprint, now_s, request.prompt_parts
+        )
         if standing is Standing.BLAMED:
             return _refuse_blamed(after_s)
         answer = await proceed(request)
         # A target may refuse a request with an error before it has run it.
         if answer.outcome is Outcome.ANSWERED and answer.status < ERROR_STATUS_MIN:
             now_s = self._timers.now_s()
-            self._quarantine.on_answered(request.fingerprint, now_s)
+            self._quarantine.on_answered(
+                request.fingerprint, now_s, request.prompt_parts
+            )
         return answer
 
 
 def _refuse_blamed(after_s: float) -> Answer:
-    detail = "requests like this one crashed two targets"
+    detail = "requests like this one crashed targets"
     failure = Failure(
         Reason.QUARANTINED, Step.QUARANTINE, detail=detail, retry_after_s=after_s
     )
--- a/reedspar/requests/relay.py
+++ b/reedspar/requests/relay.py
@@ -184,6 +184,8 @@
         request.targets.append(chosen.name)
         answer: Answer | None = None
         self._chooser.on_started(request, chosen)
+        scope = (request.pool, chosen.zone)
+        self._quarantine.history.record_started(scope, request.prompt_parts)
         try:
             with anyio.move_on_after(request.deadline_s - self._timers.now_s()):
                 answer = await self._await_answer(request, chosen, attempt, state)
@@ -195,6 +197,13 @@
         finally:
             self._chooser.on_ended(request, chosen, answer)
             self._client.close(attempt)
+            if answer is not None and answer.outcome is not Outcome.NOT_RUN:
+                self._quarantine.history.record_ended(
+                    scope,
+                    request.prompt_parts,
+                    self._timers.now_s(),
+                    is_answered=answer.outcome is Outcome.ANSWERED,
+                )
 
     def _make_start(
         self, request: Request, chosen: ChosenTarget, state: _RelayState
@@ -216,6 +225,7 @@
             request.fingerprint,
             chosen.weights_digest or request.weights_digest,
             chosen.incarnation,
+            request.prompt_parts,
         )
 
     async def _await_answer(
@@ -259,7 +269,9 @@
             return False
         # A request that crashes targets would crash another one with each retry.
         now_s = self._timers.now_s()
-        standing, _ = self._quarantine.standing(request.fingerprint, now_s)
+        standing, _ = self._quarantine.standing(
+            request.fingerprint, now_s, request.prompt_parts
+        )
         return request.is_idempotent and standing is Standing.CLEAR
 
     def _may_retry_server_error(
--- a/reedspar/requests/relay_interfaces.py
+++ b/reedspar/requests/relay_interfaces.py
@@ -33,6 +33,11 @@
         """Return the target's name."""
         ...
 
+    @property
+    def zone(self) -> str:
+        """Return the target's availability zone."""
+        ...
+
     @property
     def incarnation(self) -> int:
         """Return the incarnation of the target's agent, or 0 without an agent."""
--- a/reedspar/requests/requests.capnp
+++ b/reedspar/requests/requests.capnp
@@ -3,13 +3,26 @@
 
 struct CrashNews {
   crashId @0 :Text;
-  fingerprints @1 :List(Text);
-  ageMs @2 :UInt64;
+  pool @1 :Text;
+  zone @2 :Text;
+  suspects @3 :List(CrashSuspect);
+  ageMs @4 :UInt64;
+}
+
+struct CrashSuspect {
+  fingerprint @0 :Text;
+  promptParts @1 :List(Text);
 }
 
 struct CrashNewsRequest {
 }
 
+struct PartVerdictNews {
+  parts @0 :List(Text);
+  isBlamed @1 :Bool;
+  ageMs @2 :UInt64;
+}
+
 struct ClaimRequest {
   claimKey @0 :Text;
   token @1 :Text;
--- a/reedspar/requests/target_directory.py
+++ b/reedspar/requests/target_directory.py
@@ -37,6 +37,11 @@
         """Return the target's name."""
         return self.report.target
 
+    @property
+    def zone(self) -> str:
+        """Return the target's availability zone."""
+        return self.report.zone
+
     @property
     def weights_digest(self) -> str:
         """Return an empty digest, as agents choose the weights that they offer."""
--- a/reedspar/requests/tests/test_admission_and_routing.py
+++ b/reedspar/requests/tests/test_admission_and_routing.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from reedspar.attempts import TargetStatus
+from reedspar.attempts import CrashSuspect, TargetStatus
 from reedspar.configuration import ConfigurationDocument
 from reedspar.errors import Failure
 from reedspar.requests.admission import AdmissionControl, WorkspaceLimits
@@ -180,9 +180,8 @@
             crashes += 1
             crash_id = f"t/{crashes}"
             for _ in range(2):
-                quarantine.on_crash(
-                    crash_id, {"deadly", *in_flight_bystanders}, now_s, now_s
-                )
+                names = {"deadly", *in_flight_bystanders}
+                quarantine.on_crash(crash_id, map(CrashSuspect, names), now_s, now_s)
             for name in bystanders:
                 if rng.random() < 0.7:
                     quarantine.on_answered(name, now_s + 0.5)
--- a/reedspar/requests/tests/test_application.py
+++ b/reedspar/requests/tests/test_application.py
@@ -12,6 +12,7 @@
     AttemptEnd,
     AttemptStart,
     CrashNotice,
+    CrashSuspect,
     EndKind,
 )
 from reedspar.errors import Reason
@@ -171,7 +172,9 @@
         # it must not reach a target again.
         def crash(peer: str, start: AttemptStart) -> list[Any]:
             boot_id = f"boot-{len(self.starts())}"
-            notice = CrashNotice(peer, "orders", boot_id, (start.fingerprint,))
+            notice = CrashNotice(
+                peer, "orders", "a", boot_id, (CrashSuspect(start.fingerprint),)
+            )
             key = (start.request_id, start.attempt)
             end = AttemptEnd(*key, EndKind.BROKEN, 0, "", Reason.UNAVAILABLE, "")
             return [notice, end]
--- a/reedspar/requests/tests/test_crash_gossip.py
+++ b/reedspar/requests/tests/test_crash_gossip.py
@@ -4,6 +4,7 @@
 import unittest
 from typing import Any
 
+from reedspar.attempts import CrashSuspect
 from reedspar.links import LinkChange, LinkEvent
 from reedspar.requests.crash_gossip import CrashGossip, create_crash_gossip
 from reedspar.requests.quarantine import Quarantine, Standing
@@ -63,7 +64,10 @@
     def crash(self, reporter: str, count: int) -> None:
         for number in range(count):
             self.entries[reporter].gossip.report_crash(
-                f"t/{number}", ("deadly", f"r{number}"), 0.0
+                f"t/{number}",
+                ("orders", "a"),
+                (CrashSuspect("deadly"), CrashSuspect(f"r{number}")),
+                0.0,
             )
 
     def advance(self, seconds: float) -> None:
--- a/reedspar/requests/tests/test_quarantine.py
+++ b/reedspar/requests/tests/test_quarantine.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from reedspar.attempts import CrashSuspect
 from reedspar.requests.filters import fingerprint_request
 from reedspar.requests.protection_filters import QuarantineFilter
 from reedspar.requests.quarantine import Quarantine, Standing
@@ -29,7 +30,9 @@
         # Guards against a request that goes on to crash targets since other requests
         # are in flight at several of its crashes, too.
         for crash, beside in enumerate((("a", "b"), ("a", "c"), ("b", "c"))):
-            self.quarantine.on_crash(f"t/{crash}", {"deadly", *beside}, crash, 9.0)
+            self.quarantine.on_crash(
+                f"t/{crash}", map(CrashSuspect, {"deadly", *beside}), crash, 9.0
+            )
         self.assert_blamed("deadly")
         self.assert_not_blamed("a", "b", "c")
 
@@ -38,13 +41,15 @@
         # targets end at once.
         for crash in range(8):
             names = {f"r{crash}", f"r{crash + 1}"}
-            self.quarantine.on_crash(f"t/{crash}", names, 0.0, 0.1)
+            self.quarantine.on_crash(f"t/{crash}", map(CrashSuspect, names), 0.0, 0.1)
         self.assert_not_blamed(*(f"r{number}" for number in range(9)))
 
     def test_two_requests_that_crash_targets_are_both_blamed(self) -> None:
         for crash in range(6):
             name = "first" if crash % 2 else "second"
-            self.quarantine.on_crash(f"t/{crash}", {name, "hot"}, crash, 9.0)
+            self.quarantine.on_crash(
+                f"t/{crash}", map(CrashSuspect, {name, "hot"}), crash, 9.0
+            )
             self.quarantine.on_answered("hot", crash + 0.5)
         self.assert_blamed("first", "second")
         self.assert_not_blamed("hot")
@@ -56,7 +61,7 @@
         # in flight at the same crashes.
         quarantine = Quarantine()
         for crash in range(2):
-            quarantine.on_crash(f"t/{crash}", {"61", "62"}, 0.0, 0.0)
+            quarantine.on_crash(f"t/{crash}", map(CrashSuspect, {"61", "62"}), 0.0, 0.0)
         begun: list[str] = []
 
         async def proceed(request: Request) -> Answer:
@@ -92,9 +97,11 @@
         async def run() -> None:
             item = QuarantineFilter(quarantine, TimerService(VirtualClock()))
             for crash in range(2):
-                quarantine.on_crash(f"t/{crash}", {"61", "62"}, -1.0, 0.0)
+                quarantine.on_crash(
+                    f"t/{crash}", map(CrashSuspect, {"61", "62"}), -1.0, 0.0
+                )
                 await item.apply(request, proceed)
-            quarantine.on_crash("t/2", {"61", "63"}, -1.0, 0.0)
+            quarantine.on_crash("t/2", map(CrashSuspect, {"61", "63"}), -1.0, 0.0)
             answer = await item.apply(request, proceed)
             self.assertIs(answer.outcome, Outcome.NOT_RUN)
 
--- a/reedspar/targets/controller.py
+++ b/reedspar/targets/controller.py
@@ -13,6 +13,7 @@
 from reedspar.attempts import (
     AttemptStart,
     CrashNotice,
+    CrashSuspect,
     EndKind,
     LoadedWeights,
     TargetReport,
@@ -262,7 +263,8 @@
         if reason is Reason.TIMEOUT:
             return
         self._gate.record_broken()
-        self._crashes.record_broken(start.fingerprint, self._timers.now_s())
+        suspect = CrashSuspect(start.fingerprint, start.prompt_parts)
+        self._crashes.record_broken(suspect, self._timers.now_s())
         self._start_poll()
 
     def _poll_if_due(self) -> None:
@@ -348,10 +350,14 @@
 
     def _report_crash(self, boot_id: str) -> None:
         """Report suspects of a run that is over, unless they are reported already."""
-        in_flight = self._dispatcher.running_fingerprints()
+        in_flight = self._dispatcher.running_requests()
         suspects = self._crashes.pop_suspects(in_flight, self._timers.now_s())
         notice = CrashNotice(
-            self._settings.name, self._target_settings.pool, boot_id, suspects
+            self._settings.name,
+            self._target_settings.pool,
+            self._settings.zone,
+            boot_id,
+            suspects,
         )
         if not suspects or notice == self._last_crash_notice:
             return
--- a/reedspar/targets/crash_suspects.py
+++ b/reedspar/targets/crash_suspects.py
@@ -1,4 +1,4 @@
-"""Fingerprints of the requests that may have crashed a target.
+"""Requests that may have crashed a target.
 
 Answers break off before a poll returns the new boot id, so requests that broke off
 recently count as in flight at the crash.
@@ -7,6 +7,8 @@
 from collections import deque
 from dataclasses import dataclass
 
+from reedspar.attempts import CrashSuspect
+
 __all__ = ["CrashSuspects"]
 
 SUSPECT_WINDOW_S = 10.0
@@ -15,28 +17,31 @@
 
 @dataclass(frozen=True, slots=True)
 class _BrokenRequest:
-    fingerprint: str
+    suspect: CrashSuspect
     at_s: float
 
 
 class CrashSuspects:
-    """Fingerprints of requests that the target broke off recently."""
+    """Requests that the target broke off recently."""
 
     def __init__(self) -> None:
         self._broken: deque[_BrokenRequest] = deque()
 
-    def record_broken(self, fingerprint: str, now_s: float) -> None:
+    def record_broken(self, suspect: CrashSuspect, now_s: float) -> None:
         """Record that the target broke off a request."""
-        if fingerprint:
-            self._broken.append(_BrokenRequest(fingerprint, now_s))
+        if suspect.fingerprint:
+            self._broken.append(_BrokenRequest(suspect, now_s))
         self._drop_expired(now_s)
 
-    def pop_suspects(self, in_flight: list[str], now_s: float) -> tuple[str, ...]:
-        """Return the distinct fingerprints of requests that may have caused a crash."""
+    def pop_suspects(
+        self, in_flight: list[CrashSuspect], now_s: float
+    ) -> tuple[CrashSuspect, ...]:
+        """Return the distinct requests that may have caused a crash."""
         self._drop_expired(now_s)
-        broken = [item.fingerprint for item in self._broken]
+        broken = [item.suspect for item in self._broken]
         self._broken.clear()
-        return tuple(dict.fromkeys([*broken, *filter(None, in_flight)]))
+        running = [suspect for suspect in in_flight if suspect.fingerprint]
+        return tuple(dict.fromkeys([*broken, *running]))
 
     def _drop_expired(self, now_s: float) -> None:
         while self._broken and self._broken[0].at_s < now_s - SUSPECT_WINDOW_S:
--- a/reedspar/targets/dispatcher.py
+++ b/reedspar/targets/dispatcher.py
@@ -13,6 +13,7 @@
     AttemptResume,
     AttemptStart,
     AttemptStatus,
+    CrashSuspect,
 )
 from reedspar.errors import Failure, Reason, Step
 from reedspar.links import Network, Role
@@ -86,11 +87,11 @@
         """Return the number of queued attempts."""
         return len(self._queue)
 
-    def running_fingerprints(self) -> list[str]:
-        """Return the fingerprints of the requests running at the target."""
+    def running_requests(self) -> list[CrashSuspect]:
+        """Return the requests running at the target, as suspects of a crash."""
         records = self._table.unfinished()
         return [
-            record.start.fingerprint
+            CrashSuspect(record.start.fingerprint, record.start.prompt_parts)
             for record in records
             if record.start is not None and record.phase is AttemptPhase.RUNNING
         ]
--- a/reedspar/targets/tests/test_controller.py
+++ b/reedspar/targets/tests/test_controller.py
@@ -15,6 +15,7 @@
     AttemptResume,
     AttemptStatus,
     CrashNotice,
+    CrashSuspect,
     EndKind,
 )
 from reedspar.errors import Failure, Reason, Step
@@ -127,7 +128,8 @@
             await self.release()
             self.assertEqual(self.controller.gate.limit, 1)
             (notice,) = self.network.sent_of(CrashNotice)
-            self.assertEqual(notice.fingerprints, ("f-r0", "f-r1", "f-r2", "f-r3"))
+            names = [suspect.fingerprint for suspect in notice.suspects]
+            self.assertEqual(names, ["f-r0", "f-r1", "f-r2", "f-r3"])
 
         self.run_scenario(scenario)
 
@@ -143,7 +145,7 @@
             await self.release()
             (notice,) = self.network.sent_of(CrashNotice)
             self.assertEqual(notice.boot_id, "boot-1")
-            self.assertEqual(notice.fingerprints, ("f-r1",))
+            self.assertEqual(notice.suspects, (CrashSuspect("f-r1"),))
             self.target.state = EngineState("boot-2", is_cold=True)
             await self.advance(3.0)
             self.assertEqual(len(self.network.sent_of(CrashNotice)), 1)
