--- a/reedspar/requests/attempt_history.py
+++ b/reedspar/requests/attempt_history.py
@@ -1,4 +1,4 @@
-"""Prompt parts and outcomes of the attempts that this entry has made lately."""
+"""Requests, prompt parts and outcomes of the attempts that this entry has made."""
 
 from collections import Counter, OrderedDict, deque
 from collections.abc import Iterable
@@ -8,6 +8,8 @@
 
 ATTEMPTS_MAX = 256
 """Number of attempts kept of each scope."""
+USUAL_ATTEMPTS_MIN = 20
+"""Number of attempts from which their shares tell what is usual."""
 ANSWERS_MAX = 4096
 """Number of fingerprints and parts of which the last answer is remembered."""
 
@@ -28,30 +30,31 @@
 @dataclass(slots=True)
 class _ScopeHistory:
     started: deque[tuple[str, ...]] = field(default_factory=deque)
-    """Prompt parts of the attempts, the latest last."""
-    part_counts: Counter[str] = field(default_factory=Counter)
+    """Fingerprints and prompt parts of the attempts, the latest last."""
+    counts: Counter[str] = field(default_factory=Counter)
     ended: deque[_Ended] = field(default_factory=lambda: deque(maxlen=ATTEMPTS_MAX))
 
 
 class AttemptHistory:
-    """Tells how common a prompt part is, and how attempts without it end."""
+    """Tells how common a request or prompt part is, and how other attempts end."""
 
     def __init__(self) -> None:
         self._scopes: dict[Scope, _ScopeHistory] = {}
         self._answered_s: OrderedDict[str, float] = OrderedDict()
 
-    def record_started(self, scope: Scope, prompt_parts: tuple[str, ...]) -> None:
+    def record_started(
+        self, scope: Scope, fingerprint: str, prompt_parts: tuple[str, ...]
+    ) -> None:
         """Count an attempt at a target."""
-        if not prompt_parts:
-            return
         history = self._scopes.setdefault(scope, _ScopeHistory())
-        history.started.append(prompt_parts)
-        history.part_counts.update(prompt_parts)
+        traits = (fingerprint, *prompt_parts)
+        history.started.append(traits)
+        history.counts.update(traits)
         if len(history.started) > ATTEMPTS_MAX:
-            for part in history.started.popleft():
-                history.part_counts[part] -= 1
-                if not history.part_counts[part]:
-                    del history.part_counts[part]
+            for trait in history.started.popleft():
+                history.counts[trait] -= 1
+                if not history.counts[trait]:
+                    del history.counts[trait]
 
     def record_ended(
         self,
@@ -78,12 +81,20 @@
         """Return the time of the last answer with a fingerprint or prompt part."""
         return self._answered_s.get(trait, float("-inf"))
 
-    def share_of(self, part: str, scope: Scope) -> float:
-        """Return the share of attempts with a part, estimated high if few are known."""
+    def share_of(self, trait: str, scope: Scope) -> float:
+        """Return the share of attempts with a fingerprint or prompt part.
+
+        It is estimated high if few attempts are known.
+        """
         history = self._scopes.get(scope)
         if history is None:
             return 1.0
-        return (history.part_counts[part] + 1) / (len(history.started) + 2)
+        return (history.counts[trait] + 1) / (len(history.started) + 2)
+
+    def knows_usual(self, scope: Scope) -> bool:
+        """Return whether enough attempts are known to tell what is usual."""
+        history = self._scopes.get(scope)
+        return history is not None and len(history.started) >= USUAL_ATTEMPTS_MIN
 
     def count_ended_without(
         self, part: str, scope: Scope, since_s: float
--- /dev/null
+++ b/reedspar/requests/crashes.py
@@ -0,0 +1,59 @@
+"""Records of crashes of targets, and the probability of what was in flight there."""
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+from statistics import fmean
+
+from reedspar.attempts import CrashSuspect
+
+from .attempt_history import AttemptHistory, Scope
+
+__all__ = ["Crash", "create_crash", "presence_by_chance"]
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """A crash of a target, and the requests in flight at it."""
+
+    crash_id: str
+    scope: Scope
+    at_s: float
+    suspects: frozenset[CrashSuspect]
+    prompt_parts: frozenset[str]
+    """Parts of all these requests."""
+
+
+def create_crash(
+    crash_id: str, scope: Scope, at_s: float, suspects: frozenset[CrashSuspect]
+) -> Crash:
+    """Create the record of a crash."""
+    parts = frozenset(part for suspect in suspects for part in suspect.prompt_parts)
+    return Crash(crash_id, scope, at_s, suspects, parts)
+
+
+def presence_by_chance(
+    trait: str,
+    crashes: Sequence[Crash],
+    presence: Sequence[bool],
+    history: AttemptHistory,
+) -> float:
+    """Return the probability that a trait is in flight at so many of the crashes.
+
+    A trait is a fingerprint or a prompt part; `presence` tells at which crashes it was.
+    """
+    likely = [
+        1 - (1 - history.share_of(trait, crash.scope)) ** len(crash.suspects)
+        for crash in crashes
+    ]
+    return _binomial_tail(sum(presence), len(crashes), fmean(likely))
+
+
+def _binomial_tail(successes: int, trials: int, probability: float) -> float:
+    """Return the probability of at least so many successes."""
+    return sum(
+        math.comb(trials, count)
+        * probability**count
+        * (1 - probability) ** (trials - count)
+        for count in range(successes, trials + 1)
+    )
--- a/reedspar/requests/part_causes.py
+++ b/reedspar/requests/part_causes.py
@@ -9,13 +9,11 @@
 from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
-from statistics import fmean
-
-from reedspar.attempts import CrashSuspect
 
 from .attempt_history import AttemptHistory, Scope
+from .crashes import Crash, presence_by_chance
 
-__all__ = ["Crash", "PartCause", "create_crash", "find_part_causes"]
+__all__ = ["PartCause", "find_part_causes"]
 
 CRASHES_MIN = 4
 REQUESTS_MIN = 3
@@ -28,18 +26,6 @@
 """Maximum probability of the observations if the part has no influence."""
 
 
-@dataclass(frozen=True, slots=True)
-class Crash:
-    """A crash of a target, and the requests in flight at it."""
-
-    crash_id: str
-    scope: Scope
-    at_s: float
-    suspects: frozenset[CrashSuspect]
-    prompt_parts: frozenset[str]
-    """Parts of all these requests."""
-
-
 @dataclass(frozen=True, slots=True)
 class PartCause:
     """Prompt parts that crash targets if a request has all of them."""
@@ -55,14 +41,6 @@
         return any(self.parts.issubset(item.prompt_parts) for item in crash.suspects)
 
 
-def create_crash(
-    crash_id: str, scope: Scope, at_s: float, suspects: frozenset[CrashSuspect]
-) -> Crash:
-    """Create the record of a crash."""
-    parts = frozenset(part for suspect in suspects for part in suspect.prompt_parts)
-    return Crash(crash_id, scope, at_s, suspects, parts)
-
-
 def find_part_causes(
     crashes: Iterable[Crash], history: AttemptHistory
 ) -> list[PartCause]:
@@ -108,7 +86,8 @@
     since_first = [crash for crash in unanswered if crash.at_s >= first_s]
     part_count = len({name for crash in since_first for name in crash.prompt_parts})
     # With many parts in flight, one of them is often present by chance.
-    chance = part_count * _presence_by_chance(part, since_first, history)
+    presence = [part in crash.prompt_parts for crash in since_first]
+    chance = part_count * presence_by_chance(part, since_first, presence, history)
     scopes = {crash.scope for crash in with_part}
     chance *= _failures_by_chance(part, scopes, first_s, len(by_request), history)
     if chance > CHANCE_MAX:
@@ -119,18 +98,6 @@
     return PartCause((common - sound) | {part}, with_part[-1].at_s, chance)
 
 
-def _presence_by_chance(
-    part: str, crashes: Sequence[Crash], history: AttemptHistory
-) -> float:
-    """Return the probability that a part is in flight at so many of the crashes."""
-    likely = [
-        1 - (1 - history.share_of(part, crash.scope)) ** len(crash.suspects)
-        for crash in crashes
-    ]
-    count = sum(part in crash.prompt_parts for crash in crashes)
-    return _binomial_tail(count, len(crashes), fmean(likely))
-
-
 def _failures_by_chance(
     part: str,
     scopes: Iterable[Scope],
@@ -146,13 +113,3 @@
     ended = sum(count for count, _ in counts)
     answered = sum(count for _, count in counts)
     return math.comb(ended, answered) / math.comb(ended + request_count, answered)
-
-
-def _binomial_tail(successes: int, trials: int, probability: float) -> float:
-    """Return the probability of at least so many successes."""
-    return sum(
-        math.comb(trials, count)
-        * probability**count
-        * (1 - probability) ** (trials - count)
-        for count in range(successes, trials + 1)
-    )
--- a/reedspar/requests/quarantine.py
+++ b/reedspar/requests/quarantine.py
@@ -15,8 +15,9 @@
 from reedspar.attempts import CrashSuspect
 
 from .attempt_history import AttemptHistory, Scope
-from .crash_causes import find_causes, list_crashes
-from .part_causes import Crash, create_crash, find_part_causes
+from .crash_causes import find_causes, list_evidence
+from .crashes import Crash, create_crash
+from .part_causes import find_part_causes
 
 __all__ = ["Crash", "PartVerdict", "Quarantine", "Standing"]
 
@@ -68,7 +69,7 @@
         default_factory=OrderedDict
     )
     """Parts whose quarantine is over, and whose requests were not answered since."""
-    _evidence: dict[str, frozenset[str]] = field(default_factory=dict)
+    _evidence: dict[str, list[Crash]] = field(default_factory=dict)
     """Crashes of each fingerprint since it was last answered."""
     _last_crash_s: dict[str, float] = field(default_factory=dict)
     """Time of the last crash of each fingerprint and part."""
@@ -198,19 +199,15 @@
         """Derive evidence and blame from the crashes and the answers since."""
         for cause in find_part_causes(self._crashes.values(), self.history):
             self._set_verdict(PartVerdict(cause.parts, cause.last_s, is_blamed=True))
-        fingerprints_by_crash = {
-            crash.crash_id: {
-                suspect.fingerprint
-                for suspect in crash.suspects
-                if self.history.last_answer_s(suspect.fingerprint) < crash.at_s
-            }
+        unexplained = [
+            crash
             for crash in self._crashes.values()
             if not self._has_blamed_parts(crash)
-        }
-        self._evidence = list_crashes(fingerprints_by_crash)
+        ]
+        self._evidence = list_evidence(unexplained, self.history)
         self._blamed_s = {
-            fingerprint: max(self._crashes[crash_id].at_s for crash_id in crash_ids)
-            for fingerprint, crash_ids in find_causes(fingerprints_by_crash).items()
+            fingerprint: crashes[-1].at_s
+            for fingerprint, crashes in find_causes(unexplained, self.history).items()
         }
         self._last_crash_s = {
             trait: crash.at_s
--- a/reedspar/requests/relay.py
+++ b/reedspar/requests/relay.py
@@ -185,7 +185,9 @@
         answer: Answer | None = None
         self._chooser.on_started(request, chosen)
         scope = (request.pool, chosen.zone)
-        self._quarantine.history.record_started(scope, request.prompt_parts)
+        self._quarantine.history.record_started(
+            scope, request.fingerprint, request.prompt_parts
+        )
         try:
             with anyio.move_on_after(request.deadline_s - self._timers.now_s()):
                 answer = await self._await_answer(request, chosen, attempt, state)
--- a/reedspar/requests/tests/test_part_quarantine.py
+++ b/reedspar/requests/tests/test_part_quarantine.py
@@ -49,7 +49,9 @@
         return CrashSuspect(suspect.fingerprint, (first, self.bad_part))
 
     def send(self, suspect: CrashSuspect, scope: tuple[str, str]) -> None:
-        self.quarantine.history.record_started(scope, suspect.prompt_parts)
+        self.quarantine.history.record_started(
+            scope, suspect.fingerprint, suspect.prompt_parts
+        )
 
     def end(
         self, suspect: CrashSuspect, scope: tuple[str, str], *, is_answered: bool
--- a/reedspar/requests/tests/test_quarantine.py
+++ b/reedspar/requests/tests/test_quarantine.py
@@ -54,6 +54,20 @@
         self.assert_blamed("first", "second")
         self.assert_not_blamed("hot")
 
+    def test_common_request_is_not_blamed_for_crashes_of_others(self) -> None:
+        # Guards against refusing a request that many callers send alike, which is in
+        # flight wherever a target ends.
+        scope = ("orders", "a")
+        for number in range(60):
+            name = "common" if number % 2 else f"r{number}"
+            self.quarantine.history.record_started(scope, name, ())
+        for crash in range(6):
+            names = {"common", "deadly", f"a{crash}", f"b{crash}"}
+            suspects = map(CrashSuspect, names if crash % 2 else names - {"deadly"})
+            self.quarantine.on_crash(f"t/{crash}", suspects, crash, 9.0, scope)
+        self.assert_blamed("deadly")
+        self.assert_not_blamed("common")
+
 
 class QuarantineFilterTest(unittest.TestCase):
     def test_suspects_run_beside_each_other(self) -> None:
