--- a/reedspar/requests/attempt_history.py
+++ b/reedspar/requests/attempt_history.py
@@ -1,4 +1,4 @@
-"""Requests, prompt parts and outcomes of the attempts that this entry has made."""
+"""Requests and prompt parts that targets have answered lately."""
 
 from collections import Counter, OrderedDict, deque
 from collections.abc import Iterable
@@ -7,9 +7,9 @@
 __all__ = ["AttemptHistory", "Scope"]
 
 ATTEMPTS_MAX = 256
-"""Number of attempts kept of each scope."""
+"""Number of answered attempts kept of each scope."""
 USUAL_ATTEMPTS_MIN = 20
-"""Number of attempts from which their shares tell what is usual."""
+"""Number of answered attempts from which their shares tell what is usual."""
 ANSWERS_MAX = 4096
 """Number of fingerprints and parts of which the last answer is remembered."""
 
@@ -20,55 +20,34 @@
 not in another."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Ended:
-    at_s: float
-    prompt_parts: tuple[str, ...]
-    is_answered: bool
-
-
 @dataclass(slots=True)
 class _ScopeHistory:
-    started: deque[tuple[str, ...]] = field(default_factory=deque)
+    answered: deque[tuple[str, ...]] = field(default_factory=deque)
     """Fingerprints and prompt parts of the attempts, the latest last."""
     counts: Counter[str] = field(default_factory=Counter)
-    ended: deque[_Ended] = field(default_factory=lambda: deque(maxlen=ATTEMPTS_MAX))
 
 
 class AttemptHistory:
-    """Tells how common a request or prompt part is, and how other attempts end."""
+    """Tells how common a request or prompt part is among the answered attempts."""
 
     def __init__(self) -> None:
         self._scopes: dict[Scope, _ScopeHistory] = {}
         self._answered_s: OrderedDict[str, float] = OrderedDict()
 
-    def record_started(
+    def record_answered(
         self, scope: Scope, fingerprint: str, prompt_parts: tuple[str, ...]
     ) -> None:
-        """Count an attempt at a target."""
+        """Count an attempt that a target has answered."""
         history = self._scopes.setdefault(scope, _ScopeHistory())
         traits = (fingerprint, *prompt_parts)
-        history.started.append(traits)
+        history.answered.append(traits)
         history.counts.update(traits)
-        if len(history.started) > ATTEMPTS_MAX:
-            for trait in history.started.popleft():
+        if len(history.answered) > ATTEMPTS_MAX:
+            for trait in history.answered.popleft():
                 history.counts[trait] -= 1
                 if not history.counts[trait]:
                     del history.counts[trait]
 
-    def record_ended(
-        self,
-        scope: Scope,
-        prompt_parts: tuple[str, ...],
-        now_s: float,
-        *,
-        is_answered: bool,
-    ) -> None:
-        """Record whether an attempt that a target may have run was answered."""
-        if prompt_parts:
-            history = self._scopes.setdefault(scope, _ScopeHistory())
-            history.ended.append(_Ended(now_s, prompt_parts, is_answered))
-
     def record_answer(self, traits: Iterable[str], at_s: float) -> None:
         """Record an answer to a request with these fingerprints and prompt parts."""
         for trait in traits:
@@ -82,28 +61,16 @@
         return self._answered_s.get(trait, float("-inf"))
 
     def share_of(self, trait: str, scope: Scope) -> float:
-        """Return the share of attempts with a fingerprint or prompt part.
+        """Return the share of answered attempts with a fingerprint or prompt part.
 
         It is estimated high if few attempts are known.
         """
         history = self._scopes.get(scope)
         if history is None:
             return 1.0
-        return (history.counts[trait] + 1) / (len(history.started) + 2)
+        return (history.counts[trait] + 1) / (len(history.answered) + 2)
 
     def knows_usual(self, scope: Scope) -> bool:
         """Return whether enough attempts are known to tell what is usual."""
         history = self._scopes.get(scope)
-        return history is not None and len(history.started) >= USUAL_ATTEMPTS_MIN
-
-    def count_ended_without(
-        self, part: str, scope: Scope, since_s: float
-    ) -> tuple[int, int]:
-        """Return how many attempts without a part ended, and how many were answered."""
-        history = self._scopes.get(scope)
-        ended = [
-            attempt.is_answered
-            for attempt in (history.ended if history is not None else ())
-            if attempt.at_s >= since_s and part not in attempt.prompt_parts
-        ]
-        return len(ended), sum(ended)
+        return history is not None and len(history.answered) >= USUAL_ATTEMPTS_MIN
--- a/reedspar/requests/crash_causes.py
+++ b/reedspar/requests/crash_causes.py
@@ -13,7 +13,7 @@
 SOLE_CRASHES_MIN = 2
 """The same if no other request was in flight at one of them."""
 CHANCE_MAX = 0.05
-"""Maximum probability of the crashes beside others if the request has no influence."""
+"""Maximum probability of its crashes if the request has no influence."""
 
 Evidence = dict[str, list[Crash]]
 """Crashes of each fingerprint since it was last answered, in the order of time."""
@@ -47,20 +47,19 @@
 
 def _find_best(crashes: Sequence[Crash], history: AttemptHistory) -> Evidence:
     """Return the fingerprints at most crashes, if these are enough to be the cause."""
-    evidence = list_evidence(crashes, history)
     causes = {
         fingerprint: found
-        for fingerprint, found in evidence.items()
-        if len(found) >= CRASHES_MIN
+        for fingerprint, found in list_evidence(crashes, history).items()
+        if len(found) >= SOLE_CRASHES_MIN
         and _is_unusual(fingerprint, found, crashes, history)
     }
     most = max(map(len, causes.values()), default=0)
-    if most:
+    if most >= CRASHES_MIN:
         return {name: found for name, found in causes.items() if len(found) == most}
     return {
         fingerprint: found
-        for fingerprint, found in evidence.items()
-        if len(found) >= SOLE_CRASHES_MIN and any(map(_has_one_suspect, found))
+        for fingerprint, found in causes.items()
+        if any(map(_has_one_suspect, found))
     }
 
 
--- a/reedspar/requests/protection_filters.py
+++ b/reedspar/requests/protection_filters.py
@@ -7,7 +7,7 @@
 from .admission import AdmissionControl, WorkspaceLimits
 from .outcome_encoding import make_not_run
 from .quarantine import Quarantine, Standing
-from .request import Answer, Outcome, Proceed, Request
+from .request import Answer, Outcome, Proceed, Request, is_success
 from .target_directory import TargetDirectory
 from .views import ConfigurationView
 
@@ -15,7 +15,6 @@
 
 LOAD_REASONS = frozenset({Reason.OVERLOADED, Reason.COLD})
 IDLE_REMOVAL_INTERVAL_S = 10.0
-ERROR_STATUS_MIN = 400
 DEFAULT_WORKSPACE = WorkspaceConfiguration()
 
 
@@ -35,8 +34,7 @@
         if standing is Standing.BLAMED:
             return _refuse_blamed(after_s)
         answer = await proceed(request)
-        # A target may refuse a request with an error before it has run it.
-        if answer.outcome is Outcome.ANSWERED and answer.status < ERROR_STATUS_MIN:
+        if is_success(answer):
             now_s = self._timers.now_s()
             self._quarantine.on_answered(
                 request.fingerprint, now_s, request.prompt_parts
--- a/reedspar/requests/quarantine.py
+++ b/reedspar/requests/quarantine.py
@@ -197,7 +197,10 @@
 
     def _update(self) -> None:
         """Derive evidence and blame from the crashes and the answers since."""
-        for cause in find_part_causes(self._crashes.values(), self.history):
+        part_causes = find_part_causes(
+            self._crashes.values(), self._blamed_s.keys(), self.history
+        )
+        for cause in part_causes:
             self._set_verdict(PartVerdict(cause.parts, cause.last_s, is_blamed=True))
         unexplained = [
             crash
--- a/reedspar/requests/relay.py
+++ b/reedspar/requests/relay.py
@@ -20,7 +20,7 @@
 from .outcome_encoding import make_not_run
 from .quarantine import Quarantine, Standing
 from .relay_interfaces import AttemptOpener, ChosenTarget, RelayOptions, TargetChooser
-from .request import Answer, Outcome, Proceed, Request
+from .request import Answer, Outcome, Proceed, Request, is_success
 from .retry_budgets import RetryBudgets
 from .stream_forwarder import StreamForwarder, is_streamed
 
@@ -184,10 +184,6 @@
         request.targets.append(chosen.name)
         answer: Answer | None = None
         self._chooser.on_started(request, chosen)
-        scope = (request.pool, chosen.zone)
-        self._quarantine.history.record_started(
-            scope, request.fingerprint, request.prompt_parts
-        )
         try:
             with anyio.move_on_after(request.deadline_s - self._timers.now_s()):
                 answer = await self._await_answer(request, chosen, attempt, state)
@@ -199,12 +195,11 @@
         finally:
             self._chooser.on_ended(request, chosen, answer)
             self._client.close(attempt)
-            if answer is not None and answer.outcome is not Outcome.NOT_RUN:
-                self._quarantine.history.record_ended(
-                    scope,
+            if answer is not None and is_success(answer):
+                self._quarantine.history.record_answered(
+                    (request.pool, chosen.zone),
+                    request.fingerprint,
                     request.prompt_parts,
-                    self._timers.now_s(),
-                    is_answered=answer.outcome is Outcome.ANSWERED,
                 )
 
     def _make_start(
--- a/reedspar/requests/request.py
+++ b/reedspar/requests/request.py
@@ -9,7 +9,17 @@
 from reedspar.configuration import PoolKind
 from reedspar.errors import Failure
 
-__all__ = ["Answer", "Filter", "Outcome", "Proceed", "Request", "Responder"]
+__all__ = [
+    "Answer",
+    "Filter",
+    "Outcome",
+    "Proceed",
+    "Request",
+    "Responder",
+    "is_success",
+]
+
+ERROR_STATUS_MIN = 400
 
 
 class Outcome(Enum):
@@ -40,6 +50,11 @@
     is_truncated: bool = False
 
 
+def is_success(answer: Answer) -> bool:
+    """Return whether a target has run the request; it may refuse one with an error."""
+    return answer.outcome is Outcome.ANSWERED and answer.status < ERROR_STATUS_MIN
+
+
 class Responder(Protocol):
     """Sends a stream to the caller."""
 
--- a/reedspar/requests/tests/test_part_quarantine.py
+++ b/reedspar/requests/tests/test_part_quarantine.py
@@ -10,6 +10,7 @@
 SEEDS = range(40)
 CRASHES_MAX = 8
 """Five crashes, and three requests that may reach targets after them."""
+BAD = frozenset({"bad"})
 SCOPES = (("pool", "a"), ("pool", "b"), ("pool", "c"))
 
 
@@ -28,6 +29,8 @@
     """Sound requests in flight at each crash."""
     answered_share: float = 0.5
     """Share of the sound requests that are answered while targets crash."""
+    gap_s: float = 0.02
+    """Time between two requests."""
     quarantine: Quarantine = field(default_factory=Quarantine)
     now_s: float = 100.0
     crashes: int = 0
@@ -48,28 +51,18 @@
         first, _ = suspect.prompt_parts
         return CrashSuspect(suspect.fingerprint, (first, self.bad_part))
 
-    def send(self, suspect: CrashSuspect, scope: tuple[str, str]) -> None:
-        self.quarantine.history.record_started(
-            scope, suspect.fingerprint, suspect.prompt_parts
-        )
-
-    def end(
-        self, suspect: CrashSuspect, scope: tuple[str, str], *, is_answered: bool
-    ) -> None:
+    def answer(self, suspect: CrashSuspect, scope: tuple[str, str]) -> None:
         parts = suspect.prompt_parts
-        history = self.quarantine.history
-        history.record_ended(scope, parts, self.now_s, is_answered=is_answered)
-        if is_answered:
-            self.quarantine.on_answered(suspect.fingerprint, self.now_s, parts)
+        self.quarantine.history.record_answered(scope, suspect.fingerprint, parts)
+        self.quarantine.on_answered(suspect.fingerprint, self.now_s, parts)
 
     def serve(self, count: int, answered_share: float) -> None:
         """Let sound requests end, none of them at a target that crashes."""
         for _ in range(count):
-            self.now_s += 0.02
+            self.now_s += self.gap_s
             suspect, scope = self.make_sound(), self.rng.choice(SCOPES)
-            self.send(suspect, scope)
-            is_answered = self.rng.random() < answered_share
-            self.end(suspect, scope, is_answered=is_answered)
+            if self.rng.random() < answered_share:
+                self.answer(suspect, scope)
 
     def crash(self, *, has_bad: bool, scope: tuple[str, str] | None = None) -> None:
         """Let a target crash with sound requests in flight, and maybe a bad one."""
@@ -77,9 +70,6 @@
         suspects = [self.make_sound() for _ in range(self.beside)]
         if has_bad:
             suspects.append(self.make_bad())
-        for suspect in suspects:
-            self.send(suspect, scope)
-            self.end(suspect, scope, is_answered=False)
         self.crashes += 1
         self.quarantine.on_crash(
             f"t/{self.crashes}", suspects, self.now_s, self.now_s, scope
@@ -122,9 +112,16 @@
             load = Workload(seed, bad_part="bad", answered_share=0.1)
             self.assertLessEqual(self.count_crashes(load, 5), CRASHES_MAX, seed)
 
+    def test_part_is_refused_in_time_beside_long_queues(self) -> None:
+        for seed in SEEDS:
+            load = Workload(seed, bad_part="bad", beside=20)
+            self.assertLessEqual(self.count_crashes(load, 10), CRASHES_MAX, seed)
+
     def test_part_is_refused_in_time_at_quiet_hours(self) -> None:
         for seed in SEEDS:
-            load = Workload(seed, bad_part="bad", beside=0, answered_share=1.0)
+            load = Workload(
+                seed, bad_part="bad", beside=0, answered_share=1.0, gap_s=0.5
+            )
             self.assertLessEqual(self.count_crashes(load, 2), CRASHES_MAX, seed)
 
     def test_part_that_all_routes_share_with_it_is_not_refused(self) -> None:
@@ -143,8 +140,8 @@
         load.serve(200, 1.0)
         for crash in range(6):
             suspect = CrashSuspect(f"n{crash}", ("new", "bad"))
-            load.send(suspect, SCOPES[0])
-            load.quarantine.on_crash(f"t/{crash}", [suspect], 200.0, 200.0, SCOPES[0])
+            at_s = 200.0 + crash
+            load.quarantine.on_crash(f"t/{crash}", [suspect], at_s, at_s, SCOPES[0])
         self.assertTrue(load.is_refused("new", "bad", "other"))
         self.assertFalse(load.is_refused("new", "other"))
 
@@ -179,15 +176,12 @@
             load.serve(100, 1.0)
             local = [CrashSuspect(f"l{n}", ("local", f"s{n}")) for n in range(60)]
             for suspect in local[:30]:
-                load.send(suspect, SCOPES[2])
+                load.answer(suspect, SCOPES[2])
             for crash in range(30):
                 in_flight = load.rng.sample(local, 4)
-                for suspect in in_flight:
-                    load.send(suspect, SCOPES[2])
                 load.quarantine.on_crash(
                     f"l/{crash}", in_flight, load.now_s, load.now_s, SCOPES[2]
                 )
-                load.rng.shuffle(local)
                 load.now_s += 0.1
                 self.assertFalse(load.is_refused("local"), f"seed {seed}")
 
@@ -215,7 +209,7 @@
         self.quarantine = Quarantine()
         self.verdicts: list[PartVerdict] = []
         self.quarantine.on_verdict(self.verdicts.append)
-        self.blamed = PartVerdict(frozenset({"bad"}), 10.0, is_blamed=True)
+        self.blamed = PartVerdict(BAD, 10.0, is_blamed=True)
         self.quarantine.adopt_verdict(self.blamed)
 
     def is_refused(self, now_s: float) -> bool:
@@ -233,7 +227,7 @@
         self.quarantine.on_answered("r", 12.0, ("first", "bad"))
         self.quarantine.adopt_verdict(self.blamed)
         self.assertFalse(self.is_refused(13.0))
-        cleared = PartVerdict(frozenset({"bad"}), 12.0, is_blamed=False)
+        cleared = PartVerdict(BAD, 12.0, is_blamed=False)
         self.assertEqual(self.verdicts, [self.blamed, cleared])
 
     def test_answer_to_another_request_does_not_clear_them(self) -> None:
@@ -241,7 +235,7 @@
         self.assertTrue(self.is_refused(13.0))
 
     def test_clearing_by_another_entry_is_adopted(self) -> None:
-        cleared = PartVerdict(frozenset({"bad"}), 12.0, is_blamed=False)
+        cleared = PartVerdict(BAD, 12.0, is_blamed=False)
         self.quarantine.adopt_verdict(cleared)
         self.assertFalse(self.is_refused(13.0))
 
--- a/reedspar/requests/tests/test_quarantine.py
+++ b/reedspar/requests/tests/test_quarantine.py
@@ -60,7 +60,7 @@
         scope = ("orders", "a")
         for number in range(60):
             name = "common" if number % 2 else f"r{number}"
-            self.quarantine.history.record_started(scope, name, ())
+            self.quarantine.history.record_answered(scope, name, ())
         for crash in range(6):
             names = {"common", "deadly", f"a{crash}", f"b{crash}"}
             suspects = map(CrashSuspect, names if crash % 2 else names - {"deadly"})
