--- a/reedspar/requests/crash_gossip.py
+++ b/reedspar/requests/crash_gossip.py
@@ -15,8 +15,9 @@
 from reedspar.utils import TokenBucket, sample_up_to
 
 from .attempt_history import Scope
-from .messages import CrashNews, CrashNewsRequest, PartVerdictNews
-from .quarantine import Crash, PartVerdict, Quarantine
+from .crashes import Cause, Crash
+from .messages import CrashNews, CrashNewsRequest, CrashVerdictNews
+from .quarantine import Quarantine, Verdict
 
 __all__ = ["CrashGossip", "create_crash_gossip"]
 
@@ -55,7 +56,7 @@
         network.subscribe(CrashNotice, self._on_notice)
         network.subscribe(CrashNews, self._on_report)
         network.subscribe(CrashNewsRequest, self._on_request)
-        network.subscribe(PartVerdictNews, self._on_verdict_news)
+        network.subscribe(CrashVerdictNews, self._on_verdict_news)
         quarantine.on_verdict(self._tell_verdict)
         network.on_link_event(self._on_link_event)
         timers.call_every(REPEAT_INTERVAL_S, self._repeat_recent)
@@ -87,15 +88,16 @@
         now_s = self._timers.now_s()
         for crash in self._quarantine.list_recent(now_s):
             self._network.send(sender.name, _make_report(crash, now_s))
-        for verdict in self._quarantine.list_blamed_parts(now_s):
+        for verdict in self._quarantine.list_blamed(now_s):
             self._network.send(sender.name, _make_verdict_news(verdict, now_s))
 
-    def _on_verdict_news(self, sender: Sender, news: PartVerdictNews) -> None:
+    def _on_verdict_news(self, sender: Sender, news: CrashVerdictNews) -> None:
         at_s = self._timers.now_s() - news.age_ms / 1000
-        verdict = PartVerdict(frozenset(news.parts), at_s, news.is_blamed)
+        cause = Cause(news.fingerprint, frozenset(news.prompt_parts))
+        verdict = Verdict(cause, at_s, news.is_blamed)
         self._quarantine.adopt_verdict(verdict)
 
-    def _tell_verdict(self, verdict: PartVerdict) -> None:
+    def _tell_verdict(self, verdict: Verdict) -> None:
         """Pass a verdict on that is new to this entry, its own or another entry's."""
         news = _make_verdict_news(verdict, self._timers.now_s())
         for peer in self._pick_entries(REPORT_FANOUT):
@@ -136,7 +138,7 @@
     def _repeat_recent(self) -> None:
         now_s = self._timers.now_s()
         crashes = self._quarantine.list_recent(now_s)[:REPEATED_REPORTS_MAX]
-        verdicts = self._quarantine.list_blamed_parts(now_s)
+        verdicts = self._quarantine.list_blamed(now_s)
         if not crashes and not verdicts:
             return
         for peer in self._pick_entries(1):
@@ -157,9 +159,10 @@
     )
 
 
-def _make_verdict_news(verdict: PartVerdict, now_s: float) -> PartVerdictNews:
-    return PartVerdictNews(
-        tuple(sorted(verdict.parts)),
+def _make_verdict_news(verdict: Verdict, now_s: float) -> CrashVerdictNews:
+    return CrashVerdictNews(
+        verdict.cause.fingerprint,
+        tuple(sorted(verdict.cause.prompt_parts)),
         verdict.is_blamed,
         _encode_age(verdict.at_s, now_s),
     )
--- a/reedspar/requests/crashes.py
+++ b/reedspar/requests/crashes.py
@@ -1,7 +1,7 @@
 """Records of crashes of targets, and the probability of what was in flight there."""
 
 import math
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from statistics import fmean
 
@@ -9,7 +9,7 @@
 
 from .attempt_history import AttemptHistory, Scope
 
-__all__ = ["Crash", "create_crash", "presence_by_chance"]
+__all__ = ["Cause", "Crash", "create_crash", "presence_by_chance"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,6 +24,32 @@
     """Parts of all these requests."""
 
 
+@dataclass(frozen=True, slots=True)
+class Cause:
+    """What requests that crash targets share: a fingerprint, or prompt parts."""
+
+    fingerprint: str = ""
+    prompt_parts: frozenset[str] = frozenset()
+    """Parts that a request needs to have, all of them; empty with a fingerprint."""
+
+    @property
+    def traits(self) -> frozenset[str]:
+        """Return the fingerprint or the parts."""
+        return frozenset({self.fingerprint}) if self.fingerprint else self.prompt_parts
+
+    def matches(self, fingerprint: str, prompt_parts: Iterable[str]) -> bool:
+        """Return whether a request has this in common with others."""
+        if self.fingerprint:
+            return fingerprint == self.fingerprint
+        return self.prompt_parts.issubset(prompt_parts)
+
+    def explains(self, crash: Crash) -> bool:
+        """Return whether such a request was in flight at a crash."""
+        return any(
+            self.matches(item.fingerprint, item.prompt_parts) for item in crash.suspects
+        )
+
+
 def create_crash(
     crash_id: str, scope: Scope, at_s: float, suspects: frozenset[CrashSuspect]
 ) -> Crash:
--- a/reedspar/requests/messages.py
+++ b/reedspar/requests/messages.py
@@ -17,7 +17,7 @@
     "ClaimVerdict",
     "CrashNews",
     "CrashNewsRequest",
-    "PartVerdictNews",
+    "CrashVerdictNews",
     "register_messages",
 ]
 
@@ -41,10 +41,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PartVerdictNews:
-    """Tells other entries that prompt parts are blamed for crashes, or cleared."""
+class CrashVerdictNews:
+    """Tells other entries that a cause of crashes is blamed, or cleared."""
 
-    parts: tuple[str, ...]
+    fingerprint: str
+    """Empty if requests with all of the prompt parts are meant."""
+    prompt_parts: tuple[str, ...]
     is_blamed: bool
     age_ms: int
     """Time since the last crash or answer that the verdict follows from."""
@@ -160,7 +162,7 @@
         schema,
         CrashNews,
         CrashNewsRequest,
-        PartVerdictNews,
+        CrashVerdictNews,
         ClaimRequest,
         ClaimReply,
         ClaimUpdate,
--- a/reedspar/requests/quarantine.py
+++ b/reedspar/requests/quarantine.py
@@ -16,17 +16,19 @@
 
 from .attempt_history import AttemptHistory, Scope
 from .crash_causes import find_causes, list_evidence
-from .crashes import Crash, create_crash
+from .crashes import Cause, Crash, create_crash
 from .part_causes import find_part_causes
 
-__all__ = ["Crash", "PartVerdict", "Quarantine", "Standing"]
+__all__ = ["Crash", "Quarantine", "Standing", "Verdict"]
 
 QUARANTINE_S = 300.0
-"""How long a blamed fingerprint or prompt part is refused after its last crash."""
+"""How long a cause of crashes is refused after its last crash."""
 CRASHES_MAX = 256
 """Maximum number of crashes remembered."""
-RELEASED_PARTS_MAX = 64
-"""Maximum number of parts remembered whose quarantine is over."""
+RELEASED_MAX = 64
+"""Maximum number of causes remembered whose quarantine is over."""
+SETTLE_S = 0.3
+"""Age of a crash from which all entries have reported what they had in flight there."""
 SUSPECT_CRASHES_MIN = 2
 """Number of crashes that make a fingerprint a suspect."""
 
@@ -42,16 +44,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PartVerdict:
-    """Whether requests with all of these prompt parts crash targets."""
+class Verdict:
+    """Whether requests crash targets, by what they have in common."""
 
-    parts: frozenset[str]
+    cause: Cause
     at_s: float
     """Time of the last crash or answer that the verdict follows from."""
     is_blamed: bool
 
 
-VerdictListener = Callable[[PartVerdict], None]
+VerdictListener = Callable[[Verdict], None]
 
 
 @dataclass(slots=True)
@@ -61,14 +63,16 @@
     quarantine_s: float = QUARANTINE_S
     history: AttemptHistory = field(default_factory=AttemptHistory)
     _crashes: OrderedDict[str, Crash] = field(default_factory=OrderedDict)
-    _blamed_s: dict[str, float] = field(default_factory=dict)
-    """Time of the last crash of each blamed fingerprint."""
-    _blamed_parts_s: dict[frozenset[str], float] = field(default_factory=dict)
-    """Time of the last crash, by the parts that a request needs to have."""
-    _released_parts: OrderedDict[frozenset[str], None] = field(
-        default_factory=OrderedDict
-    )
-    """Parts whose quarantine is over, and whose requests were not answered since."""
+    _blamed_s: dict[Cause, float] = field(default_factory=dict)
+    """Time of the last crash of each cause, by verdicts that hold until an answer."""
+    _tentative_s: dict[str, float] = field(default_factory=dict)
+    """Time of the last crash of each fingerprint that explains the crashes so far.
+
+    Other entries may yet report what else was in flight there."""
+    _released: OrderedDict[Cause, None] = field(default_factory=OrderedDict)
+    """Causes whose quarantine is over, and whose requests were not answered since."""
+    _settles_s: float = float("inf")
+    """Time from which the next crash is reported by all entries."""
     _evidence: dict[str, list[Crash]] = field(default_factory=dict)
     """Crashes of each fingerprint since it was last answered."""
     _last_crash_s: dict[str, float] = field(default_factory=dict)
@@ -76,7 +80,7 @@
     _listeners: list[VerdictListener] = field(default_factory=list)
 
     def on_verdict(self, listener: VerdictListener) -> None:
-        """Call `listener` with each new verdict on prompt parts."""
+        """Call `listener` with each new verdict."""
         self._listeners.append(listener)
 
     def on_crash(
@@ -88,7 +92,7 @@
         scope: Scope = ("", ""),
     ) -> bool:
         """Record a crash, or more suspects of it; return whether that is news."""
-        self._remove_expired(now_s)
+        self._apply_time(now_s)
         if now_s - at_s > self.quarantine_s:
             return False
         in_flight = frozenset(suspects)
@@ -101,6 +105,7 @@
         self._crashes[crash_id] = crash
         while len(self._crashes) > CRASHES_MAX:
             self._crashes.popitem(last=False)
+        self._settles_s = min(self._settles_s, now_s + SETTLE_S)
         self._blame_released(crash)
         self._update()
         self._log_suspects(crash, now_s)
@@ -119,22 +124,20 @@
         if self._is_suspect(fingerprint):
             _logger.info("request cleared", extra={"fingerprint": fingerprint})
         self.history.record_answer(traits, now_s)
-        cleared = [p for p in self._blamed_parts_s if p.issubset(prompt_parts)]
-        for parts in cleared:
-            self._set_verdict(PartVerdict(parts, now_s, is_blamed=False))
-        for parts in [p for p in self._released_parts if p.issubset(prompt_parts)]:
-            del self._released_parts[parts]
+        for cause in [*self._blamed_s, *self._released]:
+            if cause.matches(fingerprint, prompt_parts):
+                self._set_verdict(Verdict(cause, now_s, is_blamed=False))
         if was_evidence:
             self._update()
 
-    def adopt_verdict(self, verdict: PartVerdict) -> None:
+    def adopt_verdict(self, verdict: Verdict) -> None:
         """Apply the verdict of another entry unless newer evidence contradicts it."""
         if verdict.is_blamed:
-            answered_s = min(map(self.history.last_answer_s, verdict.parts))
+            answered_s = min(map(self.history.last_answer_s, verdict.cause.traits))
             if answered_s < verdict.at_s:
                 self._set_verdict(verdict)
-        elif verdict.at_s >= self._blamed_parts_s.get(verdict.parts, float("inf")):
-            self.history.record_answer(verdict.parts, verdict.at_s)
+        elif verdict.at_s >= self._blamed_s.get(verdict.cause, float("inf")):
+            self.history.record_answer(verdict.cause.traits, verdict.at_s)
             self._set_verdict(verdict)
             self._update()
 
@@ -142,14 +145,14 @@
         self, fingerprint: str, now_s: float, prompt_parts: tuple[str, ...] = ()
     ) -> tuple[Standing, float]:
         """Return a request's standing, and the time it is still refused for."""
-        self._remove_expired(now_s)
+        self._apply_time(now_s)
         crashes_s = [
             at_s
-            for parts, at_s in self._blamed_parts_s.items()
-            if parts.issubset(prompt_parts)
+            for cause, at_s in self._blamed_s.items()
+            if cause.matches(fingerprint, prompt_parts)
         ]
-        if fingerprint in self._blamed_s:
-            crashes_s.append(self._blamed_s[fingerprint])
+        if fingerprint in self._tentative_s:
+            crashes_s.append(self._tentative_s[fingerprint])
         if crashes_s:
             return Standing.BLAMED, max(crashes_s) + self.quarantine_s - now_s
         if self._is_suspect(fingerprint):
@@ -158,73 +161,91 @@
 
     def list_recent(self, now_s: float) -> list[Crash]:
         """Return the crashes within the quarantine period, newest first."""
-        self._remove_expired(now_s)
+        self._apply_time(now_s)
         return list(reversed(self._crashes.values()))
 
-    def list_blamed_parts(self, now_s: float) -> list[PartVerdict]:
-        """Return the verdicts by which requests are refused for their prompt parts."""
-        self._remove_expired(now_s)
+    def list_blamed(self, now_s: float) -> list[Verdict]:
+        """Return the verdicts by which requests are refused."""
+        self._apply_time(now_s)
         return [
-            PartVerdict(parts, at_s, is_blamed=True)
-            for parts, at_s in self._blamed_parts_s.items()
+            Verdict(cause, at_s, is_blamed=True)
+            for cause, at_s in self._blamed_s.items()
         ]
 
     def _is_suspect(self, fingerprint: str) -> bool:
         return len(self._evidence.get(fingerprint, ())) >= SUSPECT_CRASHES_MIN
 
     def _blame_released(self, crash: Crash) -> None:
-        """Blame parts again whose requests crash a target after their quarantine."""
-        for parts in list(self._released_parts):
-            if any(parts.issubset(suspect.prompt_parts) for suspect in crash.suspects):
-                self._set_verdict(PartVerdict(parts, crash.at_s, is_blamed=True))
+        """Blame a cause again that crashes a target after its quarantine."""
+        for cause in [cause for cause in self._released if cause.explains(crash)]:
+            self._set_verdict(Verdict(cause, crash.at_s, is_blamed=True))
 
-    def _set_verdict(self, verdict: PartVerdict) -> None:
+    def _set_verdict(self, verdict: Verdict) -> None:
         """Apply a verdict; log it and call the listeners if it changes anything."""
-        known_s = self._blamed_parts_s.get(verdict.parts)
+        cause = verdict.cause
+        known_s = self._blamed_s.get(cause)
         is_change = verdict.is_blamed is (known_s is None)
         if verdict.is_blamed:
-            self._blamed_parts_s[verdict.parts] = max(
-                verdict.at_s, verdict.at_s if known_s is None else known_s
-            )
+            self._blamed_s[cause] = max(verdict.at_s, known_s or verdict.at_s)
         else:
-            self._blamed_parts_s.pop(verdict.parts, None)
+            self._blamed_s.pop(cause, None)
+            self._released.pop(cause, None)
         if not is_change:
             return
-        message = "prompt parts blamed" if verdict.is_blamed else "prompt parts cleared"
-        _logger.info(message, extra={"prompt_parts": sorted(verdict.parts)})
+        _logger.info(
+            "cause of crashes %s",
+            "blamed" if verdict.is_blamed else "cleared",
+            extra={
+                "fingerprint": cause.fingerprint,
+                "prompt_parts": sorted(cause.prompt_parts),
+            },
+        )
         for listener in self._listeners:
             listener(verdict)
 
     def _update(self) -> None:
         """Derive evidence and blame from the crashes and the answers since."""
-        part_causes = find_part_causes(
-            self._crashes.values(), self._blamed_s.keys(), self.history
-        )
-        for cause in part_causes:
-            self._set_verdict(PartVerdict(cause.parts, cause.last_s, is_blamed=True))
-        unexplained = [
-            crash
-            for crash in self._crashes.values()
-            if not self._has_blamed_parts(crash)
-        ]
+        crashes = list(self._crashes.values())
+        blamed = {cause.fingerprint for cause in self._blamed_s if cause.fingerprint}
+        blamed |= self._tentative_s.keys()
+        for part_cause in find_part_causes(crashes, blamed, self.history):
+            cause = Cause(prompt_parts=part_cause.parts)
+            self._set_verdict(Verdict(cause, part_cause.last_s, is_blamed=True))
+        unexplained = self._list_unexplained(crashes)
         self._evidence = list_evidence(unexplained, self.history)
-        self._blamed_s = {
-            fingerprint: crashes[-1].at_s
-            for fingerprint, crashes in find_causes(unexplained, self.history).items()
+        self._tentative_s = {
+            fingerprint: found[-1].at_s
+            for fingerprint, found in find_causes(unexplained, self.history).items()
         }
         self._last_crash_s = {
             trait: crash.at_s
-            for crash in sorted(self._crashes.values(), key=lambda crash: crash.at_s)
+            for crash in sorted(crashes, key=lambda crash: crash.at_s)
             for suspect in crash.suspects
             for trait in (suspect.fingerprint, *suspect.prompt_parts)
         }
 
-    def _has_blamed_parts(self, crash: Crash) -> bool:
-        return any(
-            parts.issubset(suspect.prompt_parts)
-            for suspect in crash.suspects
-            for parts in self._blamed_parts_s
-        )
+    def _list_unexplained(self, crashes: Iterable[Crash]) -> list[Crash]:
+        """Return the crashes that no blamed prompt part explains."""
+        part_causes = [cause for cause in self._blamed_s if cause.prompt_parts]
+        return [
+            crash
+            for crash in crashes
+            if not any(cause.explains(crash) for cause in part_causes)
+        ]
+
+    def _blame_settled(self, now_s: float) -> None:
+        """Blame the requests that explain the crashes that all entries have reported.
+
+        The verdict holds, whatever explains later crashes.
+        """
+        horizon_s = now_s - SETTLE_S
+        crashes = self._list_unexplained(self._crashes.values())
+        settled = [crash for crash in crashes if crash.at_s <= horizon_s]
+        for fingerprint, found in find_causes(settled, self.history).items():
+            verdict = Verdict(Cause(fingerprint), found[-1].at_s, is_blamed=True)
+            self._set_verdict(verdict)
+        waiting_s = [crash.at_s for crash in crashes if crash.at_s > horizon_s]
+        self._settles_s = min(waiting_s, default=float("inf")) + SETTLE_S
 
     def _log_suspects(self, crash: Crash, now_s: float) -> None:
         """Log the suspects in flight at a crash, with the number of their crashes."""
@@ -242,22 +263,22 @@
                 "target": crash.crash_id,
                 "age_s": round(now_s - crash.at_s, 3),
                 "crashes_by_fingerprint": counts,
-                "blamed": sorted(self._blamed_s.keys() & counts.keys()),
+                "blamed": sorted(self._tentative_s.keys() & counts.keys()),
             },
         )
 
-    def _remove_expired(self, now_s: float) -> None:
+    def _apply_time(self, now_s: float) -> None:
+        """Release what has expired, and judge crashes that are settled by now."""
         horizon_s = now_s - self.quarantine_s
-        for parts in [
-            p for p, at_s in self._blamed_parts_s.items() if at_s < horizon_s
-        ]:
-            del self._blamed_parts_s[parts]
-            self._released_parts[parts] = None
-        while len(self._released_parts) > RELEASED_PARTS_MAX:
-            self._released_parts.popitem(last=False)
+        for cause in [c for c, at_s in self._blamed_s.items() if at_s < horizon_s]:
+            del self._blamed_s[cause]
+            self._released[cause] = None
+        while len(self._released) > RELEASED_MAX:
+            self._released.popitem(last=False)
         expired = [c.crash_id for c in self._crashes.values() if c.at_s < horizon_s]
-        if not expired:
-            return
         for crash_id in expired:
             del self._crashes[crash_id]
-        self._update()
+        if expired:
+            self._update()
+        if now_s >= self._settles_s:
+            self._blame_settled(now_s)
--- a/reedspar/requests/requests.capnp
+++ b/reedspar/requests/requests.capnp
@@ -17,10 +17,11 @@
 struct CrashNewsRequest {
 }
 
-struct PartVerdictNews {
-  parts @0 :List(Text);
-  isBlamed @1 :Bool;
-  ageMs @2 :UInt64;
+struct CrashVerdictNews {
+  fingerprint @0 :Text;
+  promptParts @1 :List(Text);
+  isBlamed @2 :Bool;
+  ageMs @3 :UInt64;
 }
 
 struct ClaimRequest {
--- a/reedspar/requests/tests/test_crash_gossip.py
+++ b/reedspar/requests/tests/test_crash_gossip.py
@@ -104,6 +104,19 @@
                 listener(LinkEvent("e3", 1, LinkChange.UP))
             self.assertTrue(apart.blames, f"seed {seed}")
 
+    def test_verdict_on_a_request_reaches_entries_that_lack_the_evidence(self) -> None:
+        # Guards against a request that some entries refuse and others hand to targets,
+        # since they know other answers.
+        for seed in range(20):
+            fleet = Fleet(seed, 9)
+            common = fleet.entries["e8"].quarantine.history
+            for _ in range(30):
+                common.record_answered(("orders", "a"), "deadly", ())
+            fleet.crash("e0", 3)
+            fleet.advance(1.0)
+            fleet.entries["e0"].quarantine.standing("deadly", 1.0)
+            self.assertTrue(fleet.entries["e8"].blames, f"seed {seed}")
+
     def test_entry_that_was_paused_knows_crashes_at_once(self) -> None:
         for seed in range(20):
             fleet = Fleet(seed, 9)
--- a/reedspar/requests/tests/test_part_quarantine.py
+++ b/reedspar/requests/tests/test_part_quarantine.py
@@ -5,12 +5,13 @@
 from dataclasses import dataclass, field
 
 from reedspar.attempts import CrashSuspect
-from reedspar.requests.quarantine import PartVerdict, Quarantine, Standing
+from reedspar.requests.crashes import Cause
+from reedspar.requests.quarantine import Quarantine, Standing, Verdict
 
 SEEDS = range(40)
 CRASHES_MAX = 8
 """Five crashes, and three requests that may reach targets after them."""
-BAD = frozenset({"bad"})
+BAD = Cause(prompt_parts=frozenset({"bad"}))
 SCOPES = (("pool", "a"), ("pool", "b"), ("pool", "c"))
 
 
@@ -207,9 +208,9 @@
 class VerdictTest(unittest.TestCase):
     def setUp(self) -> None:
         self.quarantine = Quarantine()
-        self.verdicts: list[PartVerdict] = []
+        self.verdicts: list[Verdict] = []
         self.quarantine.on_verdict(self.verdicts.append)
-        self.blamed = PartVerdict(BAD, 10.0, is_blamed=True)
+        self.blamed = Verdict(BAD, 10.0, is_blamed=True)
         self.quarantine.adopt_verdict(self.blamed)
 
     def is_refused(self, now_s: float) -> bool:
@@ -227,7 +228,7 @@
         self.quarantine.on_answered("r", 12.0, ("first", "bad"))
         self.quarantine.adopt_verdict(self.blamed)
         self.assertFalse(self.is_refused(13.0))
-        cleared = PartVerdict(BAD, 12.0, is_blamed=False)
+        cleared = Verdict(BAD, 12.0, is_blamed=False)
         self.assertEqual(self.verdicts, [self.blamed, cleared])
 
     def test_answer_to_another_request_does_not_clear_them(self) -> None:
@@ -235,7 +236,7 @@
         self.assertTrue(self.is_refused(13.0))
 
     def test_clearing_by_another_entry_is_adopted(self) -> None:
-        cleared = PartVerdict(BAD, 12.0, is_blamed=False)
+        cleared = Verdict(BAD, 12.0, is_blamed=False)
         self.quarantine.adopt_verdict(cleared)
         self.assertFalse(self.is_refused(13.0))
 
--- a/reedspar/requests/tests/test_quarantine.py
+++ b/reedspar/requests/tests/test_quarantine.py
@@ -54,6 +54,18 @@
         self.assert_blamed("first", "second")
         self.assert_not_blamed("hot")
 
+    def test_request_stays_blamed_when_another_explains_more_crashes(self) -> None:
+        # Guards against a request that is let through again, and crashes more targets,
+        # once another request was in flight at all of its crashes.
+        for crash in range(3):
+            names = {"deadly", "other", f"r{crash}"}
+            self.quarantine.on_crash(f"t/{crash}", map(CrashSuspect, names), crash, 4.0)
+        self.assert_blamed("deadly")
+        for crash in range(3, 6):
+            names = {"other", f"r{crash}"}
+            self.quarantine.on_crash(f"t/{crash}", map(CrashSuspect, names), crash, 9.0)
+        self.assert_blamed("deadly", "other")
+
     def test_common_request_is_not_blamed_for_crashes_of_others(self) -> None:
         # Guards against refusing a request that many callers send alike, which is in
         # flight wherever a target ends.
