--- a/reedspar/requests/attempt_history.py
+++ b/reedspar/requests/attempt_history.py
@@ -8,7 +8,7 @@
 
 ATTEMPTS_MAX = 256
 """Number of answered attempts kept of each scope."""
-USUAL_ATTEMPTS_MIN = 20
+USUAL_ATTEMPTS_MIN = 5
 """Number of answered attempts from which their shares tell what is usual."""
 ANSWERS_MAX = 4096
 """Number of fingerprints and parts of which the last answer is remembered."""
--- a/reedspar/requests/quarantine.py
+++ b/reedspar/requests/quarantine.py
@@ -236,12 +236,15 @@
     def _blame_settled(self, now_s: float) -> None:
         """Blame the requests that explain the crashes that all entries have reported.
 
-        The verdict holds, whatever explains later crashes.
+        The verdict holds, whatever explains later crashes, and goes to entries that may
+        know what this one does not.  So it needs to know what is usual.
         """
         horizon_s = now_s - SETTLE_S
         crashes = self._list_unexplained(self._crashes.values())
         settled = [crash for crash in crashes if crash.at_s <= horizon_s]
         for fingerprint, found in find_causes(settled, self.history).items():
+            if not all(self.history.knows_usual(crash.scope) for crash in found):
+                continue
             verdict = Verdict(Cause(fingerprint), found[-1].at_s, is_blamed=True)
             self._set_verdict(verdict)
         waiting_s = [crash.at_s for crash in crashes if crash.at_s > horizon_s]
--- a/reedspar/requests/tests/test_quarantine.py
+++ b/reedspar/requests/tests/test_quarantine.py
@@ -8,7 +8,7 @@
 from reedspar.attempts import CrashSuspect
 from reedspar.requests.filters import fingerprint_request
 from reedspar.requests.protection_filters import QuarantineFilter
-from reedspar.requests.quarantine import Quarantine, Standing
+from reedspar.requests.quarantine import Quarantine, Standing, Verdict
 from reedspar.requests.request import Answer, Outcome, Request
 from reedspar.requests.tests.test_claims import make_order
 from reedspar.timers import TimerService, VirtualClock
@@ -57,6 +57,8 @@
     def test_request_stays_blamed_when_another_explains_more_crashes(self) -> None:
         # Guards against a request that is let through again, and crashes more targets,
         # once another request was in flight at all of its crashes.
+        for number in range(30):
+            self.quarantine.history.record_answered(("", ""), f"a{number}", ())
         for crash in range(3):
             names = {"deadly", "other", f"r{crash}"}
             self.quarantine.on_crash(f"t/{crash}", map(CrashSuspect, names), crash, 4.0)
@@ -66,6 +68,17 @@
             self.quarantine.on_crash(f"t/{crash}", map(CrashSuspect, names), crash, 9.0)
         self.assert_blamed("deadly", "other")
 
+    def test_entry_without_experience_keeps_its_verdict_to_itself(self) -> None:
+        # Guards against refusing a request that many callers send alike, because an
+        # entry that has just started saw it at three crashes.
+        verdicts: list[Verdict] = []
+        self.quarantine.on_verdict(verdicts.append)
+        for crash in range(3):
+            names = map(CrashSuspect, ("common", f"r{crash}"))
+            self.quarantine.on_crash(f"t/{crash}", names, crash, 4.0)
+        self.assert_blamed("common")
+        self.assertEqual(verdicts, [])
+
     def test_common_request_is_not_blamed_for_crashes_of_others(self) -> None:
         # Guards against refusing a request that many callers send alike, which is in
         # flight wherever a target ends.
