--- a/reedspar/attempts/__init__.py
+++ b/reedspar/attempts/__init__.py
@@ -1,6 +1,7 @@
 """Messages between entry daemons and target agents about attempts and targets."""
 
 from .messages import (
+    CRASH_AFTER_BEGIN_MAX_S,
     AttemptAck,
     AttemptCancel,
     AttemptData,
@@ -23,6 +24,7 @@
 from .registration import register_messages
 
 __all__ = [
+    "CRASH_AFTER_BEGIN_MAX_S",
     "AttemptAck",
     "AttemptCancel",
     "AttemptData",
--- a/reedspar/attempts/messages.py
+++ b/reedspar/attempts/messages.py
@@ -14,6 +14,7 @@
 from reedspar.errors import Reason
 
 __all__ = [
+    "CRASH_AFTER_BEGIN_MAX_S",
     "AttemptAck",
     "AttemptCancel",
     "AttemptData",
@@ -230,6 +231,12 @@
     latency_s: float
 
 
+CRASH_AFTER_BEGIN_MAX_S = 0.5
+"""Time from the first bytes of an answer to a crash that its request may have caused.
+
+A request that crashes its target does so when it begins to run."""
+
+
 @dataclass(frozen=True, slots=True)
 class CrashSuspect:
     """A request that was in flight when a target's process crashed."""
--- a/reedspar/direct/target_choice.py
+++ b/reedspar/direct/target_choice.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from reedspar.attempts import CrashSuspect
+from reedspar.attempts import CRASH_AFTER_BEGIN_MAX_S, CrashSuspect
 from reedspar.errors import Failure, Reason, Step
 from reedspar.fleet import FleetView, KnownTarget
 from reedspar.requests.relay_interfaces import ChosenTarget
@@ -58,10 +58,6 @@
 prompt alone exceeds the latency goal."""
 LOCAL_REASONS = frozenset({Reason.SUPERSEDED, Reason.CANCELLED})
 """Failures caused by this entry, which say nothing about the target."""
-CRASH_AFTER_BEGIN_MAX_S = 0.5
-"""Time from the first bytes of an answer to a crash that its request may have caused.
-
-A request that crashes its target does so when it begins to run."""
 GAP_FRACTION = 0.95
 """Fraction of the acceptable gap between two events for which queued prompts may pause
 a stream."""
--- a/reedspar/targets/controller.py
+++ b/reedspar/targets/controller.py
@@ -32,7 +32,7 @@
 from .queue import AttemptQueue
 from .reports import ReportPublisher
 from .runner import AttemptOutcome, AttemptRunner
-from .table import AttemptTable
+from .table import AttemptRecord, AttemptTable
 
 __all__ = ["OfferSource", "TargetController", "create_target_controller"]
 
@@ -244,7 +244,7 @@
             self._start_poll()
         return None
 
-    def record_outcome(self, start: AttemptStart, outcome: AttemptOutcome) -> None:
+    def record_outcome(self, record: AttemptRecord, outcome: AttemptOutcome) -> None:
         """Process the outcome of an attempt."""
         if outcome.pause_s:
             self._pause.extend(outcome.pause_s)
@@ -253,18 +253,21 @@
         elif outcome.kind is EndKind.COMPLETE:
             self._gate.record_completed()
         elif outcome.reason is not Reason.CANCELLED:
-            self._handle_broken_attempt(start, outcome.reason)
+            self._handle_broken_attempt(record, outcome.reason)
         self._reports.publish_if_changed()
 
     def _handle_target_pause_end(self) -> None:
         self._reports.publish_if_changed()
 
-    def _handle_broken_attempt(self, start: AttemptStart, reason: Reason) -> None:
+    def _handle_broken_attempt(self, record: AttemptRecord, reason: Reason) -> None:
         if reason is Reason.TIMEOUT:
             return
         self._gate.record_broken()
-        suspect = CrashSuspect(start.fingerprint, start.prompt_parts)
-        self._crashes.record_broken(suspect, self._timers.now_s())
+        now_s = self._timers.now_s()
+        start = record.start
+        if start is not None and record.may_crash_target(now_s):
+            suspect = CrashSuspect(start.fingerprint, start.prompt_parts)
+            self._crashes.record_broken(suspect, now_s)
         self._start_poll()
 
     def _poll_if_due(self) -> None:
@@ -350,8 +353,9 @@
 
     def _report_crash(self, boot_id: str) -> None:
         """Report suspects of a run that is over, unless they are reported already."""
-        in_flight = self._dispatcher.running_requests()
-        suspects = self._crashes.pop_suspects(in_flight, self._timers.now_s())
+        now_s = self._timers.now_s()
+        in_flight = self._dispatcher.list_suspects(now_s)
+        suspects = self._crashes.pop_suspects(in_flight, now_s)
         notice = CrashNotice(
             self._settings.name,
             self._target_settings.pool,
--- a/reedspar/targets/dispatcher.py
+++ b/reedspar/targets/dispatcher.py
@@ -43,7 +43,7 @@
         """Return why this attempt may not start now, or None if it may."""
         ...
 
-    def record_outcome(self, start: AttemptStart, outcome: AttemptOutcome) -> None:
+    def record_outcome(self, record: AttemptRecord, outcome: AttemptOutcome) -> None:
         """Process the outcome of an attempt."""
         ...
 
@@ -87,13 +87,15 @@
         """Return the number of queued attempts."""
         return len(self._queue)
 
-    def running_requests(self) -> list[CrashSuspect]:
-        """Return the requests running at the target, as suspects of a crash."""
+    def list_suspects(self, now_s: float) -> list[CrashSuspect]:
+        """Return the running requests that may have crashed the target by now."""
         records = self._table.unfinished()
         return [
             CrashSuspect(record.start.fingerprint, record.start.prompt_parts)
             for record in records
-            if record.start is not None and record.phase is AttemptPhase.RUNNING
+            if record.start is not None
+            and record.phase is AttemptPhase.RUNNING
+            and record.may_crash_target(now_s)
         ]
 
     def refuse_queued(self, failure: Failure) -> None:
@@ -190,12 +192,10 @@
         self._spawn(self._run, record)
 
     async def _run(self, record: AttemptRecord) -> None:
-        start = record.start
-        assert start is not None
         outcome = await self._runner.run(record, self._handles[record.key])
         del self._handles[record.key]
         self._gate.record_ended()
-        self._policy.record_outcome(start, outcome)
+        self._policy.record_outcome(record, outcome)
         end = self._table.finish(record, outcome.kind, outcome.reason, outcome.detail)
         self._send(record.entry, end)
         self.dispatch_queued()
--- a/reedspar/targets/runner.py
+++ b/reedspar/targets/runner.py
@@ -157,6 +157,8 @@
             if isinstance(data, Failure):
                 return AttemptOutcome(EndKind.BROKEN, data.reason, data.detail)
             offset = record.length_bytes
+            if record.first_data_s is None:
+                record.first_data_s = self._clock.now_s()
             record.append(data)
             self._send(
                 record.entry, AttemptData(key.request_id, key.attempt, offset, data)
--- a/reedspar/targets/table.py
+++ b/reedspar/targets/table.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from reedspar.attempts import (
+    CRASH_AFTER_BEGIN_MAX_S,
     AttemptAck,
     AttemptEnd,
     AttemptHead,
@@ -50,8 +51,15 @@
     refusal: AttemptRefused | None = None
     data: bytearray = field(default_factory=bytearray)
     data_offset: int = 0
+    first_data_s: float | None = None
+    """Time when the first bytes of the body arrived, None before."""
     hasher: "hashlib._Hash" = field(default_factory=hashlib.sha256)
 
+    def may_crash_target(self, now_s: float) -> bool:
+        """Return whether a crash now may be caused by this attempt."""
+        begun_s = self.first_data_s
+        return begun_s is None or now_s - begun_s < CRASH_AFTER_BEGIN_MAX_S
+
     @property
     def length_bytes(self) -> int:
         """Return the number of body bytes received from the target."""
--- a/reedspar/targets/tests/test_controller.py
+++ b/reedspar/targets/tests/test_controller.py
@@ -152,6 +152,23 @@
 
         self.run_scenario(scenario)
 
+    def test_stream_that_has_run_for_a_while_is_no_suspect_of_a_crash(self) -> None:
+        # Guards against refusing sound streams that were under way at the crashes of
+        # two targets.
+        async def scenario() -> None:
+            await self.warm_up()
+            self.target.release = anyio.Event()
+            await self.deliver(make_start("long"))
+            await self.advance(1.0)
+            await self.deliver(make_start("new"))
+            self.target.breaks = True
+            self.target.state = Failure(Reason.UNAVAILABLE, Step.TARGET_CALL)
+            await self.release()
+            (notice,) = self.network.sent_of(CrashNotice)
+            self.assertEqual(notice.suspects, (CrashSuspect("f-new"),))
+
+        self.run_scenario(scenario)
+
     def test_target_restarted_while_idle_gets_no_burst(self) -> None:
         # Guards against sending a burst at the warm limit to a target that restarted
         # while idle: no stream broke, and the next poll is still due.
