--- a/reedspar/messages/tests/test_codec.py
+++ b/reedspar/messages/tests/test_codec.py
@@ -2,7 +2,12 @@
 
 import unittest
 
-from reedspar.attempts import AttemptData, AttemptDataBatch
+from reedspar.attempts import (
+    AttemptData,
+    AttemptDataBatch,
+    CrashNotice,
+    CrashSuspect,
+)
 from reedspar.attempts import register_messages as register_attempts
 from reedspar.errors import Failure, Reason
 from reedspar.links.messages import Hello, Role, register_messages
@@ -13,6 +18,12 @@
     decode_frame,
     encode_frame,
 )
+from reedspar.requests.messages import (
+    CrashNews,
+    CrashNewsRequest,
+    CrashVerdictNews,
+)
+from reedspar.requests.messages import register_messages as register_requests
 
 SENDER = Sender("entry-1", incarnation=3, config_version=17, fresh_age_ms=250)
 HELLO = Hello("entry-1", Role.ENTRY, "kingston-a", "kingston", "127.0.0.1", 7000)
@@ -27,6 +38,21 @@
         frame = encode_frame(self.registry, SENDER, HELLO)
         self.assertEqual(decode_frame(self.registry, frame), Envelope(SENDER, (HELLO,)))
 
+    def test_reports_of_crashes_keep_their_suspects(self) -> None:
+        register_attempts(self.registry)
+        register_requests(self.registry)
+        suspects = (CrashSuspect("f1", ("first", "bad")), CrashSuspect("f2"))
+        for message in (
+            CrashNotice("t1", "orders", "a", "boot-1", suspects),
+            CrashNews("t1/boot-1", "orders", "a", suspects, 250),
+            CrashNewsRequest(),
+            CrashVerdictNews("", ("bad", "first"), True, 40),
+            CrashVerdictNews("f1", (), False, 0),
+        ):
+            frame = encode_frame(self.registry, SENDER, message)
+            envelope = Envelope(SENDER, (message,))
+            self.assertEqual(decode_frame(self.registry, frame), envelope)
+
     def test_unknown_kind_is_reported_as_not_found(self) -> None:
         frame = encode_frame(self.registry, SENDER, HELLO)
         failure = decode_frame(MessageRegistry(), frame)
--- a/reedspar/requests/tests/test_application.py
+++ b/reedspar/requests/tests/test_application.py
@@ -193,6 +193,33 @@
         other = self.call("POST", "/v1/pools/orders/harmless", headers=SHOP)
         self.assertEqual(other.status_code, 200)
 
+    def test_requests_with_a_part_that_crashes_targets_are_refused(self) -> None:
+        # Guards against requests of which no two are alike, but with one part in all
+        # their prompts, which end target after target on the path through agents.
+        def answer(peer: str, start: AttemptStart) -> list[Any]:
+            if "bad" not in start.prompt_parts:
+                return make_answer(start, b"ok")
+            self.timers.clock.advance(0.2)  # type: ignore[attr-defined]
+            boot_id = f"boot-{len(self.starts())}"
+            suspect = CrashSuspect(start.fingerprint, start.prompt_parts)
+            notice = CrashNotice(peer, "orders", "a", boot_id, (suspect,))
+            key = (start.request_id, start.attempt)
+            end = AttemptEnd(*key, EndKind.BROKEN, 0, "", Reason.UNAVAILABLE, "")
+            return [notice, end]
+
+        def call(path: str, parts: str) -> httpx.Response:
+            headers = {**SHOP, "x-prompt-parts": parts}
+            return self.call("POST", f"/v1/pools/orders/{path}", headers=headers)
+
+        self.answer_with(answer)
+        for number in range(12):
+            call(f"s{number}", f"first, s{number}")
+            last = call(f"b{number}", "first, bad")
+        self.assertEqual(last.json()["reason"], "quarantined")
+        crashes = [start for start in self.starts() if "bad" in start.prompt_parts]
+        self.assertLessEqual(len(crashes), 8)
+        self.assertEqual(call("sound", "first, other").status_code, 200)
+
 
 class StreamTest(ApplicationTestCase):
     def run_stream(
