--- a/reedspar/daemon/site_entry.py
+++ b/reedspar/daemon/site_entry.py
@@ -21,6 +21,7 @@
 from reedspar.fleet import DaemonRecord, FleetView, read_deferral_counts
 from reedspar.requests.caller_adapter import CallerAdapter
 from reedspar.requests.draining import DrainOptions, run_drain
+from reedspar.requests.verdict_archive import VerdictArchive, create_verdict_archive
 from reedspar.routes import CallerLimits
 from reedspar.settings import SiteSettings
 from reedspar.telemetry import Metrics
@@ -70,6 +71,7 @@
     settings: SiteSettings
     components: SiteComponents
     service: DirectService
+    verdict_archive: VerdictArchive
     create_cache: Callable[[SiteSettings], WeightCache]
     timers: TimerService
     tasks: TaskGroup
@@ -107,6 +109,7 @@
         self.tasks.start_soon(self._serve, application)
         self.tasks.start_soon(self._register)
         self.tasks.start_soon(self._cache_weights)
+        self.tasks.start_soon(self.verdict_archive.run)
         await stop.wait()
         await self._drain()
 
@@ -222,7 +225,12 @@
             rng=rng,
         )
 
-    entry = SiteEntry(settings, components, service, create_cache, timers, tasks)
+    archive = create_verdict_archive(
+        service.quarantine, store_access.store, timers, rng
+    )
+    entry = SiteEntry(
+        settings, components, service, archive, create_cache, timers, tasks
+    )
     directory = adapters.create_directory(entry)
     by_port: dict[int, ASGIApp] = dict.fromkeys(_list_ports(settings), directory)
     by_port[listen.metrics_port] = adapters.metrics_app
--- a/reedspar/direct/service.py
+++ b/reedspar/direct/service.py
@@ -59,6 +59,7 @@
     notices: TargetNotices
     rate_limits: RateLimits
     versions: VersionRule
+    quarantine: Quarantine
     replaced_weights_log: ReplacedWeightsLog
     follower: "_FleetFollower"
 
@@ -218,6 +219,7 @@
         notices,
         rate_limits,
         versions,
+        quarantine,
         replaced_weights_log,
         follower,
     )
--- a/reedspar/requests/service.py
+++ b/reedspar/requests/service.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+import anyio
 from starlette.applications import Starlette
 from starlette.routing import BaseRoute
 
@@ -35,6 +36,7 @@
 from .retry_budgets import RetryBudgets
 from .routing import PoolChooser, Router
 from .target_directory import TargetDirectory, create_target_directory
+from .verdict_archive import VerdictArchive, create_verdict_archive
 from .views import ConfigurationView, EntryDirectory
 
 __all__ = ["RequestService", "create_request_service"]
@@ -52,13 +54,16 @@
     client: AttemptClient
     directory: TargetDirectory
     ledger: ClaimLedger
+    verdict_archive: VerdictArchive
     admission: AdmissionFilter
     timers: TimerService
     settings: RequestSettings
 
     async def run(self) -> None:
-        """Write claims until cancelled; run this in the daemon's task group."""
-        await self.ledger.run()
+        """Write claims and verdicts until cancelled; run this in the daemon's tasks."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.verdict_archive.run)
+            await self.ledger.run()
 
     async def drain(self) -> None:
         """Drain requests, and return once this entry may stop.
@@ -138,6 +143,7 @@
         client,
         directory,
         ledger,
+        create_verdict_archive(quarantine, key_value, timers, rng),
         admission,
         timers,
         settings,
