--- a/reedspar/direct/crash_probes.py
+++ b/reedspar/direct/crash_probes.py
@@ -53,7 +53,7 @@
                 if await self._refuses_connections(target_id):
                     self._on_crash(record)
                     return
-            _logger.info("target broke off and lives", extra={"target": boot_id})
+            _logger.info("no proof of a crash", extra={"target": boot_id})
         finally:
             self._probed.discard(boot_id)
 
