--- a/reedspar/requests/tests/test_part_quarantine.py
+++ b/reedspar/requests/tests/test_part_quarantine.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 from dataclasses import dataclass, field
+from typing import Any
 
 from reedspar.attempts import CrashSuspect
 from reedspar.requests.crashes import Cause
@@ -96,34 +97,28 @@
         self.assertEqual(load.list_refused_sound(), [], f"seed {load.seed}")
         return load.crashes
 
+    def assert_refused_in_time(self, served_between: int, **changes: Any) -> None:
+        for seed in SEEDS:
+            load = Workload(seed, bad_part="bad", **changes)
+            crashes = self.count_crashes(load, served_between)
+            self.assertLessEqual(crashes, CRASHES_MAX, f"seed {seed}")
+
     def test_part_is_refused_in_time_under_load(self) -> None:
         # Guards against requests of which no two are alike, but with one part in all
         # their prompts, which end target after target.
-        for seed in SEEDS:
-            load = Workload(seed, bad_part="bad")
-            self.assertLessEqual(self.count_crashes(load, 10), CRASHES_MAX, seed)
+        self.assert_refused_in_time(10)
 
     def test_part_is_refused_in_time_while_much_is_about_one_thing(self) -> None:
-        for seed in SEEDS:
-            load = Workload(seed, bad_part="bad", hot_share=0.5)
-            self.assertLessEqual(self.count_crashes(load, 10), CRASHES_MAX, seed)
+        self.assert_refused_in_time(10, hot_share=0.5)
 
     def test_part_is_refused_in_time_while_hardly_anything_is_answered(self) -> None:
-        for seed in SEEDS:
-            load = Workload(seed, bad_part="bad", answered_share=0.1)
-            self.assertLessEqual(self.count_crashes(load, 5), CRASHES_MAX, seed)
+        self.assert_refused_in_time(5, answered_share=0.1)
 
     def test_part_is_refused_in_time_beside_long_queues(self) -> None:
-        for seed in SEEDS:
-            load = Workload(seed, bad_part="bad", beside=20)
-            self.assertLessEqual(self.count_crashes(load, 10), CRASHES_MAX, seed)
+        self.assert_refused_in_time(10, beside=20)
 
     def test_part_is_refused_in_time_at_quiet_hours(self) -> None:
-        for seed in SEEDS:
-            load = Workload(
-                seed, bad_part="bad", beside=0, answered_share=1.0, gap_s=0.5
-            )
-            self.assertLessEqual(self.count_crashes(load, 2), CRASHES_MAX, seed)
+        self.assert_refused_in_time(2, beside=0, answered_share=1.0, gap_s=0.5)
 
     def test_part_that_all_routes_share_with_it_is_not_refused(self) -> None:
         load = Workload(1, first_parts=1, bad_part="bad")
