--- a/reedspar/requests/quarantine.py
+++ b/reedspar/requests/quarantine.py
@@ -132,6 +132,10 @@
 
     def adopt_verdict(self, verdict: Verdict) -> None:
         """Apply the verdict of another entry unless newer evidence contradicts it."""
+        if not verdict.cause.traits:
+            # A cause that names nothing would match every request.
+            _logger.warning("verdict names no cause of crashes")
+            return
         if verdict.is_blamed:
             answered_s = min(map(self.history.last_answer_s, verdict.cause.traits))
             if answered_s < verdict.at_s:
--- a/reedspar/requests/tests/test_part_quarantine.py
+++ b/reedspar/requests/tests/test_part_quarantine.py
@@ -217,6 +217,14 @@
         self.assertTrue(self.is_refused(11.0))
         self.assertEqual(self.verdicts, [self.blamed])
 
+    def test_verdict_without_a_cause_refuses_nothing(self) -> None:
+        # Guards against refusing all requests for a message with empty fields.
+        empty = Verdict(Cause(), 10.0, is_blamed=True)
+        with self.assertLogs("reedspar.requests.quarantine", "WARNING"):
+            self.quarantine.adopt_verdict(empty)
+        standing, _ = self.quarantine.standing("new", 11.0, ("first", "other"))
+        self.assertIs(standing, Standing.CLEAR)
+
     def test_answer_clears_the_parts_and_outlasts_older_verdicts(self) -> None:
         # Guards against a sound part that stays refused, or is refused again, since
         # other entries repeat what they believed before an answer.
