--- a/reedspar/requests/crash_gossip.py
+++ b/reedspar/requests/crash_gossip.py
@@ -1,8 +1,8 @@
 """Gossip between entries about crashes of targets, as input of the quarantine.
 
-A crash is reported to a few entries at once.  Recent crashes are also reported to
-a random entry at intervals.  An entry that starts, was paused, or has a link again to
-another entry asks for what it may have missed.
+A crash is reported to a few entries at once.  Recent crashes and verdicts are also
+reported to a random entry at intervals.  An entry that starts, was paused, or has a
+link again to another entry asks for what it may have missed.
 """
 
 import random
@@ -26,6 +26,8 @@
 REPEAT_INTERVAL_S = 2.0
 REPEATED_REPORTS_MAX = 16
 """Maximum number of recent crashes reported in one repetition."""
+REPEAT_AGE_MAX_S = 20.0
+"""Age up to which crashes and verdicts are repeated."""
 CATCH_UP_INTERVAL_S = 0.5
 CATCH_UP_FANOUT = 2
 """Number of entries that are asked at once for missed reports."""
@@ -137,8 +139,11 @@
 
     def _repeat_recent(self) -> None:
         now_s = self._timers.now_s()
-        crashes = self._quarantine.list_recent(now_s)[:REPEATED_REPORTS_MAX]
+        oldest_s = now_s - REPEAT_AGE_MAX_S
+        crashes = [c for c in self._quarantine.list_recent(now_s) if c.at_s >= oldest_s]
+        crashes = crashes[:REPEATED_REPORTS_MAX]
         verdicts = self._quarantine.list_blamed(now_s)
+        verdicts = [verdict for verdict in verdicts if verdict.at_s >= oldest_s]
         if not crashes and not verdicts:
             return
         for peer in self._pick_entries(1):
--- a/reedspar/requests/tests/test_crash_gossip.py
+++ b/reedspar/requests/tests/test_crash_gossip.py
@@ -120,6 +120,17 @@
             fleet.entries["e0"].quarantine.standing("deadly", 1.0)
             self.assertTrue(fleet.entries["e8"].blames, f"seed {seed}")
 
+    def test_old_crashes_are_not_repeated(self) -> None:
+        # Guards against traffic between zones for minutes after each crash.
+        fleet = Fleet(1, 9)
+        fleet.crash("e0", 20)
+        fleet.advance(25.0)
+        for entry in fleet.entries.values():
+            entry.network.sent.clear()
+        fleet.advance(10.0)
+        sent = [item for e in fleet.entries.values() for item in e.network.sent]
+        self.assertEqual(sent, [])
+
     def test_entry_that_was_paused_knows_crashes_at_once(self) -> None:
         for seed in range(20):
             fleet = Fleet(seed, 9)
