--- a/reedspar/direct/crashes.py
+++ b/reedspar/direct/crashes.py
@@ -16,7 +16,7 @@
     TargetRecord,
     TargetState,
 )
-from reedspar.requests.attempt_history import Scope
+from reedspar.requests.answer_history import Scope
 from reedspar.timers import TimerService
 
 from .client import TargetDialer
--- a/reedspar/requests/attempt_history.py
+++ b/reedspar/requests/answer_history.py
@@ -4,14 +4,14 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-__all__ = ["AttemptHistory", "Scope"]
+__all__ = ["AnswerHistory", "Scope"]
 
 ATTEMPTS_MAX = 256
 """Number of answered attempts kept of each scope."""
-USUAL_ATTEMPTS_MIN = 5
+USUAL_ANSWERS_MIN = 5
 """Number of answered attempts from which their shares tell what is usual."""
-ANSWERS_MAX = 4096
-"""Number of fingerprints and parts of which the last answer is remembered."""
+TRAITS_MAX = 4096
+"""Number of fingerprints and prompt parts whose last answer is remembered."""
 
 Scope = tuple[str, str]
 """Pool and availability zone of a target.
@@ -27,14 +27,14 @@
     counts: Counter[str] = field(default_factory=Counter)
 
 
-class AttemptHistory:
+class AnswerHistory:
     """Tells how common a request or prompt part is among the answered attempts."""
 
     def __init__(self) -> None:
         self._scopes: dict[Scope, _ScopeHistory] = {}
         self._answered_s: OrderedDict[str, float] = OrderedDict()
 
-    def record_answered(
+    def record_attempt(
         self, scope: Scope, fingerprint: str, prompt_parts: tuple[str, ...]
     ) -> None:
         """Count an attempt that a target has answered."""
@@ -48,12 +48,12 @@
                 if not history.counts[trait]:
                     del history.counts[trait]
 
-    def record_answer(self, traits: Iterable[str], at_s: float) -> None:
+    def record_last_answer(self, traits: Iterable[str], at_s: float) -> None:
         """Record an answer to a request with these fingerprints and prompt parts."""
         for trait in traits:
             self._answered_s[trait] = max(at_s, self.last_answer_s(trait))
             self._answered_s.move_to_end(trait)
-        while len(self._answered_s) > ANSWERS_MAX:
+        while len(self._answered_s) > TRAITS_MAX:
             self._answered_s.popitem(last=False)
 
     def last_answer_s(self, trait: str) -> float:
@@ -73,4 +73,4 @@
     def knows_usual(self, scope: Scope) -> bool:
         """Return whether enough attempts are known to tell what is usual."""
         history = self._scopes.get(scope)
-        return history is not None and len(history.answered) >= USUAL_ATTEMPTS_MIN
+        return history is not None and len(history.answered) >= USUAL_ANSWERS_MIN
--- a/reedspar/requests/crash_gossip.py
+++ b/reedspar/requests/crash_gossip.py
@@ -14,8 +14,8 @@
 from reedspar.timers import TimerService
 from reedspar.utils import TokenBucket, sample_up_to
 
-from .attempt_history import Scope
-from .crashes import Cause, Crash
+from .answer_history import Scope
+from .crash_records import Cause, Crash
 from .messages import CrashNews, CrashNewsRequest, CrashVerdictNews
 from .quarantine import Quarantine, Verdict
 
--- a/reedspar/requests/crashes.py
+++ b/reedspar/requests/crash_records.py
@@ -7,7 +7,7 @@
 
 from reedspar.attempts import CrashSuspect
 
-from .attempt_history import AttemptHistory, Scope
+from .answer_history import AnswerHistory, Scope
 
 __all__ = ["Cause", "Crash", "create_crash", "presence_by_chance"]
 
@@ -62,7 +62,7 @@
     trait: str,
     crashes: Sequence[Crash],
     presence: Sequence[bool],
-    history: AttemptHistory,
+    history: AnswerHistory,
 ) -> float:
     """Return the probability that a trait is in flight at so many of the crashes.
 
--- a/reedspar/requests/part_causes.py
+++ b/reedspar/requests/part_causes.py
@@ -9,8 +9,8 @@
 from collections.abc import Iterable, Sequence, Set
 from dataclasses import dataclass
 
-from .attempt_history import AttemptHistory
-from .crashes import Crash, presence_by_chance
+from .answer_history import AnswerHistory
+from .crash_records import Cause, Crash, presence_by_chance
 
 __all__ = ["PartCause", "find_part_causes"]
 
@@ -31,21 +31,17 @@
 
 @dataclass(frozen=True, slots=True)
 class PartCause:
-    """Prompt parts that crash targets if a request has all of them."""
+    """Prompt parts that explain crashes."""
 
-    parts: frozenset[str]
+    cause: Cause
     last_s: float
     """Time of the last of these crashes."""
     chance: float
     """Probability of the observations if the parts have no influence."""
 
-    def explains(self, crash: Crash) -> bool:
-        """Return whether a request with all these parts was in flight at a crash."""
-        return any(self.parts.issubset(item.prompt_parts) for item in crash.suspects)
-
 
 def find_part_causes(
-    crashes: Iterable[Crash], blamed: Set[str], history: AttemptHistory
+    crashes: Iterable[Crash], blamed: Set[str], history: AnswerHistory
 ) -> list[PartCause]:
     """Return the parts that explain the crashes, the least likely by chance first.
 
@@ -54,14 +50,14 @@
     """
     causes: list[PartCause] = []
     remaining = sorted(crashes, key=lambda crash: crash.at_s)
-    while (cause := _find_best(remaining, blamed, history)) is not None:
-        causes.append(cause)
-        remaining = [crash for crash in remaining if not cause.explains(crash)]
+    while (best := _find_best(remaining, blamed, history)) is not None:
+        causes.append(best)
+        remaining = [crash for crash in remaining if not best.cause.explains(crash)]
     return causes
 
 
 def _find_best(
-    crashes: Sequence[Crash], blamed: Set[str], history: AttemptHistory
+    crashes: Sequence[Crash], blamed: Set[str], history: AnswerHistory
 ) -> PartCause | None:
     counts = Counter(
         part
@@ -73,12 +69,14 @@
     causes = [_make_cause(part, crashes, blamed, history) for part in candidates]
     found = [cause for cause in causes if cause is not None]
     return min(
-        found, key=lambda cause: (cause.chance, *sorted(cause.parts)), default=None
+        found,
+        key=lambda item: (item.chance, *sorted(item.cause.prompt_parts)),
+        default=None,
     )
 
 
 def _make_cause(
-    part: str, crashes: Sequence[Crash], blamed: Set[str], history: AttemptHistory
+    part: str, crashes: Sequence[Crash], blamed: Set[str], history: AnswerHistory
 ) -> PartCause | None:
     """Return the cause that `part` belongs to, None if it explains too little."""
     unanswered = [
@@ -113,7 +111,8 @@
     # Parts that all these requests have cannot be told apart, but by answers.
     common = frozenset.intersection(*(frozenset(s.prompt_parts) for s in suspects))
     sound = {other for other in common if history.last_answer_s(other) >= first_s}
-    return PartCause((common - sound) | {part}, with_part[-1].at_s, chance)
+    cause = Cause(prompt_parts=(common - sound) | {part})
+    return PartCause(cause, with_part[-1].at_s, chance)
 
 
 def _is_explained_without(part: str, crash: Crash, blamed: Set[str]) -> bool:
--- a/reedspar/requests/quarantine.py
+++ b/reedspar/requests/quarantine.py
@@ -14,10 +14,10 @@
 
 from reedspar.attempts import CrashSuspect
 
-from .attempt_history import AttemptHistory, Scope
-from .crash_causes import find_causes, list_evidence
-from .crashes import Cause, Crash, create_crash
+from .answer_history import AnswerHistory, Scope
+from .crash_records import Cause, Crash, create_crash
 from .part_causes import find_part_causes
+from .request_causes import find_causes, list_evidence
 
 __all__ = ["Crash", "Quarantine", "Standing", "Verdict"]
 
@@ -61,7 +61,7 @@
     """Recent crashes known to this entry, and the standings that follow."""
 
     quarantine_s: float = QUARANTINE_S
-    history: AttemptHistory = field(default_factory=AttemptHistory)
+    history: AnswerHistory = field(default_factory=AnswerHistory)
     _crashes: OrderedDict[str, Crash] = field(default_factory=OrderedDict)
     _blamed_s: dict[Cause, float] = field(default_factory=dict)
     """Time of the last crash of each cause, by verdicts that hold until an answer."""
@@ -123,7 +123,7 @@
         )
         if self._is_suspect(fingerprint):
             _logger.info("request cleared", extra={"fingerprint": fingerprint})
-        self.history.record_answer(traits, now_s)
+        self.history.record_last_answer(traits, now_s)
         for cause in [*self._blamed_s, *self._released]:
             if cause.matches(fingerprint, prompt_parts):
                 self._set_verdict(Verdict(cause, now_s, is_blamed=False))
@@ -141,7 +141,7 @@
             if answered_s < verdict.at_s:
                 self._set_verdict(verdict)
         elif verdict.at_s >= self._blamed_s.get(verdict.cause, float("inf")):
-            self.history.record_answer(verdict.cause.traits, verdict.at_s)
+            self.history.record_last_answer(verdict.cause.traits, verdict.at_s)
             self._set_verdict(verdict)
             self._update()
 
@@ -212,14 +212,13 @@
         crashes = list(self._crashes.values())
         blamed = {cause.fingerprint for cause in self._blamed_s if cause.fingerprint}
         blamed |= self._tentative_s.keys()
-        for part_cause in find_part_causes(crashes, blamed, self.history):
-            cause = Cause(prompt_parts=part_cause.parts)
-            self._set_verdict(Verdict(cause, part_cause.last_s, is_blamed=True))
+        for found in find_part_causes(crashes, blamed, self.history):
+            self._set_verdict(Verdict(found.cause, found.last_s, is_blamed=True))
         unexplained = self._list_unexplained(crashes)
         self._evidence = list_evidence(unexplained, self.history)
         self._tentative_s = {
-            fingerprint: found[-1].at_s
-            for fingerprint, found in find_causes(unexplained, self.history).items()
+            fingerprint: found_at[-1].at_s
+            for fingerprint, found_at in find_causes(unexplained, self.history).items()
         }
         self._last_crash_s = {
             trait: crash.at_s
--- a/reedspar/requests/relay.py
+++ b/reedspar/requests/relay.py
@@ -196,7 +196,7 @@
             self._chooser.on_ended(request, chosen, answer)
             self._client.close(attempt)
             if answer is not None and is_success(answer):
-                self._quarantine.history.record_answered(
+                self._quarantine.history.record_attempt(
                     (request.pool, chosen.zone),
                     request.fingerprint,
                     request.prompt_parts,
--- a/reedspar/requests/crash_causes.py
+++ b/reedspar/requests/request_causes.py
@@ -3,8 +3,8 @@
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
 
-from .attempt_history import AttemptHistory
-from .crashes import Crash, presence_by_chance
+from .answer_history import AnswerHistory
+from .crash_records import Crash, presence_by_chance
 
 __all__ = ["CRASHES_MIN", "find_causes", "list_evidence"]
 
@@ -19,7 +19,7 @@
 """Crashes of each fingerprint since it was last answered, in the order of time."""
 
 
-def find_causes(crashes: Iterable[Crash], history: AttemptHistory) -> Evidence:
+def find_causes(crashes: Iterable[Crash], history: AnswerHistory) -> Evidence:
     """Return the fingerprints that explain the crashes, each with its crashes.
 
     Where targets fall one after the other, requests that are tried again are in flight
@@ -35,7 +35,7 @@
     return causes
 
 
-def list_evidence(crashes: Iterable[Crash], history: AttemptHistory) -> Evidence:
+def list_evidence(crashes: Iterable[Crash], history: AnswerHistory) -> Evidence:
     """Return the crashes of each fingerprint since it was last answered."""
     found: defaultdict[str, list[Crash]] = defaultdict(list)
     for crash in sorted(crashes, key=lambda crash: crash.at_s):
@@ -45,7 +45,7 @@
     return dict(found)
 
 
-def _find_best(crashes: Sequence[Crash], history: AttemptHistory) -> Evidence:
+def _find_best(crashes: Sequence[Crash], history: AnswerHistory) -> Evidence:
     """Return the fingerprints at most crashes, if these are enough to be the cause."""
     causes = {
         fingerprint: found
@@ -67,7 +67,7 @@
     fingerprint: str,
     found: Sequence[Crash],
     crashes: Sequence[Crash],
-    history: AttemptHistory,
+    history: AnswerHistory,
 ) -> bool:
     """Return whether a request is at more crashes than its share makes likely."""
     if not all(history.knows_usual(crash.scope) for crash in found):
--- a/reedspar/requests/tests/test_crash_gossip.py
+++ b/reedspar/requests/tests/test_crash_gossip.py
@@ -111,10 +111,10 @@
             fleet = Fleet(seed, 9)
             common = fleet.entries["e8"].quarantine.history
             for _ in range(30):
-                common.record_answered(("orders", "a"), "deadly", ())
+                common.record_attempt(("orders", "a"), "deadly", ())
             usual = fleet.entries["e0"].quarantine.history
             for number in range(30):
-                usual.record_answered(("orders", "a"), f"a{number}", ())
+                usual.record_attempt(("orders", "a"), f"a{number}", ())
             fleet.crash("e0", 3)
             fleet.advance(1.0)
             fleet.entries["e0"].quarantine.standing("deadly", 1.0)
--- a/reedspar/requests/tests/test_part_quarantine.py
+++ b/reedspar/requests/tests/test_part_quarantine.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from reedspar.attempts import CrashSuspect
-from reedspar.requests.crashes import Cause
+from reedspar.requests.crash_records import Cause
 from reedspar.requests.quarantine import Quarantine, Standing, Verdict
 
 SEEDS = range(40)
@@ -55,7 +55,7 @@
 
     def answer(self, suspect: CrashSuspect, scope: tuple[str, str]) -> None:
         parts = suspect.prompt_parts
-        self.quarantine.history.record_answered(scope, suspect.fingerprint, parts)
+        self.quarantine.history.record_attempt(scope, suspect.fingerprint, parts)
         self.quarantine.on_answered(suspect.fingerprint, self.now_s, parts)
 
     def serve(self, count: int, answered_share: float) -> None:
--- a/reedspar/requests/tests/test_quarantine.py
+++ b/reedspar/requests/tests/test_quarantine.py
@@ -58,7 +58,7 @@
         # Guards against a request that is let through again, and crashes more targets,
         # once another request was in flight at all of its crashes.
         for number in range(30):
-            self.quarantine.history.record_answered(("", ""), f"a{number}", ())
+            self.quarantine.history.record_attempt(("", ""), f"a{number}", ())
         for crash in range(3):
             names = {"deadly", "other", f"r{crash}"}
             self.quarantine.on_crash(f"t/{crash}", map(CrashSuspect, names), crash, 4.0)
@@ -85,7 +85,7 @@
         scope = ("orders", "a")
         for number in range(60):
             name = "common" if number % 2 else f"r{number}"
-            self.quarantine.history.record_answered(scope, name, ())
+            self.quarantine.history.record_attempt(scope, name, ())
         for crash in range(6):
             names = {"common", "deadly", f"a{crash}", f"b{crash}"}
             suspects = map(CrashSuspect, names if crash % 2 else names - {"deadly"})
--- a/reedspar/requests/tests/test_verdict_archive.py
+++ b/reedspar/requests/tests/test_verdict_archive.py
@@ -9,7 +9,7 @@
 
 from reedspar.errors import Failure, Reason, Step
 from reedspar.requests import verdict_archive
-from reedspar.requests.crashes import Cause
+from reedspar.requests.crash_records import Cause
 from reedspar.requests.quarantine import Quarantine, Standing, Verdict
 from reedspar.requests.tests.fakes import FakeKeyValue
 from reedspar.requests.verdict_archive import create_verdict_archive
--- a/reedspar/requests/verdict_archive.py
+++ b/reedspar/requests/verdict_archive.py
@@ -15,7 +15,7 @@
 from reedspar.platform import KeyValueEntry, KeyValueStore
 from reedspar.timers import TimerService
 
-from .crashes import Cause
+from .crash_records import Cause
 from .quarantine import QUARANTINE_S, Quarantine, Verdict
 
 __all__ = ["ARCHIVE_KEY", "VerdictArchive", "create_verdict_archive"]
