--- a/reedspar/requests/crash_gossip.py
+++ b/reedspar/requests/crash_gossip.py
@@ -48,7 +48,7 @@
         rng: random.Random,
         list_entries: Callable[[], Iterable[str]] | None = None,
     ) -> None:
-        self._list_entries = list_entries or (lambda: network.peers(Role.ENTRY))
+        self._list_registered = list_entries or (lambda: ())
         self._name = name
         self._quarantine = quarantine
         self._network = network
@@ -152,9 +152,16 @@
             for verdict in verdicts:
                 self._network.send(peer, _make_verdict_news(verdict, now_s))
 
+    def _list_entries(self) -> list[str]:
+        """Return the other entries that are registered or have an open link.
+
+        An entry may serve callers while the store refuses its registration.
+        """
+        names = {*self._list_registered(), *self._network.peers(Role.ENTRY)}
+        return sorted(names - {self._name})
+
     def _pick_entries(self, count: int) -> list[str]:
-        peers = [name for name in self._list_entries() if name != self._name]
-        return sample_up_to(self._rng, peers, count)
+        return sample_up_to(self._rng, self._list_entries(), count)
 
 
 def _make_report(crash: Crash, now_s: float) -> CrashNews:
@@ -187,7 +194,7 @@
 ) -> CrashGossip:
     """Create the gossip of entry `name` and subscribe it to crash notices.
 
-    Crashes are reported to the entries that `list_entries` returns, by default to those
-    with an open link.
+    Crashes are reported to the entries that `list_entries` returns, and to those with
+    an open link.
     """
     return CrashGossip(name, quarantine, network, timers, rng, list_entries)
--- a/reedspar/requests/tests/test_crash_gossip.py
+++ b/reedspar/requests/tests/test_crash_gossip.py
@@ -32,7 +32,7 @@
             self.network,  # type: ignore[arg-type]
             self.timers,
             random.Random(seed),
-            lambda: fleet.entries,
+            lambda: fleet.entries.keys() - fleet.unregistered,
         )
 
     @property
@@ -47,6 +47,8 @@
     def __init__(self, seed: int, count: int) -> None:
         self.entries: dict[str, Entry] = {}
         self.cut_off: set[str] = set()
+        self.unregistered: set[str] = set()
+        """Entries that serve callers while their registrations have lapsed."""
         self._seed = seed
         for name in NAMES[:count]:
             self.start(name)
@@ -120,6 +122,19 @@
             fleet.entries["e0"].quarantine.standing("deadly", 1.0)
             self.assertTrue(fleet.entries["e8"].blames, f"seed {seed}")
 
+    def test_entry_without_a_registration_hears_of_crashes_by_its_links(self) -> None:
+        # Guards against an entry that hands out a request which the others refuse,
+        # since the store refuses its registration while it serves callers.
+        for seed in range(20):
+            fleet = Fleet(seed, 9)
+            fleet.advance(1.0)
+            fleet.unregistered = {"e8"}
+            for entry in fleet.entries.values():
+                entry.network.linked_peers = NAMES
+            fleet.crash("e0", 3)
+            fleet.advance(2.5)
+            self.assertTrue(fleet.entries["e8"].blames, f"seed {seed}")
+
     def test_old_crashes_are_not_repeated(self) -> None:
         # Guards against traffic between zones for minutes after each crash.
         fleet = Fleet(1, 9)
