--- a/reedspar/requests/tests/test_part_quarantine.py
+++ b/reedspar/requests/tests/test_part_quarantine.py
@@ -120,6 +120,17 @@
     def test_part_is_refused_in_time_at_quiet_hours(self) -> None:
         self.assert_refused_in_time(2, beside=0, answered_share=1.0, gap_s=0.5)
 
+    def test_part_is_refused_in_time_by_entries_with_few_answers(self) -> None:
+        # Guards against slow verdicts where many entries share the traffic, so that
+        # each of them knows hardly any answers.
+        for seed in SEEDS:
+            load = Workload(seed, bad_part="bad", beside=2)
+            load.serve(4, 1.0)
+            while not load.is_refused("first0", "bad") and load.crashes < 30:
+                load.crash(has_bad=True)
+                load.now_s += 0.2
+            self.assertLessEqual(load.crashes, CRASHES_MAX, f"seed {seed}")
+
     def test_part_that_all_routes_share_with_it_is_not_refused(self) -> None:
         load = Workload(1, first_parts=1, bad_part="bad")
         self.count_crashes(load, 10)
