Add a failing test: a repeat under another host is another request

A request that crashes targets comes again with the same path, caller and body at any entry. Where callers name the entry that they reach as host, it has as many fingerprints as there are entries, and each of them may crash three targets.

--- a/reedspar/requests/tests/test_quarantine.py
+++ b/reedspar/requests/tests/test_quarantine.py
@@ -165,6 +165,12 @@
         one, other = (self.make(host="shop.example", pool=name) for name in "ab")
         self.assertEqual(one, other)
 
+    def test_repeat_that_names_another_host_has_the_same_fingerprint(self) -> None:
+        # Guards against counting the crashes of one request apart for each entry, whose
+        # address its callers name, and so allowing as many series of crashes.
+        hosts = ("shop.example", "SHOP.example:8005", "10.1.0.40:8005")
+        self.assertEqual(len({self.make(host=host) for host in hosts}), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
