Identify a repeated request by its path, caller and body, not by the host that it names

Callers saw target after target crash, and their streams break off with them: one request was refused only after three crashes for each entry. Cause: the fingerprint held the Host header, and callers name the entry that they reach, with or without its port; so one request had as many fingerprints as entries, each with a third of the proof. The class: identity taken from how a thing is spelled on the wire instead of from what it was resolved to. Change: the host is no part of the fingerprint; without one the pool is, as before.

--- a/reedspar/requests/filters.py
+++ b/reedspar/requests/filters.py
@@ -129,8 +129,9 @@
 def fingerprint_request(request: Request) -> str:
     """Return a digest that is the same for repeats of a request by its caller."""
     hashed = hashlib.blake2b(digest_size=16)
-    # The pool may change from repeat to repeat if routes are found by host.
-    scope = request.host or request.pool
+    # Callers may name each entry by another host, and routes that are found by host may
+    # lead to another pool at each repeat.
+    scope = "" if request.host else request.pool
     for part in (scope, request.workspace, request.method, request.path):
         hashed.update(part.encode() + b"\0")
     hashed.update(request.body)
