Keep retries within their bound across restarts and lapsed registrations

Cause: the budget was that of one calm fleet. A process started with its whole part of the slack, though the one before it had just used its own; and the part was the slack divided by the entries registered at that moment, so each entry took a third of the whole slack when registrations lapsed in an outage of the store, or zones were cut off from each other. The class: a limit that many share, worked out from what one of them knows at the moment. Change: an entry starts with 0.4 of its part, so that all that start again at once use the reserve of 0.3; it divides by the highest number of entries of the last five minutes. Metrics of retries made, refused and left, which nothing told. Ruled out: attempts that fail at the link, which spend nothing: they are failures to connect or found before writing, so no byte of a request has arrived.

--- a/reedspar/daemon/site_entry.py
+++ b/reedspar/daemon/site_entry.py
@@ -268,6 +268,8 @@
     adapters.metrics.held_bytes.set_callback(service.slow_readers.read_held)
     adapters.metrics.readers_given_up.set_callback(service.slow_readers.read_counts)
     adapters.metrics.memory_refusals.set_callback(service.read_memory_refusals)
+    adapters.metrics.retries.set_callback(service.retry_shares.budgets.read_counts)
+    adapters.metrics.retries_left.set_callback(service.retry_shares.budgets.read_left)
     adapters.metrics.notices.set_callback(service.notices.read_counts)
     adapters.metrics.rate_limits.set_callback(service.rate_limits.read_counts)
     observe_speeds(adapters.metrics, service, view, timers)
--- /dev/null
+++ b/reedspar/direct/retry_shares.py
@@ -0,0 +1,62 @@
+"""This entry's part of the retries that all entries together may make."""
+
+from reedspar.requests.retry_budgets import RetryBudgets
+from reedspar.settings import BoundSettings
+from reedspar.timers import TimerService
+from reedspar.utils import RecentMaximum
+
+__all__ = ["ENTRIES_MIN", "RetryShares", "create_retry_shares"]
+
+SLACK_FRACTION = 0.7
+"""Fraction of the slack that the known entries divide among themselves.
+
+The rest is a reserve for entries that don't know of each other yet, or have started
+again."""
+START_FRACTION = 0.4
+"""Fraction of its part that an entry starts with.
+
+If all entries are started again at once, they use no more than the reserve."""
+ENTRIES_MIN = 3
+"""Minimum number of entries assumed: one that just started may know no others."""
+ENTRY_MEMORY_S = 300.0
+"""Time for which an entry counts after its registration has lapsed.
+
+It may serve callers while the store is away, or a link between zones."""
+UPDATE_INTERVAL_S = 10.0
+
+
+class RetryShares:
+    """Divides the bound on retries by the entries that may serve callers."""
+
+    def __init__(self, bounds: BoundSettings, timers: TimerService) -> None:
+        self._slack = bounds.retry_slack
+        self._timers = timers
+        self._entries = RecentMaximum(ENTRY_MEMORY_S)
+        self.budgets = RetryBudgets(
+            bounds.retry_share, self._burst(), start_fraction=START_FRACTION
+        )
+        timers.call_every(UPDATE_INTERVAL_S, self._update)
+
+    def set_bounds(self, bounds: BoundSettings) -> None:
+        """Change the bounds of all entries together."""
+        self._slack = bounds.retry_slack
+        self.budgets.set_share(bounds.retry_share)
+        self._update()
+
+    def set_entry_count(self, count: int) -> None:
+        """Set the number of entries that are registered now."""
+        self._entries.record(count, self._timers.now_s())
+        self._update()
+
+    def _update(self) -> None:
+        self.budgets.set_burst(self._burst())
+
+    def _burst(self) -> float:
+        """Return this entry's part of the slack."""
+        count = max(ENTRIES_MIN, self._entries.read(self._timers.now_s()))
+        return SLACK_FRACTION * self._slack / count
+
+
+def create_retry_shares(bounds: BoundSettings, timers: TimerService) -> RetryShares:
+    """Create an entry's part of the bounds, with a budget for each pool."""
+    return RetryShares(bounds, timers)
--- a/reedspar/direct/service.py
+++ b/reedspar/direct/service.py
@@ -29,7 +29,6 @@
 from reedspar.requests.relay import Relay
 from reedspar.requests.relay_interfaces import RelayOptions
 from reedspar.requests.request import Filter
-from reedspar.requests.retry_budgets import RetryBudgets
 from reedspar.requests.slow_readers import SlowReaders
 from reedspar.routes import CallerLimits
 from reedspar.settings import BoundSettings, SiteSettings
@@ -47,6 +46,7 @@
 from .pool_capacity import FleetCapacity
 from .rate_limits import RateLimits
 from .replaced_weights_log import ReplacedWeightsLog
+from .retry_shares import ENTRIES_MIN, RetryShares, create_retry_shares
 from .send_limits import SendLimits
 from .shutdown_news import ShutdownNews
 from .speed_news import SpeedNews
@@ -58,13 +58,6 @@
 
 SLOW_READER_SWEEP_S = 0.25
 
-RETRY_SLACK_FRACTION = 0.7
-"""Fraction of the retry slack that the known entries divide among themselves.
-
-The rest is a reserve for entries that don't know of each other yet."""
-ENTRIES_MIN = 3
-"""Minimum number of entries assumed: one that just started may know no others."""
-
 
 @dataclass(frozen=True, slots=True)
 class DirectService:
@@ -82,6 +75,7 @@
     answer_buffers: AnswerBuffers
     slow_readers: SlowReaders
     follower: "_FleetFollower"
+    retry_shares: RetryShares
     admission: AdmissionControl
     ranked_pools: RankedPools
     demand_meter: DemandMeter
@@ -108,7 +102,7 @@
     def apply_bounds(self, bounds: BoundSettings) -> None:
         """Apply changed bounds."""
         self.versions.set_bound(bounds.version_ms / 1000)
-        self.follower.set_retry_limits(bounds.retry_share, bounds.retry_slack)
+        self.retry_shares.set_bounds(bounds)
 
 
 class _FleetFollower:
@@ -119,15 +113,13 @@
         view: FleetView,
         loads: TargetLoads,
         cold_limits: ColdLimits,
-        budgets: RetryBudgets,
-        retry_slack: float,
+        retry_shares: RetryShares,
         timers: TimerService,
     ) -> None:
         self._view = view
         self._loads = loads
         self._cold_limits = cold_limits
-        self._budgets = budgets
-        self._retry_slack = retry_slack
+        self._retry_shares = retry_shares
         self._boot_ids: dict[str, str] = {}
         self._timers = timers
         self._update_entries()
@@ -137,12 +129,6 @@
         self._cold_limits.set_target_count(self._view.target_count())
         self._cold_limits.begin_startup(self._timers.now_s())
 
-    def set_retry_limits(self, share: float, slack: float) -> None:
-        """Set the limits of retries by all entries together."""
-        self._retry_slack = slack
-        self._budgets.set_share(share)
-        self._update_entries()
-
     def apply_change(self, change: FleetChange) -> None:
         """Process a change of the fleet."""
         if isinstance(change, TargetChange):
@@ -164,9 +150,8 @@
     def _update_entries(self) -> None:
         entries = self._view.daemons(Role.ENTRY.value)
         self._cold_limits.set_entries(entry.name for entry in entries)
-        count = max(ENTRIES_MIN, len(entries))
-        self._loads.entry_count = count
-        self._budgets.set_burst(RETRY_SLACK_FRACTION * self._retry_slack / count)
+        self._loads.entry_count = max(ENTRIES_MIN, len(entries))
+        self._retry_shares.set_entry_count(len(entries))
 
 
 def create_direct_service(
@@ -265,10 +250,8 @@
     client = create_direct_attempt_client(
         dialer, timers, tasks, chooser.record_report, checks
     )
-    budgets = RetryBudgets(bounds.retry_share)
-    follower = _FleetFollower(
-        view, loads, cold_limits, budgets, bounds.retry_slack, timers
-    )
+    retry_shares = create_retry_shares(bounds, timers)
+    follower = _FleetFollower(view, loads, cold_limits, retry_shares, timers)
     view.on_change(follower.apply_change)
     relay_options = RelayOptions(retry_wait_s=0.0, deadline_margin_s=0.0)
     filters: list[Filter] = [
@@ -277,7 +260,14 @@
         DeadlineFilter(),
         QuarantineFilter(quarantine, timers),
         AdmissionFilter(ranked_pools, admission, timers),
-        Relay(client, chooser, budgets, quarantine, timers, relay_options),
+        Relay(
+            client,
+            chooser,
+            retry_shares.budgets,
+            quarantine,
+            timers,
+            relay_options,
+        ),
     ]
     buffers = create_answer_buffers(
         settings.limits.memory_mb, settings.limits.held_share
@@ -311,6 +301,7 @@
         buffers,
         slow_readers,
         follower,
+        retry_shares,
         admission,
         ranked_pools,
         meter,
--- a/reedspar/requests/retry_budgets.py
+++ b/reedspar/requests/retry_budgets.py
@@ -11,14 +11,28 @@
 
     Each first attempt adds `share` tokens, and each retry uses 1.  The budget
     holds at most `burst` tokens, which limits the retries after a long period
-    without failures.
+    without failures.  It starts with `start_fraction` of them: the process before this
+    one may have used its own just now.
     """
 
-    def __init__(self, share: float, burst: float = DEFAULT_BURST) -> None:
+    def __init__(
+        self, share: float, burst: float = DEFAULT_BURST, start_fraction: float = 1.0
+    ) -> None:
         self._share = share
         self._burst = burst
-        self._tokens = burst
+        self._start_fraction = start_fraction
+        self._tokens = start_fraction * burst
+        self._added = 0.0
+        """Tokens added since the start."""
+        self.made = 0
+        """Retries since the start."""
         self.refused = 0
+        """Retries since the start for which there was no token."""
+
+    @property
+    def left(self) -> float:
+        """Return the number of tokens."""
+        return self._tokens
 
     def set_share(self, share: float) -> None:
         """Change the number of tokens that a first attempt adds."""
@@ -27,10 +41,12 @@
     def set_burst(self, burst: float) -> None:
         """Change the capacity."""
         self._burst = burst
-        self._tokens = min(self._tokens, burst)
+        started_with = self._start_fraction * burst
+        self._tokens = min(self._tokens, burst, started_with + self._added)
 
     def on_first_attempt(self) -> None:
         """Add the tokens of a first attempt."""
+        self._added += self._share
         self._tokens = min(self._burst, self._tokens + self._share)
 
     def try_spend(self) -> bool:
@@ -39,22 +55,27 @@
             self.refused += 1
             return False
         self._tokens -= 1.0
+        self.made += 1
         return True
 
 
 class RetryBudgets:
     """One budget for each pool, so that failures in a pool don't affect others."""
 
-    def __init__(self, share: float, burst: float = DEFAULT_BURST) -> None:
+    def __init__(
+        self, share: float, burst: float = DEFAULT_BURST, start_fraction: float = 1.0
+    ) -> None:
         self._share = share
         self._burst = burst
+        self._start_fraction = start_fraction
         self._budgets: dict[str, RetryBudget] = {}
 
     def for_pool(self, pool: str) -> RetryBudget:
         """Return the budget of a pool."""
         budget = self._budgets.get(pool)
         if budget is None:
-            budget = self._budgets[pool] = RetryBudget(self._share, self._burst)
+            budget = RetryBudget(self._share, self._burst, self._start_fraction)
+            self._budgets[pool] = budget
         return budget
 
     def set_share(self, share: float) -> None:
@@ -68,3 +89,15 @@
         self._burst = burst
         for budget in self._budgets.values():
             budget.set_burst(burst)
+
+    def read_counts(self) -> list[tuple[float, dict[str, str]]]:
+        """Return the number of retries by pool and outcome."""
+        return [
+            (count, {"pool": pool, "outcome": outcome})
+            for pool, budget in self._budgets.items()
+            for outcome, count in (("made", budget.made), ("refused", budget.refused))
+        ]
+
+    def read_left(self) -> list[tuple[float, dict[str, str]]]:
+        """Return the number of retries that are allowed now, by pool."""
+        return [(item.left, {"pool": pool}) for pool, item in self._budgets.items()]
--- a/reedspar/telemetry/load_metrics.py
+++ b/reedspar/telemetry/load_metrics.py
@@ -74,6 +74,25 @@
             "cause",
         ),
     ]
+    retries: Annotated[
+        ObservableInstrument,
+        observed_counter(
+            "retries",
+            "{retry}",
+            "Retries by outcome: made, refused (the retry budget was used up).",
+            "pool",
+            "outcome",
+        ),
+    ]
+    retries_left: Annotated[
+        ObservableInstrument,
+        observed_gauge(
+            "retries.left",
+            "{retry}",
+            "Retries that the budget allows now.",
+            "pool",
+        ),
+    ]
     entry_pressure: Annotated[
         ObservableInstrument,
         observed_gauge(
--- /dev/null
+++ b/reedspar/utils/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the shared helpers."""
