Weigh blamed causes against each other by how unlikely they are by chance

Callers saw sound requests refused to the end: where crashes break off many streams, a request that many callers send alike is at nearly all of them; once it is blamed, it is neither answered nor at a further crash, so nothing lifted the blame. Cause: explanations replaced each other by counts of crashes, parts by requests and requests by parts alone, and the request with most arrivals was taken first, however common it is. The class: better evidence given up for an explanation that was not weighed against it. Change: among blamed causes and those found now, the one least likely by chance explains its crashes, and the others need what remains, or to be at the explained ones too often beside it. What is left over is replaced, but for requests that are never answered, which few sound ones come so often without. The order of candidates no longer depends on the hash seed. Ruled out: refusing less by a stricter probability alone, which finds guilty ones later.

--- a/reedspar/requests/answer_history.py
+++ b/reedspar/requests/answer_history.py
@@ -125,6 +125,20 @@
         with_trait = history.counts[trait] + sum(s.count_of(trait) for s in shared)
         return (with_trait + others_with + 1) / (answered + others + 2)
 
+    def has_answered(self, trait: str, scopes: Iterable[Scope]) -> bool:
+        """Return whether an answered attempt had a fingerprint or prompt part."""
+        if trait in self._answered_s:
+            return True
+        return any(
+            scope in self._scopes and self._scopes[scope].counts[trait]
+            for scope in scopes
+        ) or any(
+            trait in scope_shares[scope].counts
+            for scope_shares in self._shared.values()
+            for scope in scopes
+            if scope in scope_shares
+        )
+
     def knows_shares(self, scope: Scope) -> bool:
         """Return whether the answered attempts alone tell shares."""
         return self._count_answers(scope) >= ENOUGH_ANSWERS
--- a/reedspar/requests/crash_ledger.py
+++ b/reedspar/requests/crash_ledger.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from .answer_history import AnswerHistory
+from .cause_weighing import find_replaced_causes
 from .crash_records import Cause, Crash
 from .part_causes import PartCause, find_part_causes
 from .request_causes import Evidence, find_causes, list_evidence
@@ -19,10 +20,6 @@
 
 CRASHES_MAX = 256
 """Maximum number of crashes remembered."""
-REPLACED_CRASHES_MIN = 3
-"""Number of crashes of blamed parts that requests must explain to replace the parts."""
-MORE_CRASHES_MIN = 2
-"""Number of crashes that parts must explain beyond those of a request to replace it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,55 +107,19 @@
         return min(times_s, default=float("inf"))
 
     def find_replaced(self, blamed: Iterable[Cause]) -> list[Finding]:
-        """Return the blamed causes whose crashes another cause explains better."""
-        replaced = [
-            self._find_replaced_parts(cause)
-            if cause.prompt_parts
-            else self._find_replaced_request(cause)
-            for cause in blamed
+        """Return the blamed causes whose crashes other ones explain better."""
+        blamed = set(blamed)
+        crashes = self._crashes.values()
+        requests = find_causes(crashes, self.history, is_strict=True)
+        found_now = {Cause(fingerprint) for fingerprint in requests}
+        found_now |= {part.cause for part in self.parts}
+        replaced = find_replaced_causes(blamed | found_now, crashes, self.history)
+        return [
+            Finding(cause, max(crash.at_s for crash in found))
+            for cause, found in replaced.items()
+            if cause in blamed and not self.proves(cause)
         ]
-        return [finding for finding in replaced if finding is not None]
 
     def proves(self, cause: Cause) -> bool:
         """Return whether the crashes show that these parts crash targets."""
         return any(part.cause.prompt_parts <= cause.prompt_parts for part in self.parts)
-
-    def _find_replaced_parts(self, cause: Cause) -> Finding | None:
-        """Return parts as replaced if other causes explain most of their crashes."""
-        if self.proves(cause):
-            return None
-        crashes = [c for c in self._crashes.values() if cause.explains(c)]
-        strong = find_causes(crashes, self.history, is_strict=True)
-        explained = {crash.crash_id for found in strong.values() for crash in found}
-        explained |= {
-            crash.crash_id
-            for crash in crashes
-            if any(part.cause.explains(crash) for part in self.parts)
-        }
-        if len(explained) < max(REPLACED_CRASHES_MIN, len(crashes) / 2):
-            return None
-        return Finding(cause, max(crash.at_s for crash in crashes))
-
-    def _find_replaced_request(self, cause: Cause) -> Finding | None:
-        """Return the request as replaced if parts that it lacks explain its crashes."""
-        found = [c for c in self._crashes.values() if cause.explains(c)]
-        if not found:
-            return None
-        for part in self.parts:
-            explained = [c for c in self._crashes.values() if part.cause.explains(c)]
-            is_more = len(explained) >= len(found) + MORE_CRASHES_MIN
-            if is_more and all(
-                part.cause.explains(crash) and not _has_parts(cause, part.cause, crash)
-                for crash in found
-            ):
-                return Finding(cause, max(crash.at_s for crash in found))
-        return None
-
-
-def _has_parts(request: Cause, parts: Cause, crash: Crash) -> bool:
-    """Return whether a request at a crash has some parts."""
-    return any(
-        request.matches(item.fingerprint, ())
-        and parts.matches(item.fingerprint, item.prompt_parts)
-        for item in crash.suspects
-    )
--- a/reedspar/requests/request_causes.py
+++ b/reedspar/requests/request_causes.py
@@ -37,11 +37,13 @@
     """Return the fingerprints that explain the crashes, each with its crashes.
 
     Where targets fall one after the other, requests that are tried again are in flight
-    at several crashes as well.  The fingerprint with most arrivals there explains
-    these, and the others must explain what remains.  What prompt parts explain counts
-    for requests with these parts alone.  Unless `is_strict`, a request that was alone
-    at all its crashes counts at each of them, and one need not be that unusual where
-    hardly anything is known; both may change with the next report.
+    at several crashes as well.  The fingerprint that is there least likely by chance
+    explains these, and the others must explain what remains.  What prompt parts explain
+    counts for requests with these parts alone.
+
+    Unless `is_strict`, a request that was alone at all its crashes counts at each of
+    them, and one need not be that unusual where hardly anything is known; both may
+    change with the next report.
     """
     causes: Evidence = {}
     remaining = list(crashes)
@@ -65,7 +67,7 @@
             if not explaining
             or any(c.matches(item.fingerprint, item.prompt_parts) for c in explaining)
         }
-        for fingerprint in fingerprints:
+        for fingerprint in sorted(fingerprints):
             if history.last_answer_s(fingerprint) < crash.at_s:
                 found[fingerprint].append(crash)
     return dict(found)
@@ -77,7 +79,7 @@
     part_causes: Sequence[Cause],
     is_strict: bool,
 ) -> Evidence:
-    """Return the fingerprints with most arrivals, if these are enough for a cause."""
+    """Return the fingerprints least likely by chance, if they are a cause."""
     evidence = list_evidence(crashes, history, part_causes)
     arrivals = {
         name: len(found)
@@ -97,15 +99,20 @@
         for crash in crashes
         if not any(cause.explains(crash) for cause in part_causes)
     ]
+    chances = {
+        name: _chance_of(name, found, unexplained, history)
+        for name, found in candidates.items()
+    }
     causes = {
         name: found
         for name, found in candidates.items()
         if (not is_strict and all(map(_has_one, found)))
-        or _is_unusual(name, found, unexplained, history, is_strict)
+        or chances[name] <= _chance_max(found, history, is_strict)
     }
-    most = max((arrivals[name] for name in causes), default=0)
-    if most >= ARRIVALS_MIN:
-        return {name: found for name, found in causes.items() if arrivals[name] == most}
+    proven = [name for name in causes if arrivals[name] >= ARRIVALS_MIN]
+    if proven:
+        least = min(chances[name] for name in proven)
+        return {name: causes[name] for name in proven if chances[name] == least}
     return {name: found for name, found in causes.items() if any(map(_has_one, found))}
 
 
@@ -120,14 +127,13 @@
     return min(len(arrivals), len(found))
 
 
-def _is_unusual(
+def _chance_of(
     fingerprint: str,
     found: Sequence[Crash],
     unexplained: Sequence[Crash],
     history: AnswerHistory,
-    is_strict: bool,
-) -> bool:
-    """Return whether a request is at more crashes than its share makes likely."""
+) -> float:
+    """Return the probability that a request without influence is at these crashes."""
     found_ids = {crash.crash_id for crash in found}
     others = [
         crash
@@ -135,9 +141,15 @@
         if crash.at_s >= found[0].at_s and crash.crash_id not in found_ids
     ]
     presence = [True] * len(found) + [False] * len(others)
-    chance = presence_by_chance(fingerprint, [*found, *others], presence, history)
+    return presence_by_chance(fingerprint, [*found, *others], presence, history)
+
+
+def _chance_max(
+    found: Sequence[Crash], history: AnswerHistory, is_strict: bool
+) -> float:
+    """Return the probability up to which a request may be a cause of crashes."""
     is_known = is_strict or all(history.knows_usual(crash.scope) for crash in found)
-    return chance <= (CHANCE_MAX if is_known else UNKNOWN_CHANCE_MAX)
+    return CHANCE_MAX if is_known else UNKNOWN_CHANCE_MAX
 
 
 def _has_one(crash: Crash) -> bool:
--- a/reedspar/requests/tests/crash_load.py
+++ b/reedspar/requests/tests/crash_load.py
@@ -11,7 +11,7 @@
 from reedspar.requests.quarantine import Standing
 from reedspar.requests.tests.test_crash_gossip import Entry, Fleet
 
-__all__ = ["CONTACT_S", "PART_CRASHES", "REQUEST_CRASHES", "Kind", "Load"]
+__all__ = ["CONTACT_S", "DENSE", "PART_CRASHES", "REQUEST_CRASHES", "Kind", "Load"]
 
 CONTACT_S = 3.0
 REQUEST_CRASHES = 3
@@ -22,6 +22,20 @@
 SUSPECT_AFTER_BEGIN_S = 0.5
 
 
+@dataclass(frozen=True)
+class Sound:
+    """Sound streams, and how long they take to begin and to end."""
+
+    per_s: float = 30.0
+    begin_max_s: float = 1.0
+    end_min_s: float = 1.0
+    end_max_s: float = 3.0
+
+
+DENSE = Sound(per_s=60.0, begin_max_s=0.3, end_min_s=0.6, end_max_s=1.2)
+"""Many short streams, so that a crash breaks off several that have just begun."""
+
+
 @dataclass
 class Kind:
     """Requests that crash targets: one that comes again, or all with one part."""
@@ -67,7 +81,7 @@
         kinds: list[Kind],
         entries: int = 9,
         targets: int = 16,
-        sound_per_s: float = 30.0,
+        sound: Sound = Sound(),
         alike_share: float = 0.0,
         ends_s: float = 32.0,
     ) -> None:
@@ -83,12 +97,13 @@
         self._numbers = itertools.count()
         self._boots = [0] * targets
         self._up = set(range(targets))
+        self._sound = sound
         self._alike_share = alike_share
         self._ends_s = ends_s
         for number in range(entries):
             name = f"e{number}"
             self.entries[name] = Entry(self, name, seed * 1000 + number)
-        self._arrive_each(sound_per_s, 0.0, ends_s, None)
+        self._arrive_each(sound.per_s, 0.0, ends_s, None)
         for kind in kinds:
             self._arrive_each(kind.per_s, kind.starts_s, kind.ends_s, kind)
 
@@ -155,7 +170,7 @@
         target = self.rng.choice(targets)
         stream.target = target
         stream.tried.add(target)
-        stream.begun_s = self.now_s + self.rng.uniform(0.05, 1.0)
+        stream.begun_s = self.now_s + self.rng.uniform(0.05, self._sound.begin_max_s)
         if stream.kind is not None:
             # Four of ten crashes come after the first bytes of an answer.
             crash_s = self.rng.uniform(0.01, 0.06)
@@ -163,8 +178,9 @@
             stream.begun_s = self.now_s + (0.0 if is_begun else 1.0)
             self._call_in(crash_s, self._crash, stream.kind, target, stream)
         else:
-            boot, end_s = self._boots[target], self.rng.uniform(1.0, 3.0)
-            self._call_in(end_s, self._answer, stream, target, boot)
+            sound = self._sound
+            end_s = self.rng.uniform(sound.end_min_s, sound.end_max_s)
+            self._call_in(end_s, self._answer, stream, target, self._boots[target])
         return True
 
     def _answer(self, stream: Stream, target: int, boot: int) -> None:
--- a/reedspar/requests/tests/test_crash_load.py
+++ b/reedspar/requests/tests/test_crash_load.py
@@ -10,7 +10,7 @@
 from reedspar.attempts import CrashSuspect
 from reedspar.requests.crash_records import Cause
 from reedspar.requests.quarantine import Quarantine, Standing, Verdict
-from reedspar.requests.tests.crash_load import Kind, Load
+from reedspar.requests.tests.crash_load import DENSE, Kind, Load
 
 LATE_RUNS_MAX = 3
 WRONGLY_BLAMED_MAX_S = 1.0
@@ -19,6 +19,7 @@
 AFTER_S = 2.0
 """Time after the last crash from which all but a hundredth must be served."""
 SEEDS = range(4)
+DENSE_SEEDS = range(8, 12)
 
 
 class ReplacementTest(unittest.TestCase):
@@ -65,6 +66,40 @@
             self.quarantine.history.last_answer_s("popular"), float("-inf")
         )
 
+    def test_part_that_explains_more_than_a_request_stays_blamed(self) -> None:
+        # Guards against setting a part free while targets go on ending, since a request
+        # that crashes targets by itself was in flight at most of its crashes.
+        for number in range(40):
+            parts = ("first", "popular")
+            self.quarantine.history.record_attempt(("", ""), f"a{number}", parts)
+        for cause in (Cause(prompt_parts=frozenset({"bad"})), Cause("deadly")):
+            self.quarantine.adopt_verdict(Verdict(cause, 0.5, is_blamed=True))
+        for number in range(6):
+            suspects = [CrashSuspect(f"r{number}", ("first", "bad"), f"b{number}")]
+            if number < 4:
+                suspects.append(CrashSuspect("deadly", ("popular",), f"a{number}"))
+            at_s = 1.0 + number / 10
+            self.quarantine.on_crash(f"t/{number}", suspects, at_s, at_s)
+        standing, _ = self.quarantine.standing("new", 2.0, ("first", "bad"))
+        self.assertIs(standing, Standing.BLAMED)
+
+    def test_common_request_is_set_free_once_others_explain_its_crashes(self) -> None:
+        # Guards against refusing a request that many callers send alike for 300 s: once
+        # it is refused it is neither answered nor at any further crash.
+        for number in range(40):
+            name = "alike" if number % 3 == 0 else f"a{number}"
+            self.quarantine.history.record_attempt(("", ""), name, ())
+        alike = Cause("alike")
+        self.quarantine.adopt_verdict(Verdict(alike, 0.5, is_blamed=True))
+        for number in range(6):
+            deadly = CrashSuspect(f"deadly{number % 2}", (), f"a{number}")
+            beside = CrashSuspect("alike", (), f"b{number}")
+            at_s = 1.0 + number / 10
+            self.quarantine.on_crash(f"t/{number}", [deadly, beside], at_s, at_s)
+        self.assertIs(self.quarantine.standing("alike", 2.0)[0], Standing.SUSPECT)
+        for name in ("deadly0", "deadly1"):
+            self.assertIs(self.quarantine.standing(name, 2.0)[0], Standing.BLAMED)
+
     def test_attempts_of_one_arrival_are_no_new_evidence(self) -> None:
         # Guards against blaming a sound request that an entry tries again.
         for number in range(4):
@@ -94,8 +129,10 @@
         after = load.served_share(last_s + AFTER_S, 32.0)
         self.assertGreaterEqual(after, SERVED_AFTER_SHARE_MIN, label)
 
-    def run_loads(self, *kinds: tuple[str, bool], **changes: Any) -> None:
-        for seed in SEEDS:
+    def run_loads(
+        self, *kinds: tuple[str, bool], seeds: range = SEEDS, **changes: Any
+    ) -> None:
+        for seed in seeds:
             load = Load(seed, [Kind(*kind) for kind in kinds], **changes)
             load.run()
             self.assert_kept(load, f"seed {seed}")
@@ -120,6 +157,18 @@
         for name, is_part in (("deadly", False), ("bad", True)):
             self.run_loads((name, is_part), alike_share=0.3)
 
+    def test_dense_streams_beside_two_causes(self) -> None:
+        # Guards against refusing what many callers send alike to the end, as it is in
+        # flight at nearly every crash where each breaks off many streams.
+        for other in (("deadly2", False), ("bad", True)):
+            self.run_loads(
+                ("deadly", False),
+                other,
+                seeds=DENSE_SEEDS,
+                sound=DENSE,
+                alike_share=0.3,
+            )
+
     def test_entries_that_just_started(self) -> None:
         # Guards against finding the guilty one late while hardly any answers are known.
         for kind in (Kind("deadly", starts_s=0.5), Kind("bad", True, starts_s=0.5)):
