Let the slots that a target reports go before the configured ones

Cause: capacity, occupancy and the wait for a slot were reckoned with the configured slots alone, while each answer tells the true number. Change: parameters of an engine are those of the configuration with the slots last reported. Where both agree nothing changes.

--- a/reedspar/direct/candidates.py
+++ b/reedspar/direct/candidates.py
@@ -8,6 +8,7 @@
 from reedspar.routes import EngineParameters, ServiceParameters
 from reedspar.speeds import queue_factor
 
+from .actual_engines import find_actual_engine
 from .estimate import (
     Calibration,
     EngineLoad,
@@ -95,6 +96,7 @@
         if engine is None:
             waiting_s = load.total_in_flight(now_s) * ESTIMATE_TOLERANCE_S
             return Candidate(known, load, waiting_s, waiting_s + region_penalty_s)
+        engine = find_actual_engine(engine, load)
         engine_load = _make_engine_load(load, average, engine, now_s, slowdown_factor)
         if share_ahead is not None:
             engine_load = _keep_load_ahead(
--- a/reedspar/direct/pool_capacity.py
+++ b/reedspar/direct/pool_capacity.py
@@ -7,6 +7,7 @@
 from reedspar.fleet import FleetView, KnownTarget
 from reedspar.routes import EngineParameters, ServiceParameters
 
+from .actual_engines import find_actual_engine
 from .eligibility import ineligibility_reason
 from .loads import TargetLoad, TargetLoads
 from .notices import TargetNotices
@@ -83,7 +84,8 @@
         )
         loads = [load for _, load in usable]
         typical_s = request_work_s(engine, engine.typical_prompt_tokens)
-        slot_work = len(usable) * engine.slots * typical_s
+        slots = sum(find_actual_engine(engine, load).slots for load in loads)
+        slot_work = slots * typical_s
         return PoolCapacity(work, _read_occupancy(loads, engine, now_s), slot_work)
 
     def _discard(self) -> None:
@@ -132,10 +134,16 @@
         engine: EngineParameters,
         now_s: float,
     ) -> float:
-        """Return the work of one target, in seconds of an unhindered one's a second."""
-        work = 1.0 / max(1.0, self._slowdown_factor(known, load, now_s))
+        """Return the work of one target, in seconds of an unhindered one's a second.
+
+        The work of requests is that at the configured number of slots.
+        """
+        typical_s = request_work_s(engine, engine.typical_prompt_tokens)
+        actual_engine = find_actual_engine(engine, load)
+        actual_s = request_work_s(actual_engine, engine.typical_prompt_tokens)
+        work = typical_s / actual_s
+        work /= max(1.0, self._slowdown_factor(known, load, now_s))
         if known.is_cold(now_s) and service.cold_requests_per_s > 0:
-            typical_s = request_work_s(engine, engine.typical_prompt_tokens)
             work = min(work, service.cold_requests_per_s * typical_s)
         return work
 
@@ -156,11 +164,11 @@
     loads: Sequence[TargetLoad], engine: EngineParameters, now_s: float
 ) -> float | None:
     """Return requests by slots, the average of the recent reports by their weight."""
-    weight_sum = requests = 0.0
+    slots = requests = 0.0
     for load in loads:
         newest = load.newest_report(now_s)
         if newest is not None and newest[2] >= RECENT_WEIGHT_MIN:
             report, _, weight = newest
-            weight_sum += weight
+            slots += weight * (report.slots or engine.slots)
             requests += weight * (report.running + report.waiting)
-    return requests / (engine.slots * weight_sum) if weight_sum else None
+    return requests / slots if slots else None
--- a/reedspar/direct/tests/test_admission.py
+++ b/reedspar/direct/tests/test_admission.py
@@ -3,13 +3,28 @@
 import json
 import unittest
 from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import replace
 from typing import Any
 
 import anyio
 
-from reedspar.admission import Demand, DemandBoard, DemandKey, PoolDemand, Refused
+from reedspar.admission import (
+    Demand,
+    DemandBoard,
+    DemandKey,
+    PoolCapacity,
+    PoolDemand,
+    Refused,
+)
 from reedspar.direct.candidates import CandidateEstimator
-from reedspar.direct.loads import AverageLoad, LoadReport, OwnAttempt, TargetLoad
+from reedspar.direct.loads import (
+    AverageLoad,
+    LoadReport,
+    OwnAttempt,
+    TargetLoad,
+    TargetLoads,
+)
+from reedspar.direct.notices import TargetNotices
 from reedspar.direct.pool_capacity import CAPACITY_TTL_S, FleetCapacity
 from reedspar.direct.request_log import RequestLog
 from reedspar.direct.tests.cases import Call
@@ -18,6 +33,7 @@
     make_engine_target,
     make_table,
 )
+from reedspar.direct.versions import VersionRule
 from reedspar.errors import Failure, Reason, Step
 from reedspar.fleet import FleetView, RoutesChange, TargetChange, TargetState
 from reedspar.requests.outcome_encoding import make_not_run
@@ -177,6 +193,45 @@
 
 
 class RankedEstimateTest(unittest.TestCase):
+    def test_reported_slots_go_before_the_configured_ones(self) -> None:
+        # Guards against refusing sound requests at idle targets, whose engines have
+        # more slots than a configuration that is out of date says.
+        table = make_table()
+        service = table.services["quotes"]
+        assert service.engine is not None
+        engine = replace(service.engine, slots=4)
+        outdated = replace(service, engine=engine)
+        loads = TargetLoads()
+        timers = create_timer_service()
+        view = FleetView(timers)
+        view.apply(TargetChange("q1", make_engine_target("q1", slots=24)))
+        view.apply(RoutesChange(make_table(services={"quotes": outdated})))
+        known = view.target("q1")
+        assert known is not None
+        load = loads.for_target("q1")
+        load.record_report(LoadReport(8, 0, 24), 0.0)
+        estimator = CandidateEstimator({"a": "ra"}, "ra")
+
+        def expect_s() -> float:
+            found = estimator.estimate(
+                _make_request(1), outdated, known, load, AverageLoad(), 0.0
+            )
+            return found.expected_wait_s
+
+        def read_capacity() -> PoolCapacity:
+            versions = VersionRule(view, timers, 8.0)
+            notices = TargetNotices(loads, timers)
+            source = FleetCapacity(view, loads, notices, versions)
+            return source.read_capacity("quotes", 0.0)
+
+        told_s, told = expect_s(), read_capacity()
+        load.record_report(LoadReport(8, 0, 4), 0.0)
+        self.assertGreater(expect_s(), 2 * told_s)
+        outdated_capacity = read_capacity()
+        self.assertGreater(told.work, 3 * outdated_capacity.work)
+        self.assertEqual(told.occupancy, 8 / 24)
+        self.assertEqual(outdated_capacity.occupancy, 2.0)
+
     def test_less_urgent_waiting_requests_do_not_delay_an_urgent_one(self) -> None:
         # Guards against refusing the most urgent for requests that an engine would run
         # after them.
