Replace the blame of a common request also where few answers are known

The request that three in ten callers send alike was at five of nine crashes, all of which a prompt part explained, and stayed blamed at all four entries. Cause: a request was taken for one that is never answered unless 30 answers of its pool and zone were known. Change: an answer that is known counts, however few are. Evidence: the new test failed before.

--- a/reedspar/requests/cause_weighing.py
+++ b/reedspar/requests/cause_weighing.py
@@ -103,9 +103,7 @@
     """Return whether a request may be one that targets never answer."""
     if cause.prompt_parts:
         return False
-    scopes = {crash.scope for crash in found}
-    is_known = all(map(history.knows_shares, scopes))
-    return not is_known or not history.has_answered(cause.fingerprint, scopes)
+    return not history.has_answered(cause.fingerprint, {c.scope for c in found})
 
 
 def _sort_key(cause: Cause) -> tuple[int, str, list[str]]:
--- a/reedspar/requests/tests/test_crash_load.py
+++ b/reedspar/requests/tests/test_crash_load.py
@@ -100,6 +100,27 @@
         for name in ("deadly0", "deadly1"):
             self.assertIs(self.quarantine.standing(name, 2.0)[0], Standing.BLAMED)
 
+    def test_common_request_is_set_free_by_an_entry_that_knows_few_answers(
+        self,
+    ) -> None:
+        # Guards against the same at entries that have just started.
+        for number in range(8):
+            name = "alike" if number % 3 == 0 else f"a{number}"
+            self.quarantine.history.record_attempt(("", ""), name, ())
+        alike = Cause("alike")
+        self.quarantine.adopt_verdict(Verdict(alike, 0.5, is_blamed=True))
+        for number in range(9):
+            suspects = [CrashSuspect(f"r{number}", ("bad",), f"b{number}")]
+            if number < 5:
+                suspects.append(CrashSuspect("alike", (), f"a{number}"))
+                suspects.append(CrashSuspect(f"s{number}", ("other",), f"c{number}"))
+            at_s = 1.0 + number / 10
+            self.quarantine.on_crash(f"t/{number}", suspects, at_s, at_s)
+        standing, _ = self.quarantine.standing("alike", 2.0)
+        self.assertIsNot(standing, Standing.BLAMED)
+        standing, _ = self.quarantine.standing("new", 2.0, ("bad",))
+        self.assertIs(standing, Standing.BLAMED)
+
     def test_attempts_of_one_arrival_are_no_new_evidence(self) -> None:
         # Guards against blaming a sound request that an entry tries again.
         for number in range(4):
