Count what is in flight beside a crash when a request's share is estimated

Cause: its share was that among answers alone, where 30 of them are known. Change: for a fingerprint the share is the larger of that and the one among the requests in flight beside; a request that crashes targets hardly ever is twice at one. Evidence: the new test failed before. Ruled out: a least time between a request's crashes, which delays true verdicts.

--- a/reedspar/requests/crash_records.py
+++ b/reedspar/requests/crash_records.py
@@ -68,14 +68,22 @@
 
     A trait is a fingerprint or a prompt part; `presence` tells at which crashes it was.
     Its share is that among the answered attempts, and among the requests in flight
-    beside the one that would be the cause.
+    beside the one that would be the cause.  For a fingerprint it is the larger of both:
+    what many callers have just begun to send alike is not answered yet.
     """
     count = sum(presence)
     beside = sum(len(crash.suspects) for crash in crashes) - count
     beside_with = sum(_count_with(trait, crash) for crash in crashes) - count
+    is_request = any(
+        trait == item.fingerprint for crash in crashes for item in crash.suspects
+    )
+    share_min = (beside_with + 1) / (beside + 2) if is_request and beside_with else 0.0
     likely = [
         1
-        - (1 - history.share_of(trait, crash.scope, beside_with, beside))
+        - (
+            1
+            - max(share_min, history.share_of(trait, crash.scope, beside_with, beside))
+        )
         ** len(crash.suspects)
         for crash in crashes
     ]
--- a/reedspar/requests/tests/test_quarantine.py
+++ b/reedspar/requests/tests/test_quarantine.py
@@ -79,6 +79,19 @@
         self.assert_blamed("common")
         self.assertEqual(verdicts, [])
 
+    def test_request_that_many_have_just_begun_to_send_is_not_blamed(self) -> None:
+        # Guards against refusing a burst of requests that are all alike, none of which
+        # is answered yet, when targets end one after the other.
+        for number in range(40):
+            self.quarantine.history.record_attempt(("", ""), f"a{number}", ())
+        for crash in range(5):
+            suspects = [CrashSuspect("alike", (), f"x{crash}-{i}") for i in range(3)]
+            suspects += [CrashSuspect(f"r{crash}-{i}", ()) for i in range(5)]
+            at_s = crash / 10
+            self.quarantine.on_crash(f"t/{crash}", suspects, at_s, at_s)
+        standing, _ = self.quarantine.standing("alike", 2.0)
+        self.assertIs(standing, Standing.SUSPECT)
+
     def test_common_request_is_not_blamed_for_crashes_of_others(self) -> None:
         # Guards against refusing a request that many callers send alike, which is in
         # flight wherever a target ends.
