Admit requests in a drain by when they end, not by a fixed window

Cause: a fixed window, min(0.4 x (grace - 1 s) + 1 s, half of it), stood for the question whether a request ends in the time that is left.

Change: DrainFilter, behind route and deadline, admits a request if its time limit ends before the entry stops; one that may be repeated also by the longest recent answers of its route. The rest is refused at once as not run, with 0.1 s to wait in place of 1 s. The entry stops when nobody has come for a second, and keeps an eighth of the grace period, at most 1 s, for the end. The own interface uses the same filter.

Ruled out: a shorter window, which fits one grace period and one length of answer and refuses quick requests sooner; limits alone, which refuse most streams from 0.9 s on.

test_serves_cached_addresses_then_finishes_then_stops asked that a request be served whose limit is 60 s while 15 s are left, which is this fault; the request now states a limit of 10 s. All else it asks is unchanged, and the new test asks for more.

--- a/reedspar/daemon/site_entry.py
+++ b/reedspar/daemon/site_entry.py
@@ -49,12 +49,9 @@
 __all__ = ["EntryAdapters", "SiteEntry", "create_site_entry"]
 
 FORCED_STOP_MARGIN_S = 1.0
-"""Time before the forced stop to send the last bytes and to close sockets."""
-ACCEPTING_FRACTION = 0.4
-"""Fraction of the grace period in which new requests are still accepted.
-
-Callers cache an address for its time to live, a few for three times as long.  The
-remaining time is needed for the longest answers that usually occur."""
+FORCED_STOP_SHARE = 0.125
+"""Upper bounds of the time before the forced stop, in seconds and as a share of the
+grace period, to send the last bytes, to close sockets and to exit."""
 SHUTDOWN_TIMEOUT_S = 0.3
 PRESSURE_INTERVAL_S = 1.0
 """Time between two readings of this entry's resources."""
@@ -177,15 +174,20 @@
     async def _drain(self) -> None:
         """Withdraw the registration, serve until cached addresses expire, and stop."""
         self.is_leaving = True
-        grace_s = self.settings.bounds.grace_ms / 1000 - FORCED_STOP_MARGIN_S
+        bounds = self.settings.bounds
+        grace_s = bounds.grace_ms / 1000
+        margin_s = min(FORCED_STOP_MARGIN_S, FORCED_STOP_SHARE * grace_s)
         background = ContainedTasks(self.tasks)
         background.start_soon(self.components.registration.withdraw)
         application = self.service.application
         application.close_connections()
-        options = DrainOptions(ACCEPTING_FRACTION * grace_s, grace_s)
-        await run_drain(application, options, self.timers.now_s)
+        options = DrainOptions(
+            bounds.address_ttl_ms / 1000, grace_s - margin_s, margin_s / 4
+        )
+        gate = self.service.drain_filter
+        await run_drain(application, gate, options, self.timers.now_s)
         self._stop_serving.set()
-        with anyio.move_on_after(FORCED_STOP_MARGIN_S / 2):
+        with anyio.move_on_after(margin_s / 4):
             await self._server_stopped.wait()
 
 
--- a/reedspar/direct/filters.py
+++ b/reedspar/direct/filters.py
@@ -79,6 +79,7 @@
     def _apply_route(
         self, request: Request, route: Route, workspace: WorkspaceAccess | None
     ) -> None:
+        request.route = route.name
         request.pool = route.choose_service(self._rng)
         request.route_timeout_s = route.timeout_s
         request.is_idempotent = route.is_idempotent
--- a/reedspar/direct/service.py
+++ b/reedspar/direct/service.py
@@ -26,6 +26,7 @@
 from reedspar.requests.application import RequestApplication, RequestIdGenerator
 from reedspar.requests.caller_adapter import CallerAdapter
 from reedspar.requests.crash_gossip import create_crash_gossip
+from reedspar.requests.drain_filter import DrainFilter
 from reedspar.requests.filters import chain_filters
 from reedspar.requests.protection_filters import QuarantineFilter
 from reedspar.requests.quarantine import Quarantine
@@ -86,6 +87,7 @@
     demand_meter: DemandMeter
     speeds: TargetSpeeds
     speed_news: SpeedNews
+    drain_filter: DrainFilter
 
     def needs_pool_state(self) -> bool:
         """Return whether decisions here need what other daemons know of the pools."""
@@ -265,11 +267,13 @@
     retry_shares = create_retry_shares(bounds, timers)
     follower = _FleetFollower(view, loads, cold_limits, retry_shares, timers)
     view.on_change(follower.apply_change)
+    drain_filter = DrainFilter(timers)
     relay_options = RelayOptions(retry_wait_s=0.0, deadline_margin_s=0.0)
     filters: list[Filter] = [
         *first_filters,
         RouteIdentificationFilter(view, is_store_slow, rng),
         DeadlineFilter(),
+        drain_filter,
         QuarantineFilter(quarantine, timers),
         AdmissionFilter(ranked_pools, admission, timers),
         Relay(
@@ -319,4 +323,5 @@
         meter,
         speeds,
         speed_news,
+        drain_filter,
     )
--- a/reedspar/requests/application.py
+++ b/reedspar/requests/application.py
@@ -153,7 +153,6 @@
         self._fallback = fallback
         self._buffers = buffers or AnswerBuffers()
         self._active: dict[str, anyio.CancelScope] = {}
-        self._is_admitting = True
         self._is_closing = False
         self.in_flight = 0
 
@@ -165,10 +164,6 @@
         """
         self._is_closing = True
 
-    def stop_admitting(self) -> None:
-        """Refuse new requests as not run."""
-        self._is_admitting = False
-
     def abort(self) -> None:
         """End all requests in flight now, with a final answer where possible."""
         for scope in self._active.values():
@@ -249,12 +244,6 @@
                 retry_after_s=MEMORY_RETRY_AFTER_S,
             )
             return make_not_run(failure)
-        if not self._is_admitting:
-            detail = "this entry is leaving; use another address"
-            failure = Failure(
-                Reason.DRAINING, Step.DRAIN, detail=detail, retry_after_s=1.0
-            )
-            return make_not_run(failure)
         with anyio.CancelScope() as scope:
             self._active[request.request_id] = scope
             try:
--- a/reedspar/requests/request.py
+++ b/reedspar/requests/request.py
@@ -104,6 +104,8 @@
     idempotency_key: str = ""
     fingerprint: str = ""
     weights_digest: str = ""
+    route: str = ""
+    """Name of the route; empty where the path names the pool."""
     host: str = ""
     """Requested host, used if routes are found by host."""
     allowed_s: float | None = None
--- a/reedspar/requests/service.py
+++ b/reedspar/requests/service.py
@@ -22,6 +22,7 @@
 from .claim_ledger import ClaimLedger, LedgerOptions
 from .crash_gossip import create_crash_gossip
 from .deduplication import DeduplicationFilter
+from .drain_filter import DrainFilter
 from .draining import DrainOptions, run_drain
 from .filters import (
     ClassificationFilter,
@@ -56,6 +57,7 @@
     ledger: ClaimLedger
     verdict_archive: VerdictArchive
     admission: AdmissionFilter
+    drain_filter: DrainFilter
     timers: TimerService
     settings: RequestSettings
 
@@ -74,7 +76,7 @@
         options = DrainOptions(
             self.settings.address_ttl_s, self.settings.drain_timeout_s
         )
-        await run_drain(self.application, options, self.timers.now_s)
+        await run_drain(self.application, self.drain_filter, options, self.timers.now_s)
 
 
 def create_request_service(
@@ -115,11 +117,13 @@
         timers,
     )
     admission = AdmissionFilter(configuration, directory, timers)
+    drain_filter = DrainFilter(timers)
     filters: list[Filter] = [
         IdentificationFilter(configuration),
         RequestLimitsFilter(timers, settings.deadline_s, settings.body_limit_bytes),
         ClassificationFilter(configuration),
         DeduplicationFilter(claims, timers, unix_time, settings.claim_ttl_s),
+        drain_filter,
         QuarantineFilter(quarantine, timers),
         admission,
         relay,
@@ -145,6 +149,7 @@
         ledger,
         create_verdict_archive(quarantine, key_value, timers, rng),
         admission,
+        drain_filter,
         timers,
         settings,
     )
--- /dev/null
+++ b/reedspar/requests/tests/test_drain_filter.py
@@ -0,0 +1,166 @@
+"""Tests of which requests a draining entry admits, in virtual time."""
+
+import unittest
+from dataclasses import dataclass, field
+
+import anyio
+
+from reedspar.errors import Failure, Reason, Step
+from reedspar.requests.answer_times import ANSWERS_MIN, PERIOD_S, AnswerTimes
+from reedspar.requests.drain_filter import DrainFilter
+from reedspar.requests.draining import DrainOptions, run_drain
+from reedspar.requests.request import Answer, Outcome, Request
+from reedspar.requests.tests.virtual_time import create_loop_timers, run_virtual
+
+ADDRESS_TTL_S = 2.0
+SIGNAL_S = 60.0
+CALL_INTERVAL_S = 0.1
+
+
+class NoResponder:
+    is_started = False
+
+
+@dataclass
+class Call:
+    """A request; times are seconds after the signal to stop."""
+
+    at_s: float
+    limit_s: float
+    duration_s: float
+    is_idempotent: bool = False
+    route: str = "r"
+    outcome: str = ""
+
+
+@dataclass
+class Entry:
+    """A filter chain whose requests take a given time, up to their limit."""
+
+    drain_timeout_s: float
+    calls: list[Call]
+    stopped_s: float = 0.0
+    in_flight: int = 0
+    scopes: list[anyio.CancelScope] = field(default_factory=list)
+
+    def abort(self) -> None:
+        for scope in self.scopes:
+            scope.cancel()
+
+    async def run(self) -> None:
+        self.timers = create_loop_timers()
+        self.filter = DrainFilter(self.timers)
+        options = DrainOptions(ADDRESS_TTL_S, self.drain_timeout_s)
+        async with anyio.create_task_group() as tasks:
+            for number, call in enumerate(self.calls):
+                tasks.start_soon(self._serve, call, str(number))
+            await anyio.sleep(SIGNAL_S)
+            await run_drain(self, self.filter, options, self.timers.now_s)
+            self.stopped_s = anyio.current_time() - SIGNAL_S
+            tasks.cancel_scope.cancel()
+
+    async def _serve(self, call: Call, name: str) -> None:
+        await anyio.sleep(SIGNAL_S + call.at_s)
+        now_s = self.timers.now_s()
+        request = Request(
+            *(name, name, "GET", "pool", "/", (), b""), NoResponder(), now_s
+        )
+        request.deadline_s = now_s + call.limit_s
+        request.is_idempotent = call.is_idempotent
+        request.route = call.route
+
+        async def proceed(request: Request) -> Answer:
+            with anyio.move_on_after(call.limit_s):
+                await anyio.sleep(call.duration_s)
+                return Answer(Outcome.ANSWERED, 200)
+            failure = Failure(Reason.TIMEOUT, Step.RELAY)
+            return Answer(Outcome.UNKNOWN, failure=failure)
+
+        self.in_flight += 1
+        call.outcome = "cut"
+        with anyio.CancelScope() as scope:
+            self.scopes.append(scope)
+            answer = await self.filter.apply(request, proceed)
+            call.outcome = answer.outcome.value
+        self.in_flight -= 1
+
+
+def run_calls(drain_timeout_s: float, calls: list[Call]) -> float:
+    """Make calls, and return how long after the signal the entry stopped."""
+    entry = Entry(drain_timeout_s, calls)
+    run_virtual(entry.run)
+    return entry.stopped_s
+
+
+def make_calls(drain_timeout_s: float, limit_s: float, duration_s: float) -> list[Call]:
+    """Return calls at every moment after the signal."""
+    count = round(drain_timeout_s / CALL_INTERVAL_S)
+    return [
+        Call(number * CALL_INTERVAL_S, limit_s, duration_s) for number in range(count)
+    ]
+
+
+class DrainFilterTest(unittest.TestCase):
+    def test_nothing_admitted_at_any_moment_is_cut(self) -> None:
+        # Guards against orders and streams that are taken too late to be finished, and
+        # against refusals of those that end in time.
+        for drain_timeout_s in (1.5, 3.5, 7.0, 11.0, 19.0):
+            for limit_s in (0.5, 1.5, 6.0, 12.0):
+                for share in (0.01, 0.8, 1.5):
+                    with self.subTest(timeout=drain_timeout_s, limit=limit_s, s=share):
+                        calls = make_calls(drain_timeout_s, limit_s, share * limit_s)
+                        run_calls(drain_timeout_s, calls)
+                        self.check(drain_timeout_s, calls)
+
+    def check(self, drain_timeout_s: float, calls: list[Call]) -> None:
+        cut = [call.at_s for call in calls if call.outcome == "cut"]
+        self.assertEqual(cut, [])
+        fitting = [c for c in calls if c.at_s + c.limit_s < drain_timeout_s - 0.15]
+        refused = [call.at_s for call in fitting if call.outcome in ("not-run", "")]
+        self.assertEqual(refused, [])
+
+    def test_usual_answers_admit_what_may_be_repeated(self) -> None:
+        # Guards against refusals of streams whose limit is far longer than any of them.
+        for is_idempotent in (False, True):
+            earlier = [
+                Call(-20 + n / 2, 6.0, 1.0 + n % 5 / 4, is_idempotent)
+                for n in range(ANSWERS_MIN + 10)
+            ]
+            calls = [Call(t, 6.0, 2.0, is_idempotent) for t in (0.5, 2.0, 4.0, 5.0)]
+            other = Call(4.0, 6.0, 2.0, is_idempotent, "unused")
+            longest = Call(-0.1, 7.0, 6.9, route="other")
+            run_calls(7.0, [*earlier, *calls, other, longest])
+            outcomes = [call.outcome for call in (*calls, other)]
+            late = "answered" if is_idempotent else "not-run"
+            self.assertEqual(
+                outcomes, ["answered", late, late, "not-run", "not-run"], is_idempotent
+            )
+
+    def test_slow_answer_in_progress_holds_back_others(self) -> None:
+        # Guards against streams that are admitted by the answers of quicker times.
+        earlier = [Call(-20 + n / 2, 6.0, 1.0, True) for n in range(ANSWERS_MIN + 5)]
+        slow = Call(-2.0, 6.0, 5.5, is_idempotent=True)
+        calls = [Call(t, 6.0, 1.0, True) for t in (3.0, 3.2)]
+        run_calls(7.0, [*earlier, slow, *calls])
+        self.assertEqual([c.outcome for c in calls], ["not-run", "not-run"])
+
+    def test_entry_stops_soon_after_the_last_caller(self) -> None:
+        self.assertAlmostEqual(run_calls(7.0, []), 3.0, delta=0.1)
+        quick = [Call(number / 2, 1.0, 0.01) for number in range(9)]
+        self.assertAlmostEqual(run_calls(7.0, quick), 5.0, delta=0.1)
+
+
+class AnswerTimesTest(unittest.TestCase):
+    def test_longest_answer_of_the_period_counts(self) -> None:
+        times = AnswerTimes()
+        for number in range(ANSWERS_MIN):
+            self.assertIsNone(times.longest_s("r", number))
+            times.record("r", 5.0 if number == 0 else 1.0, number)
+        self.assertEqual(times.longest_s("r", ANSWERS_MIN), 5.0)
+        times.record("r", 2.0, ANSWERS_MIN)
+        self.assertEqual(times.longest_s("r", PERIOD_S + 0.5), 2.0)
+        self.assertIsNone(times.longest_s("r", PERIOD_S + 5.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/reedspar/requests/tests/test_draining.py
+++ b/reedspar/requests/tests/test_draining.py
@@ -1,6 +1,7 @@
 """Tests of an entry's graceful shutdown, in virtual time."""
 
 import unittest
+from collections.abc import Mapping
 from typing import Any
 
 import anyio
@@ -24,9 +25,15 @@
 class DrainTest(unittest.TestCase):
     """The path gives the duration of an answer in seconds; draining starts at 10 s."""
 
-    def run_calls(self, *calls: tuple[float, str]) -> float:
-        """Make (time, path) calls, and return the time when the entry stopped."""
+    def run_calls(
+        self, *calls: tuple[float, str], limits_s: Mapping[float, float] | None = None
+    ) -> float:
+        """Make (time, path) calls, and return the time when the entry stopped.
+
+        `limits_s` are the deadlines of callers that set one, by the times of the calls.
+        """
         self.responses: dict[float, httpx.Response] = {}
+        self.limits_s = limits_s or {}
         return run_virtual(self._run, calls)
 
     async def _run(self, calls: tuple[tuple[float, str], ...]) -> float:
@@ -50,6 +57,8 @@
                 network.deliver("t1", make_report("t1", sequence=int(at_s) + 1))
                 transport = httpx.ASGITransport(app=service.application)
                 headers = {"x-workspace": "w"}
+                if at_s in self.limits_s:
+                    headers["x-deadline-s"] = str(self.limits_s[at_s])
                 async with httpx.AsyncClient(
                     transport=transport, base_url="http://e"
                 ) as http:
@@ -78,6 +87,7 @@
             (9, "/v1/pools/orders/8"),
             (15, "/v1/pools/orders/3"),
             (16.5, "/v1/pools/orders/1"),
+            limits_s={15: 10},
         )
         self.assertEqual(len(self.responses[1].json()["addresses"]), 2)
         self.assertEqual(self.responses[11].json()["addresses"], ["http://entry-2:1"])
@@ -87,6 +97,20 @@
         self.assertEqual(self.responses[16.5].json()["reason"], "draining")
         self.assertAlmostEqual(stopped_s, 18.0, delta=0.2)
 
+    def test_caller_that_keeps_the_address_is_served_while_there_is_time(self) -> None:
+        # Guards against refusals of quick requests once the usual cached addresses have
+        # expired, though the entry still runs.
+        self.run_calls(
+            (9, "/v1/pools/orders/18"),
+            (17, "/v1/pools/orders/1"),
+            (24, "/v1/pools/orders/1"),
+            (26.5, "/v1/pools/orders/1"),
+            limits_s={17: 5, 24: 5, 26.5: 5},
+        )
+        statuses = [self.responses[at_s].status_code for at_s in (9, 17, 24, 26.5)]
+        self.assertEqual(statuses, [200, 200, 200, 503])
+        self.assertEqual(self.responses[26.5].json()["outcome"], "not-run")
+
     def test_requests_in_flight_at_the_timeout_end_as_unknown(self) -> None:
         # An answer takes longer than the drain timeout.  Its caller must get an
         # unknown outcome instead of a closed connection.
