End work that nobody waits for, whether or not it may be repeated

Cause: whether a request ends with its caller was decided by "may it be repeated". The question is whether a repeat can get the result (only by an idempotency key) and whether breaking the run off does harm (orders).

Change: Request.is_cancellable answers it. Streams of any kind and text of model pools end with their callers; an order that has been sent runs to its end, once, and one that has not is not sent, nor sent to another target after a refusal. Attempts tell agents whether they may be cancelled.

Ruled out: cancelling whatever has no key, which would break off orders.

--- a/reedspar/attempts/attempts.capnp
+++ b/reedspar/attempts/attempts.capnp
@@ -25,6 +25,7 @@
   agentIncarnation @13 :UInt64;
   # The agent incarnation that is addressed; any other refuses the attempt.
   promptParts @14 :List(Text);
+  isCancellable @15 :Bool;
 }
 
 struct AttemptRefused {
--- a/reedspar/attempts/messages.py
+++ b/reedspar/attempts/messages.py
@@ -95,6 +95,8 @@
     agent_incarnation: int = 0
     prompt_parts: tuple[str, ...] = ()
     """Ids of the parts of its prompt that other requests may share."""
+    is_cancellable: bool = False
+    """Whether a run may be broken off once nobody waits for it."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/reedspar/direct/client.py
+++ b/reedspar/direct/client.py
@@ -235,6 +235,9 @@
         target = attempt.target
 
         def check_before_write() -> Failure | None:
+            if attempt.is_abandoned():
+                detail = "its caller has left"
+                return Failure(Reason.EXPIRED, Step.LINK, target, detail)
             return self._checks.check_hand_over(
                 target, start.request_id, SWEEP_INTERVAL_S
             )
--- a/reedspar/direct/tests/fakes.py
+++ b/reedspar/direct/tests/fakes.py
@@ -43,6 +43,7 @@
     "FakeDialer",
     "FakeResponse",
     "HostAdapter",
+    "Script",
     "broken",
     "make_direct_service",
     "make_engine_target",
@@ -195,6 +196,9 @@
             if isinstance(answer, float):
                 await anyio.sleep(answer)
                 answer = FakeResponse([b"late"])
+            if isinstance(answer, tuple):
+                delay_s, answer = answer
+                await anyio.sleep(delay_s)
             notice = self._make_notice(target_id, boot_id, request.request_id, answer)
             for listener in self._notice_listeners:
                 listener(notice)
--- a/reedspar/requests/application.py
+++ b/reedspar/requests/application.py
@@ -206,15 +206,9 @@
     async def _run(
         self, request: Request, responder: AsgiResponder, receive: Receive
     ) -> None:
-        """Run the filter chain; cancel idempotent requests on disconnect.
-
-        Non-idempotent requests continue after a disconnect: if cancelled, their
-        outcome would be unknown, whereas now a repeat can get the first answer.
-        """
+        """Run the filter chain; end it on disconnect unless its result is needed."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(
-                _cancel_on_disconnect, receive, request, tasks.cancel_scope
-            )
+            tasks.start_soon(_end_on_disconnect, receive, request, tasks.cancel_scope)
             answer = await self._answer_until_abort(request)
             tasks.cancel_scope.cancel()
             # Without the shield, cancellation would also stop the answer's writes.
@@ -266,12 +260,16 @@
             return Answer(Outcome.UNKNOWN, failure=failure, is_sent=started)
 
 
-async def _cancel_on_disconnect(
+async def _end_on_disconnect(
     receive: Receive, request: Request, scope: anyio.CancelScope
 ) -> None:
+    """Cancel a request whose result nobody gets, unless breaking it off does harm."""
     while (await receive())["type"] != "http.disconnect":
         pass
-    if request.is_idempotent:
+    if request.idempotency_key:
+        return
+    request.is_abandoned = True
+    if request.is_cancellable or not request.may_have_run:
         scope.cancel()
 
 
--- a/reedspar/requests/attempt_client.py
+++ b/reedspar/requests/attempt_client.py
@@ -73,6 +73,8 @@
         self.is_buffer_full = False
         self.hold: RequestHold = create_free_hold()
         self.hold_ups = HoldUps()
+        self.is_abandoned: Callable[[], bool] = lambda: False
+        """Tells whether nobody waits for the answer any more."""
         self._event: anyio.Event | None = None
 
     @property
--- a/reedspar/requests/relay.py
+++ b/reedspar/requests/relay.py
@@ -184,6 +184,7 @@
             return make_not_run(attempt)
         may_have_run_before = request.may_have_run
         attempt.hold = request.hold
+        attempt.is_abandoned = lambda: request.is_abandoned
         request.hold.deadline_s = request.deadline_s
         request.may_have_run = True
         request.targets.append(chosen.name)
@@ -232,6 +233,7 @@
             chosen.weights_digest or request.weights_digest,
             chosen.incarnation,
             request.prompt_parts,
+            request.is_cancellable,
         )
 
     async def _await_answer(
@@ -267,7 +269,7 @@
         failure = latest.failure
         if failure is None or failure.reason in FINAL_REASONS:
             return False
-        if request.hold.given_up is not None:
+        if request.hold.given_up is not None or request.is_abandoned:
             return False
         if (
             state.handed_over_count >= request.attempts_max
--- a/reedspar/requests/request.py
+++ b/reedspar/requests/request.py
@@ -148,10 +148,24 @@
     header_map: dict[str, str] = field(default_factory=dict)
     hold: RequestHold = field(default_factory=create_free_hold)
     """The bytes that the daemon holds for the request."""
+    is_abandoned: bool = False
+    """Whether the caller has left, and no repeat can get the answer."""
 
     def __post_init__(self) -> None:
         self.header_map = {header.name: header.value for header in self.headers}
 
+    @property
+    def is_cancellable(self) -> bool:
+        """Return whether a run may be broken off once the caller has left.
+
+        An order may have taken effect in part; generated text has no effect.  A repeat
+        with an idempotency key gets the answer of the first run.
+        """
+        if self.is_idempotent:
+            return True
+        is_generated = self.is_stream or self.pool_kind is PoolKind.MODEL
+        return is_generated and not self.idempotency_key
+
 
 Proceed = Callable[[Request], Awaitable[Answer]]
 """Runs the remaining filters and returns their answer."""
--- a/reedspar/requests/tests/test_application.py
+++ b/reedspar/requests/tests/test_application.py
@@ -302,6 +302,64 @@
         self.assertEqual(self.service.client.open_count, 0)
 
 
+class DisconnectTest(ApplicationTestCase):
+    def test_generated_text_is_ended_and_orders_are_not(self) -> None:
+        # Guards against work that goes on for a caller that left and that no repeat can
+        # get, and against orders that are broken off.
+        document = DOCUMENT.model_dump(mode="json")
+        document["pools"]["orders"]["kind"] = "model"
+        model = type(DOCUMENT).model_validate(document)
+        for kind, key, is_cancelled in (
+            (model, "", True),
+            (model, "2026-12-04:k1", False),
+            (DOCUMENT, "", False),
+        ):
+            with self.subTest(kind=kind.pools["orders"].kind, key=key):
+                self.setUp()
+                self.configuration.document = kind
+                self.assertEqual(self.leave(key), is_cancelled)
+
+    def leave(self, key: str) -> bool:
+        """Return whether an attempt is cancelled when its caller leaves."""
+        left = anyio.Event()
+        is_read = False
+
+        async def receive() -> dict:
+            nonlocal is_read
+            if not is_read:
+                is_read = True
+                return {"type": "http.request", "body": b"x", "more_body": False}
+            await left.wait()
+            return {"type": "http.disconnect"}
+
+        async def send(message: dict) -> None:
+            pass
+
+        headers = [(b"x-workspace", b"shop")]
+        if key:
+            headers.append((b"idempotency-key", key.encode()))
+        path = "/v1/pools/orders/s"
+        scope = {"type": "http", "http_version": "1.1", "method": "POST", "path": path}
+        scope |= {"raw_path": path.encode(), "query_string": b"", "headers": headers}
+
+        async def run() -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.service.run)
+                tasks.start_soon(self.service.application, scope, receive, send)
+                with anyio.fail_after(5):
+                    while not self.starts():
+                        await anyio.sleep(0.01)
+                left.set()
+                await anyio.sleep(0.1)
+                self.cancelled = bool(self.network.sent_of(AttemptCancel))
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+        (start,) = self.starts()
+        self.assertEqual(start.is_cancellable, self.cancelled)
+        return self.cancelled
+
+
 class AddressesTest(ApplicationTestCase):
     def test_own_zone_is_first_and_leaving_or_out_entries_are_omitted(self) -> None:
         self.entries.addresses = [
--- a/reedspar/targets/dispatcher.py
+++ b/reedspar/targets/dispatcher.py
@@ -25,7 +25,7 @@
 
 from .gate import ColdStartGate
 from .queue import AttemptQueue
-from .runner import AttemptOutcome, AttemptRunner, RunHandle
+from .runner import AttemptOutcome, AttemptRunner, RunHandle, may_cancel
 from .table import AttemptKey, AttemptRecord, AttemptTable
 
 __all__ = ["AttemptDispatcher", "DispatchPolicy"]
@@ -227,7 +227,7 @@
             )
             return
         handle = self._handles.get(record.key)
-        if handle is not None and record.start and record.start.is_idempotent:
+        if handle is not None and record.start and may_cancel(record.start):
             handle.cancel()
         self._send(sender.name, record.refusal or record.describe())
 
--- a/reedspar/targets/runner.py
+++ b/reedspar/targets/runner.py
@@ -23,7 +23,7 @@
 from .pause import read_pause_s
 from .table import AttemptRecord
 
-__all__ = ["AttemptOutcome", "AttemptRunner", "RunHandle"]
+__all__ = ["AttemptOutcome", "AttemptRunner", "RunHandle", "may_cancel"]
 
 UNACKNOWLEDGED_MAX_BYTES = 1024 * 1024
 """Unacknowledged bytes above which reading from the target pauses."""
@@ -105,9 +105,9 @@
         assert start is not None
         request = _make_request(start, record.deadline_s - self._clock.now_s())
         outcome = AttemptOutcome(EndKind.BROKEN, Reason.TIMEOUT, "deadline")
-        if not start.is_idempotent:
-            # Cancelling a non-idempotent request would leave it unknown whether it
-            # took effect, so its answer is awaited even after the deadline.
+        if not may_cancel(start):
+            # Cancelling an order would leave it unknown whether it took effect, so its
+            # answer is awaited even after the deadline.
             return await self._exchange(record, request, handle)
         handle.scope.deadline = anyio.current_time() + request.timeout_s
         with handle.scope:
@@ -186,6 +186,12 @@
         return AttemptOutcome(EndKind.COMPLETE, pause_s=pause_s)
 
 
+def may_cancel(start: AttemptStart) -> bool:
+    """Return whether the run of an attempt may be broken off."""
+    # Entries of earlier releases tell only whether it may be repeated.
+    return start.is_idempotent or start.is_cancellable
+
+
 def _make_request(start: AttemptStart, timeout_s: float) -> TargetRequest:
     return TargetRequest(
         request_id=f"{start.request_id}.{start.attempt}",
--- a/reedspar/targets/tests/test_controller.py
+++ b/reedspar/targets/tests/test_controller.py
@@ -78,6 +78,24 @@
 
         self.run_scenario(scenario)
 
+    def test_cancel_ends_a_run_unless_that_may_do_harm(self) -> None:
+        # Guards against a target that works on though nobody waits, and against an
+        # order that is broken off.
+        async def scenario() -> None:
+            for name, is_cancellable in (("text", True), ("order", False)):
+                fields = {"is_idempotent": False, "is_cancellable": is_cancellable}
+                await self.deliver(make_start(name, **fields))
+                await self.deliver(AttemptCancel(name, 1, agent_incarnation=1))
+            await self.release()
+            text, order = self.network.sent_of(AttemptEnd)
+            self.assertEqual((text.request_id, text.kind), ("text", EndKind.BROKEN))
+            self.assertIs(text.reason, Reason.CANCELLED)
+            self.assertEqual(
+                (order.request_id, order.kind), ("order", EndKind.COMPLETE)
+            )
+
+        self.run_scenario(scenario)
+
     def test_cancel_before_its_start_revokes_the_attempt(self) -> None:
         # Guards against running a start that a stalled connection delivers after its
         # cancel: the caller has been told "not run".
