Give a target its address back once it answers there

Cause: a later registration of an address supersedes an earlier one, as after a loss of power, and nothing weighed the answer of the target itself against it.

Ruled out: not superseding at all, which sends requests to targets that are gone.

--- a/reedspar/fleet/addresses.py
+++ b/reedspar/fleet/addresses.py
@@ -1,6 +1,6 @@
 """Tells which of several targets registered at the same address is the current one."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from .records import TargetRecord
 
@@ -16,6 +16,13 @@
     boot_id: str
     first_revision: int
     """Revision of the store at which this run of the target was first registered."""
+    is_confirmed: bool = False
+    """Whether it answered at the address after registrations up to that revision."""
+
+    @property
+    def order(self) -> tuple[int, bool]:
+        """Return a key by which a later registration is greater."""
+        return self.first_revision, self.is_confirmed
 
 
 class AddressIndex:
@@ -28,7 +35,7 @@
 
     def __init__(self) -> None:
         self._registrations: dict[str, _Registration] = {}
-        self._newest_revisions: dict[Address, int] = {}
+        self._newest: dict[Address, tuple[int, bool]] = {}
 
     @property
     def superseded_count(self) -> int:
@@ -57,16 +64,30 @@
         registration = self._registrations.get(target_id)
         if registration is None:
             return False
-        newest_revision = self._newest_revisions[registration.address]
-        return registration.first_revision < newest_revision
+        return registration.order < self._newest[registration.address]
+
+    def confirm(self, target_id: str) -> bool:
+        """Record that a target answered at its address; return whether that is news.
+
+        A later registration is then wrong; any program may have written it.
+        """
+        if not self.is_superseded(target_id):
+            return False
+        registration = self._registrations[target_id]
+        revision, _ = self._newest[registration.address]
+        self._registrations[target_id] = replace(
+            registration, first_revision=revision, is_confirmed=True
+        )
+        self._update_newest(registration.address)
+        return True
 
     def _update_newest(self, address: Address) -> None:
-        revisions = [
-            registration.first_revision
+        orders = [
+            registration.order
             for registration in self._registrations.values()
             if registration.address == address
         ]
-        if revisions:
-            self._newest_revisions[address] = max(revisions)
+        if orders:
+            self._newest[address] = max(orders)
         else:
-            self._newest_revisions.pop(address, None)
+            self._newest.pop(address, None)
--- a/reedspar/fleet/tests/test_view.py
+++ b/reedspar/fleet/tests/test_view.py
@@ -99,6 +99,25 @@
                 self.assertEqual(self.view.target_count(), 1)
                 self.assertTrue(self.view.is_superseded("t1"))
 
+    def test_target_that_answers_at_its_address_is_current(self) -> None:
+        # Guards against a registration by another program that takes the address of a
+        # target, which would get no more requests.
+        foreign = TargetChange("x1", make_target("x1"), revision=9)
+        self.view.apply(TargetChange("t1", make_target("t1"), revision=5))
+        self.view.apply(foreign)
+        record = make_target("t1")
+        self.view.confirm_address("t1", record.host, record.port + 1)
+        self.view.confirm_address("unknown", record.host, record.port)
+        self.assertTrue(self.view.is_superseded("t1"))
+        self.view.confirm_address("t1", record.host, record.port)
+        self.assertFalse(self.view.is_superseded("t1"))
+        self.assertTrue(self.view.is_superseded("x1"))
+        self.view.apply(foreign)
+        self.assertTrue(self.view.is_superseded("x1"))
+        self.view.apply(TargetChange("t2", make_target("t2"), revision=12))
+        self.assertTrue(self.view.is_superseded("t1"))
+        self.assertFalse(self.view.is_superseded("t2"))
+
     def test_late_write_of_an_earlier_target_does_not_bring_it_back(self) -> None:
         # Guards against the same after an outage of the store, in which writes of the
         # earlier target were delayed.
--- a/reedspar/fleet/view.py
+++ b/reedspar/fleet/view.py
@@ -86,6 +86,17 @@
             if not self._addresses.is_superseded(target_id):
                 yield known.record
 
+    def confirm_address(self, target_id: str, host: str, port: int) -> None:
+        """Record that a target itself has answered at an address."""
+        known = self._targets.get(target_id)
+        if known is None or (known.record.host, known.record.port) != (host, port):
+            return
+        if self._addresses.confirm(target_id):
+            _logger.warning(
+                "target answers at an address registered by a later one",
+                extra={"target": target_id},
+            )
+
     def is_superseded(self, target_id: str) -> bool:
         """Return whether a later target of the pool has registered at the address."""
         return self._addresses.is_superseded(target_id)
