Tell what had arrived on a connection that this process closes

A server of our own on hypercorn's protocols (reedspar.serving) counts what arrives on each connection: nothing, a part of a request, a whole one. Each connection that this process closes before an answer is logged with the cause and the time since its last byte, and all ends are counted (reedspar_connections_ended_total). When connections are closed is as before.

Ruled out for the exit code 1: a failure of the daemon's own tasks. It was hypercorn's wait for its connections when that is cancelled.

--- a/reedspar/daemon/http_server.py
+++ b/reedspar/daemon/http_server.py
@@ -5,12 +5,12 @@
 from collections.abc import Mapping, Sequence
 
 import anyio
-from hypercorn.asyncio import serve
 from hypercorn.config import Config, Sockets
 from hypercorn.typing import ASGIFramework
-from starlette.applications import Starlette
 from starlette.types import ASGIApp, Receive, Scope, Send
 
+from reedspar.serving import OpenConnections, create_http_server
+
 __all__ = ["PortDispatcher", "serve_http"]
 
 LISTEN_BACKLOG = 2048
@@ -27,13 +27,9 @@
 
     def __init__(self, by_port: Mapping[int, ASGIApp]) -> None:
         self._by_port = dict(by_port)
-        self._lifespan = Starlette()
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Pass the connection to the application of its port."""
-        if scope["type"] == "lifespan":
-            await self._lifespan(scope, receive, send)
-            return
         _, port = scope["server"]
         await self._by_port[port](scope, receive, send)
 
@@ -72,6 +68,7 @@
     keep_alive_s: float = KEEP_ALIVE_S,
     grace_s: float = SHUTDOWN_TIMEOUT_S,
     unread_timeout_s: float | None = None,
+    connections: OpenConnections | None = None,
 ) -> None:
     """Serve on `host` and one or more ports until `stop` is set.
 
@@ -90,4 +87,5 @@
     # Connections need not be closed after a number of requests for load balancing:
     # callers choose an entry again whenever their addresses expire.
     config.keep_alive_max_requests = 1_000_000
-    await serve(application, config, shutdown_trigger=stop.wait, mode="asgi")
+    server = create_http_server(application, config, connections or OpenConnections())
+    await server.run(stop)
--- a/reedspar/daemon/run.py
+++ b/reedspar/daemon/run.py
@@ -15,6 +15,7 @@
 )
 from reedspar.configuration.store import create_configuration_store
 from reedspar.links import Role
+from reedspar.serving import OpenConnections
 from reedspar.settings import DaemonSettings
 from reedspar.timeline import EventKind
 
@@ -65,14 +66,22 @@
     stop = anyio.Event()
     stop_serving = anyio.Event()
     server_stopped = anyio.Event()
+    connections = OpenConnections()
 
     async def serve(application: Any) -> None:
-        await serve_http(application, settings.host, settings.http_port, stop_serving)
+        await serve_http(
+            application,
+            settings.host,
+            settings.http_port,
+            stop_serving,
+            connections=connections,
+        )
         server_stopped.set()
 
     async with anyio.create_task_group() as tasks:
         await tasks.start(_wait_for_signal, stop)
         node = create_node(settings, choose_incarnation(), tasks)
+        node.metrics.connections_ended.set_callback(connections.read_counts)
         role = _create_role(node)
         await node.start()
         role.start()
--- a/reedspar/daemon/site_entry.py
+++ b/reedspar/daemon/site_entry.py
@@ -27,6 +27,7 @@
 from reedspar.requests.draining import DrainOptions, run_drain
 from reedspar.requests.verdict_archive import VerdictArchive, create_verdict_archive
 from reedspar.routes import CallerLimits
+from reedspar.serving import OpenConnections
 from reedspar.settings import LimitSettings, SiteSettings
 from reedspar.supervision import ContainedTasks, run_restarting
 from reedspar.telemetry import Metrics
@@ -89,6 +90,7 @@
     tasks: TaskGroup
     selection: EntrySelection
     pressure_board: PressureBoard
+    connections: OpenConnections = field(default_factory=OpenConnections)
     is_leaving: bool = False
     _stop_serving: anyio.Event = field(default_factory=anyio.Event)
     _server_stopped: anyio.Event = field(default_factory=anyio.Event)
@@ -165,6 +167,7 @@
             unread_timeout_s=(
                 idle_s + UNREAD_MARGIN_S if self.settings.limits.memory_mb else None
             ),
+            connections=self.connections,
         )
         self._server_stopped.set()
 
@@ -320,6 +323,7 @@
         selection,
         pool_state,
     )
+    adapters.metrics.connections_ended.set_callback(entry.connections.read_counts)
     interval_s = max(SELECTION_INTERVAL_MIN_S, ttl_s / SELECTION_UPDATES_PER_TTL)
     timers.call_every(interval_s, entry.update_selection)
     directory = adapters.create_directory(entry)
--- /dev/null
+++ b/reedspar/serving/received_bytes.py
@@ -0,0 +1,39 @@
+"""Reader of a connection that tells what has arrived and was not read yet."""
+
+import asyncio
+import select
+import socket
+
+__all__ = ["ReceivedBytes", "has_waiting_bytes"]
+
+
+class ReceivedBytes(asyncio.StreamReader):
+    """Counts the bytes that have arrived and that nobody has read."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop=loop)
+        self._now_s = loop.time
+        self.unread_bytes = 0
+        self.total_bytes = 0
+        self.last_received_s = loop.time()
+        """Time of the last bytes, or of the connection if none have arrived."""
+
+    def feed_data(self, data: bytes) -> None:  # type: ignore[override]
+        """Take bytes from the transport."""
+        self.unread_bytes += len(data)
+        self.total_bytes += len(data)
+        self.last_received_s = self._now_s()
+        super().feed_data(data)
+
+    async def read(self, n: int = -1) -> bytes:
+        """Return the next bytes, none at the end."""
+        data = await super().read(n)
+        self.unread_bytes -= len(data)
+        return data
+
+
+def has_waiting_bytes(connected: socket.socket) -> bool:
+    """Return whether the kernel holds bytes, or the end, of a connection."""
+    poller = select.poll()
+    poller.register(connected.fileno(), select.POLLIN)
+    return bool(poller.poll(0))
--- a/reedspar/telemetry/metrics.py
+++ b/reedspar/telemetry/metrics.py
@@ -77,6 +77,19 @@
             "in_flight", "{request}", "Requests of callers in progress in this process."
         ),
     ]
+    connections_ended: Annotated[
+        ObservableInstrument,
+        observed_counter(
+            "connections.ended",
+            "{connection}",
+            "Connections to this process that ended, by cause (peer, last-answer, "
+            "idle-timeout, shutdown) and by what had arrived (fresh: nothing, idle: "
+            "nothing unanswered, receiving: a part of a request, answering: a whole "
+            "one).",
+            "end",
+            "request",
+        ),
+    ]
     attempts: Annotated[
         Counter,
         counter(
