Close a connection only when nothing that has arrived on it is due

Cause: the decision to be done was taken by counts that start later than the work does. A connection was marked as ending when a request began, though another could be behind it by the time of its answer. The drain ended by requests that the application had been called for, so that half a head, bytes in the kernel and connections in the accept queue were closed as idle. And asyncio's server, closed in the turn in which it accepts, drops connections that it has accepted (_attach fails).

Change: the server decides, when it writes a head, whether anything further is there; run_drain asks the connections from their first byte; ports and connections are closed one by one, each only after a look at the kernel in the same turn of the event loop. The own interface does the same.

A shorter drain or a pause before the close would have hidden the same race.

--- a/reedspar/daemon/agent.py
+++ b/reedspar/daemon/agent.py
@@ -25,6 +25,7 @@
     create_http_plain_service,
     create_http_weight_source,
 )
+from reedspar.serving import OpenConnections
 from reedspar.settings import TargetKind
 from reedspar.targets import OfferSource, TargetController, create_target_controller
 from reedspar.weights import (
@@ -110,9 +111,10 @@
             ),
         )
 
-    async def drain(self) -> None:
+    async def drain(self, connections: OpenConnections) -> None:
         """Refuse new work, finish running requests, and deliver every answer."""
         self._node.membership.announce_leaving()
+        connections.begin_draining()
         await self._controller.drain(self._node.settings.requests.drain_timeout_s)
 
     async def close(self) -> None:
--- a/reedspar/daemon/entry.py
+++ b/reedspar/daemon/entry.py
@@ -10,6 +10,7 @@
 from reedspar.admin import EntryStatus
 from reedspar.observation import RequestObserver
 from reedspar.requests import RequestService, create_request_service
+from reedspar.serving import OpenConnections
 from reedspar.supervision import run_restarting
 
 from .node import Node
@@ -43,10 +44,10 @@
             target_count=self._service.directory.usable_target_count(),
         )
 
-    async def drain(self) -> None:
+    async def drain(self, connections: OpenConnections) -> None:
         """Withdraw the address, serve until cached copies expire, finish requests."""
         self._node.membership.announce_leaving()
-        await self._service.drain()
+        await self._service.drain(connections)
 
     def _read_faults(self) -> list[tuple[float, dict[str, str]]]:
         """Return the counts of the attempt client's faults, for the metrics."""
--- a/reedspar/daemon/run.py
+++ b/reedspar/daemon/run.py
@@ -90,7 +90,7 @@
         await stop.wait()
         node.is_draining = True
         node.recorder.record(EventKind.DAEMON_DRAINING)
-        await role.drain()
+        await role.drain(connections)
         stop_serving.set()
         await server_stopped.wait()
         if isinstance(role, AgentRole):
--- a/reedspar/daemon/site_entry.py
+++ b/reedspar/daemon/site_entry.py
@@ -182,13 +182,16 @@
         margin_s = min(FORCED_STOP_MARGIN_S, FORCED_STOP_SHARE * grace_s)
         background = ContainedTasks(self.tasks)
         background.start_soon(self.components.registration.withdraw)
-        application = self.service.application
-        application.close_connections()
         options = DrainOptions(
             bounds.address_ttl_ms / 1000, grace_s - margin_s, margin_s / 4
         )
-        gate = self.service.drain_filter
-        await run_drain(application, gate, options, self.timers.now_s)
+        await run_drain(
+            self.service.application,
+            self.connections,
+            self.service.drain_filter,
+            options,
+            self.timers.now_s,
+        )
         self._stop_serving.set()
         with anyio.move_on_after(margin_s / 4):
             await self._server_stopped.wait()
--- a/reedspar/requests/application.py
+++ b/reedspar/requests/application.py
@@ -63,14 +63,11 @@
         adapter: CallerAdapter,
         timers: TimerService,
         hold: RequestHold | None = None,
-        *,
-        is_last_answer: bool = False,
     ) -> None:
         self._send = send
         self._timers = timers
         self._hold = hold or create_free_hold()
         self._adapter = adapter
-        self._is_last_answer = is_last_answer
         self.caller_request_id = ""
         self.is_started = False
 
@@ -121,8 +118,6 @@
 
     async def _send_start(self, status: int, fields: list[tuple[bytes, bytes]]) -> None:
         self.is_started = True
-        if self._is_last_answer:
-            fields.append((b"connection", b"close"))
         await self._send(
             {"type": "http.response.start", "status": status, "headers": fields}
         )
@@ -153,17 +148,8 @@
         self._fallback = fallback
         self._buffers = buffers or AnswerBuffers()
         self._active: dict[str, anyio.CancelScope] = {}
-        self._is_closing = False
         self.in_flight = 0
 
-    def close_connections(self) -> None:
-        """Close each keep-alive connection after the next answer on it.
-
-        If an idle connection were closed instead, a request that the caller was
-        just sending on it would be lost.
-        """
-        self._is_closing = True
-
     def abort(self) -> None:
         """End all requests in flight now, with a final answer where possible."""
         for scope in self._active.values():
@@ -185,9 +171,7 @@
     async def _serve(
         self, scope: Scope, receive: Receive, send: Send, hold: RequestHold
     ) -> None:
-        responder = AsgiResponder(
-            send, self._adapter, self._timers, hold, is_last_answer=self._is_closing
-        )
+        responder = AsgiResponder(send, self._adapter, self._timers, hold)
         arrived_s = self._timers.now_s()
         body = await _read_body(receive, self._body_limit_bytes, hold)
         if body is None:
--- a/reedspar/requests/draining.py
+++ b/reedspar/requests/draining.py
@@ -2,8 +2,9 @@
 
 Callers cache addresses.  A draining entry is therefore first removed from the address
 lists.  It then serves the requests that end before it must stop, as long as callers
-come, and stops once none is left.  When its time is over, it gives all remaining
-callers a final answer.
+come.  When none has come for a while, it closes its connections, each once nothing is
+pending on it, and stops when none is left.  When its time is over, it gives all
+remaining callers a final answer.
 """
 
 from collections.abc import Callable
@@ -40,6 +41,8 @@
 
     SERVE = auto()
     """Serve the requests that end in time, and refuse the others."""
+    CLOSE = auto()
+    """Close the connections on which nothing is pending, and serve the others."""
     ABORT = auto()
     """Give the remaining requests a final answer now."""
     STOP = auto()
@@ -58,16 +61,22 @@
         return self.started_s + self.options.timeout_s
 
     def phase_at(
-        self, now_s: float, in_flight: int, last_admitted_s: float
+        self, now_s: float, pending: int, open_count: int, last_admitted_s: float
     ) -> DrainPhase:
-        """Return the phase at `now_s`; requests were admitted until the given time."""
+        """Return the phase at `now_s`.
+
+        `pending` are requests that have arrived, if only in part, or are in progress,
+        `open_count` connections; requests were admitted until `last_admitted_s`.
+        """
         if now_s >= self.ends_at_s:
             may_abort = now_s < self.ends_at_s + self.options.abort_grace_s
-            return DrainPhase.ABORT if in_flight and may_abort else DrainPhase.STOP
-        if in_flight or now_s < self._waits_until_s:
+            is_left = pending or open_count
+            return DrainPhase.ABORT if is_left and may_abort else DrainPhase.STOP
+        if pending or now_s < self._waits_until_s:
+            return DrainPhase.SERVE
+        if now_s - last_admitted_s < IDLE_S:
             return DrainPhase.SERVE
-        is_idle = now_s - last_admitted_s >= IDLE_S
-        return DrainPhase.STOP if is_idle else DrainPhase.SERVE
+        return DrainPhase.CLOSE if open_count else DrainPhase.STOP
 
     @property
     def _waits_until_s(self) -> float:
@@ -86,6 +95,28 @@
         ...
 
 
+class Connections(Protocol):
+    """Connections of callers, which end when nothing is pending on them."""
+
+    @property
+    def open_count(self) -> int:
+        """Return how many connections are open."""
+        ...
+
+    @property
+    def pending_count(self) -> int:
+        """Return on how many connections a request is here, or may be expected."""
+        ...
+
+    def begin_draining(self) -> None:
+        """End each connection with the next answer after which nothing waits on it."""
+        ...
+
+    def begin_closing(self) -> None:
+        """Accept no more, and end each connection once nothing is pending on it."""
+        ...
+
+
 class DrainGate(Protocol):
     """Part of the filter chain that admits requests during a drain."""
 
@@ -98,6 +129,7 @@
 
 async def run_drain(
     application: Drainable,
+    connections: Connections,
     gate: DrainGate,
     options: DrainOptions,
     now_s: Callable[[], float],
@@ -108,12 +140,16 @@
     """
     drain = EntryDrain(now_s(), options)
     gate.begin(drain.ends_at_s)
-    is_aborted = False
+    connections.begin_draining()
     while True:
-        phase = drain.phase_at(now_s(), application.in_flight, gate.last_admitted_s)
+        pending = max(application.in_flight, connections.pending_count)
+        phase = drain.phase_at(
+            now_s(), pending, connections.open_count, gate.last_admitted_s
+        )
         if phase is DrainPhase.STOP:
             return
-        if phase is DrainPhase.ABORT and not is_aborted:
-            is_aborted = True
+        if phase is not DrainPhase.SERVE:
+            connections.begin_closing()
+        if phase is DrainPhase.ABORT:
             application.abort()
         await anyio.sleep(POLL_INTERVAL_S)
--- a/reedspar/requests/service.py
+++ b/reedspar/requests/service.py
@@ -23,7 +23,7 @@
 from .crash_gossip import create_crash_gossip
 from .deduplication import DeduplicationFilter
 from .drain_filter import DrainFilter
-from .draining import DrainOptions, run_drain
+from .draining import Connections, DrainOptions, run_drain
 from .filters import (
     ClassificationFilter,
     IdentificationFilter,
@@ -67,7 +67,7 @@
             tasks.start_soon(self.verdict_archive.run)
             await self.ledger.run()
 
-    async def drain(self) -> None:
+    async def drain(self, connections: Connections) -> None:
         """Drain requests, and return once this entry may stop.
 
         The other entries must already be notified that this one is shutting down.
@@ -76,7 +76,13 @@
         options = DrainOptions(
             self.settings.address_ttl_s, self.settings.drain_timeout_s
         )
-        await run_drain(self.application, self.drain_filter, options, self.timers.now_s)
+        await run_drain(
+            self.application,
+            connections,
+            self.drain_filter,
+            options,
+            self.timers.now_s,
+        )
 
 
 def create_request_service(
--- a/reedspar/requests/tests/test_drain_filter.py
+++ b/reedspar/requests/tests/test_drain_filter.py
@@ -43,6 +43,20 @@
     in_flight: int = 0
     scopes: list[anyio.CancelScope] = field(default_factory=list)
 
+    @property
+    def open_count(self) -> int:
+        return self.in_flight
+
+    @property
+    def pending_count(self) -> int:
+        return self.in_flight
+
+    def begin_draining(self) -> None:
+        self.is_draining = True
+
+    def begin_closing(self) -> None:
+        self.is_closing = True
+
     def abort(self) -> None:
         for scope in self.scopes:
             scope.cancel()
@@ -55,7 +69,7 @@
             for number, call in enumerate(self.calls):
                 tasks.start_soon(self._serve, call, str(number))
             await anyio.sleep(SIGNAL_S)
-            await run_drain(self, self.filter, options, self.timers.now_s)
+            await run_drain(self, self, self.filter, options, self.timers.now_s)
             self.stopped_s = anyio.current_time() - SIGNAL_S
             tasks.cancel_scope.cancel()
 
--- a/reedspar/requests/tests/test_draining.py
+++ b/reedspar/requests/tests/test_draining.py
@@ -22,6 +22,19 @@
 SETTINGS = RequestSettings(address_ttl_s=5, drain_timeout_s=20, deadline_s=60)
 
 
+class NoConnections:
+    """Connections of callers that call the application without a server."""
+
+    open_count = 0
+    pending_count = 0
+
+    def begin_draining(self) -> None:
+        pass
+
+    def begin_closing(self) -> None:
+        pass
+
+
 class DrainTest(unittest.TestCase):
     """The path gives the duration of an answer in seconds; draining starts at 10 s."""
 
@@ -72,7 +85,7 @@
             for at_s, path in calls:
                 tasks.start_soon(call, at_s, path)
             await anyio.sleep(10)
-            await service.drain()
+            await service.drain(NoConnections())
             stopped_s = anyio.current_time()
             await anyio.sleep(0.1)
             tasks.cancel_scope.cancel()
--- a/reedspar/serving/connection.py
+++ b/reedspar/serving/connection.py
@@ -14,11 +14,13 @@
 from hypercorn.typing import ConnectionState as SharedState
 
 from .http1 import Http1Protocol, ObservedProtocol
-from .received_bytes import ReceivedBytes
+from .received_bytes import ReceivedBytes, is_readable
 
-__all__ = ["ConnectionEnd", "ConnectionState", "ServerConnection"]
+__all__ = ["ConnectionEnd", "ConnectionOptions", "ConnectionState", "ServerConnection"]
 
 RECEIVE_MAX_BYTES = 64 * 1024
+FIRST_REQUEST_S = 0.5
+"""Time within which the first request on a new connection is expected."""
 WRITE_ERRORS = (ConnectionError, RuntimeError)
 
 _logger = logging.getLogger(__name__)
@@ -57,7 +59,8 @@
     application: AppWrapper
     config: Config
     context: WorkerContext
-    on_end: Callable[["ServerConnection", ConnectionState], None]
+    is_draining: Callable[[], bool]
+    """Whether connections end with an answer after which nothing waits on them."""
 
 
 class ServerConnection:
@@ -73,29 +76,36 @@
         self._reader = reader
         self._writer = writer
         self._loop = asyncio.get_running_loop()
+        self._accepted_s = self._loop.time()
         self._send_lock = asyncio.Lock()
         self._protocol: ObservedProtocol | None = None
-        self._idle_timer: asyncio.TimerHandle | None = None
+        self._timer: asyncio.TimerHandle | None = None
         self._state_at_close: ConnectionState | None = None
         self.end = ConnectionEnd.PEER
 
     @property
     def state(self) -> ConnectionState:
-        """Return how far the request on the connection has come."""
-        protocol = self._protocol.protocol if self._protocol is not None else None
+        """Return how far the request on the connection has come, or had at its end."""
+        if self._state_at_close is not None:
+            return self._state_at_close
         if self._protocol is not None and self._protocol.is_answer_due:
-            is_body_due = isinstance(protocol, Http1Protocol) and protocol.is_body_due
-            if is_body_due:
-                return ConnectionState.RECEIVING
-            return ConnectionState.ANSWERING
-        is_partial = isinstance(protocol, Http1Protocol) and (
-            protocol.has_partial_request
-        )
-        if is_partial or self._reader.unread_bytes:
+            is_whole = self._http1 is None or not self._http1.is_body_due
+            return ConnectionState.ANSWERING if is_whole else ConnectionState.RECEIVING
+        if self._reader.unread_bytes or self._has_partial_request:
             return ConnectionState.RECEIVING
         is_fresh = not self._reader.total_bytes
         return ConnectionState.FRESH if is_fresh else ConnectionState.IDLE
 
+    @property
+    def is_pending(self) -> bool:
+        """Return whether a request is here, or may be expected, that has no answer."""
+        if self._state_at_close is not None:
+            return False
+        state = self.state
+        if state is ConnectionState.FRESH:
+            return self._loop.time() - self._accepted_s < FIRST_REQUEST_S
+        return state is not ConnectionState.IDLE or self._has_waiting_bytes
+
     @property
     def quiet_s(self) -> float:
         """Return for how long no bytes have arrived."""
@@ -106,29 +116,51 @@
         """Return how many bytes have arrived that the protocol has not been given."""
         return self._reader.unread_bytes
 
+    @property
+    def _http1(self) -> Http1Protocol | None:
+        protocol = self._protocol.protocol if self._protocol is not None else None
+        return protocol if isinstance(protocol, Http1Protocol) else None
+
+    @property
+    def _has_partial_request(self) -> bool:
+        return self._http1 is not None and self._http1.has_partial_request
+
+    @property
+    def _has_waiting_bytes(self) -> bool:
+        """Whether the kernel holds bytes of the peer, or its end."""
+        descriptor = self._writer.get_extra_info("socket").fileno()
+        return descriptor >= 0 and is_readable(descriptor)
+
     async def run(self) -> None:
         """Serve the connection until its end."""
         try:
             async with TaskGroup(self._loop) as tasks:
                 self._protocol = self._create_protocol(tasks)
                 await self._protocol.initiate()
-                self._start_idle_timer()
+                self._start_timer(self._options.config.keep_alive_timeout)
                 await self._read()
-                self._state_at_close = self._state_at_close or self.state
+                self._state_at_close = self.state
                 await self._protocol.handle(Closed())
         except OSError as error:
-            _logger.debug("connection broke", extra={"error": repr(error)})
+            _log_broken(error)
         finally:
-            self._stop_idle_timer()
-            self._options.on_end(self, self._state_at_close or self.state)
+            self._stop_timer()
             await self._close()
 
     def close(self, end: ConnectionEnd) -> None:
-        """Close the connection; further bytes of its peer are lost."""
-        if self._state_at_close is None:
-            self._state_at_close = self.state
-            self.end = end
-            self._writer.close()
+        """Close the connection once all that was written is sent."""
+        self._begin_end(end)
+        self._writer.close()
+
+    def abort(self, end: ConnectionEnd) -> None:
+        """Close the connection, without what is still to be sent."""
+        self._begin_end(end)
+        self._writer.transport.abort()
+
+    def close_if_idle(self, end: ConnectionEnd) -> None:
+        """Close the connection unless a request is pending on it."""
+        if self._state_at_close is None and not self.is_pending:
+            self.close(end)
 
     def _create_protocol(self, tasks: TaskGroup) -> ObservedProtocol:
         return ObservedProtocol(
@@ -142,8 +174,18 @@
             self._writer.get_extra_info("sockname"),
             self._send,
             "http/1.1",
+            is_last_answer=self._is_last_answer,
         )
 
+    def _is_last_answer(self) -> bool:
+        """Return whether the connection is to end after the answer that begins now."""
+        if not self._options.is_draining():
+            return False
+        if self._http1 is not None and self._http1.is_body_due:
+            return True
+        has_next = self._has_partial_request or self._reader.unread_bytes
+        return not (has_next or self._has_waiting_bytes)
+
     async def _read(self) -> None:
         """Pass what arrives to the protocol until the end of the connection."""
         assert self._protocol is not None
@@ -151,9 +193,10 @@
             try:
                 data = await self._reader.read(RECEIVE_MAX_BYTES)
             except OSError as error:
-                _logger.debug("connection broke", extra={"error": repr(error)})
+                _log_broken(error)
                 return
-            await self._protocol.handle(RawData(data))
+            if self._state_at_close is None:
+                await self._protocol.handle(RawData(data))
 
     async def _send(self, event: Event) -> None:
         """Do what the protocol asks for: send, close, or wait for the next request."""
@@ -164,28 +207,42 @@
                     self._writer.write(event.data)
                     await self._writer.drain()
                 except WRITE_ERRORS as error:
-                    _logger.debug("connection broke", extra={"error": repr(error)})
+                    _log_broken(error)
                     await self._protocol.handle(Closed())
         elif isinstance(event, Closed):
-            self.close(ConnectionEnd.LAST_ANSWER)
+            self._end_after_answer()
         elif isinstance(event, Updated):
+            self._stop_timer()
             if event.idle:
-                self._start_idle_timer()
-            else:
-                self._stop_idle_timer()
+                self._start_timer(self._options.config.keep_alive_timeout)
+
+    def _end_after_answer(self) -> None:
+        """Close the connection once its last answer is sent."""
+        if self._state_at_close is None:
+            self.close(ConnectionEnd.LAST_ANSWER)
 
-    def _start_idle_timer(self) -> None:
-        self._stop_idle_timer()
-        timeout_s = self._options.config.keep_alive_timeout
-        self._idle_timer = self._loop.call_later(timeout_s, self._end_idle)
+    def _begin_end(self, end: ConnectionEnd) -> None:
+        self._stop_timer()
+        if self._state_at_close is None:
+            self._state_at_close = self.state
+            self.end = end
 
-    def _stop_idle_timer(self) -> None:
-        if self._idle_timer is not None:
-            self._idle_timer.cancel()
-            self._idle_timer = None
+    def _start_timer(self, timeout_s: float) -> None:
+        self._stop_timer()
+        self._timer = self._loop.call_later(timeout_s, self._end_waiting)
 
-    def _end_idle(self) -> None:
-        self.close(ConnectionEnd.IDLE_TIMEOUT)
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _end_waiting(self) -> None:
+        """Close the connection after its timeout, unless bytes have just arrived."""
+        is_idle = self._state_at_close is None
+        if is_idle and (self._reader.unread_bytes or self._has_waiting_bytes):
+            self._start_timer(0.0)
+        else:
+            self.close(ConnectionEnd.IDLE_TIMEOUT)
 
     async def _close(self) -> None:
         """Close the connection, and wait until what was written is sent."""
@@ -193,4 +250,8 @@
             self._writer.close()
             await self._writer.wait_closed()
         except OSError as error:
-            _logger.debug("connection broke", extra={"error": repr(error)})
+            _log_broken(error)
+
+
+def _log_broken(error: Exception) -> None:
+    _logger.debug("connection broke", extra={"error": repr(error)})
--- a/reedspar/serving/http1.py
+++ b/reedspar/serving/http1.py
@@ -1,17 +1,27 @@
 """HTTP/1.1 on one connection, with what is known of the requests on it."""
 
+from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import h11
 from hypercorn.protocol import ProtocolWrapper
+from hypercorn.protocol.events import Event, Response
 from hypercorn.protocol.h2 import H2Protocol
 from hypercorn.protocol.h11 import H11Protocol
 
+FINAL_STATUS_MIN = 200
+CLOSE_HEADER = (b"connection", b"close")
+
 __all__ = ["Http1Protocol", "ObservedProtocol"]
 
 
 class Http1Protocol(H11Protocol):
-    """Tells whether requests have begun to arrive, and whether answers are due."""
+    """Tells what has arrived, and marks the last answer on a connection."""
+
+    def __init__(self, *args: Any, is_last_answer: Callable[[], bool]) -> None:
+        super().__init__(*args)
+        self._is_last_answer = is_last_answer
 
     @property
     def is_body_due(self) -> bool:
@@ -25,11 +35,19 @@
             return False
         return bool(self.connection.trailing_data[0])
 
+    async def stream_send(self, event: Event) -> None:
+        """Send a part of an answer; the head of the last one says that it is that."""
+        if isinstance(event, Response):
+            is_final = event.status_code >= FINAL_STATUS_MIN
+            if is_final and self._is_last_answer():
+                event = replace(event, headers=[*event.headers, CLOSE_HEADER])
+        await super().stream_send(event)
+
 
 class ObservedProtocol(ProtocolWrapper):
     """The protocol of a connection: HTTP/1.1 until its peer asks for another."""
 
-    def __init__(self, *args: Any) -> None:
+    def __init__(self, *args: Any, is_last_answer: Callable[[], bool]) -> None:
         super().__init__(*args)
         if isinstance(self.protocol, H11Protocol):
             self.protocol = Http1Protocol(
@@ -42,6 +60,7 @@
                 self.client,
                 self.server,
                 self.send,
+                is_last_answer=is_last_answer,
             )
 
     @property
--- a/reedspar/serving/open_connections.py
+++ b/reedspar/serving/open_connections.py
@@ -1,8 +1,10 @@
-"""The open connections of a server."""
+"""The open connections of a server, and how a shutdown ends them."""
 
 import logging
 from collections import Counter
 
+import anyio
+
 from .connection import ConnectionEnd, ConnectionState, ServerConnection
 
 __all__ = ["OpenConnections"]
@@ -13,24 +15,46 @@
 
 
 class OpenConnections:
-    """Knows the open connections, and what was left on those that have ended."""
+    """Knows the open connections, and ends each when nothing is pending on it."""
 
     def __init__(self) -> None:
         self._connections: set[ServerConnection] = set()
         self._ended: Counter[tuple[ConnectionEnd, ConnectionState]] = Counter()
+        self._closing = anyio.Event()
+        self.is_draining = False
+        """Whether connections end with an answer after which nothing waits on them."""
 
     @property
     def open_count(self) -> int:
         """Return how many connections are open."""
         return len(self._connections)
 
+    @property
+    def pending_count(self) -> int:
+        """Return on how many connections a request is here, or may be expected."""
+        return sum(connection.is_pending for connection in self._connections)
+
+    def begin_draining(self) -> None:
+        """End each connection with the next answer after which nothing waits on it."""
+        self.is_draining = True
+
+    def begin_closing(self) -> None:
+        """Accept no more, and end each connection once nothing is pending on it."""
+        self.is_draining = True
+        self._closing.set()
+
+    async def wait_closing(self) -> None:
+        """Wait until connections are to be closed."""
+        await self._closing.wait()
+
     def add(self, connection: ServerConnection) -> None:
         """Record a new connection."""
         self._connections.add(connection)
 
-    def discard(self, connection: ServerConnection, state: ConnectionState) -> None:
-        """Record the end of a connection, and its state at that time."""
+    def discard(self, connection: ServerConnection) -> None:
+        """Record the end of a connection."""
         self._connections.discard(connection)
+        state = connection.state
         self._ended[connection.end, state] += 1
         if connection.end is ConnectionEnd.PEER or state not in UNANSWERED_STATES:
             return
@@ -44,15 +68,15 @@
             },
         )
 
-    def count_states(self) -> Counter[ConnectionState]:
-        """Return how many connections are in each state."""
-        return Counter(connection.state for connection in self._connections)
+    def close_idle(self) -> None:
+        """Close the connections on which no request is pending."""
+        for connection in list(self._connections):
+            connection.close_if_idle(ConnectionEnd.SHUTDOWN)
 
-    def close(self, end: ConnectionEnd, *, only_idle: bool) -> None:
-        """Close all connections, or those on which no answer is due."""
+    def abort(self) -> None:
+        """Close all connections, without what is still to be sent."""
         for connection in list(self._connections):
-            if not only_idle or connection.state not in UNANSWERED_STATES:
-                connection.close(end)
+            connection.abort(ConnectionEnd.SHUTDOWN)
 
     def read_counts(self) -> list[tuple[float, dict[str, str]]]:
         """Return the connections that ended by cause and state, for the metrics."""
--- a/reedspar/serving/received_bytes.py
+++ b/reedspar/serving/received_bytes.py
@@ -2,9 +2,8 @@
 
 import asyncio
 import select
-import socket
 
-__all__ = ["ReceivedBytes", "has_waiting_bytes"]
+__all__ = ["ReceivedBytes", "is_readable"]
 
 
 class ReceivedBytes(asyncio.StreamReader):
@@ -32,8 +31,8 @@
         return data
 
 
-def has_waiting_bytes(connected: socket.socket) -> bool:
-    """Return whether the kernel holds bytes, or the end, of a connection."""
+def is_readable(descriptor: int) -> bool:
+    """Return whether the kernel holds bytes, an end, or a connection to accept."""
     poller = select.poll()
-    poller.register(connected.fileno(), select.POLLIN)
+    poller.register(descriptor, select.POLLIN)
     return bool(poller.poll(0))
--- a/reedspar/serving/server.py
+++ b/reedspar/serving/server.py
@@ -1,7 +1,7 @@
 """Listens on ports, and serves the connections to them until it is told to stop."""
 
 import asyncio
-import logging
+import socket
 from dataclasses import dataclass, field
 
 import anyio
@@ -10,19 +10,15 @@
 from hypercorn.config import Config
 from hypercorn.typing import ASGIFramework
 
-from .connection import (
-    ConnectionEnd,
-    ConnectionOptions,
-    ServerConnection,
-)
+from .connection import ConnectionOptions, ServerConnection
+from .listener import Listener
 from .open_connections import OpenConnections
 from .received_bytes import ReceivedBytes
 
 __all__ = ["HttpServer", "create_http_server"]
 
-POLL_INTERVAL_S = 0.02
-
-_logger = logging.getLogger(__name__)
+CLOSING_INTERVAL_S = 0.02
+"""Time between two looks at what is still open."""
 
 
 @dataclass
@@ -32,57 +28,73 @@
     connections: OpenConnections
     _config: Config
     _options: ConnectionOptions
+    _listeners: list[Listener] = field(default_factory=list)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     async def run(self, stop: anyio.Event) -> None:
-        """Serve until `stop` is set, and then until the answers due have been sent."""
-        servers = await self._listen()
+        """Serve until `stop` is set, and then until all answers due have been sent.
+
+        They may take the configured grace period.  Connections without a request are
+        closed earlier, once `connections` are to be closed.
+        """
+        self._listen()
         try:
-            await stop.wait()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._close_on, stop)
+                await self.connections.wait_closing()
+                await self._close_idle()
+                tasks.cancel_scope.cancel()
         finally:
-            await self._options.context.terminated.set()
-            for server in servers:
-                server.close()
-            self.connections.close(ConnectionEnd.SHUTDOWN, only_idle=True)
-            try:
-                with anyio.move_on_after(self._config.graceful_timeout):
-                    while self._tasks:
-                        await anyio.sleep(POLL_INTERVAL_S)
-            finally:
-                self.connections.close(ConnectionEnd.SHUTDOWN, only_idle=False)
-                for task in self._tasks:
-                    task.cancel()
-
-    async def _listen(self) -> list[asyncio.Server]:
-        loop = asyncio.get_running_loop()
-        servers = []
+            await self._end()
+
+    async def _close_on(self, stop: anyio.Event) -> None:
+        """End the wait for what is open some time after `stop`."""
+        await stop.wait()
+        self.connections.begin_closing()
+        await anyio.sleep(self._config.graceful_timeout)
+        await self._end()
+
+    async def _close_idle(self) -> None:
+        """Close all on which nothing is pending, until nothing is open."""
+        while self._listeners or self._tasks:
+            self._listeners = [x for x in self._listeners if not x.close_if_idle()]
+            self.connections.close_idle()
+            await anyio.sleep(CLOSING_INTERVAL_S)
+
+    async def _end(self) -> None:
+        """Close all that is open."""
+        await self._options.context.terminated.set()
+        for listener in self._listeners:
+            listener.close()
+        self._listeners.clear()
+        self.connections.abort()
+        for task in self._tasks:
+            task.cancel()
+
+    def _listen(self) -> None:
         for listening in self._config.create_sockets().insecure_sockets:
-            server = await loop.create_server(
-                self._create_protocol,
-                sock=listening,
-                backlog=self._config.backlog,
-            )
-            servers.append(server)
-            host, port = listening.getsockname()[:2]
-            _logger.info("listening", extra={"host": host, "port": port})
-        return servers
-
-    def _create_protocol(self) -> asyncio.Protocol:
+            listener = Listener(listening, self._accept)
+            listener.start(self._config.backlog)
+            self._listeners.append(listener)
+
+    def _accept(self, connected: socket.socket) -> None:
+        task = asyncio.create_task(self._serve(connected))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, connected: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         reader = ReceivedBytes(loop)
-
-        async def serve(
-            reader_: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            connection = ServerConnection(self._options, reader, writer)
-            self.connections.add(connection)
-            task = asyncio.current_task()
-            assert task is not None
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+        transport, protocol = await loop.connect_accepted_socket(
+            lambda: asyncio.StreamReaderProtocol(reader, loop=loop), connected
+        )
+        writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+        connection = ServerConnection(self._options, reader, writer)
+        self.connections.add(connection)
+        try:
             await connection.run()
-
-        return asyncio.StreamReaderProtocol(reader, serve, loop=loop)
+        finally:
+            self.connections.discard(connection)
 
 
 def create_http_server(
@@ -90,6 +102,9 @@
 ) -> HttpServer:
     """Create a server for the sockets that a configuration names."""
     options = ConnectionOptions(
-        ASGIWrapper(application), config, WorkerContext(None), connections.discard
+        ASGIWrapper(application),
+        config,
+        WorkerContext(None),
+        lambda: connections.is_draining,
     )
     return HttpServer(connections, config, options)
--- /dev/null
+++ b/reedspar/serving/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the HTTP server."""
