Let the last answer on a connection end whatever its caller sends

What callers saw: one that sent something further on a connection after the head of its last answer (connection: close) lost the rest of that answer.

Cause: the protocol takes bytes after the last request for an error and closes at once, in the midst of the answer; and a connection that closes with unread bytes is reset, which takes away what its peer has not read.

Change: what arrives after the last request is dropped and counted (crossed) until the answer has ended and the peer has closed too, at most 1 s longer.

--- a/reedspar/serving/connection.py
+++ b/reedspar/serving/connection.py
@@ -16,11 +16,22 @@
 from .http1 import Http1Protocol, ObservedProtocol
 from .received_bytes import ReceivedBytes, is_readable
 
-__all__ = ["ConnectionEnd", "ConnectionOptions", "ConnectionState", "ServerConnection"]
+__all__ = [
+    "UNANSWERED_STATES",
+    "ConnectionEnd",
+    "ConnectionOptions",
+    "ConnectionState",
+    "ServerConnection",
+]
 
 RECEIVE_MAX_BYTES = 64 * 1024
 FIRST_REQUEST_S = 0.5
 """Time within which the first request on a new connection is expected."""
+LINGER_S = 1.0
+"""Time for which bytes are read after the last answer.
+
+A connection that closes with unread bytes is reset, and its peer may lose the answer.
+"""
 WRITE_ERRORS = (ConnectionError, RuntimeError)
 
 _logger = logging.getLogger(__name__)
@@ -37,6 +48,11 @@
     """A part of a request has arrived, or bytes that were not read yet."""
     ANSWERING = "answering"
     """A whole request has no whole answer yet."""
+    CROSSED = "crossed"
+    """Bytes have arrived after the last answer."""
+
+
+UNANSWERED_STATES = (ConnectionState.RECEIVING, ConnectionState.ANSWERING)
 
 
 class ConnectionEnd(Enum):
@@ -81,15 +97,19 @@
         self._protocol: ObservedProtocol | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._state_at_close: ConnectionState | None = None
+        self._is_on_last_answer = False
+        self._crossed_bytes = 0
         self.end = ConnectionEnd.PEER
 
     @property
     def state(self) -> ConnectionState:
         """Return how far the request on the connection has come, or had at its end."""
         if self._state_at_close is not None:
-            return self._state_at_close
+            is_answered = self._state_at_close not in UNANSWERED_STATES
+            has_crossed = is_answered and self._crossed_bytes
+            return ConnectionState.CROSSED if has_crossed else self._state_at_close
         if self._protocol is not None and self._protocol.is_answer_due:
-            is_whole = self._http1 is None or not self._http1.is_body_due
+            is_whole = not self._is_body_due
             return ConnectionState.ANSWERING if is_whole else ConnectionState.RECEIVING
         if self._reader.unread_bytes or self._has_partial_request:
             return ConnectionState.RECEIVING
@@ -121,6 +141,10 @@
         protocol = self._protocol.protocol if self._protocol is not None else None
         return protocol if isinstance(protocol, Http1Protocol) else None
 
+    @property
+    def _is_body_due(self) -> bool:
+        return self._http1 is not None and self._http1.is_body_due
+
     @property
     def _has_partial_request(self) -> bool:
         return self._http1 is not None and self._http1.has_partial_request
@@ -179,12 +203,10 @@
 
     def _is_last_answer(self) -> bool:
         """Return whether the connection is to end after the answer that begins now."""
-        if not self._options.is_draining():
-            return False
-        if self._http1 is not None and self._http1.is_body_due:
-            return True
         has_next = self._has_partial_request or self._reader.unread_bytes
-        return not (has_next or self._has_waiting_bytes)
+        is_last = self._is_body_due or not (has_next or self._has_waiting_bytes)
+        self._is_on_last_answer = self._options.is_draining() and is_last
+        return self._is_on_last_answer
 
     async def _read(self) -> None:
         """Pass what arrives to the protocol until the end of the connection."""
@@ -195,8 +217,11 @@
             except OSError as error:
                 _log_broken(error)
                 return
-            if self._state_at_close is None:
+            is_over = self._is_on_last_answer and not self._is_body_due
+            if self._state_at_close is None and not is_over:
                 await self._protocol.handle(RawData(data))
+            else:
+                self._crossed_bytes += len(data)
 
     async def _send(self, event: Event) -> None:
         """Do what the protocol asks for: send, close, or wait for the next request."""
@@ -217,9 +242,15 @@
                 self._start_timer(self._options.config.keep_alive_timeout)
 
     def _end_after_answer(self) -> None:
-        """Close the connection once its last answer is sent."""
-        if self._state_at_close is None:
-            self.close(ConnectionEnd.LAST_ANSWER)
+        """Close this side, and drop what the peer still sends until it closes, too."""
+        if self._state_at_close is not None:
+            return
+        self._begin_end(ConnectionEnd.LAST_ANSWER)
+        try:
+            self._writer.write_eof()
+        except OSError as error:
+            _log_broken(error)
+        self._start_timer(LINGER_S)
 
     def _begin_end(self, end: ConnectionEnd) -> None:
         self._stop_timer()
--- a/reedspar/serving/open_connections.py
+++ b/reedspar/serving/open_connections.py
@@ -5,12 +5,15 @@
 
 import anyio
 
-from .connection import ConnectionEnd, ConnectionState, ServerConnection
+from .connection import (
+    UNANSWERED_STATES,
+    ConnectionEnd,
+    ConnectionState,
+    ServerConnection,
+)
 
 __all__ = ["OpenConnections"]
 
-UNANSWERED_STATES = (ConnectionState.RECEIVING, ConnectionState.ANSWERING)
-
 _logger = logging.getLogger(__name__)
 
 
--- a/reedspar/serving/tests/test_server.py
+++ b/reedspar/serving/tests/test_server.py
@@ -18,6 +18,8 @@
 ANSWER_S = 0.3
 LONG_ANSWER_BYTES = 8 * 1024 * 1024
 """More than the buffers of a connection on loopback hold."""
+REST_BYTES = 7 * 1024 * 1024
+PIECE_BYTES = 256 * 1024
 END_S = 5.0
 PAUSE_S = 0.1
 
@@ -42,7 +44,10 @@
         size = str(len(self.answer)).encode()
         headers = [(b"content-length", size)]
         await send({"type": "http.response.start", "status": 200, "headers": headers})
-        await send({"type": "http.response.body", "body": self.answer})
+        for offset in range(0, len(self.answer), PIECE_BYTES):
+            body = self.answer[offset : offset + PIECE_BYTES]
+            await send({"type": "http.response.body", "body": body, "more_body": True})
+        await send({"type": "http.response.body", "body": b""})
 
     def connect(self) -> socket.socket:
         """Open a connection, which the server has not accepted yet."""
@@ -127,6 +132,31 @@
         self.run_server(script)
 
 
+class LastAnswerTest(ServerTestCase):
+    def test_last_answer_is_whole_if_its_caller_sends_more(self) -> None:
+        # Guards against resets, which take away the end of an answer, when a caller
+        # has sent something after the last request that its connection serves.
+        async def script(site: LoopbackServer) -> None:
+            site.answer = b"x" * LONG_ANSWER_BYTES
+            site.connections.begin_draining()
+            client = site.connect()
+            client.sendall(REQUEST)
+            loop = asyncio.get_running_loop()
+            received = 0
+            while received < LONG_ANSWER_BYTES - REST_BYTES:
+                received += len(await loop.sock_recv(client, PIECE_BYTES))
+            client.sendall(REQUEST)
+            await anyio.sleep(PAUSE_S)
+            received += len(await site.read_to_end(client))
+            self.assertGreater(received, LONG_ANSWER_BYTES)
+            client.close()
+            await anyio.sleep(PAUSE_S)
+            labels = {"end": "last-answer", "request": "crossed"}
+            self.assertEqual(site.connections.read_counts(), [(1, labels)])
+
+        self.run_server(script)
+
+
 class ClosingTest(ServerTestCase):
     def test_request_that_arrives_as_its_connection_closes_is_answered(self) -> None:
         # Guards against idle connections that are closed while the kernel, or the
