Refuse uploads that have not arrived when an entry must stop

What callers saw: a reset in the midst of a body at the end of an entry's grace period, which does not say that the request was not run.

Cause: the forced end covered requests from the filters on; one whose body was still being read was in none of its lists.

Change: the forced end reaches body reads too; they are answered 503, not run, and their connections stay readable until the answer is taken.

Evidence: test_upload_that_does_not_end_in_time_is_refused had no answer before.

--- a/reedspar/requests/application.py
+++ b/reedspar/requests/application.py
@@ -34,6 +34,8 @@
 """Size of the pieces of a long answer, which show whether its caller reads it."""
 MEMORY_RETRY_AFTER_S = 0.5
 """Retry delay while the daemon holds too much: slow readers free some of it by then."""
+UPLOAD_RETRY_AFTER_S = 0.1
+"""Retry delay after an upload for which an entry had no time: others take it now."""
 logger = logging.getLogger(__name__)
 
 
@@ -148,11 +150,12 @@
         self._fallback = fallback
         self._buffers = buffers or AnswerBuffers()
         self._active: dict[str, anyio.CancelScope] = {}
+        self._uploads: set[anyio.CancelScope] = set()
         self.in_flight = 0
 
     def abort(self) -> None:
         """End all requests in flight now, with a final answer where possible."""
-        for scope in self._active.values():
+        for scope in [*self._active.values(), *self._uploads]:
             scope.cancel()
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -173,7 +176,13 @@
     ) -> None:
         responder = AsgiResponder(send, self._adapter, self._timers, hold)
         arrived_s = self._timers.now_s()
-        body = await _read_body(receive, self._body_limit_bytes, hold)
+        body: bytes | None = b""
+        with anyio.CancelScope() as upload:
+            self._uploads.add(upload)
+            try:
+                body = await _read_body(receive, self._body_limit_bytes, hold)
+            finally:
+                self._uploads.discard(upload)
         if body is None:
             return
         request = self._adapter.read(scope, body, arrived_s, responder)
@@ -185,7 +194,10 @@
         responder.caller_request_id = request.caller_request_id
         request.hold = hold
         hold.caller_request_id = request.caller_request_id
-        await self._run(request, responder, receive)
+        if upload.cancelled_caught:
+            await responder.finish(request, _refuse_upload())
+        else:
+            await self._run(request, responder, receive)
 
     async def _run(
         self, request: Request, responder: AsgiResponder, receive: Receive
@@ -244,6 +256,15 @@
             return Answer(Outcome.UNKNOWN, failure=failure, is_sent=started)
 
 
+def _refuse_upload() -> Answer:
+    """Return the answer to a request whose body has not arrived in time."""
+    detail = "this entry had to stop before the request had arrived"
+    failure = Failure(
+        Reason.DRAINING, Step.DRAIN, detail=detail, retry_after_s=UPLOAD_RETRY_AFTER_S
+    )
+    return make_not_run(failure)
+
+
 async def _end_on_disconnect(
     receive: Receive, request: Request, scope: anyio.CancelScope
 ) -> None:
--- a/reedspar/requests/tests/test_draining.py
+++ b/reedspar/requests/tests/test_draining.py
@@ -1,7 +1,7 @@
 """Tests of an entry's graceful shutdown, in virtual time."""
 
 import unittest
-from collections.abc import Mapping
+from collections.abc import AsyncIterator, Mapping
 from typing import Any
 
 import anyio
@@ -22,6 +22,13 @@
 SETTINGS = RequestSettings(address_ttl_s=5, drain_timeout_s=20, deadline_s=60)
 
 
+async def send_slowly(pieces: int) -> AsyncIterator[bytes]:
+    """Yield a body, a piece every two seconds."""
+    for _ in range(pieces):
+        await anyio.sleep(2)
+        yield b"piece"
+
+
 class NoConnections:
     """Connections of callers that call the application without a server."""
 
@@ -39,13 +46,18 @@
     """The path gives the duration of an answer in seconds; draining starts at 10 s."""
 
     def run_calls(
-        self, *calls: tuple[float, str], limits_s: Mapping[float, float] | None = None
+        self,
+        *calls: tuple[float, str],
+        limits_s: Mapping[float, float] | None = None,
+        uploads: Mapping[float, AsyncIterator[bytes]] | None = None,
     ) -> float:
         """Make (time, path) calls, and return the time when the entry stopped.
 
-        `limits_s` are the deadlines of callers that set one, by the times of the calls.
+        `limits_s` are the deadlines of callers that set one, and `uploads` the bodies
+        of those that send one, by the times of the calls.
         """
         self.responses: dict[float, httpx.Response] = {}
+        self.uploads = uploads or {}
         self.limits_s = limits_s or {}
         return run_virtual(self._run, calls)
 
@@ -77,7 +89,7 @@
                 ) as http:
                     method = "POST" if "pools" in path else "GET"
                     self.responses[at_s] = await http.request(
-                        method, path, headers=headers
+                        method, path, headers=headers, content=self.uploads.get(at_s)
                     )
 
             network.on_send = on_send
@@ -132,6 +144,20 @@
         self.assertEqual(self.responses[9].json()["step"], "drain")
         self.assertLess(stopped_s, 31.5)
 
+    def test_upload_that_does_not_end_in_time_is_refused(self) -> None:
+        # Guards against connections that are cut in the midst of a body, whose callers
+        # can't know that the request was not run.
+        stopped_s = self.run_calls(
+            (12, "/v1/pools/orders/1"),
+            (13, "/v1/pools/orders/1"),
+            uploads={12: send_slowly(12), 13: send_slowly(2)},
+            limits_s={12: 60, 13: 10},
+        )
+        self.assertEqual(self.responses[12].status_code, 503)
+        self.assertEqual(self.responses[12].json()["outcome"], "not-run")
+        self.assertEqual(self.responses[13].content, b"whole")
+        self.assertAlmostEqual(stopped_s, 30.0, delta=0.2)
+
     def test_idle_entry_waits_for_cached_addresses_only(self) -> None:
         self.assertAlmostEqual(self.run_calls(), 16.0, delta=0.2)
 
