Write the outcomes of an entry's last orders before it stops

What callers saw: the repeat of an order with an idempotency key was told that nobody knows whether it ran, though its first sending had been answered, if the entry stopped within about 0.3 s of that answer (own interface).

Cause: the entry was done when no request was in progress. An order's outcome is recorded when the request ends, waits up to 0.25 s for a shared write, and is then written; with the store away, it is tried again each second. The process ended meanwhile.

Change: once the server has closed, the entry waits until the outcomes are known to be written, at most as long as the drain may take, and logs how many are not. After the server, as a request that crosses the drain's end may be an order.

Ruled out: writing before the answer is sent, which would add a write of the store to each order. Claims and outcomes of other entries that this one owns need nothing: their entry writes them itself after 1 and 3 s.

--- a/reedspar/daemon/entry.py
+++ b/reedspar/daemon/entry.py
@@ -25,6 +25,7 @@
     def __init__(self, node: Node, service: RequestService) -> None:
         self._node = node
         self._service = service
+        self._drain_began_s = 0.0
         node.describe_role = self.describe
         node.metrics.attempt_faults.set_callback(self._read_faults)
 
@@ -46,9 +47,14 @@
 
     async def drain(self, connections: OpenConnections) -> None:
         """Withdraw the address, serve until cached copies expire, finish requests."""
+        self._drain_began_s = self._node.timers.now_s()
         self._node.membership.announce_leaving()
         await self._service.drain(connections)
 
+    async def close(self) -> None:
+        """Finish what the last requests have left to write; none may begin any more."""
+        await self._service.finish(self._drain_began_s)
+
     def _read_faults(self) -> list[tuple[float, dict[str, str]]]:
         """Return the counts of the attempt client's faults, for the metrics."""
         counts = asdict(self._service.client.counts)
--- a/reedspar/daemon/run.py
+++ b/reedspar/daemon/run.py
@@ -93,8 +93,7 @@
         await role.drain(connections)
         stop_serving.set()
         await server_stopped.wait()
-        if isinstance(role, AgentRole):
-            await role.close()
+        await role.close()
         await node.close()
         _logger.info("stopped")
         tasks.cancel_scope.cancel()
--- a/reedspar/requests/claim_client.py
+++ b/reedspar/requests/claim_client.py
@@ -40,6 +40,7 @@
 """Maximum number of outcomes waiting to be written.
 
 The oldest ones are dropped beyond it; their orders' outcomes become unknown."""
+WRITTEN_POLL_INTERVAL_S = 0.05
 
 
 @dataclass(slots=True)
@@ -74,6 +75,16 @@
         network.subscribe(ClaimUpdated, self._on_updated)
         timers.call_every(UPDATE_RETRY_INTERVAL_S, self._send_updates)
 
+    @property
+    def pending_update_count(self) -> int:
+        """Return the number of orders whose outcome is not known to be written."""
+        return len(self._pending_updates)
+
+    async def wait_written(self) -> None:
+        """Wait until the outcomes of all orders are known to be written."""
+        while self._pending_updates:
+            await anyio.sleep(WRITTEN_POLL_INTERVAL_S)
+
     async def claim(
         self, locator: ClaimLocator, token: str, payload: str
     ) -> ClaimReply:
--- a/reedspar/requests/service.py
+++ b/reedspar/requests/service.py
@@ -1,5 +1,6 @@
 """Construction of the entry role: filters, their state and the application."""
 
+import logging
 import random
 import time
 from collections.abc import Callable, Sequence
@@ -23,7 +24,7 @@
 from .crash_gossip import create_crash_gossip
 from .deduplication import DeduplicationFilter
 from .drain_filter import DrainFilter
-from .draining import Connections, DrainOptions, run_drain
+from .draining import ABORT_GRACE_S, Connections, DrainOptions, run_drain
 from .filters import (
     ClassificationFilter,
     IdentificationFilter,
@@ -44,6 +45,10 @@
 
 RUNNING_MARGIN_S = 5.0
 """Time after its deadline from which an order without an outcome counts as unknown."""
+LAST_WRITES_MIN_S = 1.0
+"""Minimum time for the last outcomes, if the drain has used up its own."""
+
+_logger = logging.getLogger(__name__)
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +59,7 @@
     addresses: AddressListEndpoint
     client: AttemptClient
     directory: TargetDirectory
+    claims: ClaimClient
     ledger: ClaimLedger
     verdict_archive: VerdictArchive
     admission: AdmissionFilter
@@ -84,6 +90,22 @@
             self.timers.now_s,
         )
 
+    async def finish(self, drain_began_s: float) -> None:
+        """Write the outcomes of the last orders, as long as the drain may take.
+
+        No request may begin any more.  Without its outcome, a repeat of an order would
+        be told that nobody knows whether it ran.
+        """
+        ends_at_s = drain_began_s + self.settings.drain_timeout_s + ABORT_GRACE_S
+        left_s = max(ends_at_s - self.timers.now_s(), LAST_WRITES_MIN_S)
+        with anyio.move_on_after(left_s):
+            await self.claims.wait_written()
+        if self.claims.pending_update_count:
+            _logger.error(
+                "outcomes of orders are not written",
+                extra={"count": self.claims.pending_update_count},
+            )
+
 
 def create_request_service(
     *,
@@ -152,6 +174,7 @@
         addresses,
         client,
         directory,
+        claims,
         ledger,
         create_verdict_archive(quarantine, key_value, timers, rng),
         admission,
