Let a stopping agent refuse what is on its way to it

What callers saw (own interface): an order that an entry handed to an idle agent in the moment in which that got SIGTERM ended as unknown (504, the link to its agent is down), though it had not run; its key could not be used again.

Cause: the agent was done when no attempt was running and no answer unread. Attempts in the link's buffers were counted only once they were read, and the refusals of those that were read were in buffers, too, when the process ended.

Change: after its last answer was acknowledged, the agent asks each linked entry to confirm that it knows (LeaveNotice). Links keep the order of messages, so a confirmation comes after all that was handed over before, and shows that what the agent sent before has arrived.

Ruled out: a pause before the end, which would only make it rarer. Answers that wait to be delivered were acknowledged before, by their own messages.

--- a/reedspar/attempts/attempts.capnp
+++ b/reedspar/attempts/attempts.capnp
@@ -132,3 +132,12 @@
   bootId @3 :Text;
   suspects @4 :List(CrashSuspect);
 }
+
+struct LeaveNotice {
+  number @0 :UInt64;
+  # An entry confirms it once it knows from earlier messages that the agent leaves.
+}
+
+struct LeaveConfirmation {
+  number @0 :UInt64;
+}
--- a/reedspar/attempts/messages.py
+++ b/reedspar/attempts/messages.py
@@ -30,6 +30,8 @@
     "CrashSuspect",
     "EndKind",
     "Header",
+    "LeaveConfirmation",
+    "LeaveNotice",
     "LoadedWeights",
     "TargetReport",
     "TargetStatus",
@@ -234,6 +236,20 @@
     latency_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class LeaveNotice:
+    """Asks an entry to confirm that it knows that the sending agent leaves."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveConfirmation:
+    """Confirms a `LeaveNotice`: whatever its sender handed over is before it."""
+
+    number: int
+
+
 CRASH_AFTER_BEGIN_MAX_S = 0.5
 """Time from the first bytes of an answer to a crash that its request may have caused.
 
--- a/reedspar/attempts/registration.py
+++ b/reedspar/attempts/registration.py
@@ -15,6 +15,8 @@
     AttemptStart,
     AttemptStatus,
     CrashNotice,
+    LeaveConfirmation,
+    LeaveNotice,
     TargetReport,
 )
 
@@ -38,6 +40,8 @@
         AttemptAck,
         TargetReport,
         CrashNotice,
+        LeaveNotice,
+        LeaveConfirmation,
     )
     registry.add_batch(
         AttemptData,
--- a/reedspar/requests/attempt_client.py
+++ b/reedspar/requests/attempt_client.py
@@ -21,6 +21,8 @@
     AttemptResume,
     AttemptStart,
     AttemptStatus,
+    LeaveConfirmation,
+    LeaveNotice,
 )
 from reedspar.errors import Failure, Reason
 from reedspar.links import LinkChange, LinkEvent, Network
@@ -123,6 +125,7 @@
         network.subscribe(AttemptEnd, self._on_end)
         network.subscribe(AttemptRefused, self._on_refused)
         network.subscribe(AttemptStatus, self._on_status)
+        network.subscribe(LeaveNotice, self._on_leave_notice)
         network.on_link_event(self._on_link_event)
         timers.call_every(SWEEP_INTERVAL_S, self.sweep)
 
@@ -276,6 +279,10 @@
             lambda assembly: assembly.on_status(message, sender.incarnation),
         )
 
+    def _on_leave_notice(self, sender: Sender, message: LeaveNotice) -> None:
+        # The agent's report before it excludes the target from further requests.
+        self._network.send(sender.name, LeaveConfirmation(message.number))
+
     def _handle_message(
         self, sender: Sender, message: Any, handle: Callable[[AnswerAssembly], Progress]
     ) -> None:
--- a/reedspar/targets/dispatcher.py
+++ b/reedspar/targets/dispatcher.py
@@ -24,6 +24,7 @@
 from reedspar.timers import TimerService
 
 from .gate import ColdStartGate
+from .leave_notices import LeaveNotices
 from .queue import AttemptQueue
 from .runner import AttemptOutcome, AttemptRunner, RunHandle, may_cancel
 from .table import AttemptKey, AttemptRecord, AttemptTable
@@ -74,6 +75,9 @@
         self._policy = policy
         self._spawn = spawn
         self._handles: dict[AttemptKey, RunHandle] = {}
+        self._leave_notices = LeaveNotices(network)
+        self._replied_count = 0
+        """Messages of entries that this agent has replied to."""
         network.subscribe(AttemptStart, self._on_start)
         network.subscribe(AttemptCancel, self._on_cancel)
         network.subscribe(AttemptResume, self._on_resume)
@@ -125,6 +129,18 @@
             await anyio.sleep(DRAIN_POLL_INTERVAL_S)
 
     async def wait_delivered(self) -> None:
+        """Wait until each entry has every answer, and nothing is on its way to here.
+
+        The entries must have been told that this agent accepts no more attempts.
+        """
+        is_settled = False
+        while not is_settled:
+            await self._wait_acknowledged()
+            replied_count = self._replied_count
+            await self._leave_notices.wait_confirmed()
+            is_settled = self._replied_count == replied_count
+
+    async def _wait_acknowledged(self) -> None:
         """Wait until every answer has been acknowledged by its entry.
 
         A killed entry acknowledges nothing, and the `AttemptEnd` of an abandoned
@@ -158,6 +174,7 @@
         self._network.send(peer, message)
 
     def _on_start(self, sender: Sender, start: AttemptStart) -> None:
+        self._replied_count += 1
         known = self._table.get(start.request_id, start.attempt)
         if known is not None:
             self._send(sender.name, known.refusal or known.describe())
@@ -209,6 +226,7 @@
         self.dispatch_queued()
 
     def _on_cancel(self, sender: Sender, cancel: AttemptCancel) -> None:
+        self._replied_count += 1
         record = self._table.get(cancel.request_id, cancel.attempt)
         if record is None:
             reply: Any = self._table.revoke_unknown(
@@ -232,6 +250,7 @@
         self._send(sender.name, record.refusal or record.describe())
 
     def _on_resume(self, sender: Sender, resume: AttemptResume) -> None:
+        self._replied_count += 1
         record = self._table.get(resume.request_id, resume.attempt)
         if record is None or resume.agent_incarnation != self._table.incarnation:
             status = AttemptStatus(
--- a/reedspar/targets/tests/fakes.py
+++ b/reedspar/targets/tests/fakes.py
@@ -6,7 +6,12 @@
 
 import anyio
 
-from reedspar.attempts import AttemptStart, LoadedWeights
+from reedspar.attempts import (
+    AttemptStart,
+    LeaveConfirmation,
+    LeaveNotice,
+    LoadedWeights,
+)
 from reedspar.errors import Failure, Reason, Step
 from reedspar.messages import Sender
 from reedspar.platform import EngineState, TargetRequest
@@ -79,6 +84,8 @@
 
     def send(self, peer, message, priority=0):
         self.sent.append(message)
+        if isinstance(message, LeaveNotice):
+            self.deliver(LeaveConfirmation(message.number))
 
     def deliver(self, message, sender: Sender = ENTRY) -> None:
         for handler in self.handlers[type(message)]:
