Write the last verdicts before an entry stops

What callers saw: after all entries had stopped at once, requests that were known to crash targets crashed more of them, if the verdict was up to 1.5 s old at the stop.

Cause: a verdict waits for a random delay, so that one entry's write is enough. The entry was done when no request was in progress, and ended with the write still to come.

Change: from SIGTERM on, verdicts are written at once, and the entry waits for them in what is left of its drain's time. A site's entry takes no time beyond.

Evidence: test_verdict_of_the_last_moment_is_written; with begin_stop and wait_written taken out the next entry has no verdict (CLEAR).

--- a/reedspar/daemon/site_entry.py
+++ b/reedspar/daemon/site_entry.py
@@ -182,6 +182,8 @@
         margin_s = min(FORCED_STOP_MARGIN_S, FORCED_STOP_SHARE * grace_s)
         background = ContainedTasks(self.tasks)
         background.start_soon(self.components.registration.withdraw)
+        self.verdict_archive.begin_stop()
+        ends_at_s = self.timers.now_s() + grace_s - margin_s
         options = DrainOptions(
             bounds.address_ttl_ms / 1000, grace_s - margin_s, margin_s / 4
         )
@@ -195,6 +197,8 @@
         self._stop_serving.set()
         with anyio.move_on_after(margin_s / 4):
             await self._server_stopped.wait()
+        with anyio.move_on_after(max(0.0, ends_at_s - self.timers.now_s())):
+            await self.verdict_archive.wait_written()
 
 
 def _list_ports(settings: SiteSettings) -> list[int]:
--- a/reedspar/requests/service.py
+++ b/reedspar/requests/service.py
@@ -79,6 +79,7 @@
         The other entries must already be notified that this one is shutting down.
         """
         self.addresses.exclude_self()
+        self.verdict_archive.begin_stop()
         options = DrainOptions(
             self.settings.address_ttl_s, self.settings.drain_timeout_s
         )
@@ -91,7 +92,7 @@
         )
 
     async def finish(self, drain_began_s: float) -> None:
-        """Write the outcomes of the last orders, as long as the drain may take.
+        """Write the last outcomes and verdicts, as long as the drain may take.
 
         No request may begin any more.  Without its outcome, a repeat of an order would
         be told that nobody knows whether it ran.
@@ -100,6 +101,7 @@
         left_s = max(ends_at_s - self.timers.now_s(), LAST_WRITES_MIN_S)
         with anyio.move_on_after(left_s):
             await self.claims.wait_written()
+            await self.verdict_archive.wait_written()
         if self.claims.pending_update_count:
             _logger.error(
                 "outcomes of orders are not written",
--- a/reedspar/requests/tests/test_verdict_archive.py
+++ b/reedspar/requests/tests/test_verdict_archive.py
@@ -131,6 +131,33 @@
 
         self.run_entries(6, script)
 
+    def test_verdict_of_the_last_moment_is_written(self) -> None:
+        # Guards against more crashes after all entries have stopped at once, each
+        # between a verdict and its delayed write.
+        async def stop() -> None:
+            quarantine = Quarantine()
+            archive = create_verdict_archive(
+                *(quarantine, self.store, TimerService(VirtualClock())),
+                random.Random(1),
+            )
+            with mock.patch.object(verdict_archive, "WRITE_DELAY_MAX_S", 60.0):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(archive.run)
+                    await anyio.sleep(0.05)
+                    quarantine.adopt_verdict(Verdict(REQUEST, 0.0, is_blamed=True))
+                    await anyio.wait_all_tasks_blocked()
+                    archive.begin_stop()
+                    with anyio.move_on_after(1.0):
+                        await archive.wait_written()
+                    tasks.cancel_scope.cancel()
+
+        async def after(quarantines: list[Quarantine]) -> None:
+            standing, _ = quarantines[0].standing("deadly", 1.0, ())
+            self.assertIs(standing, Standing.BLAMED)
+
+        anyio.run(stop)
+        self.run_entries(1, after)
+
     def test_invalid_archive_is_ignored_and_replaced(self) -> None:
         async def write_garbage() -> None:
             await self.store.compare_and_swap(verdict_archive.ARCHIVE_KEY, b"{", 0)
--- a/reedspar/requests/verdict_archive.py
+++ b/reedspar/requests/verdict_archive.py
@@ -25,6 +25,7 @@
 WRITE_DELAY_MAX_S = 1.5
 """Maximum delay of a write; one entry's write is enough if others learn of it."""
 RETRY_DELAY_S = 0.5
+WRITTEN_POLL_INTERVAL_S = 0.05
 
 _logger = logging.getLogger(__name__)
 
@@ -64,8 +65,18 @@
         self._changes: dict[Cause, bool] = {}
         """Causes to add (True) or to remove."""
         self._wakeup = anyio.Event()
+        self._stop = anyio.Event()
         quarantine.on_verdict(self._handle_verdict)
 
+    def begin_stop(self) -> None:
+        """Write at once from now on: others may stop, too, or know of no verdict."""
+        self._stop.set()
+
+    async def wait_written(self) -> None:
+        """Wait until all verdicts are known to be in the archive."""
+        while self._changes:
+            await anyio.sleep(WRITTEN_POLL_INTERVAL_S)
+
     async def run(self) -> None:
         """Read the archive, then keep it up to date until cancelled."""
         while not await self._load():
@@ -74,7 +85,8 @@
             if not self._changes:
                 self._wakeup = anyio.Event()
                 await self._wakeup.wait()
-            await anyio.sleep(self._rng.uniform(0.0, WRITE_DELAY_MAX_S))
+            with anyio.move_on_after(self._rng.uniform(0.0, WRITE_DELAY_MAX_S)):
+                await self._stop.wait()
             while not await self._write_changes():
                 await anyio.sleep(RETRY_DELAY_S)
 
