Withdraw a registration that is still being written

What callers saw: the directory named an entry that had ended, for up to 3 s, if it was stopped while it wrote its registration (sites; a start, or the return of the store).

Cause: the withdrawal ended the lease that was known to hold the entry. That is noted only once the write was answered; a write that was on its way, or whose answer was lost, put the entry there after the withdrawal.

Change: the lease is noted before the write, and a withdrawal ends it. The store refuses a write under a lease that has ended, so it doesn't matter which of the two comes first. A lease that is granted after the withdrawal is not used.

Evidence: two tests in test_registration (withdrawn before and after the write has its effect, and after its answer was lost) failed before, and pass. The fake store refuses an ended lease, as the site's does (404), in place of a KeyError.

Ruled out: to wait for the write, which a silent store would delay.

--- a/reedspar/fleet/registration.py
+++ b/reedspar/fleet/registration.py
@@ -50,6 +50,9 @@
         self._expected_revision = expected_revision
         self._store_latency = StoreLatencyMonitor(timers)
         self._lease_id = ""
+        """Lease under which the entry is written, as far as this daemon knows."""
+        self._granted_lease_id = ""
+        """Last lease under which the entry may be written, now or later."""
         self._epoch = 0
         """Epoch of the store in which the entry is known to exist."""
         self._is_leaving = False
@@ -82,10 +85,15 @@
                 await self._wakeup.wait()
 
     async def withdraw(self) -> None:
-        """Remove the entry, as this daemon accepts no new requests from now on."""
+        """Remove the entry, as this daemon accepts no new requests from now on.
+
+        The store refuses a write under a lease that has ended, so that an entry that
+        is still on its way is not written later.
+        """
         self._is_leaving = True
         self._wakeup.set()
-        lease_id, self._lease_id = self._lease_id, ""
+        lease_id, self._granted_lease_id = self._granted_lease_id, ""
+        self._lease_id = ""
         if not lease_id:
             return
         failure = await self._store.end_lease(lease_id)
@@ -99,9 +107,12 @@
         lease_id = await self._store.grant_lease(LEASE_TTL_S)
         if isinstance(lease_id, Failure):
             return lease_id
+        if self._is_leaving:
+            return None
         epoch = self._store.epoch
+        self._granted_lease_id = lease_id
         failure = await self._write(lease_id)
-        if failure is None:
+        if failure is None and not self._is_leaving:
             self._lease_id = lease_id
             self._epoch = epoch
             _logger.info("registered", extra={"key": self._key})
@@ -129,7 +140,7 @@
     async def _renew(self) -> Failure | None:
         failure = await self._store.renew_lease(self._lease_id)
         if failure is not None and failure.reason is Reason.NOT_FOUND:
-            self._lease_id = ""
+            self._lease_id = self._granted_lease_id = ""
         if failure is None and self._store.epoch != self._epoch:
             return await self._verify()
         return failure
--- a/reedspar/fleet/tests/fakes.py
+++ b/reedspar/fleet/tests/fakes.py
@@ -155,6 +155,8 @@
         entry = self.current.get(key)
         if expected_revision != (entry.revision if entry else 0):
             return Failure(Reason.CONFLICT, Step.KEY_VALUE)
+        if lease_id and lease_id not in self.leases:
+            return Failure(Reason.NOT_FOUND, Step.KEY_VALUE)
         if lease_id:
             self.leases[lease_id].add(key)
         return self.put(key, value)
--- a/reedspar/fleet/tests/test_registration.py
+++ b/reedspar/fleet/tests/test_registration.py
@@ -5,11 +5,31 @@
 
 import anyio
 
+from reedspar.errors import Failure, Reason, Step
 from reedspar.fleet import Registration, create_registration
 from reedspar.fleet.tests.fakes import FakeStore
 from reedspar.timers import TimerService, VirtualClock
 
 KEY = "daemons/e1"
+WRITE_S = 0.1
+
+
+class SlowStore(FakeStore):
+    """A store whose writes and answers take a while; the answers may be lost."""
+
+    def __init__(self, is_answer_lost: bool) -> None:
+        super().__init__()
+        self.is_answer_lost = is_answer_lost
+
+    async def compare_and_swap(
+        self, key: str, value: bytes, expected_revision: int, lease_id: str = ""
+    ) -> int | Failure:
+        await anyio.sleep(WRITE_S)
+        result = await super().compare_and_swap(key, value, expected_revision, lease_id)
+        await anyio.sleep(WRITE_S)
+        if self.is_answer_lost:
+            return Failure(Reason.OUTCOME_UNKNOWN, Step.KEY_VALUE)
+        return result
 
 
 class RegistrationTest(unittest.TestCase):
@@ -122,6 +142,35 @@
 
         self.run_with(script)
 
+    def check_withdrawal(self, at_s: float, is_answer_lost: bool = False) -> None:
+        """Withdraw the entry `at_s` after its write was begun."""
+
+        async def run() -> None:
+            store = SlowStore(is_answer_lost)
+            registration = create_registration(
+                KEY, b"me", store, TimerService(VirtualClock())
+            )
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(registration.run)
+                await anyio.sleep(at_s)
+                await registration.withdraw()
+                await anyio.sleep(2 * WRITE_S)
+                tasks.cancel_scope.cancel()
+            self.assertNotIn(KEY, store.current)
+            self.assertFalse(registration.is_registered)
+
+        anyio.run(run)
+
+    def test_entry_that_is_being_written_is_withdrawn(self) -> None:
+        # Guards against callers that are sent to an ended daemon until its lease
+        # expires: it was stopped while its entry was on its way to the store.
+        self.check_withdrawal(0.5 * WRITE_S)
+        self.check_withdrawal(1.5 * WRITE_S)
+
+    def test_entry_whose_write_got_no_answer_is_withdrawn(self) -> None:
+        # Guards against the same, where the store has the entry and nobody knows.
+        self.check_withdrawal(2.5 * WRITE_S, is_answer_lost=True)
+
     def test_successful_calls_are_recorded(self) -> None:
         # Without these records, only a watch would reveal an outage, up to 25 s later.
         async def script(store: FakeStore, registration: Registration) -> None:
