End a site's daemon with 0 in time, from its first lines on

What users saw: a daemon that got SIGTERM within 0.4 s of its start ended by the signal (-15) and counted as crashed. An agent whose store began its answers and did not end them didn't stop at all, until it was killed.

Cause: SIGTERM had its default action until the imports were done (SIGHUP was ignored meanwhile). An agent awaited its withdrawal, whose time limit counts from the last byte that came.

Change: signals are blocked in the program's first lines, and delivered once the daemon receives them. A withdrawal is given up after the lease's time, an agent's after half of its grace period; nobody renews the lease any more.

Ruled out: to ignore SIGTERM in the imports, which would lose it.

--- a/reedspar/daemon/signals.py
+++ b/reedspar/daemon/signals.py
@@ -19,6 +19,8 @@
 ) -> Iterator[AsyncIterator[signal.Signals]]:
     """Receive signals, and ignore them afterwards, while the process exits.
 
+    Those that were held back (blocked) since the start of the process come first.
+
     Supervisors may send several.  The default action of a later one would interrupt
     the answers to callers or, after the last answer, lose the last log lines and end
     the process with a failure.  The receivers of event loops restore the default
@@ -31,6 +33,7 @@
         previous = signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
         for number in numbers:
             signal.signal(number, _do_nothing)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, numbers)
         try:
             yield _iterate(reader, frozenset(numbers))
         finally:
--- a/reedspar/daemon/site_agent.py
+++ b/reedspar/daemon/site_agent.py
@@ -48,6 +48,8 @@
 ENGINE_LOST_FAILURE_COUNT = 3
 """Consecutive failed reads after which the engine counts as lost."""
 METRICS_SHUTDOWN_TIMEOUT_S = 0.3
+WITHDRAWAL_SHARE = 0.5
+"""Share of the grace period in which the store must have taken the withdrawal."""
 OLDER_VERSION_MARGIN_S = 0.4
 """Entries stop sending requests to an older version this long before its time limit."""
 
@@ -103,7 +105,8 @@
         background.start_soon(self._register)
         self.tasks.start_soon(self._run_weight_distribution)
         await stop.wait()
-        await self.components.registration.withdraw()
+        grace_s = self.settings.bounds.grace_ms / 1000
+        await self.components.registration.withdraw(WITHDRAWAL_SHARE * grace_s)
         self._stop_serving.set()
 
     async def _serve(self, application: ASGIApp) -> None:
--- a/reedspar/fleet/registration.py
+++ b/reedspar/fleet/registration.py
@@ -84,11 +84,12 @@
             with anyio.move_on_after(RETRY_DELAY_S if failure else RENEWAL_INTERVAL_S):
                 await self._wakeup.wait()
 
-    async def withdraw(self) -> None:
+    async def withdraw(self, timeout_s: float = LEASE_TTL_S) -> None:
         """Remove the entry, as this daemon accepts no new requests from now on.
 
         The store refuses a write under a lease that has ended, so that an entry that
-        is still on its way is not written later.
+        is still on its way is not written later.  Return after `timeout_s`, or when
+        the lease has expired, at the latest.
         """
         self._is_leaving = True
         self._wakeup.set()
@@ -96,7 +97,9 @@
         self._lease_id = ""
         if not lease_id:
             return
-        failure = await self._store.end_lease(lease_id)
+        failure: Failure | None = Failure(Reason.TIMEOUT, Step.KEY_VALUE)
+        with anyio.move_on_after(min(timeout_s, LEASE_TTL_S)):
+            failure = await self._store.end_lease(lease_id)
         if failure is not None:
             _logger.warning(
                 "failed to withdraw registration; its lease will expire",
