Send each order to its target on a connection of its own

What callers saw (own interface): an order ended as unknown (Server disconnected without sending a response) though the target had not read it, now and then, after a pause in its agent's traffic.

Cause: agents keep connections to their targets for up to 2 s. A target may close one as idle while the agent writes the next request on it; the agent looks at the connection before, which can't see a close that is on its way. What can be repeated is sent again by its entry; an order is not.

Change: a target request says whether it may be repeated. One that may not gets a connection of its own, which is closed after it.

Evidence: test_order_does_not_cross_the_close_of_an_idle_connection failed before (the transport as it was): RemoteProtocolError, outcome unknown.

Ruled out: to send the order again, as a close without an answer doesn't show that it was not read. Orders on sites have always had their own connections.

--- a/reedspar/platform/http_target.py
+++ b/reedspar/platform/http_target.py
@@ -23,6 +23,7 @@
     failure_of_write,
 )
 from .http_response import CONNECTION_HEADERS, HttpTargetResponse
+from .http_transport import FRESH_CONNECTION
 from .models import EngineState, LoadOrder, TargetRequest
 from .monotonic_reader import MonotonicReader
 from .protocols import TargetResponse
@@ -39,6 +40,8 @@
 _REQUEST_EXTENSIONS = {
     "timeout": {"connect": CONNECT_TIMEOUT_S, "read": None, "write": None, "pool": None}
 }
+_ORDER_EXTENSIONS = _REQUEST_EXTENSIONS | {FRESH_CONNECTION: True}
+"""A target may close a kept connection while a request is on its way there."""
 _STATE = TypeAdapter(EngineState)
 _LOAD_ORDER = TypeAdapter(LoadOrder)
 
@@ -98,7 +101,9 @@
             self._base_url + request.path,
             headers=make_headers(request),
             content=request.body,
-            extensions=_REQUEST_EXTENSIONS,
+            extensions=(
+                _REQUEST_EXTENSIONS if request.is_idempotent else _ORDER_EXTENSIONS
+            ),
         )
         try:
             with anyio.fail_after(request.timeout_s):
--- a/reedspar/platform/http_transport.py
+++ b/reedspar/platform/http_transport.py
@@ -10,9 +10,11 @@
 
 import httpx
 
-__all__ = ["PooledTransport"]
+__all__ = ["FRESH_CONNECTION", "PooledTransport"]
 
 IDLE_CONNECTIONS_MAX = 64
+FRESH_CONNECTION = "reedspar.fresh_connection"
+"""Extension of a request that must not share its connection with any other."""
 
 
 class PooledTransport(httpx.AsyncBaseTransport):
@@ -26,17 +28,23 @@
         self._busy: set[httpx.AsyncBaseTransport] = set()
 
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
-        """Send a request; its transport is reused once the response is closed."""
-        transport = self._idle.pop() if self._idle else self._create_transport()
+        """Send a request; its transport is reused once the response is closed.
+
+        One that must have a connection of its own gets a new transport, which is closed
+        after it.
+        """
+        is_fresh = FRESH_CONNECTION in request.extensions
+        may_reuse = bool(self._idle) and not is_fresh
+        transport = self._idle.pop() if may_reuse else self._create_transport()
         self._busy.add(transport)
         try:
             response = await transport.handle_async_request(request)
         except BaseException:
-            await self._release(transport)
+            await self._release(transport, is_kept=not is_fresh)
             raise
         assert isinstance(response.stream, httpx.AsyncByteStream)
         response.stream = _ReleasingStream(
-            response.stream, lambda: self._release(transport)
+            response.stream, lambda: self._release(transport, is_kept=not is_fresh)
         )
         return response
 
@@ -47,11 +55,13 @@
         self._idle.clear()
         self._busy.clear()
 
-    async def _release(self, transport: httpx.AsyncBaseTransport) -> None:
+    async def _release(
+        self, transport: httpx.AsyncBaseTransport, *, is_kept: bool
+    ) -> None:
         if transport not in self._busy:
             return
         self._busy.discard(transport)
-        if len(self._idle) < IDLE_CONNECTIONS_MAX:
+        if is_kept and len(self._idle) < IDLE_CONNECTIONS_MAX:
             self._idle.append(transport)
         else:
             await transport.aclose()
--- a/reedspar/platform/models.py
+++ b/reedspar/platform/models.py
@@ -91,3 +91,5 @@
     workspace: str = ""
     expected_weights: str = ""
     """Weights that must serve the request, if the target supports it; empty: any."""
+    is_idempotent: bool = False
+    """Whether the request may be sent again if nobody knows whether it ran."""
--- a/reedspar/platform/tests/test_http_target.py
+++ b/reedspar/platform/tests/test_http_target.py
@@ -1,5 +1,6 @@
 """Tests of the adapters of model engines and plain services."""
 
+import asyncio
 import hashlib
 import json
 import unittest
@@ -77,6 +78,16 @@
         return response.status, response.weights_digest, body, None
 
 
+async def serve_once(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Answer one request, and close the connection as idle when the next one comes."""
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone")
+    await reader.read(1)
+    writer.close()
+
+
 def read_stream(body: bytes) -> str:
     events = [line[6:] for line in body.split(b"\n\n") if line]
     return "".join(json.loads(e)["choices"][0]["text"] for e in events[:-1])
@@ -258,3 +269,22 @@
             assert body_failure is not None
             self.assertIs(body_failure.reason, Reason.OUTCOME_UNKNOWN)
             await adapter.aclose()
+
+    async def test_order_does_not_cross_the_close_of_an_idle_connection(self) -> None:
+        # Guards against orders whose outcome is unknown though they have not run: the
+        # target closes a connection as idle while an order is on its way there.
+        server = await asyncio.start_server(serve_once, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        target = create_http_plain_service(f"http://127.0.0.1:{port}")
+        for number in range(6):
+            is_order = number % 2 == 1
+            request = TargetRequest(
+                *(f"r{number}", "POST" if is_order else "GET", "/d", (), b"", 5.0),
+                is_idempotent=not is_order,
+            )
+            status, _, body, failure = await exchange(target, request)
+            if is_order:
+                self.assertEqual((status, body, failure), (200, b"done", None))
+        await target.aclose()
+        server.close()
+        await anyio.wait_all_tasks_blocked()
--- a/reedspar/targets/runner.py
+++ b/reedspar/targets/runner.py
@@ -201,6 +201,7 @@
         body=start.body,
         timeout_s=max(timeout_s, 0.0),
         priority=start.priority,
+        is_idempotent=start.is_idempotent,
     )
 
 
