Keep a connection open on which a stream is sent during a drain

What callers saw: a request sent on a connection whose stream was marked as the last answer was read and dropped; the connection ended with the stream, seconds later (LOST by the users' rule: read, and over lossSlackMs).

Cause: the mark was set when the stream began, and holds for as long as it lasts. Only an answer of known length, whose body follows at once, is marked now; connections of streams end when they are idle, or with a later answer.

Evidence: test_request_that_arrives_during_a_stream_is_answered failed before (the connection ended after one of two streams).

--- a/reedspar/serving/http1.py
+++ b/reedspar/serving/http1.py
@@ -10,7 +10,7 @@
 from hypercorn.protocol.h2 import H2Protocol
 from hypercorn.protocol.h11 import H11Protocol
 
-FINAL_STATUS_MIN = 200
+LENGTH_HEADER = b"content-length"
 CLOSE_HEADER = (b"connection", b"close")
 
 __all__ = ["Http1Protocol", "ObservedProtocol"]
@@ -36,10 +36,14 @@
         return bool(self.connection.trailing_data[0])
 
     async def stream_send(self, event: Event) -> None:
-        """Send a part of an answer; the head of the last one says that it is that."""
+        """Send a part of an answer; the head of the last one says that it is that.
+
+        Only an answer of known length is marked, as its body follows at once.  Requests
+        that arrive during a stream would be lost with its connection.
+        """
         if isinstance(event, Response):
-            is_final = event.status_code >= FINAL_STATUS_MIN
-            if is_final and self._is_last_answer():
+            has_length = any(name == LENGTH_HEADER for name, _ in event.headers)
+            if has_length and self._is_last_answer():
                 event = replace(event, headers=[*event.headers, CLOSE_HEADER])
         await super().stream_send(event)
 
--- a/reedspar/serving/tests/test_server.py
+++ b/reedspar/serving/tests/test_server.py
@@ -32,6 +32,7 @@
         self.connections = OpenConnections()
         self.answer = ANSWER
         self.answer_s = 0.0
+        self.has_length = True
         self.served = 0
         self.stop = anyio.Event()
         self.clients: list[socket.socket] = []
@@ -42,7 +43,7 @@
             pass
         await anyio.sleep(self.answer_s)
         size = str(len(self.answer)).encode()
-        headers = [(b"content-length", size)]
+        headers = [(b"content-length", size)] if self.has_length else []
         await send({"type": "http.response.start", "status": 200, "headers": headers})
         for offset in range(0, len(self.answer), PIECE_BYTES):
             body = self.answer[offset : offset + PIECE_BYTES]
@@ -131,6 +132,27 @@
 
         self.run_server(script)
 
+    def test_request_that_arrives_during_a_stream_is_answered(self) -> None:
+        # Guards against connections that are announced to end with a stream, and take
+        # away the requests that arrive while it lasts.
+        async def script(site: LoopbackServer) -> None:
+            site.has_length = False
+            site.answer = b"x" * LONG_ANSWER_BYTES
+            site.connections.begin_draining()
+            client = site.connect()
+            client.sendall(REQUEST)
+            await anyio.sleep(PAUSE_S)
+            client.sendall(REQUEST)
+            loop = asyncio.get_running_loop()
+            received = 0
+            async with asyncio.timeout(END_S):
+                while received < 2 * LONG_ANSWER_BYTES:
+                    data = await loop.sock_recv(client, PIECE_BYTES)
+                    self.assertTrue(data, "the connection has ended")
+                    received += len(data)
+
+        self.run_server(script)
+
 
 class LastAnswerTest(ServerTestCase):
     def test_last_answer_is_whole_if_its_caller_sends_more(self) -> None:
