Look at the kernel only when a connection may end

Each answer asked whether further bytes wait, also outside a drain, and each look of the drain at all connections did: a system call each. Both look only where a connection is to be closed or an answer may be the last.

--- a/reedspar/serving/connection.py
+++ b/reedspar/serving/connection.py
@@ -118,13 +118,13 @@
 
     @property
     def is_pending(self) -> bool:
-        """Return whether a request is here, or may be expected, that has no answer."""
+        """Return whether a request was received, or is expected, that has no answer."""
         if self._state_at_close is not None:
             return False
         state = self.state
         if state is ConnectionState.FRESH:
             return self._loop.time() - self._accepted_s < FIRST_REQUEST_S
-        return state is not ConnectionState.IDLE or self._has_waiting_bytes
+        return state is not ConnectionState.IDLE
 
     @property
     def quiet_s(self) -> float:
@@ -183,7 +183,8 @@
 
     def close_if_idle(self, end: ConnectionEnd) -> None:
         """Close the connection unless a request is pending on it."""
-        if self._state_at_close is None and not self.is_pending:
+        is_idle = self._state_at_close is None and not self.is_pending
+        if is_idle and not self._has_waiting_bytes:
             self.close(end)
 
     def _create_protocol(self, tasks: TaskGroup) -> ObservedProtocol:
@@ -203,10 +204,12 @@
 
     def _is_last_answer(self) -> bool:
         """Return whether the connection is to end after the answer that begins now."""
+        if not self._options.is_draining():
+            return False
         has_next = self._has_partial_request or self._reader.unread_bytes
         is_last = self._is_body_due or not (has_next or self._has_waiting_bytes)
-        self._is_on_last_answer = self._options.is_draining() and is_last
-        return self._is_on_last_answer
+        self._is_on_last_answer = is_last
+        return is_last
 
     async def _read(self) -> None:
         """Pass what arrives to the protocol until the end of the connection."""
