Ask for the final answers also after a pause at the end of a drain

Cause: whether the final answers are asked for followed from the time alone, in a window of 0.094 s. An event loop that was late by 0.27 s skipped it and stopped. They are asked for whatever the time, and have their time from then.

Evidence: EndTest.test_final_answers_are_asked_for_by_a_process_that_stood_still (the phase 2 s after the end was STOP before).

--- a/reedspar/requests/draining.py
+++ b/reedspar/requests/draining.py
@@ -14,7 +14,7 @@
 
 import anyio
 
-__all__ = ["DrainOptions", "DrainPhase", "EntryDrain", "run_drain"]
+__all__ = ["DrainLoad", "DrainOptions", "DrainPhase", "EntryDrain", "run_drain"]
 
 NOTICE_PROPAGATION_S = 1.0
 """How long other entries may still list this one after its shutdown notice."""
@@ -48,6 +48,20 @@
     STOP = auto()
 
 
+@dataclass(frozen=True, slots=True)
+class DrainLoad:
+    """What is left to a draining entry."""
+
+    pending: int
+    """Requests that have arrived, if only in part, or are in progress."""
+    open_count: int
+    """Connections."""
+    last_admitted_s: float
+    """When a request was admitted last."""
+    aborted_s: float | None = None
+    """When the final answers were asked for."""
+
+
 @dataclass(frozen=True, slots=True)
 class EntryDrain:
     """Schedule of one graceful shutdown."""
@@ -60,23 +74,27 @@
         """Return when the requests that are left are aborted."""
         return self.started_s + self.options.timeout_s
 
-    def phase_at(
-        self, now_s: float, pending: int, open_count: int, last_admitted_s: float
-    ) -> DrainPhase:
-        """Return the phase at `now_s`.
-
-        `pending` are requests that have arrived, if only in part, or are in progress,
-        `open_count` connections; requests were admitted until `last_admitted_s`.
-        """
+    def phase_at(self, now_s: float, load: DrainLoad) -> DrainPhase:
+        """Return the phase at `now_s`."""
         if now_s >= self.ends_at_s:
-            may_abort = now_s < self.ends_at_s + self.options.abort_grace_s
-            is_left = pending or open_count
-            return DrainPhase.ABORT if is_left and may_abort else DrainPhase.STOP
-        if pending or now_s < self._waits_until_s:
+            return self._end_phase(now_s, load)
+        if load.pending or now_s < self._waits_until_s:
             return DrainPhase.SERVE
-        if now_s - last_admitted_s < IDLE_S:
+        if now_s - load.last_admitted_s < IDLE_S:
             return DrainPhase.SERVE
-        return DrainPhase.CLOSE if open_count else DrainPhase.STOP
+        return DrainPhase.CLOSE if load.open_count else DrainPhase.STOP
+
+    def _end_phase(self, now_s: float, load: DrainLoad) -> DrainPhase:
+        """Return the phase once no request may go on.
+
+        The final answers have their time from when they were asked for, as the process
+        may have stood still at the end of the drain.
+        """
+        if not (load.pending or load.open_count):
+            return DrainPhase.STOP
+        aborted_s = now_s if load.aborted_s is None else load.aborted_s
+        may_answer = now_s < aborted_s + self.options.abort_grace_s
+        return DrainPhase.ABORT if may_answer else DrainPhase.STOP
 
     @property
     def _waits_until_s(self) -> float:
@@ -141,15 +159,20 @@
     drain = EntryDrain(now_s(), options)
     gate.begin(drain.ends_at_s)
     connections.begin_draining()
+    aborted_s: float | None = None
     while True:
-        pending = max(application.in_flight, connections.pending_count)
-        phase = drain.phase_at(
-            now_s(), pending, connections.open_count, gate.last_admitted_s
+        load = DrainLoad(
+            max(application.in_flight, connections.pending_count),
+            connections.open_count,
+            gate.last_admitted_s,
+            aborted_s,
         )
+        phase = drain.phase_at(now_s(), load)
         if phase is DrainPhase.STOP:
             return
         if phase is not DrainPhase.SERVE:
             connections.begin_closing()
         if phase is DrainPhase.ABORT:
+            aborted_s = now_s() if aborted_s is None else aborted_s
             application.abort()
         await anyio.sleep(POLL_INTERVAL_S)
--- a/reedspar/requests/tests/test_drain_filter.py
+++ b/reedspar/requests/tests/test_drain_filter.py
@@ -1,14 +1,20 @@
 """Tests of which requests a draining entry admits, in virtual time."""
 
 import unittest
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 
 from reedspar.errors import Failure, Reason, Step
 from reedspar.requests.answer_times import ANSWERS_MIN, PERIOD_S, AnswerTimes
 from reedspar.requests.drain_filter import DrainFilter
-from reedspar.requests.draining import DrainOptions, run_drain
+from reedspar.requests.draining import (
+    DrainLoad,
+    DrainOptions,
+    DrainPhase,
+    EntryDrain,
+    run_drain,
+)
 from reedspar.requests.request import Answer, Outcome, Request
 from reedspar.requests.tests.virtual_time import create_loop_timers, run_virtual
 
@@ -164,6 +170,20 @@
         self.assertAlmostEqual(run_calls(7.0, quick), 5.0, delta=0.1)
 
 
+class EndTest(unittest.TestCase):
+    def test_final_answers_are_asked_for_by_a_process_that_stood_still(self) -> None:
+        # Guards against requests that are cut without an answer, as the process was
+        # paused when their time was over.
+        drain = EntryDrain(0.0, DrainOptions(ADDRESS_TTL_S, 7.0, 0.25))
+        load = DrainLoad(pending=1, open_count=1, last_admitted_s=6.0)
+        self.assertEqual(drain.phase_at(9.0, load), DrainPhase.ABORT)
+        load = replace(load, aborted_s=9.0)
+        self.assertEqual(drain.phase_at(9.2, load), DrainPhase.ABORT)
+        self.assertEqual(drain.phase_at(9.3, load), DrainPhase.STOP)
+        load = replace(load, pending=0, open_count=0)
+        self.assertEqual(drain.phase_at(9.2, load), DrainPhase.STOP)
+
+
 class AnswerTimesTest(unittest.TestCase):
     def test_longest_answer_of_the_period_counts(self) -> None:
         times = AnswerTimes()
