End a stopped daemon although nobody reads its logs

Cause: after the drain, the process joined the thread that writes the logs without a bound, and tore the event loop down.

The late ends under load are not shown by a test of our own.

--- a/reedspar/telemetry/log_queue.py
+++ b/reedspar/telemetry/log_queue.py
@@ -4,7 +4,7 @@
 import queue
 from logging.handlers import QueueHandler, QueueListener
 
-__all__ = ["DroppingQueueHandler", "start_log_queue"]
+__all__ = ["DroppingQueueHandler", "LogWriter", "start_log_queue"]
 
 QUEUED_LINES_MAX = 2000
 """Maximum number of queued log lines, about a megabyte; further ones are dropped."""
@@ -40,6 +40,21 @@
         return True
 
 
+class LogWriter(QueueListener):
+    """Writes queued records in a thread of its own."""
+
+    def finish(self, timeout_s: float) -> None:
+        """Write the queued records, as far as their reader takes them in time."""
+        thread = self._thread
+        if thread is None:
+            return
+        try:
+            self.enqueue_sentinel()
+        except queue.Full:
+            return
+        thread.join(timeout_s)
+
+
 def _create_drop_notice(count: int) -> logging.LogRecord:
     """Return a log record with the number of dropped lines."""
     text = "log lines dropped, the reader is too slow"
@@ -50,9 +65,9 @@
 
 def start_log_queue(
     handler: logging.Handler, max_queued_lines: int = QUEUED_LINES_MAX
-) -> tuple[DroppingQueueHandler, QueueListener]:
+) -> tuple[DroppingQueueHandler, LogWriter]:
     """Return a handler that never blocks, and the listener that feeds `handler`."""
     records: queue.Queue[logging.LogRecord] = queue.Queue(max_queued_lines)
-    listener = QueueListener(records, handler)
+    listener = LogWriter(records, handler)
     listener.start()
     return DroppingQueueHandler(records), listener
--- a/reedspar/telemetry/logs.py
+++ b/reedspar/telemetry/logs.py
@@ -7,10 +7,9 @@
 from dataclasses import fields, is_dataclass
 from datetime import UTC, datetime
 from enum import Enum
-from logging.handlers import QueueListener
 from typing import Any, TextIO
 
-from .log_queue import start_log_queue
+from .log_queue import LogWriter, start_log_queue
 
 __all__ = ["JsonFormatter", "configure_logging"]
 
@@ -96,7 +95,7 @@
     stream: TextIO | None = None,
     common: Mapping[str, Any] | None = None,
     is_queued: bool = False,
-) -> QueueListener | None:
+) -> LogWriter | None:
     """Write all log records to `stream` as JSON lines; default is standard error.
 
     The fields of `common`, such as the process's name and zone, are added to each line.
@@ -106,7 +105,7 @@
     """
     handler: logging.Handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(JsonFormatter(common))
-    listener: QueueListener | None = None
+    listener: LogWriter | None = None
     if is_queued:
         handler, listener = start_log_queue(handler)
     root = logging.getLogger()
