--- a/reedspar/platform/http_client.py
+++ b/reedspar/platform/http_client.py
@@ -17,6 +17,7 @@
     "failure_of_read",
     "failure_of_status",
     "failure_of_write",
+    "has_marked_end",
 ]
 
 IDLE_EXPIRY_S = 2.0
@@ -123,6 +124,21 @@
     return Failure(Reason.INVALID, step, peer, detail)
 
 
+def has_marked_end(response: httpx.Response) -> bool:
+    """Return whether HTTP framing distinguishes a complete body from a truncated one.
+
+    Otherwise the body ends with its connection, which a server that stops closes too.
+    """
+    headers = response.headers
+    is_bodiless = response.status_code in (
+        httpx.codes.NO_CONTENT,
+        httpx.codes.NOT_MODIFIED,
+    )
+    is_head = response.request.method == "HEAD"
+    is_chunked = "chunked" in headers.get("transfer-encoding", "").lower()
+    return is_bodiless or is_head or is_chunked or "content-length" in headers
+
+
 class HttpAdapter:
     """Base class of adapters that use one HTTP client for all calls."""
 
--- a/reedspar/platform/tests/test_cut_answers.py
+++ b/reedspar/platform/tests/test_cut_answers.py
@@ -101,6 +101,11 @@
         create = create_http_model_engine
         self.check_body(create, b"", BODY, takes_unmarked=False, is_brief=True)
 
+    def test_stream_of_an_engine(self) -> None:
+        # Guards against streams that are cut and count as whole, and against refusing
+        # one that ends with its marker and its connection.
+        self.check_body(create_http_model_engine, STREAM, EVENTS)
+
     def test_calls_of_an_engine(self) -> None:
         # Guards against chunks and loads that count as confirmed by half an answer.
         create, answers = create_http_model_engine, make_answers(b"", STATE)
