Use no key-value entry whose body has no marked end

A service that stops in an answer without a length or chunks closes the connection regularly. `get` and `watch` returned the first bytes of the value, or none, as the entry. Values are raw bytes, so nothing else tells: documents and fencing numbers are JSON and would fail, but an archive of crash causes that cannot be read counts as empty and is written over.

The end must be marked by a length or by chunks, as at a target; otherwise the read is `UNAVAILABLE`, as any other lost read. Bodies that are JSON, ranges with `Content-Range`, and chunks with a digest show a cut themselves and stay as they are.

--- a/reedspar/platform/http_key_value.py
+++ b/reedspar/platform/http_key_value.py
@@ -10,6 +10,7 @@
     failure_of_read,
     failure_of_status,
     failure_of_write,
+    has_marked_end,
 )
 from .models import KeyValueEntry
 
@@ -80,6 +81,9 @@
             return None
         if response.status_code != httpx.codes.OK:
             return failure_of_status(response, STEP, self._peer)
+        if not has_marked_end(response):
+            detail = "the body's end is not marked"
+            return Failure(Reason.UNAVAILABLE, STEP, self._peer, detail)
         revision = response.headers.get(REVISION_HEADER, "")
         if not revision.isdecimal():
             return Failure(Reason.CORRUPT, STEP, self._peer, "answer has no revision")
--- a/reedspar/platform/tests/test_cut_answers.py
+++ b/reedspar/platform/tests/test_cut_answers.py
@@ -12,6 +12,7 @@
 from reedspar.errors import Failure
 from reedspar.platform import (
     HttpPlainService,
+    KeyValueEntry,
     LoadOrder,
     TargetRequest,
     create_http_instance_list,
@@ -124,6 +125,25 @@
 
         self.check_call(create, read_boot_id, answers, "b")
 
+    def test_reads_of_the_key_value_service(self) -> None:
+        # Guards against entries that are cut, or missing in half an answer.
+        async def get(store: Any) -> object:
+            entry = await store.get("k")
+            return entry.value if isinstance(entry, KeyValueEntry) else entry
+
+        async def watch(store: Any) -> object:
+            entry = await store.watch("k", 1, 1.0)
+            return entry.value if isinstance(entry, KeyValueEntry) else entry
+
+        create = create_http_key_value_store
+        found = make_answers(b"X-Revision: 12\r\n", BODY)
+        self.check_call(create, get, found, BODY, takes_unmarked=False)
+        self.check_call(create, watch, found, BODY, takes_unmarked=False, is_brief=True)
+        absent = make_answers(b"", BODY, status=b"404 Not Found")
+        self.check_call(
+            create, get, absent, None, unmarked=confirm_by_head, is_brief=True
+        )
+
     def test_writes_to_the_key_value_service(self) -> None:
         # Guards against writes that count as done, or are sent twice.
         answers = make_answers(b"", b'{"revision": 12, "lease": "id"}')
