--- a/reedspar/requests/tests/test_drain_filter.py
+++ b/reedspar/requests/tests/test_drain_filter.py
@@ -1,14 +1,20 @@
 """Tests of which requests a draining entry admits, in virtual time."""
 
 import unittest
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 
 from reedspar.errors import Failure, Reason, Step
 from reedspar.requests.answer_times import ANSWERS_MIN, PERIOD_S, AnswerTimes
 from reedspar.requests.drain_filter import DrainFilter
-from reedspar.requests.draining import DrainOptions, run_drain
+from reedspar.requests.draining import (
+    DrainLoad,
+    DrainOptions,
+    DrainPhase,
+    EntryDrain,
+    run_drain,
+)
 from reedspar.requests.request import Answer, Outcome, Request
 from reedspar.requests.tests.virtual_time import create_loop_timers, run_virtual
 
@@ -40,12 +46,13 @@
     drain_timeout_s: float
     calls: list[Call]
     stopped_s: float = 0.0
+    is_closing: bool = False
     in_flight: int = 0
     scopes: list[anyio.CancelScope] = field(default_factory=list)
 
     @property
-    def open_count(self) -> int:
-        return self.in_flight
+    def is_closed(self) -> bool:
+        return self.is_closing and not self.in_flight
 
     @property
     def pending_count(self) -> int:
@@ -164,6 +171,29 @@
         self.assertAlmostEqual(run_calls(7.0, quick), 5.0, delta=0.1)
 
 
+class EndTest(unittest.TestCase):
+    def test_entry_stops_only_when_its_ports_are_closed(self) -> None:
+        # Guards against requests that are cut as they arrive on a connection that was
+        # waiting to be accepted when nothing else was open.
+        drain = EntryDrain(0.0, DrainOptions(ADDRESS_TTL_S, 7.0, 0.25))
+        load = DrainLoad(pending=0, is_closed=False, last_admitted_s=1.0)
+        self.assertEqual(drain.phase_at(5.0, load), DrainPhase.CLOSE)
+        load = replace(load, is_closed=True)
+        self.assertEqual(drain.phase_at(5.0, load), DrainPhase.STOP)
+
+    def test_final_answers_are_asked_for_by_a_process_that_stood_still(self) -> None:
+        # Guards against requests that are cut without an answer, as the process was
+        # paused when their time was over.
+        drain = EntryDrain(0.0, DrainOptions(ADDRESS_TTL_S, 7.0, 0.25))
+        load = DrainLoad(pending=1, is_closed=False, last_admitted_s=6.0)
+        self.assertEqual(drain.phase_at(9.0, load), DrainPhase.ABORT)
+        load = replace(load, aborted_s=9.0)
+        self.assertEqual(drain.phase_at(9.2, load), DrainPhase.ABORT)
+        self.assertEqual(drain.phase_at(9.3, load), DrainPhase.STOP)
+        load = replace(load, pending=0, is_closed=True)
+        self.assertEqual(drain.phase_at(9.2, load), DrainPhase.STOP)
+
+
 class AnswerTimesTest(unittest.TestCase):
     def test_longest_answer_of_the_period_counts(self) -> None:
         times = AnswerTimes()
