--- a/reedspar/telemetry/metrics.py
+++ b/reedspar/telemetry/metrics.py
@@ -85,7 +85,7 @@
             "Connections to this process that ended, by cause (peer, last-answer, "
             "idle-timeout, shutdown) and by what had arrived (fresh: nothing, idle: "
             "nothing unanswered, receiving: a part of a request, answering: a whole "
-            "one).",
+            "one, crossed: something after the last answer).",
             "end",
             "request",
         ),
