Tell which entries do not confirm an agent's stop

An agent that waits 3 s for confirmations in vain said nothing; what such entries send meanwhile may end as unknown.

Evidence: test_stop_does_not_wait_for_an_entry_of_an_earlier_release, virtual time.

--- a/reedspar/requests/tests/test_agent_stop.py
+++ b/reedspar/requests/tests/test_agent_stop.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from reedspar.attempts import AttemptStart, Header
+from reedspar.attempts import AttemptStart, Header, LeaveNotice
 from reedspar.links import LinkChange
 from reedspar.messages import Sender
 from reedspar.requests.tests.fakes import make_service
@@ -117,6 +117,19 @@
             self.assertEqual(history.backend.runs["1"], 1)
             self.assertLess(min(history.stopped_s), 0.5)
 
+    def test_stop_does_not_wait_for_an_entry_of_an_earlier_release(self) -> None:
+        # Guards against agents that are killed in their stop during an upgrade: entries
+        # of earlier releases do not confirm that they know of it.
+        class Upgrade(StoppingHistory):
+            async def _inject_fault(self, tasks: Any) -> None:
+                del self.mesh.daemons["entry-1"].handlers[LeaveNotice]
+                await super()._inject_fault(tasks)
+
+        history = Upgrade(1, ORDER_SENT_S)
+        with self.assertLogs("reedspar.targets.leave_notices", "WARNING"):
+            run_virtual(history.run, [], 1)
+        self.assertLess(max(history.stopped_s), 3.5)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/reedspar/targets/leave_notices.py
+++ b/reedspar/targets/leave_notices.py
@@ -6,6 +6,7 @@
 """
 
 import itertools
+import logging
 
 import anyio
 
@@ -20,6 +21,8 @@
 CONFIRMATION_TIMEOUT_S = 3.0
 """Time in which a live entry replaces a broken link, and learns of the notice."""
 
+_logger = logging.getLogger(__name__)
+
 
 class LeaveNotices:
     """Sends notices to the entries, and waits for their confirmations."""
@@ -36,17 +39,25 @@
         number = next(self._numbers)
         with anyio.move_on_after(CONFIRMATION_TIMEOUT_S):
             for poll in itertools.count():
-                waiting = [
-                    entry
-                    for entry in self._network.peers(Role.ENTRY)
-                    if self._confirmed.get(entry, 0) < number
-                ]
+                waiting = self._list_waiting(number)
                 if not waiting:
                     return
                 if poll % POLLS_PER_REPEAT == 0:
                     for entry in waiting:
                         self._network.send(entry, LeaveNotice(number))
                 await anyio.sleep(POLL_INTERVAL_S)
+        _logger.warning(
+            "entries do not confirm the stop",
+            extra={"entries": self._list_waiting(number)},
+        )
+
+    def _list_waiting(self, number: int) -> list[str]:
+        """Return the linked entries that have not confirmed a notice."""
+        return [
+            entry
+            for entry in self._network.peers(Role.ENTRY)
+            if self._confirmed.get(entry, 0) < number
+        ]
 
     def _on_confirmation(self, sender: Sender, message: LeaveConfirmation) -> None:
         known = self._confirmed.get(sender.name, 0)
