--- a/reedspar/daemon/tests/test_site_entry.py
+++ b/reedspar/daemon/tests/test_site_entry.py
@@ -26,19 +26,35 @@
         return 5.0 if entry == "e0" else 0.2
 
 
+def make_entry(clock: VirtualClock) -> SiteEntry:
+    """Return the last of the entries, with what it needs to name them."""
+    view = SimpleNamespace(daemons=lambda role: ENTRIES, routes=None)
+    parts: dict[str, Any] = {
+        "settings": SimpleNamespace(role=Role.ENTRY, name="e5"),
+        "components": SimpleNamespace(view=view),
+        "timers": TimerService(clock),
+        "selection": EntrySelection(2.0, random.Random(1)),
+        "pressure_board": SilentBoard(),
+    }
+    names = ("service", "verdict_archive", "create_cache", "tasks")
+    return SiteEntry(**parts, **dict.fromkeys(names, cast("Any", None)))
+
+
 class ListAddressesTest(unittest.TestCase):
+    def test_leaving_entry_does_not_name_itself(self) -> None:
+        # Guards against callers that are sent to an entry that stops, by itself, while
+        # the store does not tell of its withdrawal.
+        entry = make_entry(VirtualClock())
+        self.assertIn(ENTRIES[5], entry.list_addresses("x", "a", "ra"))
+        entry.is_leaving = True
+        for _ in range(100):
+            named = entry.list_addresses("x", "a", "ra")
+            self.assertNotIn(ENTRIES[5], named)
+            self.assertEqual(len(named), len(ENTRIES) - 1)
+
     def test_short_entry_is_left_out_only_with_news_of_pressures(self) -> None:
         clock = VirtualClock()
-        view = SimpleNamespace(daemons=lambda role: ENTRIES, routes=None)
-        parts: dict[str, Any] = {
-            "settings": SimpleNamespace(role=Role.ENTRY, name="e5"),
-            "components": SimpleNamespace(view=view),
-            "timers": TimerService(clock),
-            "selection": EntrySelection(2.0, random.Random(1)),
-            "pressure_board": SilentBoard(),
-        }
-        names = ("service", "verdict_archive", "create_cache", "tasks")
-        entry = SiteEntry(**parts, **dict.fromkeys(names, cast("Any", None)))
+        entry = make_entry(clock)
 
         def count_named() -> int:
             """Return how often callers are told of the short entry, of 100 times."""
