--- a/reedspar/requests/draining.py
+++ b/reedspar/requests/draining.py
@@ -123,7 +123,7 @@
 
     @property
     def pending_count(self) -> int:
-        """Return on how many connections a request is here, or may be expected."""
+        """Return on how many connections a request, or a part of one, has no answer."""
         ...
 
     def begin_draining(self) -> None:
--- a/reedspar/serving/connection.py
+++ b/reedspar/serving/connection.py
@@ -123,13 +123,17 @@
 
     @property
     def is_pending(self) -> bool:
-        """Return whether a request was received, or is expected, that has no answer."""
-        if self._state_at_close is not None:
+        """Return whether a request has arrived, if only in part, without its answer."""
+        return self._state_at_close is None and self.state in UNANSWERED_STATES
+
+    @property
+    def may_close(self) -> bool:
+        """Return whether nothing has arrived, or is expected, that has no answer."""
+        if self._state_at_close is not None or self.is_pending:
             return False
-        state = self.state
-        if state is ConnectionState.FRESH:
-            return self._loop.time() - self._accepted_s < FIRST_REQUEST_S
-        return state is not ConnectionState.IDLE
+        age_s = self.now_s - self._accepted_s
+        is_expected = self.state is ConnectionState.FRESH and age_s < FIRST_REQUEST_S
+        return not (is_expected or self._has_waiting_bytes)
 
     @property
     def now_s(self) -> float:
@@ -193,9 +197,8 @@
         self._writer.transport.abort()
 
     def close_if_idle(self, end: ConnectionEnd) -> None:
-        """Close the connection unless a request is pending on it."""
-        is_idle = self._state_at_close is None and not self.is_pending
-        if is_idle and not self._has_waiting_bytes:
+        """Close the connection unless a request is here, or is expected."""
+        if self.may_close:
             self.close(end)
 
     def _create_protocol(self, tasks: TaskGroup) -> ObservedProtocol:
--- a/reedspar/serving/open_connections.py
+++ b/reedspar/serving/open_connections.py
@@ -42,7 +42,7 @@
 
     @property
     def pending_count(self) -> int:
-        """Return on how many connections a request is here, or may be expected."""
+        """Return on how many connections a request, or a part of one, has no answer."""
         return sum(connection.is_pending for connection in self._connections)
 
     def begin_draining(self) -> None:
