Log what a site's entry cuts at its end

What operators saw: nothing. A request that an entry had begun to read and cut at the end of its grace period left no line 'connection closed before an answer', which tells it from one that crossed the close.

Cause: ends were recorded when a connection's task ended. The process ends before: the server's own end comes 0.3 s after the stop, the process's by a quarter of the margin.

Change: the entry aborts what is left as its last act, and an abort records the ends at once.

--- a/reedspar/daemon/site_entry.py
+++ b/reedspar/daemon/site_entry.py
@@ -199,6 +199,7 @@
             await self._server_stopped.wait()
         with anyio.move_on_after(max(0.0, ends_at_s - self.timers.now_s())):
             await self.verdict_archive.wait_written()
+        self.connections.abort()
 
 
 def _list_ports(settings: SiteSettings) -> list[int]:
--- a/reedspar/serving/open_connections.py
+++ b/reedspar/serving/open_connections.py
@@ -63,7 +63,9 @@
         self._connections.add(connection)
 
     def discard(self, connection: ServerConnection) -> None:
-        """Record the end of a connection."""
+        """Record the end of a connection; further calls have no effect."""
+        if connection not in self._connections:
+            return
         self._connections.discard(connection)
         state = connection.state
         self._ended[connection.end, state] += 1
@@ -87,9 +89,13 @@
             connection.close_if_idle(ConnectionEnd.SHUTDOWN)
 
     def abort(self) -> None:
-        """Close all connections, without what is still to be sent."""
+        """Close all connections, without what is still to be sent.
+
+        Their ends are recorded at once, as the process may end next.
+        """
         for connection in list(self._connections):
             connection.abort(ConnectionEnd.SHUTDOWN)
+            self.discard(connection)
 
     def read_counts(self) -> list[tuple[float, dict[str, str]]]:
         """Return the connections that ended by cause and state, for the metrics."""
