Leave part of its limit to a request whose route shows few answers

Cause: requests that may be repeated are admitted by the longest recent answer of their route. Of 20 answers, some may well all miss what one in twenty takes; then the next one of that kind is cut (36 in 100 times none of 20 is).

Change: below 100 recent answers, 0.45 of the request's limit must be left too. What ends within its limit is admitted as before.

Evidence: test_few_answers_do_not_admit_what_may_take_many_times_as_long failed before (cut); with 100 answers known, quick ones are still admitted.

Ruled out: a larger factor for all, which would refuse quick streams on busy routes, whose answers show the tail. With 100 answers it can still happen, as once in 170 times none of them is of such a kind.

--- a/reedspar/requests/answer_times.py
+++ b/reedspar/requests/answer_times.py
@@ -8,6 +8,8 @@
 """Age up to which an answer tells how long the next ones may take."""
 ANSWERS_MIN = 20
 """Answers of a route without which nothing is known of it."""
+TAIL_ANSWERS_MIN = 100
+"""Answers of a route among which one in twenty is met all but certainly."""
 ANSWERS_MAX = 256
 """Maximum number of answers kept for a route."""
 ROUTES_MAX = 1000
@@ -29,6 +31,13 @@
 
     def longest_s(self, route: str, now_s: float) -> float | None:
         """Return the longest recent time, None if there are too few answers."""
-        answers = self._answers.get(route, ())
-        recent = [took_s for at_s, took_s in answers if at_s >= now_s - PERIOD_S]
+        recent = self._list_recent(route, now_s)
         return max(recent) if len(recent) >= ANSWERS_MIN else None
+
+    def shows_tail(self, route: str, now_s: float) -> bool:
+        """Return whether recent answers are enough to show rare long ones, too."""
+        return len(self._list_recent(route, now_s)) >= TAIL_ANSWERS_MIN
+
+    def _list_recent(self, route: str, now_s: float) -> list[float]:
+        answers = self._answers.get(route, ())
+        return [took_s for at_s, took_s in answers if at_s >= now_s - PERIOD_S]
--- a/reedspar/requests/drain_filter.py
+++ b/reedspar/requests/drain_filter.py
@@ -11,6 +11,8 @@
 
 DURATION_MARGIN = 1.25
 """Factor by which an answer may take longer than the longest recent one."""
+UNSEEN_TAIL_SHARE = 0.45
+"""Share of its limit that an answer may take where few answers are known."""
 DELIVERY_MARGIN_S = 0.1
 """Time between the end of a request and the last byte at its caller."""
 RETRY_AFTER_S = 0.1
@@ -22,6 +24,8 @@
 
     A request that may be repeated is also admitted if all recent answers of its route
     would have been whole by then, as its limit is usually far longer than its answer.
+    Few answers may miss that some take many times as long, so a share of the limit must
+    be left, too.
     """
 
     def __init__(self, timers: TimerService) -> None:
@@ -64,7 +68,11 @@
         longest_s = self._longest_s(_route_of(request), now_s)
         if longest_s is None:
             return False
-        return request.arrived_s + DURATION_MARGIN * longest_s <= ends_before_s
+        needed_s = DURATION_MARGIN * longest_s
+        if not self._times.shows_tail(_route_of(request), now_s):
+            limit_s = request.deadline_s - request.arrived_s
+            needed_s = max(needed_s, UNSEEN_TAIL_SHARE * limit_s)
+        return request.arrived_s + needed_s <= ends_before_s
 
     def _longest_s(self, route: str, now_s: float) -> float | None:
         """Return the longest recent time to an answer; those in progress count."""
--- a/reedspar/requests/tests/test_drain_filter.py
+++ b/reedspar/requests/tests/test_drain_filter.py
@@ -6,7 +6,12 @@
 import anyio
 
 from reedspar.errors import Failure, Reason, Step
-from reedspar.requests.answer_times import ANSWERS_MIN, PERIOD_S, AnswerTimes
+from reedspar.requests.answer_times import (
+    ANSWERS_MIN,
+    PERIOD_S,
+    TAIL_ANSWERS_MIN,
+    AnswerTimes,
+)
 from reedspar.requests.drain_filter import DrainFilter
 from reedspar.requests.draining import (
     DrainLoad,
@@ -157,6 +162,21 @@
                 outcomes, ["answered", late, late, "not-run", "not-run"], is_idempotent
             )
 
+    def test_few_answers_do_not_admit_what_may_take_many_times_as_long(self) -> None:
+        # Guards against streams that are cut, as one in twenty takes far longer than
+        # all of the few that were seen.
+        for count, late in ((ANSWERS_MIN + 10, "not-run"), (TAIL_ANSWERS_MIN, "cut")):
+            earlier = [Call(-25 + n / 5, 6.0, 0.3, True) for n in range(count)]
+            calls = [Call(t, 6.0, 2.6, is_idempotent=True) for t in (3.5, 4.5, 6.2)]
+            quick = [Call(t, 6.0, 0.3, is_idempotent=True) for t in (4.4, 6.2)]
+            others = [Call(n / 2, 0.4, 0.01, route="other") for n in range(13)]
+            run_calls(7.0, [*earlier, *quick, *calls, *others])
+            outcomes = [call.outcome for call in calls]
+            self.assertEqual(outcomes, ["answered", late, "not-run"], count)
+            is_known = count == TAIL_ANSWERS_MIN
+            known = "answered" if is_known else "not-run"
+            self.assertEqual([q.outcome for q in quick], [known, "not-run"], count)
+
     def test_slow_answer_in_progress_holds_back_others(self) -> None:
         # Guards against streams that are admitted by the answers of quicker times.
         earlier = [Call(-20 + n / 2, 6.0, 1.0, True) for n in range(ANSWERS_MIN + 5)]
