--- a/reedspar/serving/connection.py
+++ b/reedspar/serving/connection.py
@@ -69,6 +69,8 @@
     """Nothing was asked for too long."""
     SHUTDOWN = "shutdown"
     """The server shuts down."""
+    ERROR = "error"
+    """The protocol has failed."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -214,6 +216,7 @@
             self._send,
             "http/1.1",
             is_last_answer=self._is_last_answer,
+            on_early_end=self._end_early,
         )
 
     def _is_last_answer(self) -> bool:
@@ -259,6 +262,11 @@
             if event.idle:
                 self._start_timer(self._options.config.keep_alive_timeout)
 
+    def _end_early(self) -> None:
+        """Drop the rest of a body whose request has its answer."""
+        if self._state_at_close is None:
+            self._linger(ConnectionState.IDLE)
+
     def _end_after_answer(self) -> None:
         """Close this side, and drop what the peer still sends until it closes, too.
 
@@ -271,17 +279,23 @@
         if not (may_receive or self._has_waiting_bytes):
             self.close(ConnectionEnd.LAST_ANSWER)
             return
-        self._begin_end(ConnectionEnd.LAST_ANSWER)
+        self._linger(self.state)
+
+    def _linger(self, state: ConnectionState) -> None:
+        """Close this side, and read until the peer has closed the other one."""
+        self._begin_end(ConnectionEnd.LAST_ANSWER, state)
         try:
             self._writer.write_eof()
         except OSError as error:
             _log_broken(error)
         self._start_timer(LINGER_S)
 
-    def _begin_end(self, end: ConnectionEnd) -> None:
+    def _begin_end(
+        self, end: ConnectionEnd, state: ConnectionState | None = None
+    ) -> None:
         self._stop_timer()
         if self._state_at_close is None:
-            self._state_at_close = self.state
+            self._state_at_close = state or self.state
             self.end = end
 
     def _start_timer(self, timeout_s: float) -> None:
--- a/reedspar/serving/http1.py
+++ b/reedspar/serving/http1.py
@@ -6,11 +6,12 @@
 
 import h11
 from hypercorn.protocol import ProtocolWrapper
-from hypercorn.protocol.events import Event, Response
+from hypercorn.protocol.events import EndBody, Event, Response
 from hypercorn.protocol.h2 import H2Protocol
 from hypercorn.protocol.h11 import H11Protocol
 
 LENGTH_HEADER = b"content-length"
+SHORT_ANSWER_MAX_BYTES = 64 * 1024
 CLOSE_HEADER = (b"connection", b"close")
 
 __all__ = ["Http1Protocol", "ObservedProtocol"]
@@ -19,9 +20,16 @@
 class Http1Protocol(H11Protocol):
     """Tells what has arrived, and marks the last answer on a connection."""
 
-    def __init__(self, *args: Any, is_last_answer: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        *args: Any,
+        is_last_answer: Callable[[], bool],
+        on_early_end: Callable[[], None],
+    ) -> None:
         super().__init__(*args)
         self._is_last_answer = is_last_answer
+        self._on_early_end = on_early_end
+        """Called when an answer has ended before its request's body."""
 
     @property
     def is_body_due(self) -> bool:
@@ -38,20 +46,33 @@
     async def stream_send(self, event: Event) -> None:
         """Send a part of an answer; the head of the last one says that it is that.
 
-        Only an answer of known length is marked, as its body follows at once.  Requests
-        that arrive during a stream would be lost with its connection.
+        Only a short answer is marked, as its body follows at once.  Requests that
+        arrive during a long one would be lost with its connection.
         """
         if isinstance(event, Response):
-            has_length = any(name == LENGTH_HEADER for name, _ in event.headers)
-            if has_length and self._is_last_answer():
+            may_mark = _is_short(event) or self.is_body_due
+            if may_mark and self._is_last_answer():
                 event = replace(event, headers=[*event.headers, CLOSE_HEADER])
         await super().stream_send(event)
+        if isinstance(event, EndBody) and self.is_body_due:
+            self._on_early_end()
+
+
+def _is_short(response: Response) -> bool:
+    """Return whether the body is known to fit the buffers of a connection."""
+    sizes = [value for name, value in response.headers if name == LENGTH_HEADER]
+    return bool(sizes) and int(sizes[0]) <= SHORT_ANSWER_MAX_BYTES
 
 
 class ObservedProtocol(ProtocolWrapper):
     """The protocol of a connection: HTTP/1.1 until its peer asks for another."""
 
-    def __init__(self, *args: Any, is_last_answer: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        *args: Any,
+        is_last_answer: Callable[[], bool],
+        on_early_end: Callable[[], None],
+    ) -> None:
         super().__init__(*args)
         if isinstance(self.protocol, H11Protocol):
             self.protocol = Http1Protocol(
@@ -65,6 +86,7 @@
                 self.server,
                 self.send,
                 is_last_answer=is_last_answer,
+                on_early_end=on_early_end,
             )
 
     @property
--- a/reedspar/serving/server.py
+++ b/reedspar/serving/server.py
@@ -11,7 +11,7 @@
 from hypercorn.config import Config
 from hypercorn.typing import ASGIFramework
 
-from .connection import ConnectionOptions, ServerConnection
+from .connection import ConnectionEnd, ConnectionOptions, ServerConnection
 from .listener import Listener
 from .open_connections import OpenConnections
 from .received_bytes import ReceivedBytes
@@ -105,6 +105,7 @@
         except Exception as error:
             # The peer's bytes may have caused it; requests report errors of their own.
             _logger.warning("connection failed", extra={"error": repr(error)})
+            connection.abort(ConnectionEnd.ERROR)
         finally:
             self.connections.discard(connection)
 
