Use no connection again on which more came than its answer

A target, or any server, that sent bytes behind its whole answer in the same segment had them read as the next answer on the kept connection. A caller of a plain service got 200 with the other answer's body; with only the first part of a head behind the answer ("HTTP/1.1 200 OK", some fields, a field's name), the next answer, a 500, became the rest of that head and its caller got a 200 with the failure's body. The same held for entries of the key-value service and for staged chunks at the engine beside an agent; the store's reads failed.

The HTTP library keeps what is behind an answer for the next one, and sees only bytes still in the socket when it looks whether an idle connection is sound. The transport, which all these clients share now, looks at the library's buffer when a body is closed, and reports its connection as readable if there is anything, so that the pool closes it. The admin client and the requests of a site's entries (one connection each) are not concerned.

--- a/reedspar/platform/bounded_transport.py
+++ b/reedspar/platform/bounded_transport.py
@@ -1,7 +1,9 @@
 """HTTP transport that ends answers without a head, or with a body that is too large.
 
 A server in trouble may send informational responses, or a body, without end.  The
-limits of the HTTP library hold for each of its events, but not for their sum.
+limits of the HTTP library hold for each of its events, but not for their sum.  It may
+also send more than its answer: the library would read that as the next answer on the
+connection, so such a connection is not used again.
 """
 
 from collections.abc import AsyncIterator, Iterable
@@ -45,6 +47,11 @@
         self._stream = stream
         self._head_bytes = 0
         self._awaits_head = True
+        self._has_surplus = False
+
+    def record_surplus(self) -> None:
+        """Have the connection closed after its answer instead of used again."""
+        self._has_surplus = True
 
     def end_head(self) -> None:
         """Stop counting until the next request is written."""
@@ -80,7 +87,12 @@
         )
 
     def get_extra_info(self, info: str) -> Any:
-        """Return a property of the connection."""
+        """Return a property of the connection.
+
+        An idle connection is not used again if there is something to read on it.
+        """
+        if info == "is_readable" and self._has_surplus:
+            return True
         return self._stream.get_extra_info(info)
 
 
@@ -121,7 +133,10 @@
                 yield piece
 
     async def aclose(self) -> None:
-        """Close the body, and its connection unless it was read to its end."""
+        """Close the body, and its connection unless that ends with the body."""
+        stream = self._response.extensions.get("network_stream")
+        if isinstance(stream, _CountedStream) and _has_surplus(self._response):
+            stream.record_surplus()
         await self._response.aclose()
 
 
@@ -171,6 +186,16 @@
         await self._pool.aclose()
 
 
+def _has_surplus(response: httpcore.Response) -> bool:
+    """Return whether bytes behind an answer were read with it.
+
+    The library keeps them for the next answer and has no public access to them.
+    """
+    stream: Any = response.stream
+    data, _ = stream._stream._connection._h11_state.trailing_data
+    return bool(data)
+
+
 @contextmanager
 def _translate_errors() -> Any:
     """Raise errors of `httpcore` as those of `httpx`."""
--- a/reedspar/platform/http_client.py
+++ b/reedspar/platform/http_client.py
@@ -39,14 +39,13 @@
 
 def create_client(url: str, timeout_s: float) -> httpx.AsyncClient:
     """Return a client for one server with a bounded number of connections."""
-    return httpx.AsyncClient(
-        base_url=url,
-        verify=url.startswith("https:"),
-        trust_env=False,
-        headers=IDENTITY_ENCODING_HEADERS,
-        timeout=httpx.Timeout(timeout_s),
-        limits=make_limits(CONNECTIONS_MAX),
+    transport = BoundedTransport(
+        ssl_context=httpx.create_ssl_context(verify=url.startswith("https:")),
+        max_connections=CONNECTIONS_MAX,
+        max_keepalive_connections=CONNECTIONS_MAX,
+        keepalive_expiry=IDLE_EXPIRY_S,
     )
+    return create_client_with_transport(url, timeout_s, transport)
 
 
 def create_unbounded_transport(url: str) -> PooledTransport:
@@ -77,15 +76,6 @@
     )
 
 
-def make_limits(connections_max: int) -> httpx.Limits:
-    """Return the limits of one connection pool."""
-    return httpx.Limits(
-        max_connections=connections_max,
-        max_keepalive_connections=connections_max,
-        keepalive_expiry=IDLE_EXPIRY_S,
-    )
-
-
 def describe_error(error: Exception) -> str:
     """Return the error's type and message."""
     text = str(error)
--- a/reedspar/platform/tests/raw_answers.py
+++ b/reedspar/platform/tests/raw_answers.py
@@ -6,11 +6,19 @@
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from typing import Any
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
 
-__all__ = ["RawAnswer", "RawServer", "find_misjudged", "make_answers"]
+__all__ = [
+    "HOST",
+    "RawAnswer",
+    "RawServer",
+    "find_misjudged",
+    "find_mixed",
+    "make_answers",
+]
 
 HOST = "127.0.0.1"
 INTERIM = b"HTTP/1.1 100 \r\n\r\nHTTP/1.1 103 \r\nLink: x\r\n\r\n"
@@ -138,6 +146,31 @@
         left -= len(await stream.receive())
 
 
+async def find_mixed(
+    create: Callable[[str], Any],
+    call: Callable[[Any], Awaitable[object]],
+    answers: Sequence[RawAnswer],
+    sound: object,
+) -> list[tuple[object, ...]]:
+    """Return the answers behind which a part of another one reaches the next call.
+
+    On the same connection, that part would become the beginning of a failure.
+    """
+    seen: list[tuple[object, ...]] = []
+    failed = make_answers(b"", b"no", status=b"500 Oops")[0].data
+    late = answers[0].head + answers[0].body[::-1]
+    for answer in (answer for answer in answers if answer.is_delimited):
+        for cut in (1, len(answers[0].head) - 1, len(late) - 1, len(late)):
+            server = RawServer([answer.data + late[:cut], failed])
+            async with server.listen():
+                client = create(server.url)
+                results = [await call(client), await call(client)]
+                await client.aclose()
+            if results != [sound, sound] or server.requests > len(results):
+                seen.append((answer.name, cut, results))
+    return seen
+
+
 def list_cuts(
     answers: Sequence[RawAnswer], *, is_brief: bool
 ) -> Iterator[tuple[RawAnswer, int, bool]]:
