--- a/reedspar/platform/tests/raw_answers.py
+++ b/reedspar/platform/tests/raw_answers.py
@@ -17,6 +17,7 @@
     "RawServer",
     "find_misjudged",
     "find_mixed",
+    "list_cuts",
     "make_answers",
 ]
 
