--- a/reedspar/platform/tests/test_http_reads.py
+++ b/reedspar/platform/tests/test_http_reads.py
@@ -1,11 +1,8 @@
 """Tests of the adapters for the origin and for the instance list."""
 
 import unittest
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from dataclasses import asdict, replace
 
-import anyio
 import httpx
 
 from reedspar.errors import Failure, Reason
@@ -20,24 +17,9 @@
 from stand_ins import instance_list, origin
 from stand_ins.serving import open_server
 
-RECORD = InstanceRecord("a", "entry", "z", "r", "127.0.0.1", 1, 2)
-
-
-@asynccontextmanager
-async def open_raw_server(answer: bytes) -> AsyncIterator[str]:
-    """Answer each connection with these bytes, then close it."""
+from .raw_answers import RawServer
 
-    async def handle(stream: anyio.abc.SocketStream) -> None:
-        async with stream:
-            await stream.receive()
-            await stream.send(answer)
-
-    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-    async with listener, anyio.create_task_group() as tasks:
-        port = listener.extra(anyio.abc.SocketAttribute.local_port)
-        tasks.start_soon(listener.serve, handle)
-        yield f"http://127.0.0.1:{port}"
-        tasks.cancel_scope.cancel()
+RECORD = InstanceRecord("a", "entry", "z", "r", "127.0.0.1", 1, 2)
 
 
 class WeightSourceTest(unittest.IsolatedAsyncioTestCase):
@@ -62,8 +44,9 @@
         broken = b"HTTP/1.1 206 P\r\ncontent-range: bytes 0-9/10\r\n"
         for length in (10, 4):
             head = broken + f"content-length: {length}\r\n\r\n".encode()
-            async with open_raw_server(head + b"0123") as url:
-                source = create_http_weight_source(url)
+            server = RawServer([head + b"0123"])
+            async with server.listen():
+                source = create_http_weight_source(server.url)
                 result = await source.read("m", 0, 10)
                 assert isinstance(result, Failure)
                 self.assertIs(result.reason, Reason.CORRUPT)
@@ -85,8 +68,9 @@
     async def test_body_without_length_or_chunked_framing_is_incomplete(self) -> None:
         # Guards against forwarding a truncated confirmation: a service that ends
         # its response by closing the connection looks like a broken connection.
-        async with open_raw_server(b"HTTP/1.1 200 OK\r\n\r\nhalf a confir") as url:
-            service = create_http_plain_service(url)
+        server = RawServer([b"HTTP/1.1 200 OK\r\n\r\nhalf a confir"])
+        async with server.listen():
+            service = create_http_plain_service(server.url)
             request = TargetRequest("r", "POST", "/d", (), b"", 5.0)
             async with service.send(request) as response:
                 assert not isinstance(response, Failure)
