--- a/reedspar/serving/connection.py
+++ b/reedspar/serving/connection.py
@@ -69,6 +69,8 @@
     """Nothing was asked for too long."""
     SHUTDOWN = "shutdown"
     """The server shuts down."""
+    ERROR = "error"
+    """The protocol has failed."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,13 +125,17 @@
 
     @property
     def is_pending(self) -> bool:
-        """Return whether a request was received, or is expected, that has no answer."""
-        if self._state_at_close is not None:
+        """Return whether a request has arrived, if only in part, without its answer."""
+        return self._state_at_close is None and self.state in UNANSWERED_STATES
+
+    @property
+    def may_close(self) -> bool:
+        """Return whether nothing has arrived, or is expected, that has no answer."""
+        if self._state_at_close is not None or self.is_pending:
             return False
-        state = self.state
-        if state is ConnectionState.FRESH:
-            return self._loop.time() - self._accepted_s < FIRST_REQUEST_S
-        return state is not ConnectionState.IDLE
+        age_s = self.now_s - self._accepted_s
+        is_expected = self.state is ConnectionState.FRESH and age_s < FIRST_REQUEST_S
+        return not (is_expected or self._has_waiting_bytes)
 
     @property
     def now_s(self) -> float:
@@ -193,9 +199,8 @@
         self._writer.transport.abort()
 
     def close_if_idle(self, end: ConnectionEnd) -> None:
-        """Close the connection unless a request is pending on it."""
-        is_idle = self._state_at_close is None and not self.is_pending
-        if is_idle and not self._has_waiting_bytes:
+        """Close the connection unless a request is here, or is expected."""
+        if self.may_close:
             self.close(end)
 
     def _create_protocol(self, tasks: TaskGroup) -> ObservedProtocol:
@@ -211,6 +216,7 @@
             self._send,
             "http/1.1",
             is_last_answer=self._is_last_answer,
+            on_early_end=self._end_early,
         )
 
     def _is_last_answer(self) -> bool:
@@ -256,6 +262,11 @@
             if event.idle:
                 self._start_timer(self._options.config.keep_alive_timeout)
 
+    def _end_early(self) -> None:
+        """Drop the rest of a body whose request has its answer."""
+        if self._state_at_close is None:
+            self._linger(ConnectionState.IDLE)
+
     def _end_after_answer(self) -> None:
         """Close this side, and drop what the peer still sends until it closes, too.
 
@@ -268,17 +279,23 @@
         if not (may_receive or self._has_waiting_bytes):
             self.close(ConnectionEnd.LAST_ANSWER)
             return
-        self._begin_end(ConnectionEnd.LAST_ANSWER)
+        self._linger(self.state)
+
+    def _linger(self, state: ConnectionState) -> None:
+        """Close this side, and read until the peer has closed the other one."""
+        self._begin_end(ConnectionEnd.LAST_ANSWER, state)
         try:
             self._writer.write_eof()
         except OSError as error:
             _log_broken(error)
         self._start_timer(LINGER_S)
 
-    def _begin_end(self, end: ConnectionEnd) -> None:
+    def _begin_end(
+        self, end: ConnectionEnd, state: ConnectionState | None = None
+    ) -> None:
         self._stop_timer()
         if self._state_at_close is None:
-            self._state_at_close = self.state
+            self._state_at_close = state or self.state
             self.end = end
 
     def _start_timer(self, timeout_s: float) -> None:
