Check cut answers on kept connections again

test_cut_answers (plain service, engine, stream of an engine) fails on: its requests counted as orders, which have connections of their own since, so that the second answer on a kept connection was never read. They are requests that may be repeated now, which use kept connections; what is cut and how it is judged is as before. The three failed, and pass.

--- a/reedspar/platform/tests/test_cut_answers.py
+++ b/reedspar/platform/tests/test_cut_answers.py
@@ -22,7 +22,7 @@
     create_http_weight_source,
 )
 
-from .raw_answers import RawAnswer, RawServer, find_misjudged, make_answers
+from .raw_answers import RawAnswer, RawServer, find_misjudged, find_mixed, make_answers
 
 STREAM = b"Content-Type: text/event-stream\r\n"
 BODY = b"a whole body\n\nof two parts"
@@ -40,6 +40,26 @@
     return [None]
 
 
+async def send(target: HttpPlainService) -> bytes | Failure:
+    """Return the body of a target's answer, which may come on a kept connection."""
+    request = TargetRequest("r", "POST", "/d", (), b"order", 3.0, is_idempotent=True)
+    body = b""
+    async with target.send(request) as response:
+        if isinstance(response, Failure):
+            return response
+        async for piece in response.iterate():
+            if isinstance(piece, Failure):
+                return piece
+            body += piece
+    return body
+
+
+async def get_value(store: Any) -> object:
+    """Return an entry's value, None if there is none, or a failure."""
+    entry = await store.get("k")
+    return entry.value if isinstance(entry, KeyValueEntry) else entry
+
+
 class CutAnswerTest(unittest.TestCase):
     def check_call(
         self,
@@ -75,19 +95,6 @@
         **options: Any,
     ) -> None:
         """Check requests to a target."""
-
-        async def send(target: HttpPlainService) -> bytes | Failure:
-            request = TargetRequest("r", "POST", "/d", (), b"order", 3.0)
-            body = b""
-            async with target.send(request) as response:
-                if isinstance(response, Failure):
-                    return response
-                async for piece in response.iterate():
-                    if isinstance(piece, Failure):
-                        return piece
-                    body += piece
-            return body
-
         self.check_call(create, send, make_answers(fields, body), body, **options)
 
     def test_plain_service(self) -> None:
@@ -127,21 +134,17 @@
 
     def test_reads_of_the_key_value_service(self) -> None:
         # Guards against entries that are cut, or missing in half an answer.
-        async def get(store: Any) -> object:
-            entry = await store.get("k")
-            return entry.value if isinstance(entry, KeyValueEntry) else entry
-
         async def watch(store: Any) -> object:
             entry = await store.watch("k", 1, 1.0)
             return entry.value if isinstance(entry, KeyValueEntry) else entry
 
         create = create_http_key_value_store
         found = make_answers(b"X-Revision: 12\r\n", BODY)
-        self.check_call(create, get, found, BODY, takes_unmarked=False)
+        self.check_call(create, get_value, found, BODY, takes_unmarked=False)
         self.check_call(create, watch, found, BODY, takes_unmarked=False, is_brief=True)
         absent = make_answers(b"", BODY, status=b"404 Not Found")
         self.check_call(
-            create, get, absent, None, unmarked=confirm_by_head, is_brief=True
+            create, get_value, absent, None, unmarked=confirm_by_head, is_brief=True
         )
 
     def test_writes_to_the_key_value_service(self) -> None:
@@ -226,6 +229,17 @@
             keeps_connections=False,
         )
 
+    def test_bytes_behind_an_answer_reach_no_other_call(self) -> None:
+        # Guards against reading what a server sends behind an answer as the next one,
+        # or as the head of the next one if it stops in the middle.
+        for create, call in (
+            (create_http_plain_service, send),
+            (create_http_key_value_store, get_value),
+        ):
+            answers = make_answers(b"X-Revision: 12\r\n", BODY)
+            seen = anyio.run(find_mixed, create, call, answers, BODY)
+            self.assertEqual(seen[:SHOWN_MAX], [], f"{len(seen)} misjudged")
+
 
 if __name__ == "__main__":
     unittest.main()
