Close the ports first when a server ends

Change: what waits is accepted, and the port closed, in one step, as the first act of closing. Callers then get a refused connection, and go elsewhere.

--- a/reedspar/serving/listener.py
+++ b/reedspar/serving/listener.py
@@ -6,8 +6,6 @@
 import socket
 from collections.abc import Callable
 
-from .received_bytes import is_readable
-
 __all__ = ["Listener"]
 
 SHORTAGES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -35,16 +33,10 @@
         _logger.info("listening", extra={"host": host, "port": port})
         self._resume()
 
-    def close_if_idle(self) -> bool:
-        """Close unless connections wait to be accepted; return whether it is closed."""
-        if self._listening.fileno() >= 0 and is_readable(self._listening.fileno()):
-            return False
-        self.close()
-        return True
-
     def close(self) -> None:
-        """Close; connections that wait to be accepted are reset."""
+        """Accept the connections that wait, and close."""
         if self._listening.fileno() >= 0:
+            self._accept()
             self._loop.remove_reader(self._listening)
             self._listening.close()
 
--- a/reedspar/serving/server.py
+++ b/reedspar/serving/server.py
@@ -64,8 +64,8 @@
 
     async def _close_idle(self) -> None:
         """Close all on which nothing is pending, until nothing is open."""
-        while self._listeners or self._tasks:
-            self._listeners = [x for x in self._listeners if not x.close_if_idle()]
+        self._close_ports()
+        while self._tasks:
             self.connections.close_idle()
             await anyio.sleep(CLOSING_INTERVAL_S)
         self.connections.is_closed = True
@@ -73,13 +73,16 @@
     async def _end(self) -> None:
         """Close all that is open."""
         await self._options.context.terminated.set()
-        for listener in self._listeners:
-            listener.close()
-        self._listeners.clear()
+        self._close_ports()
         self.connections.abort()
         for task in self._tasks:
             task.cancel()
 
+    def _close_ports(self) -> None:
+        for listener in self._listeners:
+            listener.close()
+        self._listeners.clear()
+
     def _listen(self) -> None:
         for listening in self._config.create_sockets().insecure_sockets:
             listener = Listener(listening, self._accept)
