--- a/reedspar/serving/server.py
+++ b/reedspar/serving/server.py
@@ -20,7 +20,6 @@
 
 CLOSING_INTERVAL_S = 0.02
 """Time between two looks at what is still open."""
-
 END_TIMEOUT_S = 1.0
 """Time for connections that were cancelled to end."""
 
