Count an entry's grace period from the signal, not from its handling

Cause: the drain's time began when the event loop read the signal; the imports of the role hold it up for 0.3 to 0.8 s after 'started'.

Change: Python's signal handler, which runs during imports too, records when the signal came, and the drain has what is left.

Signals that come before the daemon's parts are imported still count from when they are let in.

--- a/reedspar/daemon/signals.py
+++ b/reedspar/daemon/signals.py
@@ -2,15 +2,18 @@
 
 import signal
 import socket
+import time
 from collections.abc import AsyncIterator, Iterator
 from contextlib import contextmanager
 from types import FrameType
 
 import anyio
 
-__all__ = ["receive_signals"]
+__all__ = ["receive_signals", "seconds_since"]
 
 RECEIVE_SIZE_BYTES = 64
+_arrivals_s: dict[int, float] = {}
+"""When the process got each signal first, while its signals were received."""
 
 
 @contextmanager
@@ -31,8 +34,9 @@
         reader.setblocking(False)
         writer.setblocking(False)
         previous = signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
+        _arrivals_s.clear()
         for number in numbers:
-            signal.signal(number, _do_nothing)
+            signal.signal(number, _record_arrival)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, numbers)
         try:
             yield _iterate(reader, frozenset(numbers))
@@ -53,5 +57,15 @@
                 yield signal.Signals(number)
 
 
-def _do_nothing(number: int, frame: FrameType | None) -> None:
-    """Replace a signal's default action; the wakeup descriptor reports it."""
+def _record_arrival(number: int, frame: FrameType | None) -> None:
+    """Replace a signal's default action; the wakeup descriptor reports it.
+
+    It may do so much later, as this is called while the event loop is busy, too.
+    """
+    _arrivals_s.setdefault(number, time.monotonic())
+
+
+def seconds_since(*numbers: signal.Signals) -> float:
+    """Return how long ago the first of some signals arrived, 0 if none has."""
+    arrivals_s = [_arrivals_s[number] for number in numbers if number in _arrivals_s]
+    return time.monotonic() - min(arrivals_s) if arrivals_s else 0.0
--- a/reedspar/daemon/site_entry.py
+++ b/reedspar/daemon/site_entry.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+import signal
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
@@ -37,6 +38,7 @@
 from .http_server import PortDispatcher, serve_http
 from .pool_state_metrics import observe_pool_state
 from .process_resources import ProcessResources
+from .signals import seconds_since
 from .site_components import SiteComponents, StoreAccess, create_site_components
 from .site_pool_state import EntryReport, create_site_pool_state
 from .site_weights import (
@@ -183,10 +185,11 @@
         background = ContainedTasks(self.tasks)
         background.start_soon(self.components.registration.withdraw)
         self.verdict_archive.begin_stop()
-        ends_at_s = self.timers.now_s() + grace_s - margin_s
-        options = DrainOptions(
-            bounds.address_ttl_ms / 1000, grace_s - margin_s, margin_s / 4
-        )
+        # Imports may have held up the event loop since the signal.
+        late_s = seconds_since(signal.SIGTERM, signal.SIGINT)
+        left_s = max(0.0, grace_s - margin_s - late_s)
+        ends_at_s = self.timers.now_s() + left_s
+        options = DrainOptions(bounds.address_ttl_ms / 1000, left_s, margin_s / 4)
         await run_drain(
             self.service.application,
             self.connections,
