End the grace for undated versions by the start of the process

Cause: an entry that has just started doesn't know when a listed version was named, and uses the older one for 1 s from its listing. That was reckoned with 1 s for start and listing; there 'started' came 1.3 s after the start of the process and the listing 1.8 s after that.

Change: the grace ends 2.3 s after the process has started, whatever the listing took.

--- a/reedspar/direct/service.py
+++ b/reedspar/direct/service.py
@@ -101,6 +101,10 @@
             *self.chooser.memory_room.read_counts(),
         ]
 
+    def record_process_start(self, started_s: float) -> None:
+        """Record that the process started at a time of the timers' clock."""
+        self.versions.record_process_start(started_s)
+
     def record_store_listing(self) -> None:
         """Record the initial listing of the store, before this entry registers."""
         self.versions.record_store_listing()
--- a/reedspar/direct/tests/test_choice_rules.py
+++ b/reedspar/direct/tests/test_choice_rules.py
@@ -156,6 +156,18 @@
         self.assertFalse(self.rule.may_serve("m", 1))
         self.assertTrue(self.rule.may_serve("m", 2))
 
+    def test_grace_after_start_does_not_grow_with_a_slow_listing(self) -> None:
+        # Guards against an entry whose listing took long and that begins requests on a
+        # replaced version beyond the time that its start excuses.
+        self.rule.record_process_start(self.clock.now_s() - 1.0)
+        self.clock.advance(1.2)
+        self.name_version(2)
+        self.rule.record_store_listing()
+        self.assertTrue(self.rule.may_serve("m", 1))
+        self.clock.advance(0.2)
+        self.assertFalse(self.rule.may_serve("m", 1))
+        self.assertTrue(self.rule.may_serve("m", 2))
+
     def test_version_listed_at_start_is_not_taken_for_new(self) -> None:
         # Guards against a restarted entry taking a listed version for a new one: it
         # began requests on the older version 20 s after its deadline.
--- a/reedspar/direct/versions.py
+++ b/reedspar/direct/versions.py
@@ -17,7 +17,9 @@
 
 It is unknown when a newer version in the initial listing was named.  The platform
 counts no violations within 3 s after a process starts, of which starting and listing
-the store take up to 1 s; a request may wait 0.5 s before it begins."""
+the store take 1 s and more; a request may wait 0.5 s before it begins."""
+UNDATED_VERSION_END_S = 2.3
+"""Time after the start of the process at which that grace ends at the latest."""
 
 
 class VersionRule:
@@ -28,6 +30,7 @@
         self._timers = timers
         self._bound_s = bound_s
         self._listed_at_s: float | None = None
+        self._started_s = timers.now_s()
 
     @property
     def bound_s(self) -> float:
@@ -38,6 +41,10 @@
         """Set the time in which a newer version must be in use everywhere."""
         self._bound_s = bound_s
 
+    def record_process_start(self, started_s: float) -> None:
+        """Record that the process started at a time of the timers' clock."""
+        self._started_s = started_s
+
     def record_store_listing(self) -> None:
         """Record the initial listing; versions that arrive later are new."""
         self._listed_at_s = self._timers.now_s()
@@ -61,7 +68,9 @@
         service_deadline_s = named_at_s + self._bound_s - OLDER_VERSION_MARGIN_S
         learned_at_s = min(item.learned_at_s for item in newer)
         if self._listed_at_s is None or learned_at_s <= self._listed_at_s:
-            return min(service_deadline_s, learned_at_s + UNDATED_VERSION_GRACE_S)
+            grace_end_s = learned_at_s + UNDATED_VERSION_GRACE_S
+            undated_end_s = self._started_s + UNDATED_VERSION_END_S
+            return min(service_deadline_s, grace_end_s, undated_end_s)
         return service_deadline_s
 
     def _newer_versions(self, model: str, version: int) -> list[NamedVersion]:
