Count the grace period of a start's signal from the process's start

Evidence: test_time_of_a_held_signal_counts_from_when_it_was_held, which receive_signals had no argument for.

--- a/reedspar/daemon/signals.py
+++ b/reedspar/daemon/signals.py
@@ -18,11 +18,12 @@
 
 @contextmanager
 def receive_signals(
-    *numbers: signal.Signals,
+    *numbers: signal.Signals, held_since_s: float | None = None
 ) -> Iterator[AsyncIterator[signal.Signals]]:
     """Receive signals, and ignore them afterwards, while the process exits.
 
-    Those that were held back (blocked) since the start of the process come first.
+    Those that were held back (blocked) since the start of the process come first; they
+    count as having arrived at `held_since_s`, a time of the monotonic clock.
 
     Supervisors may send several.  The default action of a later one would interrupt
     the answers to callers or, after the last answer, lose the last log lines and end
@@ -35,6 +36,8 @@
         writer.setblocking(False)
         previous = signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
         _arrivals_s.clear()
+        if held_since_s is not None:
+            _arrivals_s.update(dict.fromkeys(signal.sigpending(), held_since_s))
         for number in numbers:
             signal.signal(number, _record_arrival)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, numbers)
--- a/reedspar/daemon/tests/test_signals.py
+++ b/reedspar/daemon/tests/test_signals.py
@@ -25,6 +25,16 @@
             self.assertEqual(seconds_since(signal.SIGUSR2), 0.0)
         signal.signal(signal.SIGUSR1, previous)
 
+    def test_time_of_a_held_signal_counts_from_when_it_was_held(self) -> None:
+        # Guards against the same for a signal that came during the first imports.
+        previous = signal.getsignal(signal.SIGUSR1)
+        signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGUSR1])
+        held_since_s = time.monotonic() - LATE_S
+        os.kill(os.getpid(), signal.SIGUSR1)
+        with receive_signals(signal.SIGUSR1, held_since_s=held_since_s):
+            self.assertGreaterEqual(seconds_since(signal.SIGUSR1), LATE_S)
+        signal.signal(signal.SIGUSR1, previous)
+
 
 if __name__ == "__main__":
     unittest.main()
