Tell of each cut answer who ended it, and log no forced end as a caller that left

What callers saw: streams whose connections ended without a whole answer around SIGTERM. On the log of the process that cut them says "request abandoned", the words for a caller that went away, and neither when the request was passed on nor by what the draining entry had taken it.

The application now records each answer that it had begun, or that the drain's end took, and did not end: the line "answer was cut" and the counter reedspar_answers_cut_total. It tells the hypotheses apart: "drain failed" with admitted_by set is a prediction that failed, "silent for" an answer that was given up, either with time left a forced end that came too early.

allowed_ms of a request that has no deadline yet is empty. It was the difference of 0 and the time since the machine's start: the -108170 ms in the users' record, no fault of a caller or a clock.

--- a/reedspar/daemon/entry.py
+++ b/reedspar/daemon/entry.py
@@ -28,6 +28,7 @@
         self._drain_began_s = 0.0
         node.describe_role = self.describe
         node.metrics.attempt_faults.set_callback(self._read_faults)
+        node.metrics.answers_cut.set_callback(service.cut_log.read_counts)
 
     @property
     def application(self) -> Any:
--- a/reedspar/daemon/site_entry.py
+++ b/reedspar/daemon/site_entry.py
@@ -335,6 +335,7 @@
         pool_state,
     )
     adapters.metrics.connections_ended.set_callback(entry.connections.read_counts)
+    adapters.metrics.answers_cut.set_callback(service.cut_log.read_counts)
     interval_s = max(SELECTION_INTERVAL_MIN_S, ttl_s / SELECTION_UPDATES_PER_TTL)
     timers.call_every(interval_s, entry.update_selection)
     directory = adapters.create_directory(entry)
--- a/reedspar/direct/request_log.py
+++ b/reedspar/direct/request_log.py
@@ -53,7 +53,8 @@
         try:
             answer = await proceed(request)
         except anyio.get_cancelled_exc_class():
-            self._log_ending(request, "abandoned", self._make_log_fields(request))
+            ending = "abandoned" if request.is_abandoned else "aborted"
+            self._log_ending(request, ending, self._make_log_fields(request))
             raise
         finally:
             self._in_flight -= 1
@@ -122,7 +123,7 @@
             "model": request.model,
             "prompt_parts": request.prompt_parts,
             "prompt_tokens": request.prompt_tokens,
-            "allowed_ms": round((request.deadline_s - request.arrived_s) * 1000),
+            "allowed_ms": _allowed_ms(request),
             "elapsed_ms": round((now_s - request.arrived_s) * 1000),
             "targets": request.targets,
             "routes_version": table.version if table is not None else None,
@@ -147,3 +148,10 @@
         )
         self._endings.clear()
         self._unlogged = 0
+
+
+def _allowed_ms(request: Request) -> int | None:
+    """Return the time that a request had, None if it ended before that was known."""
+    if not request.deadline_s:
+        return None
+    return round((request.deadline_s - request.arrived_s) * 1000)
--- a/reedspar/direct/service.py
+++ b/reedspar/direct/service.py
@@ -26,6 +26,7 @@
 from reedspar.requests.application import RequestApplication, RequestIdGenerator
 from reedspar.requests.caller_adapter import CallerAdapter
 from reedspar.requests.crash_gossip import create_crash_gossip
+from reedspar.requests.cut_log import CutLog
 from reedspar.requests.drain_filter import DrainFilter
 from reedspar.requests.filters import chain_filters
 from reedspar.requests.protection_filters import QuarantineFilter
@@ -88,6 +89,7 @@
     speeds: TargetSpeeds
     speed_news: SpeedNews
     drain_filter: DrainFilter
+    cut_log: CutLog
 
     def needs_pool_state(self) -> bool:
         """Return whether decisions here need what other daemons know of the pools."""
@@ -272,6 +274,7 @@
     follower = _FleetFollower(view, loads, cold_limits, retry_shares, timers)
     view.on_change(follower.apply_change)
     drain_filter = DrainFilter(timers)
+    cut_log = CutLog(drain_filter, timers)
     relay_options = RelayOptions(retry_wait_s=0.0, deadline_margin_s=0.0)
     filters: list[Filter] = [
         *first_filters,
@@ -307,6 +310,7 @@
         CallerLimits().body_bytes,
         fallback,
         buffers,
+        cut_log,
     )
     return DirectService(
         application,
@@ -328,4 +332,5 @@
         speeds,
         speed_news,
         drain_filter,
+        cut_log,
     )
--- a/reedspar/requests/application.py
+++ b/reedspar/requests/application.py
@@ -19,6 +19,7 @@
     create_free_hold,
 )
 from .caller_adapter import CallerAdapter
+from .cut_log import CutLog
 from .outcome_encoding import make_not_run
 from .request import Answer, Outcome, Proceed, Request
 
@@ -72,6 +73,8 @@
         self._adapter = adapter
         self.caller_request_id = ""
         self.is_started = False
+        self.sent_bytes = 0
+        """Size of the parts of the body that were sent."""
 
     async def start(
         self, status: int, headers: Iterable[Header], weights_digest: str
@@ -117,6 +120,7 @@
             self._hold.give_up(GiveUpLimit.IDLE)
         else:
             self._hold.end_send()
+            self.sent_bytes += len(message["body"])
 
     async def _send_start(self, status: int, fields: list[tuple[bytes, bytes]]) -> None:
         self.is_started = True
@@ -141,7 +145,9 @@
         body_limit_bytes: int,
         fallback: ASGIApp,
         buffers: AnswerBuffers | None = None,
+        cut_log: CutLog | None = None,
     ) -> None:
+        self._cut_log = cut_log
         self._run_filters = run_filters
         self._adapter = adapter
         self._ids = ids
@@ -209,6 +215,8 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_end_on_disconnect, receive, request, tasks.cancel_scope)
             answer = await self._answer_until_abort(request)
+            if self._cut_log is not None:
+                self._cut_log.record(request, answer, responder.sent_bytes)
             tasks.cancel_scope.cancel()
             # Without the shield, cancellation would also stop the answer's writes.
             with anyio.CancelScope(shield=True) as sending:
--- a/reedspar/requests/drain_filter.py
+++ b/reedspar/requests/drain_filter.py
@@ -4,6 +4,7 @@
 from reedspar.timers import TimerService
 
 from .answer_times import AnswerTimes
+from .draining import DrainPhase
 from .outcome_encoding import make_not_run
 from .request import Answer, Proceed, Request, is_success
 
@@ -17,6 +18,7 @@
 """Time between the end of a request and the last byte at its caller."""
 RETRY_AFTER_S = 0.1
 """Other entries take requests now; each wait of the caller counts to its latency."""
+MS_PER_S = 1000
 
 
 class DrainFilter:
@@ -35,11 +37,19 @@
         """Route and arrival of each request in progress, by its id."""
         self._stops_at_s: float | None = None
         self.last_admitted_s = float("-inf")
+        self.phase: DrainPhase | None = None
 
     def begin(self, stops_at_s: float) -> None:
         """Refuse requests that may not be answered whole before `stops_at_s`."""
         self._stops_at_s = stops_at_s
 
+    def describe(self, now_s: float) -> dict[str, object]:
+        """Return where the drain stands, as logged; empty before a drain."""
+        if self._stops_at_s is None or self.phase is None:
+            return {}
+        left_ms = round((self._stops_at_s - now_s) * MS_PER_S)
+        return {"phase": self.phase.name.lower(), "left_ms": left_ms}
+
     async def apply(self, request: Request, proceed: Proceed) -> Answer:
         """Run a request that ends in time, or refuse it at once."""
         now_s = self._timers.now_s()
@@ -61,7 +71,9 @@
         if self._stops_at_s is None:
             return True
         ends_before_s = self._stops_at_s - DELIVERY_MARGIN_S
+        left_s = ends_before_s - request.arrived_s
         if request.deadline_s <= ends_before_s:
+            request.admitted_by = f"limit, with {left_s:.2f} s left"
             return True
         if not request.is_idempotent:
             return False
@@ -72,6 +84,9 @@
         if not self._times.shows_tail(_route_of(request), now_s):
             limit_s = request.deadline_s - request.arrived_s
             needed_s = max(needed_s, UNSEEN_TAIL_SHARE * limit_s)
+        request.admitted_by = (
+            f"answers of {longest_s:.2f} s at most, with {left_s:.2f} s left"
+        )
         return request.arrived_s + needed_s <= ends_before_s
 
     def _longest_s(self, route: str, now_s: float) -> float | None:
--- a/reedspar/requests/draining.py
+++ b/reedspar/requests/draining.py
@@ -139,6 +139,8 @@
     """Part of the filter chain that admits requests during a drain."""
 
     last_admitted_s: float
+    phase: DrainPhase | None
+    """What the entry does now; None: no drain has begun."""
 
     def begin(self, stops_at_s: float) -> None:
         """Refuse requests that may not be answered whole before `stops_at_s`."""
@@ -168,6 +170,7 @@
             aborted_s,
         )
         phase = drain.phase_at(now_s(), load)
+        gate.phase = phase
         if phase is DrainPhase.STOP:
             return
         if phase is not DrainPhase.SERVE:
--- a/reedspar/requests/relay.py
+++ b/reedspar/requests/relay.py
@@ -188,6 +188,7 @@
         request.hold.deadline_s = request.deadline_s
         request.may_have_run = True
         request.targets.append(chosen.name)
+        request.passed_on_s.append(self._timers.now_s())
         answer: Answer | None = None
         self._chooser.on_started(request, chosen)
         try:
--- a/reedspar/requests/request.py
+++ b/reedspar/requests/request.py
@@ -135,6 +135,10 @@
     """Whether the caller's HTTP version shows that a stream was truncated."""
     targets: list[str] = field(default_factory=list)
     """Targets that the request was handed to, in order."""
+    passed_on_s: list[float] = field(default_factory=list)
+    """When it was handed to each of them."""
+    admitted_by: str = ""
+    """Rule by which a draining entry admitted it; empty: no drain had begun."""
     may_have_run: bool = False
     """Whether the request was handed over without proof that it did not run."""
     refusal: Refused | None = None
--- a/reedspar/requests/service.py
+++ b/reedspar/requests/service.py
@@ -22,6 +22,7 @@
 from .claim_client import ClaimClient
 from .claim_ledger import ClaimLedger, LedgerOptions
 from .crash_gossip import create_crash_gossip
+from .cut_log import CutLog
 from .deduplication import DeduplicationFilter
 from .drain_filter import DrainFilter
 from .draining import ABORT_GRACE_S, Connections, DrainOptions, run_drain
@@ -64,6 +65,7 @@
     verdict_archive: VerdictArchive
     admission: AdmissionFilter
     drain_filter: DrainFilter
+    cut_log: CutLog
     timers: TimerService
     settings: RequestSettings
 
@@ -148,6 +150,7 @@
     )
     admission = AdmissionFilter(configuration, directory, timers)
     drain_filter = DrainFilter(timers)
+    cut_log = CutLog(drain_filter, timers)
     filters: list[Filter] = [
         IdentificationFilter(configuration),
         RequestLimitsFilter(timers, settings.deadline_s, settings.body_limit_bytes),
@@ -170,6 +173,7 @@
         timers,
         settings.body_limit_bytes,
         Starlette(routes=[addresses.route, *extra_routes]),
+        cut_log=cut_log,
     )
     return RequestService(
         application,
@@ -181,6 +185,7 @@
         create_verdict_archive(quarantine, key_value, timers, rng),
         admission,
         drain_filter,
+        cut_log,
         timers,
         settings,
     )
--- a/reedspar/telemetry/metrics.py
+++ b/reedspar/telemetry/metrics.py
@@ -90,6 +90,16 @@
             "request",
         ),
     ]
+    answers_cut: Annotated[
+        ObservableInstrument,
+        observed_counter(
+            "answers.cut",
+            "{answer}",
+            "Answers that were begun and not ended, or that the end of a drain took, "
+            "by the reason of the failure.",
+            "reason",
+        ),
+    ]
     attempts: Annotated[
         Counter,
         counter(
