--- a/reedspar/requests/tests/test_drain_filter.py
+++ b/reedspar/requests/tests/test_drain_filter.py
@@ -148,6 +148,19 @@
         refused = [call.at_s for call in fitting if call.outcome in ("not-run", "")]
         self.assertEqual(refused, [])
 
+    def test_answers_that_grow_with_the_stop_are_not_cut(self) -> None:
+        # Guards against streams that a draining entry takes since earlier ones were
+        # short, and cuts as the stop, or chance, makes them longer.
+        earlier = [Call(-20 + n / 6, 6.0, 0.3, is_idempotent=True) for n in range(119)]
+        for longest_s in (2.0, 4.4, 5.9):
+            calls = [
+                Call(t / 10, 6.0, longest_s if t % 3 else 0.3, is_idempotent=True)
+                for t in range(70)
+            ]
+            run_calls(7.0, [*earlier, *calls])
+            cut = [call.at_s for call in calls if call.outcome == "cut"]
+            self.assertEqual(cut, [], longest_s)
+
     def test_usual_answers_admit_what_may_be_repeated(self) -> None:
         # Guards against refusals of streams whose limit is far longer than any of them.
         for is_idempotent in (False, True):
