Admit a request in a drain by its time limit alone

What callers saw: streams that may be resumed, sent 3 s and more after SIGTERM to an entry, were passed on at once and cut at the drain's end while their targets worked (LOST).

Cause: a promise rested on a forecast. The drain filter took the longest of a route's recent answers for a bound on the next one, while the stops themselves make answers longer, and an answer that was begun can't be refused any more.

A limit is a bound that this entry enforces itself, so nothing that is admitted can outlast the drain. Better forecasts (more answers, the tokens that a request may ask for, speeds of targets) would only be wrong less often.

--- a/reedspar/requests/cut_log.py
+++ b/reedspar/requests/cut_log.py
@@ -53,7 +53,7 @@
                 "limit_ms": round((request.deadline_s - request.arrived_s) * MS_PER_S),
                 "sent_bytes": sent_bytes,
                 "ended_by": str(failure),
-                "admitted_by": request.admitted_by,
+                "drain_spare_s": request.drain_spare_s,
                 "drain": self._drain_filter.describe(now_s),
             },
         )
--- a/reedspar/requests/request.py
+++ b/reedspar/requests/request.py
@@ -137,8 +137,8 @@
     """Targets that the request was handed to, in order."""
     passed_on_s: list[float] = field(default_factory=list)
     """When it was handed to each of them."""
-    admitted_by: str = ""
-    """Rule by which a draining entry admitted it; empty: no drain had begun."""
+    drain_spare_s: float | None = None
+    """Time from its deadline to the end of the drain that admitted it; None: none."""
     may_have_run: bool = False
     """Whether the request was handed over without proof that it did not run."""
     refusal: Refused | None = None
