--- a/reedspar/direct/tests/test_cut_answers.py
+++ b/reedspar/direct/tests/test_cut_answers.py
@@ -2,6 +2,7 @@
 
 import logging
 import unittest
+from collections.abc import Awaitable, Callable
 
 import anyio
 
@@ -14,14 +15,23 @@
     DirectTestCase,
     make_event,
 )
-from reedspar.direct.tests.fakes import FakeDialer, FakeResponse, broken
-from reedspar.fleet import FleetView
+from reedspar.direct.tests.fakes import (
+    FakeDialer,
+    FakeResponse,
+    broken,
+    make_direct_service,
+    make_engine_target,
+)
+from reedspar.fleet import FleetView, TargetChange
 from reedspar.requests.draining import DrainOptions, run_drain
 from reedspar.requests.request import Answer, Request
 from reedspar.requests.tests.test_draining import NoConnections
+from reedspar.requests.tests.virtual_time import create_loop_timers, run_virtual
 from reedspar.telemetry import create_metrics
 
 CUT_LOGGER = "reedspar.requests.cut_log"
+SILENT_S = 1.8
+"""Longer than the silence after which another target is tried."""
 ENDING_LOGGER = "reedspar.direct.request_log"
 
 
@@ -37,6 +47,53 @@
     application._run_filters = run_logged
 
 
+class VirtualTestCase(unittest.TestCase):
+    """Runs scripts with an entry and its fake targets in virtual time."""
+
+    targets = [make_engine_target("q1"), make_engine_target("q2")]
+
+    def run_with(self, script: Callable[..., Awaitable[None]]) -> None:
+        async def run() -> None:
+            timers = create_loop_timers()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(timers.run)
+                made = make_direct_service(timers, tasks, self.targets)
+                await script(*made)
+                tasks.cancel_scope.cancel()
+
+        run_virtual(run)
+
+
+def pause_stream(pause_s: float, after: int = 1) -> FakeResponse:
+    """Return a stream of four events that pauses after some of them."""
+    events = [make_event(number) for number in range(1, 5)]
+    pieces = [*events[:after], pause_s, *events[after:]]
+    return FakeResponse(pieces, content_type=EVENT_STREAM_TYPE)
+
+
+class SilenceTest(VirtualTestCase):
+    whole = b"".join(map(make_event, range(1, 5)))
+
+    async def call(self, service: DirectService) -> Call:
+        call = Call("/q/1", x_model="m")
+        await service.application(call.scope, call.receive, call.send)
+        return call
+
+    def test_answer_goes_on_if_its_target_is_the_only_one(self) -> None:
+        # Guards against streams that are cut while their target is silent, though no
+        # other target can go on with them.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            view.apply(TargetChange("q2", None))
+            dialer.script = lambda target_id, request: pause_stream(SILENT_S)
+            call = await self.call(service)
+            self.assertEqual((call.body, call.is_whole), (self.whole, True))
+            self.assertEqual(len(dialer.sent), 1)
+
+        self.run_with(script)
+
+
 class CutLogTest(DirectTestCase):
     def test_line_tells_who_cut_an_answer(self) -> None:
         # Guards against cut answers whose cause no log line tells.
