Keep a silent target's answer until another target goes on with it

A target's silence is no reason to end an answer.

Cause: a promise rested on a forecast. The client gave up a silent attempt for another target before anything showed that there is one, that an attempt and a retry are left, and that it takes the request. A process that has just started has no retries, so at such entries every silent stream was cut.

Now the silent attempt stays open while the request is sent to another target, and the first to go on is kept; the other one is closed. Without another target, attempt or retry, or if the other one refuses, the silent one goes on. The choice of targets learns of the silence when it begins, as before.

test_a_hanging_safe_request_goes_to_another_target asserted that the silent attempt is closed first, which is the fault. It now asserts that both are closed, the silent one after the answer, with the bound on the time unchanged.

--- a/reedspar/direct/client.py
+++ b/reedspar/direct/client.py
@@ -40,7 +40,7 @@
 ]
 
 SILENCE_TIMEOUT_S = 1.5
-"""Silence after which an idempotent attempt is abandoned for another target.
+"""Silence after which an idempotent request is sent to another target, too.
 
 Callers abandon a stream after 2 s without an event, and the next target needs 0.5 s for
 the prompt."""
@@ -152,7 +152,7 @@
             running.scope.cancel()
 
     def sweep(self) -> None:
-        """Withdraw attempts that may no longer begin, and abandon silent ones.
+        """Withdraw attempts that may no longer begin, and find the silent ones.
 
         If a connection stalls without a reset or a target hangs, the request would
         otherwise wait until its caller abandons it.
@@ -167,11 +167,13 @@
             silent_s = now_s - attempt.last_received_s
             awaits_body = attempt.assembly.is_open and not attempt.assembly.pieces
             awaits_body = awaits_body and not attempt.hold_ups.is_held_up
-            if awaits_body and silent_s >= self._silence_timeout_s(attempt):
-                self._abandon(running, f"silent for {silent_s:.1f} s")
+            is_silent = silent_s >= self._silence_timeout_s(attempt)
+            if awaits_body and is_silent and not attempt.is_silent:
+                attempt.is_silent = True
+                attempt.wake()
 
     def _silence_timeout_s(self, attempt: OpenAttempt) -> float:
-        """Return the silence after which an attempt is abandoned."""
+        """Return the silence after which another target is tried."""
         request_id = attempt.assembly.start.request_id
         limit_s = self._checks.silence_limit_s(attempt.target, request_id)
         if limit_s is None:
@@ -191,14 +193,6 @@
         running.scope.cancel()
         return True
 
-    def _abandon(self, running: _RunningAttempt, detail: str) -> None:
-        attempt = running.attempt
-        if not attempt.assembly.start.is_idempotent or running.failure is not None:
-            return
-        step = Step.TARGET_CALL
-        running.failure = Failure(Reason.TIMEOUT, step, attempt.target, detail)
-        running.scope.cancel()
-
     async def _run(self, attempt: OpenAttempt, running: _RunningAttempt) -> None:
         target = attempt.target
         failure: Failure | None = Failure(
@@ -310,10 +304,10 @@
         attempt.hold.on_released = None
         now_s = self._timers.now_s()
         attempt.hold_ups.end(now_s)
-        attempt.last_received_s = now_s
+        attempt.record_received(now_s)
 
     def _mark_received(self, attempt: OpenAttempt) -> None:
-        attempt.last_received_s = self._timers.now_s()
+        attempt.record_received(self._timers.now_s())
         attempt.wake()
 
 
--- a/reedspar/direct/target_choice.py
+++ b/reedspar/direct/target_choice.py
@@ -283,6 +283,13 @@
             for log in self._begun_attempt_logs:
                 log.record_begun(request.request_id, chosen.name, attempt)
 
+    def on_silent(self, request: Request, chosen: ChosenTarget) -> None:
+        """Back off from a target that may hang, and find out whether it has crashed."""
+        load = self._loads.for_target(chosen.name)
+        attempt = load.own_attempts.get(request.request_id)
+        self._record_broken(request, chosen, attempt, is_timeout=True)
+        load.record_unreachable(self._timers.now_s())
+
     def on_ended(
         self, request: Request, chosen: ChosenTarget, answer: Answer | None
     ) -> None:
@@ -302,7 +309,8 @@
             self.endless_news.record(request.pool, chosen.name, chosen.boot_id)
             return
         if answer.outcome is Outcome.UNKNOWN:
-            self._record_broken(request, chosen, attempt, failure)
+            is_timeout = failure.reason is Reason.TIMEOUT
+            self._record_broken(request, chosen, attempt, is_timeout=is_timeout)
         if failure.reason is Reason.CONFLICT:
             self._mark_replaced(chosen.name)
         elif failure.step is Step.LINK or answer.outcome is Outcome.UNKNOWN:
@@ -315,7 +323,8 @@
         request: Request,
         chosen: ChosenTarget,
         attempt: OwnAttempt | None,
-        failure: Failure,
+        *,
+        is_timeout: bool,
     ) -> None:
         """Record an attempt as broken off, unless it cannot have crashed the target."""
         assert isinstance(chosen, DirectTarget)
@@ -327,17 +336,11 @@
             chosen.name,
             chosen.boot_id,
             CrashSuspect(request.fingerprint, request.prompt_parts, request.request_id),
-            is_timeout=failure.reason is Reason.TIMEOUT,
+            is_timeout=is_timeout,
         )
 
     def _mark_replaced(self, target_id: str) -> None:
-        """Exclude a target whose address now belongs to another one.
-
-        The store may list the replaced target for seconds.  After a power loss, which
-        replaces every target, each request would otherwise be sent to two replaced
-        targets and refused: 200 requests in three seconds, a twelfth of a day's
-        refusals.
-        """
+        """Exclude a listed target whose address now belongs to another one."""
         known = self._view.target(target_id)
         if known is not None:
             self._loads.for_target(target_id).replaced_boot_id = known.record.boot_id
--- a/reedspar/direct/tests/test_cut_answers.py
+++ b/reedspar/direct/tests/test_cut_answers.py
@@ -3,6 +3,7 @@
 import logging
 import unittest
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import anyio
 
@@ -14,6 +15,7 @@
     Call,
     DirectTestCase,
     make_event,
+    make_order_target,
 )
 from reedspar.direct.tests.fakes import (
     FakeDialer,
@@ -21,6 +23,8 @@
     broken,
     make_direct_service,
     make_engine_target,
+    not_run,
+    unreachable,
 )
 from reedspar.fleet import FleetView, TargetChange
 from reedspar.requests.draining import DrainOptions, run_drain
@@ -93,6 +97,201 @@
 
         self.run_with(script)
 
+    def test_answer_goes_on_if_no_retry_is_left(self) -> None:
+        # Guards against streams that a process which has just started, and has no
+        # retries yet, cuts while their target is silent.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            budget = service.retry_shares.budgets.for_pool("quotes")
+            while budget.try_spend():
+                pass
+            dialer.script = lambda target_id, request: pause_stream(SILENT_S)
+            call = await self.call(service)
+            self.assertEqual((call.body, call.is_whole), (self.whole, True))
+            self.assertEqual(len(dialer.sent), 1)
+
+        self.run_with(script)
+
+    def test_answer_goes_on_if_no_attempt_is_left(self) -> None:
+        # Guards against streams that are cut while their last allowed target is silent.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            view.apply(TargetChange("q3", make_engine_target("q3")))
+
+            def answer(target_id: str, request: Any) -> Any:
+                if len(dialer.sent) == 1:
+                    return not_run(target_id)
+                return pause_stream(SILENT_S)
+
+            dialer.script = answer
+            call = await self.call(service)
+            self.assertEqual((call.body, call.is_whole), (self.whole, True))
+            self.assertEqual(len(dialer.sent), 2)
+
+        self.run_with(script)
+
+    def test_answer_goes_on_if_the_next_target_refuses_it(self) -> None:
+        # Guards against streams that are given up for a target that does not take them.
+        for refuse in (not_run, unreachable, broken):
+
+            async def script(
+                service: DirectService,
+                dialer: FakeDialer,
+                view: FleetView,
+                refuse: Callable[[str], Any] = refuse,
+            ) -> None:
+                def answer(target_id: str, request: Any) -> Any:
+                    first = len(dialer.sent) == 1
+                    return pause_stream(SILENT_S) if first else refuse(target_id)
+
+                dialer.script = answer
+                call = await self.call(service)
+                self.assertEqual((call.body, call.is_whole), (self.whole, True))
+
+            with self.subTest(refuse=refuse.__name__):
+                self.run_with(script)
+
+    def test_answer_that_goes_on_first_is_passed_on(self) -> None:
+        # Guards against pieces of two answers in one stream, and against a wait for a
+        # target that is slower than the silent one.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            def answer(target_id: str, request: Any) -> Any:
+                if len(dialer.sent) == 1:
+                    return pause_stream(SILENT_S)
+                events = [make_event(number) for number in range(2, 5)]
+                return FakeResponse([1.0, *events], content_type=EVENT_STREAM_TYPE)
+
+            dialer.script = answer
+            call = await self.call(service)
+            self.assertEqual((call.body, call.is_whole), (self.whole, True))
+            self.assertEqual(len(dialer.sent), 2)
+            await anyio.sleep(0.1)
+            self.assertEqual(len(dialer.closed), 2)
+            self.assertEqual(service.client.open_count, 0)
+
+        self.run_with(script)
+
+    def test_silent_answer_is_continued_elsewhere(self) -> None:
+        # Guards against streams that wait for a target that hangs, while another one
+        # could go on with them.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            def answer(target_id: str, request: Any) -> Any:
+                if len(dialer.sent) == 1:
+                    return pause_stream(30.0)
+                headers = dict(request.headers)
+                self.assertEqual(headers["last-event-id"], "1")
+                events = [make_event(number) for number in range(2, 5)]
+                return FakeResponse(events, content_type=EVENT_STREAM_TYPE)
+
+            dialer.script = answer
+            began_s = anyio.current_time()
+            call = await self.call(service)
+            self.assertEqual((call.body, call.is_whole), (self.whole, True))
+            self.assertLess(anyio.current_time() - began_s, 1.8)
+            await anyio.sleep(0.1)
+            self.assertEqual(len(dialer.closed), 2)
+            hung = dialer.sent[0][0]
+            self.assertGreater(service.loads.for_target(hung).failures, 0)
+
+        self.run_with(script)
+
+    def test_next_target_goes_on_if_the_silent_one_ends(self) -> None:
+        # Guards against a second attempt that is closed with the first one.
+        for end in (not_run, broken):
+
+            async def script(
+                service: DirectService,
+                dialer: FakeDialer,
+                view: FleetView,
+                end: Callable[[str], Any] = end,
+            ) -> None:
+                for name in ("o1", "o2"):
+                    view.apply(TargetChange(name, make_order_target(name)))
+
+                def answer(target_id: str, request: Any) -> Any:
+                    if len(dialer.sent) == 1:
+                        return SILENT_S, end(target_id)
+                    return 0.2, FakeResponse([b"second"])
+
+                dialer.script = answer
+                call = Call("/s/1")
+                await service.application(call.scope, call.receive, call.send)
+                self.assertEqual((call.status, call.body), (200, b"second"))
+                self.assertEqual(len(dialer.sent), 2)
+
+            with self.subTest(end=end.__name__):
+                self.run_with(script)
+
+    def test_refusal_after_a_second_attempt_is_no_proof(self) -> None:
+        # Guards against "not run" of a request that the second target may have run.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            for name in ("o1", "o2"):
+                view.apply(TargetChange(name, make_order_target(name)))
+
+            def answer(target_id: str, request: Any) -> Any:
+                if len(dialer.sent) == 1:
+                    return SILENT_S, not_run(target_id)
+                return broken(target_id)
+
+            dialer.script = answer
+            call = Call("/s/1")
+            await service.application(call.scope, call.receive, call.send)
+            self.assertEqual(call.outcome, "unknown")
+
+        self.run_with(script)
+
+    def test_second_attempt_ends_with_its_caller(self) -> None:
+        # Guards against targets that work on for a caller that has left.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            dialer.script = lambda target_id, request: pause_stream(30.0)
+            call = Call("/q/1", x_model="m")
+            async with anyio.create_task_group() as tasks:
+                parts = call.scope, call.receive, call.send
+                tasks.start_soon(service.application, *parts)
+                await anyio.sleep(1.9)
+                self.assertEqual(len(dialer.sent), 2)
+                call.disconnected.set()
+            await anyio.sleep(0.1)
+            self.assertEqual(len(dialer.closed), 2)
+            self.assertEqual(service.client.open_count, 0)
+            self.assertEqual(
+                [len(service.loads.for_target(t).own_attempts) for t in ("q1", "q2")],
+                [0, 0],
+            )
+
+        self.run_with(script)
+
+    def test_silent_read_is_answered_by_whichever_target_does_first(self) -> None:
+        # Guards against reads that end without an answer as one target is silent and
+        # the other one refuses them.
+        async def script(
+            service: DirectService, dialer: FakeDialer, view: FleetView
+        ) -> None:
+            for name in ("o1", "o2"):
+                view.apply(TargetChange(name, make_order_target(name)))
+
+            def answer(target_id: str, request: Any) -> Any:
+                if len(dialer.sent) == 1:
+                    return SILENT_S, FakeResponse([b"late"])
+                return not_run(target_id)
+
+            dialer.script = answer
+            call = Call("/s/1")
+            await service.application(call.scope, call.receive, call.send)
+            self.assertEqual((call.status, call.body), (200, b"late"))
+
+        self.run_with(script)
+
 
 class CutLogTest(DirectTestCase):
     def test_line_tells_who_cut_an_answer(self) -> None:
--- a/reedspar/direct/tests/test_speeds.py
+++ b/reedspar/direct/tests/test_speeds.py
@@ -16,6 +16,8 @@
 SLOW = LoadReport(0, 0, 6, slowdown_factor=2.5)
 USUAL = LoadReport(0, 0, 6, slowdown_factor=1.0)
 UNTOLD = LoadReport(0, 0, 6)
+CLOSE_S = 0.1
+"""Time in which the attempt that is not needed any more is closed."""
 
 
 class SpeedChoiceTest(DirectTestCase):
@@ -76,8 +78,9 @@
             begun_s = anyio.current_time()
             call = await self.send(service)
             self.assertEqual([name for name, _ in dialer.sent], ["o1", "o2"])
-            self.assertEqual((call.status, dialer.closed[0]), (200, "o1"))
             self.assertLess(anyio.current_time() - begun_s, 0.8)
+            await anyio.sleep(CLOSE_S)
+            self.assertEqual((call.status, dialer.closed), (200, ["o2", "o1"]))
 
         self.run_with(script)
 
--- a/reedspar/requests/attempt_client.py
+++ b/reedspar/requests/attempt_client.py
@@ -5,7 +5,7 @@
 and one write to the caller.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -32,7 +32,13 @@
 from .answer_buffers import HoldUps, RequestHold, create_free_hold
 from .assembly import AnswerAssembly, Progress
 
-__all__ = ["AttemptClient", "ClientCounts", "OpenAttempt", "create_attempt_client"]
+__all__ = [
+    "AttemptClient",
+    "ClientCounts",
+    "OpenAttempt",
+    "create_attempt_client",
+    "wait_for_any",
+]
 
 SWEEP_INTERVAL_S = 0.25
 RESUME_AFTER_SILENCE_S = 1.0
@@ -77,6 +83,10 @@
         self.hold_ups = HoldUps()
         self.is_abandoned: Callable[[], bool] = lambda: False
         """Tells whether nobody waits for the answer any more."""
+        self.is_silent = False
+        """Whether nothing has arrived for so long that another target may be faster."""
+        self.while_silent: Callable[[], Awaitable[None]] | None = None
+        """Waits until a silent attempt goes on, ends or is replaced."""
         self._event: anyio.Event | None = None
 
     @property
@@ -97,10 +107,29 @@
             self._event.set()
             self._event = None
 
+    def record_received(self, now_s: float) -> None:
+        """Record that the answer goes on."""
+        self.last_received_s = now_s
+        self.is_silent = False
+
+    def notify(self, event: anyio.Event) -> None:
+        """Set `event` at the next call of `wake`."""
+        self._event = event
+
     async def wait(self) -> None:
-        """Wait until `wake` is called."""
-        self._event = anyio.Event()
-        await self._event.wait()
+        """Wait until `wake` is called, or as long as a silent attempt is replaced."""
+        if self.is_silent and self.while_silent is not None:
+            await self.while_silent()
+        else:
+            await wait_for_any(self)
+
+
+async def wait_for_any(*attempts: OpenAttempt) -> None:
+    """Wait until one of some attempts is woken."""
+    event = anyio.Event()
+    for attempt in attempts:
+        attempt.notify(event)
+    await event.wait()
 
 
 class AttemptClient:
--- a/reedspar/requests/relay.py
+++ b/reedspar/requests/relay.py
@@ -6,31 +6,28 @@
 """
 
 from collections.abc import Collection
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
+from functools import partial
 
 import anyio
 
-from reedspar.attempts import AttemptStart
 from reedspar.errors import Failure, Reason, Step
-from reedspar.telemetry import check_invariant
 from reedspar.timers import TimerService
 
 from .answer_buffers import GiveUpLimit
-from .assembly import Verdict
 from .attempt_client import OpenAttempt
+from .attempt_opening import AttemptOpening
+from .backup_attempts import BROKEN_ATTEMPTS_MAX, BackupAttempts
 from .outcome_encoding import make_not_run
-from .quarantine import Quarantine, Standing
+from .quarantine import Quarantine
 from .relay_interfaces import AttemptOpener, ChosenTarget, RelayOptions, TargetChooser
+from .relay_state import RelayState, make_answer
 from .request import Answer, Outcome, Proceed, Request, is_success
 from .retry_budgets import RetryBudgets
 from .stream_forwarder import StreamForwarder, is_streamed
 
 __all__ = ["Relay"]
 
-BROKEN_ATTEMPTS_MAX = 2
-"""Broken attempts after which a request is not retried, as it may be the cause."""
-NOT_TARGET_FAULT_REASONS = frozenset({Reason.CORRUPT, Reason.TIMEOUT, Reason.CANCELLED})
-"""Reasons of unknown outcomes that don't count as a broken target."""
 TARGET_POLL_INTERVAL_S = 0.1
 RECENTLY_SERVED_S = 5.0
 """Time since a pool last had a target within which a first attempt waits for one."""
@@ -41,21 +38,6 @@
 """Duration of a send that shows that it waits for its reader."""
 
 
-@dataclass(slots=True)
-class _RelayState:
-    """Attempts of one request so far, and their result."""
-
-    forwarder: StreamForwarder
-    tried: set[str] = field(default_factory=set)
-    result: Answer | None = None
-    """Answer that follows from all attempts so far."""
-    handed_over_count: int = 0
-    unreached_count: int = 0
-    """Attempts that ended before anything reached a target."""
-    broken_count: int = 0
-    """Attempts without a complete answer through a fault of the target."""
-
-
 class Relay:
     """Makes the attempts of a request until one succeeds or no retry is allowed."""
 
@@ -74,6 +56,10 @@
         self._quarantine = quarantine
         self._timers = timers
         self._options = options or RelayOptions()
+        self._opening = AttemptOpening(client, chooser, timers, self._options)
+        self._backups = BackupAttempts(
+            self._opening, client, chooser, budgets, quarantine, timers
+        )
         self._last_served_s: dict[str, float] = {}
 
     async def apply(self, request: Request, proceed: Proceed) -> Answer:
@@ -81,20 +67,43 @@
         return self._add_retry_delay(request, await self._make_attempts(request))
 
     async def _make_attempts(self, request: Request) -> Answer:
-        state = _RelayState(StreamForwarder(request, self._client))
-        while True:
-            chosen = await self._choose_or_wait(request, state)
-            if isinstance(chosen, Failure):
-                return state.result or make_not_run(chosen)
-            if not self._is_within_budget(request, state):
-                assert state.result is not None
-                return state.result
-            state.tried.add(chosen.name)
-            latest = await self._attempt(request, chosen, state)
-            self._record_result(state, latest)
-            if not self._may_retry(request, state, latest):
-                assert state.result is not None
-                return state.result
+        state = RelayState(StreamForwarder(request, self._client))
+        try:
+            while True:
+                chosen = await self._choose_or_wait(request, state)
+                if isinstance(chosen, Failure):
+                    return state.result or make_not_run(chosen)
+                if not self._is_within_budget(request, state):
+                    assert state.result is not None
+                    return state.result
+                latest = await self._attempt_until_kept(request, chosen, state)
+                if not self._may_retry(request, state, latest):
+                    assert state.result is not None
+                    return state.result
+        finally:
+            backup = state.take_backup()
+            if backup is not None:
+                self._chooser.on_ended(request, backup.chosen, None)
+                self._client.close(backup.attempt)
+
+    async def _attempt_until_kept(
+        self, request: Request, chosen: ChosenTarget, state: RelayState
+    ) -> Answer:
+        """Make an attempt, and go on with those that replace it while it is silent."""
+        state.tried.add(chosen.name)
+        had_run = request.may_have_run
+        attempt = self._opening.open(request, chosen, state)
+        if isinstance(attempt, Answer):
+            state.record(attempt)
+            return attempt
+        latest = await self._attempt(request, chosen, attempt, state)
+        while (backup := state.take_backup()) is not None:
+            state.record(latest)
+            latest = await self._attempt(request, backup.chosen, backup.attempt, state)
+        if latest.outcome is Outcome.NOT_RUN:
+            request.may_have_run = had_run or state.may_have_run
+        state.record(latest)
+        return latest
 
     def _add_retry_delay(self, request: Request, answer: Answer) -> Answer:
         """Tell the caller of a refusal when a target takes requests, if none does now.
@@ -112,7 +121,7 @@
         delayed = replace(failure, retry_after_s=chosen.retry_after_s)
         return replace(answer, failure=delayed)
 
-    def _is_within_budget(self, request: Request, state: _RelayState) -> bool:
+    def _is_within_budget(self, request: Request, state: RelayState) -> bool:
         """Return whether the attempt is the first or the retry budget allows it."""
         budget = self._budgets.for_pool(request.pool)
         if not state.handed_over_count:
@@ -121,16 +130,8 @@
             return True
         return budget.try_spend()
 
-    def _record_result(self, state: _RelayState, latest: Answer) -> None:
-        if _is_unreached(latest):
-            state.unreached_count += 1
-        else:
-            state.handed_over_count += 1
-        state.broken_count += _is_broken(latest)
-        state.result = _combine(state.result, latest)
-
     async def _choose_or_wait(
-        self, request: Request, state: _RelayState
+        self, request: Request, state: RelayState
     ) -> ChosenTarget | Failure:
         """Choose a target; if there is none, wait for one if that may help."""
         if state.forwarder.has_started:
@@ -170,35 +171,24 @@
         return self._chooser.choose(request, tried)
 
     async def _attempt(
-        self, request: Request, chosen: ChosenTarget, state: _RelayState
+        self,
+        request: Request,
+        chosen: ChosenTarget,
+        attempt: OpenAttempt,
+        state: RelayState,
     ) -> Answer:
-        start = self._make_start(request, chosen, state)
-        check_invariant(
-            request.is_idempotent or not request.may_have_run,
-            "handed_over_once",
-            f"{request.request_id} again to {chosen.name}",
-        )
-        attempt = self._client.open(chosen.name, start)
-        if isinstance(attempt, Failure):
-            self._chooser.on_refused(chosen, attempt)
-            return make_not_run(attempt)
-        may_have_run_before = request.may_have_run
-        attempt.hold = request.hold
-        attempt.is_abandoned = lambda: request.is_abandoned
-        request.hold.deadline_s = request.deadline_s
-        request.may_have_run = True
-        request.targets.append(chosen.name)
-        request.passed_on_s.append(self._timers.now_s())
+        """Wait for the answer of an open attempt, and close it."""
+        if request.is_idempotent:
+            attempt.while_silent = partial(
+                self._backups.wait, request, chosen, attempt, state
+            )
         answer: Answer | None = None
-        self._chooser.on_started(request, chosen)
         try:
             with anyio.move_on_after(
                 request.deadline_s - self._timers.now_s()
             ) as scope:
                 request.hold.on_given_up = scope.cancel
                 answer = await self._await_answer(request, chosen, attempt, state)
-                if answer.outcome is Outcome.NOT_RUN:
-                    request.may_have_run = may_have_run_before
                 return answer
             answer = self._make_timeout(request, attempt)
             return answer
@@ -213,36 +203,12 @@
                     request.prompt_parts,
                 )
 
-    def _make_start(
-        self, request: Request, chosen: ChosenTarget, state: _RelayState
-    ) -> AttemptStart:
-        remaining_s = request.deadline_s - self._timers.now_s()
-        margin_s = min(self._options.deadline_margin_s, remaining_s / 10)
-        return AttemptStart(
-            request.request_id,
-            state.handed_over_count + state.unreached_count,
-            request.pool,
-            request.method,
-            request.path,
-            state.forwarder.headers(),
-            request.body,
-            max(0.0, remaining_s - margin_s),
-            request.is_idempotent,
-            request.priority,
-            request.workspace,
-            request.fingerprint,
-            chosen.weights_digest or request.weights_digest,
-            chosen.incarnation,
-            request.prompt_parts,
-            request.is_cancellable,
-        )
-
     async def _await_answer(
         self,
         request: Request,
         chosen: ChosenTarget,
         attempt: OpenAttempt,
-        state: _RelayState,
+        state: RelayState,
     ) -> Answer:
         assembly = attempt.assembly
         has_answer_started = False
@@ -262,9 +228,9 @@
         head = assembly.head
         if state.forwarder.has_started and head is not None:
             return await state.forwarder.forward(attempt, head)
-        return _make_answer(attempt, has_started=state.forwarder.has_started)
+        return make_answer(attempt, has_started=state.forwarder.has_started)
 
-    def _may_retry(self, request: Request, state: _RelayState, latest: Answer) -> bool:
+    def _may_retry(self, request: Request, state: RelayState, latest: Answer) -> bool:
         if latest.outcome is Outcome.ANSWERED:
             return self._may_retry_server_error(request, state, latest)
         failure = latest.failure
@@ -281,17 +247,10 @@
             return False
         if latest.outcome is Outcome.NOT_RUN:
             return True
-        if latest.is_sent and not request.can_resume:
-            return False
-        # A request that crashes targets would crash another one with each retry.
-        now_s = self._timers.now_s()
-        standing, _ = self._quarantine.standing(
-            request.fingerprint, now_s, request.prompt_parts
-        )
-        return request.is_idempotent and standing is Standing.CLEAR
+        return self._backups.is_repeatable(request, state)
 
     def _may_retry_server_error(
-        self, request: Request, state: _RelayState, answer: Answer
+        self, request: Request, state: RelayState, answer: Answer
     ) -> bool:
         """Return whether the answer is a server error that a retry may avoid."""
         is_failed = answer.status >= SERVER_ERROR_STATUS and not answer.is_sent
@@ -318,53 +277,3 @@
             is_sent=is_started,
             is_truncated=is_started,
         )
-
-
-def _is_unreached(answer: Answer) -> bool:
-    """Return whether an attempt ended before anything reached a target."""
-    failure = answer.failure
-    is_not_run = answer.outcome is Outcome.NOT_RUN and failure is not None
-    return is_not_run and failure is not None and failure.step is Step.LINK
-
-
-def _is_broken(answer: Answer) -> bool:
-    failure = answer.failure
-    if answer.outcome is not Outcome.UNKNOWN or failure is None:
-        return False
-    is_at_target = failure.step is Step.TARGET_CALL
-    return is_at_target and failure.reason not in NOT_TARGET_FAULT_REASONS
-
-
-def _make_answer(attempt: OpenAttempt, *, has_started: bool) -> Answer:
-    assembly = attempt.assembly
-    head = assembly.head
-    if assembly.verdict is Verdict.COMPLETE and head is not None:
-        return Answer(
-            Outcome.ANSWERED,
-            head.status,
-            head.headers,
-            assembly.read_available(),
-            head.weights_digest,
-        )
-    failure = assembly.failure or Failure(Reason.OUTCOME_UNKNOWN, Step.RELAY)
-    if assembly.verdict is Verdict.NOT_RUN:
-        return make_not_run(failure)
-    return Answer(
-        Outcome.UNKNOWN, failure=failure, is_sent=has_started, is_truncated=has_started
-    )
-
-
-def _combine(earlier: Answer | None, latest: Answer) -> Answer:
-    """Return the answer that follows from both attempts.
-
-    An idempotent request whose first attempt broke may have run, even if the
-    second was refused, so "not run" would be false.  An earlier server error, or
-    a part already sent to the caller, takes precedence over a later failure.
-    """
-    if earlier is None or latest.outcome is Outcome.ANSWERED:
-        return latest
-    if earlier.outcome is Outcome.ANSWERED:
-        return earlier
-    if latest.outcome is Outcome.UNKNOWN:
-        return latest
-    return earlier if earlier.outcome is Outcome.UNKNOWN else latest
--- a/reedspar/requests/relay_interfaces.py
+++ b/reedspar/requests/relay_interfaces.py
@@ -66,10 +66,14 @@
         """Record that the target started to answer."""
         ...
 
+    def on_silent(self, request: Request, chosen: ChosenTarget) -> None:
+        """Record that an open attempt has been silent for too long."""
+        ...
+
     def on_ended(
         self, request: Request, chosen: ChosenTarget, answer: Answer | None
     ) -> None:
-        """Record how an attempt ended; `answer` is None if the caller disconnected."""
+        """Record how an attempt ended; `answer` is None if this entry let go of it."""
         ...
 
     def on_refused(self, chosen: ChosenTarget, failure: Failure) -> None:
--- a/reedspar/requests/routing.py
+++ b/reedspar/requests/routing.py
@@ -142,6 +142,9 @@
     def on_first_byte(self, request: Request, chosen: ChosenTarget) -> None:
         """Do nothing, as agents report their targets' load."""
 
+    def on_silent(self, request: Request, chosen: ChosenTarget) -> None:
+        """Do nothing, as the silence of agents is noticed on their links."""
+
     def on_ended(
         self, request: Request, chosen: ChosenTarget, answer: Answer | None
     ) -> None:
