Refuse documents that are nested too deeply where json.loads was used

Five other readers used json.loads, which raises RecursionError, no ValueError, at some thousand levels: the operators' endpoint for patches answered 500, the tool ended with a traceback at such a line of a log or such a file, and a write to either store ended with an exception instead of a failure.

They now share parse_json, which raises ValueError for it; tomllib's own RecursionError is caught.

--- a/reedspar/admin/app.py
+++ b/reedspar/admin/app.py
@@ -1,6 +1,5 @@
 """Starlette application that serves ``/admin`` and ``/metrics``."""
 
-import json
 from typing import Any
 
 from pydantic import BaseModel, ValidationError
@@ -17,6 +16,7 @@
     EventRecorder,
     event_to_json,
 )
+from reedspar.utils import parse_json
 
 from .models import (
     ErrorBody,
@@ -98,7 +98,7 @@
             detail = f"the body is larger than {PATCH_BODY_MAX_BYTES} bytes"
             return PatchRefused(reason=Reason.INVALID, step=Step.BOUND, detail=detail)
     try:
-        return PatchRequest.model_validate(json.loads(bytes(body)))
+        return PatchRequest.model_validate(parse_json(bytes(body)))
     except ValidationError as error:
         errors = tuple(
             PatchError(path=".".join(map(str, item["loc"])), message=item["msg"])
--- a/reedspar/admin/tests/test_app.py
+++ b/reedspar/admin/tests/test_app.py
@@ -7,6 +7,7 @@
 
 from reedspar.admin import create_admin_app
 from reedspar.timeline import EventKind
+from reedspar.utils.tests.odd_json import list_odd_documents
 
 from .fakes import FakeDaemon
 
@@ -57,6 +58,13 @@
         kinds = [event.kind.value for event in events]
         self.assertEqual(kinds, ["config.patched"] * 2 + ["config.refused"])
 
+    def test_odd_patches_are_refused(self) -> None:
+        # Guards against an internal error for a body that is nested too deeply.
+        patch = {"base_version": 1, "patch_id": "patch-0001", "patch": {"zones": {}}}
+        for data in list_odd_documents(patch):
+            answer = self.call("POST", PATCHES, content=data)
+            self.assertIn(answer.status_code, (200, 409, 422), data[:200])
+
     def test_each_refusal_has_its_http_status(self) -> None:
         stale = self.patch(base_version=9)
         self.assertEqual(stale.status_code, 409)
--- a/reedspar/platform/http_key_value.py
+++ b/reedspar/platform/http_key_value.py
@@ -3,6 +3,7 @@
 import httpx
 
 from reedspar.errors import Failure, Reason, Step
+from reedspar.utils import parse_json
 
 from .http_client import (
     HttpAdapter,
@@ -101,7 +102,7 @@
         if response.status_code != httpx.codes.OK:
             return failure_of_status(response, STEP, self._peer)
         try:
-            answer = response.json()
+            answer = parse_json(response.content)
         except ValueError:
             return self._make_unreadable_failure()
         return answer if isinstance(answer, dict) else self._make_unreadable_failure()
--- a/reedspar/timeline/log_lines.py
+++ b/reedspar/timeline/log_lines.py
@@ -1,6 +1,5 @@
 """Parser for the JSON log lines of processes, with or without a collector's prefix."""
 
-import json
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from datetime import datetime
@@ -8,6 +7,7 @@
 from typing import Any
 
 from reedspar.errors import Failure, Reason, Step
+from reedspar.utils import parse_json
 
 from .events import Event, event_from_json
 
@@ -47,7 +47,7 @@
     if start < 0:
         return None
     try:
-        document = json.loads(text[start:])
+        document = parse_json(text[start:])
         time = document.get("time") or document["event"]["time"]
         return LogLine(
             datetime.fromisoformat(time).timestamp(),
--- a/reedspar/tool/patch_input.py
+++ b/reedspar/tool/patch_input.py
@@ -1,6 +1,5 @@
 """Parsing of patches from a file or from assignments to paths."""
 
-import json
 import re
 import tomllib
 import uuid
@@ -8,6 +7,7 @@
 from typing import Any
 
 from reedspar.errors import Failure, Reason, Step
+from reedspar.utils import parse_json
 
 __all__ = ["create_patch_id", "parse_assignment", "read_patch"]
 
@@ -66,7 +66,7 @@
     if not separator or not keys or position < len(path):
         return _invalid(f"{text}: not of the form path=value")
     try:
-        return keys, json.loads(value_text)
+        return keys, parse_json(value_text)
     except ValueError:
         return keys, value_text
 
@@ -75,10 +75,10 @@
     try:
         text = file.read_text()
         is_toml = file.suffix == ".toml"
-        loaded = tomllib.loads(text) if is_toml else json.loads(text)
+        loaded = tomllib.loads(text) if is_toml else parse_json(text)
     except OSError as error:
         return _invalid(f"{file}: {error.strerror}")
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return _invalid(f"{file}: {error}")
     if not isinstance(loaded, dict):
         return _invalid(f"{file}: not an object")
--- a/reedspar/utils/__init__.py
+++ b/reedspar/utils/__init__.py
@@ -2,6 +2,7 @@
 
 from .hashing import digest_bytes, rank_by_rendezvous, rendezvous_score
 from .headers import HOP_BY_HOP_HEADERS, parse_non_negative
+from .json_documents import parse_json
 from .lazy_imports import create_lazy_getattr
 from .recent_maximum import RecentMaximum
 from .sampling import sample_up_to
@@ -13,6 +14,7 @@
     "TokenBucket",
     "create_lazy_getattr",
     "digest_bytes",
+    "parse_json",
     "parse_non_negative",
     "rank_by_rendezvous",
     "rendezvous_score",
