Keep the attempt at a silent agent until another target answers

What callers would have seen: on the own interface, requests that may be repeated and that ended as unknown after 3 s of silence, or with the link to their agent, although the agent answers after all and no other target could run them. Found while looking for the cause of the cut streams elsewhere; nobody reported it.

Cause: the same as at silent targets, the attempt was given up before another target had it. An agent whose process is gone still ends its attempts at once.

--- a/reedspar/requests/attempt_client.py
+++ b/reedspar/requests/attempt_client.py
@@ -45,10 +45,8 @@
 """Time without a message after which the agent is asked to resume the answer."""
 GAP_RESUME_INTERVAL_S = 0.1
 """Minimum time between two requests to resume an answer after a gap."""
-LOST_AFTER_SILENCE_S = 3.0
-"""Time without a message after which an idempotent attempt is given up.
-
-The request is then run by another target."""
+SILENT_AFTER_S = 3.0
+"""Time without a message after which another target may run an idempotent request."""
 ANSWER_BUFFER_BYTES = 16 * 1024 * 1024
 """Maximum size of the unread part of one answer."""
 ACK_INTERVAL_BYTES = 256 * 1024
@@ -64,6 +62,7 @@
     gaps: int = 0
     resumed: int = 0
     corrupt: int = 0
+    silent: int = 0
     lost: int = 0
 
 
@@ -141,12 +140,12 @@
         timers: TimerService,
         *,
         resume_after_s: float = RESUME_AFTER_SILENCE_S,
-        lost_after_s: float = LOST_AFTER_SILENCE_S,
+        silent_after_s: float = SILENT_AFTER_S,
     ) -> None:
         self._network = network
         self._timers = timers
         self._resume_after_s = resume_after_s
-        self._lost_after_s = lost_after_s
+        self._silent_after_s = silent_after_s
         self._open: dict[tuple[str, int], OpenAttempt] = {}
         self.counts = ClientCounts()
         network.subscribe(AttemptHead, self._on_head)
@@ -209,27 +208,26 @@
                 self._give_up(attempt, "the agent was restarted")
 
     def sweep(self) -> None:
-        """Resume silent attempts; give up idempotent ones after a longer silence."""
+        """Resume silent attempts; mark them after a longer silence."""
         now_s = self._timers.now_s()
         for attempt in list(self._open.values()):
             if not attempt.assembly.is_open:
                 continue
-            silent_s = now_s - attempt.last_received_s
-            if silent_s >= self._lost_after_s and attempt.assembly.start.is_idempotent:
-                self._give_up(attempt, f"silent for {silent_s:.1f} s")
-            elif (
-                now_s - max(attempt.last_received_s, attempt.last_resume_s)
-                >= self._resume_after_s
-            ):
+            if now_s - attempt.last_received_s >= self._silent_after_s:
+                self._mark_silent(attempt)
+            asked_s = max(attempt.last_received_s, attempt.last_resume_s)
+            if now_s - asked_s >= self._resume_after_s:
                 self._resume(attempt)
 
     def _on_link_event(self, event: LinkEvent) -> None:
-        """Resume attempts on a new link; give up those whose agent is gone."""
+        """Resume attempts on a new link; mark or give up those whose agent is gone."""
         if event.change in (LinkChange.DOWN, LinkChange.REFUSED):
             is_gone = event.reason is Reason.UNAVAILABLE
             for attempt in self._list_open_at(event.peer):
-                if is_gone or attempt.assembly.start.is_idempotent:
-                    self._give_up(attempt, "the link to its agent is down")
+                if is_gone:
+                    self._give_up(attempt, "its agent is gone")
+                else:
+                    self._mark_silent(attempt)
             return
         self.on_incarnation(event.peer, event.incarnation)
         for attempt in self._list_open_at(event.peer):
@@ -242,6 +240,13 @@
             if attempt.target == target and attempt.assembly.is_open
         ]
 
+    def _mark_silent(self, attempt: OpenAttempt) -> None:
+        """Let another target be tried, if the request may be repeated."""
+        if not attempt.is_silent:
+            attempt.is_silent = True
+            self.counts.silent += 1
+            attempt.wake()
+
     def _give_up(self, attempt: OpenAttempt, detail: str) -> None:
         if attempt.assembly.on_lost(detail) is Progress.CHANGED:
             self.counts.lost += 1
@@ -325,7 +330,7 @@
             self.counts.dropped += 1
             self._discard_answer(sender, message)
             return None
-        attempt.last_received_s = self._timers.now_s()
+        attempt.record_received(self._timers.now_s())
         return attempt
 
     def _discard_answer(self, sender: Sender, message: Any) -> None:
--- a/reedspar/telemetry/metrics.py
+++ b/reedspar/telemetry/metrics.py
@@ -115,7 +115,7 @@
             "attempts.faults",
             "{fault}",
             "What went wrong on the way: dropped (messages that no open attempt "
-            "matched), gaps, resumed, corrupt, lost.",
+            "matched), gaps, resumed, corrupt, silent, lost.",
             "fault",
         ),
     ]
