Cancel a silent attempt at its agent when another one goes on

On the own interface the agent of a replaced attempt was not told, as its attempt had a verdict already, and its target worked on for nobody.

--- a/reedspar/requests/backup_attempts.py
+++ b/reedspar/requests/backup_attempts.py
@@ -114,7 +114,7 @@
         try:
             while _is_waiting(attempt):
                 if _has_begun(request, backup.attempt, state):
-                    _replace(request, attempt, backup)
+                    self._replace(request, attempt, backup)
                     break
                 ended = _find_end(backup.attempt, state)
                 if ended is not None:
@@ -130,6 +130,22 @@
                 self._client.close(backup.attempt)
                 state.record(ended)
 
+    def _replace(self, request: Request, attempt: OpenAttempt, backup: Backup) -> None:
+        """End a silent attempt, as another target goes on."""
+        _logger.info(
+            "silent attempt was replaced",
+            extra={
+                "request_id": request.caller_request_id,
+                "target": attempt.target,
+                "next_target": backup.chosen.name,
+            },
+        )
+        # Only an attempt without a verdict is cancelled at its agent.
+        self._client.close(attempt)
+        detail = "let go of, as another target goes on"
+        failure = Failure(Reason.CANCELLED, Step.RELAY, attempt.target, detail)
+        attempt.assembly.on_direct_end(failure)
+
 
 def _is_waiting(attempt: OpenAttempt) -> bool:
     return attempt.is_silent and attempt.assembly.is_open
@@ -175,18 +191,3 @@
     return Answer(
         Outcome.UNKNOWN, failure=failure, is_sent=is_sent, is_truncated=is_sent
     )
-
-
-def _replace(request: Request, attempt: OpenAttempt, backup: Backup) -> None:
-    """End a silent attempt, as another target goes on."""
-    _logger.info(
-        "silent attempt was replaced",
-        extra={
-            "request_id": request.caller_request_id,
-            "target": attempt.target,
-            "next_target": backup.chosen.name,
-        },
-    )
-    detail = "let go of, as another target goes on"
-    failure = Failure(Reason.CANCELLED, Step.RELAY, attempt.target, detail)
-    attempt.assembly.on_direct_end(failure)
--- a/reedspar/requests/tests/test_silent_agents.py
+++ b/reedspar/requests/tests/test_silent_agents.py
@@ -7,7 +7,7 @@
 import anyio
 import httpx
 
-from reedspar.attempts import AttemptStart
+from reedspar.attempts import AttemptCancel, AttemptStart
 from reedspar.errors import Reason
 from reedspar.links import LinkChange, LinkEvent
 from reedspar.requests.tests.fakes import (
@@ -35,6 +35,7 @@
 
         async def run() -> tuple[httpx.Response, float]:
             network, timers = FakeNetwork(), create_loop_timers()
+            self.network = network
             service = make_service(network, timers)
             async with anyio.create_task_group() as tasks:
 
@@ -91,6 +92,10 @@
             response, took_s = self.call({slow: 99.0, quick: 0.2}, lambda network: None)
             self.assertEqual(response.content, quick.encode())
             self.assertLess(took_s, 4.0)
+            sent = self.network.sent
+            cancelled = [peer for peer, m in sent if isinstance(m, AttemptCancel)]
+            started = [peer for peer, m in sent if isinstance(m, AttemptStart)]
+            self.assertEqual(cancelled, [name for name in started if name == slow])
 
 
 if __name__ == "__main__":
