--- a/reedspar/direct/tests/test_cut_answers.py
+++ b/reedspar/direct/tests/test_cut_answers.py
@@ -1,8 +1,10 @@
 """Tests of answers that an entry has begun to pass on, over ASGI."""
 
 import logging
+import random
 import unittest
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Any
 
 import anyio
@@ -23,19 +25,28 @@
     broken,
     make_direct_service,
     make_engine_target,
+    make_table,
     not_run,
     unreachable,
 )
-from reedspar.fleet import FleetView, TargetChange
+from reedspar.fleet import FleetView, RoutesChange, TargetChange
 from reedspar.requests.draining import DrainOptions, run_drain
 from reedspar.requests.request import Answer, Request
 from reedspar.requests.tests.test_draining import NoConnections
 from reedspar.requests.tests.virtual_time import create_loop_timers, run_virtual
+from reedspar.routes import RouteTable, index_routes
 from reedspar.telemetry import create_metrics
 
 CUT_LOGGER = "reedspar.requests.cut_log"
 SILENT_S = 1.8
 """Longer than the silence after which another target is tried."""
+SEEDS = 300
+EVENT_COUNT = 6
+PAUSE_MAX_S = 2.4
+PAUSES_MAX = 2
+HANG_S = 60.0
+TIMEOUT_S = 20.0
+"""Longer than all pauses of three targets."""
 ENDING_LOGGER = "reedspar.direct.request_log"
 
 
@@ -293,6 +304,73 @@
         self.run_with(script)
 
 
+class RandomSilenceTest(unittest.TestCase):
+    """Random pauses at the first target, and random faults at the others."""
+
+    def test_stream_whose_first_target_does_not_break_is_whole(self) -> None:
+        # Guards against streams that are cut, or joined wrongly, by what the targets do
+        # that are tried while the first one is silent.
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                run_virtual(self.run_seed, random.Random(seed))
+
+    async def run_seed(self, rng: random.Random) -> None:
+        names = ["q1", "q2", "q3"]
+        timers = create_loop_timers()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(timers.run)
+            targets = [make_engine_target(name) for name in names]
+            made = make_direct_service(timers, tasks, targets)
+            service, dialer, view = made
+            view.apply(RoutesChange(make_patient_table(rng.choice((2, 3)))))
+
+            def answer(target_id: str, request: Any) -> Any:
+                faults = (not_run, unreachable, broken, hang, None, None)
+                fault = rng.choice(faults) if len(dialer.sent) > 1 else None
+                if fault is not None:
+                    return rng.uniform(0, 1), fault(target_id)
+                return make_random_stream(rng, request)
+
+            dialer.script = answer
+            call = Call("/q/1", x_model="m")
+            await service.application(call.scope, call.receive, call.send)
+            whole = b"".join(map(make_event, range(1, EVENT_COUNT + 1)))
+            self.assertEqual((call.body, call.is_whole), (whole, True))
+            await anyio.sleep(0.1)
+            self.assertEqual(len(dialer.closed), len(dialer.sent))
+            self.assertEqual(service.client.open_count, 0)
+            for name in names:
+                self.assertEqual(service.loads.for_target(name).own_attempts, {})
+            tasks.cancel_scope.cancel()
+
+
+def make_patient_table(attempts_max: int) -> RouteTable:
+    """Return routes that leave time for some silences."""
+    table = make_table(2)
+    routes = [route for routes in table.routes.values() for route in routes]
+    return replace(
+        table,
+        routes=index_routes(
+            replace(route, timeout_s=TIMEOUT_S, attempts_max=attempts_max)
+            for route in routes
+        ),
+    )
+
+
+def hang(target_id: str) -> FakeResponse:
+    """Return a stream without an event."""
+    return FakeResponse([HANG_S], content_type=EVENT_STREAM_TYPE)
+
+
+def make_random_stream(rng: random.Random, request: Any) -> FakeResponse:
+    """Return the events from where a stream resumes, with some pauses between them."""
+    first = int(dict(request.headers).get("last-event-id", "0")) + 1
+    pieces: list[Any] = [make_event(n) for n in range(first, EVENT_COUNT + 1)]
+    for _ in range(rng.randint(0, PAUSES_MAX)):
+        pieces.insert(rng.randint(0, len(pieces)), rng.uniform(0.1, PAUSE_MAX_S))
+    return FakeResponse(pieces, content_type=EVENT_STREAM_TYPE)
+
+
 class CutLogTest(DirectTestCase):
     def test_line_tells_who_cut_an_answer(self) -> None:
         # Guards against cut answers whose cause no log line tells.
--- a/reedspar/requests/relay.py
+++ b/reedspar/requests/relay.py
@@ -91,7 +91,7 @@
     ) -> Answer:
         """Make an attempt, and go on with those that replace it while it is silent."""
         state.tried.add(chosen.name)
-        had_run = request.may_have_run
+        may_have_run_before = request.may_have_run
         attempt = self._opening.open(request, chosen, state)
         if isinstance(attempt, Answer):
             state.record(attempt)
@@ -101,7 +101,7 @@
             state.record(latest)
             latest = await self._attempt(request, backup.chosen, backup.attempt, state)
         if latest.outcome is Outcome.NOT_RUN:
-            request.may_have_run = had_run or state.may_have_run
+            request.may_have_run = may_have_run_before or state.may_have_run
         state.record(latest)
         return latest
 
