--- a/reedspar/requests/tests/test_draining.py
+++ b/reedspar/requests/tests/test_draining.py
@@ -57,6 +57,7 @@
         of those that send one, by the times of the calls.
         """
         self.responses: dict[float, httpx.Response] = {}
+        self.answered_s: dict[float, float] = {}
         self.uploads = uploads or {}
         self.limits_s = limits_s or {}
         return run_virtual(self._run, calls)
@@ -91,6 +92,7 @@
                     self.responses[at_s] = await http.request(
                         method, path, headers=headers, content=self.uploads.get(at_s)
                     )
+                self.answered_s[at_s] = anyio.current_time()
 
             network.on_send = on_send
             tasks.start_soon(timers.run)
@@ -158,6 +160,17 @@
         self.assertEqual(self.responses[13].content, b"whole")
         self.assertAlmostEqual(stopped_s, 30.0, delta=0.2)
 
+    def test_upload_whose_limit_ends_after_the_drain_is_refused_at_once(self) -> None:
+        # Guards against callers that go on sending a body which the head of their
+        # request has shown to be in vain.
+        self.run_calls(
+            (12, "/v1/pools/orders/1"),
+            uploads={12: send_slowly(12)},
+            limits_s={12: 60},
+        )
+        self.assertEqual(self.responses[12].json()["outcome"], "not-run")
+        self.assertLess(self.answered_s[12], 13.0)
+
     def test_idle_entry_waits_for_cached_addresses_only(self) -> None:
         self.assertAlmostEqual(self.run_calls(), 16.0, delta=0.2)
 
