--- a/reedspar/requests/attempt_client.py
+++ b/reedspar/requests/attempt_client.py
@@ -85,7 +85,7 @@
         self.is_silent = False
         """Whether nothing has arrived for so long that another target may be faster."""
         self.while_silent: Callable[[], Awaitable[None]] | None = None
-        """Waits until a silent attempt goes on, ends or is replaced."""
+        """Tries other targets until the silent attempt goes on, ends or is replaced."""
         self._event: anyio.Event | None = None
 
     @property
@@ -116,7 +116,7 @@
         self._event = event
 
     async def wait(self) -> None:
-        """Wait until `wake` is called, or as long as a silent attempt is replaced."""
+        """Wait until `wake` is called, or a silent attempt goes on or is replaced."""
         if self.is_silent and self.while_silent is not None:
             await self.while_silent()
         else:
