Tell when the retries of an entry were written and settled

Retries were counted when they were chosen, and nothing told when they had arrived, or whether they still could. Each attempt now has a record of when it was made, written and settled: by an answer, as nothing was written, as its target has answered a much later connection, or by the lapse of two minutes. A connection that ended as nothing was heard from its peer has a reason of its own.

--- a/reedspar/daemon/site_entry.py
+++ b/reedspar/daemon/site_entry.py
@@ -290,6 +290,10 @@
     adapters.metrics.memory_refusals.set_callback(service.read_memory_refusals)
     adapters.metrics.retries.set_callback(service.retry_shares.budgets.read_counts)
     adapters.metrics.retries_left.set_callback(service.retry_shares.budgets.read_left)
+    budgets = service.retry_shares.budgets
+    adapters.metrics.retries_held.set_callback(budgets.read_held)
+    adapters.metrics.retries_settled.set_callback(budgets.read_settled)
+    adapters.metrics.retry_entries.set_callback(service.retry_shares.read_entries)
     adapters.metrics.endless_answers.set_callback(
         service.chooser.endless_news.read_counts
     )
--- a/reedspar/direct/client.py
+++ b/reedspar/direct/client.py
@@ -25,10 +25,13 @@
 from reedspar.requests.assembly import AnswerAssembly
 from reedspar.requests.attempt_client import OpenAttempt
 from reedspar.requests.event_stream import is_event_stream
+from reedspar.requests.hand_over import Settlement
 from reedspar.supervision import TaskSpawner, report_unexpected_error
 from reedspar.timers import TimerService
 
 from .attempt_checks import AttemptChecks
+from .attempt_failures import log_truncated, make_endless_failure, make_unread_failure
+from .late_arrivals import Address, LateArrivals
 from .loads import LoadReport
 from .notices import NoticeListener
 
@@ -95,6 +98,7 @@
     attempt: OpenAttempt
     scope: anyio.CancelScope
     buffer_has_room: anyio.Event
+    address: Address | None
     failure: Failure | None = None
     """Reason why this entry ended the attempt."""
 
@@ -109,8 +113,10 @@
         tasks: TaskSpawner,
         record_report: Callable[[str, LoadReport], None],
         checks: AttemptChecks,
+        late_arrivals: LateArrivals,
         plain_max_bytes: float,
     ) -> None:
+        self._late_arrivals = late_arrivals
         self._plain_max_bytes = plain_max_bytes
         self._dialer = dialer
         self._timers = timers
@@ -130,7 +136,12 @@
         if not self._dialer.has_address(target):
             return Failure(Reason.UNAVAILABLE, Step.LINK, target, "has no address")
         attempt = OpenAttempt(AnswerAssembly(start, target), self._timers.now_s())
-        running = _RunningAttempt(attempt, anyio.CancelScope(), anyio.Event())
+        running = _RunningAttempt(
+            attempt,
+            anyio.CancelScope(),
+            anyio.Event(),
+            self._late_arrivals.address_of(target),
+        )
         self._running[id(attempt)] = running
         self._tasks.start_soon(self._run, attempt, running)
         return attempt
@@ -207,9 +218,26 @@
                 failure = Failure(
                     Reason.OUTCOME_UNKNOWN, Step.TARGET_CALL, target, detail
                 )
+        self._settle(running)
         attempt.assembly.on_direct_end(running.failure or failure)
         attempt.wake()
 
+    def _settle(self, running: _RunningAttempt) -> None:
+        """Settle an attempt that has ended, or follow what was written of it."""
+        hand_over = running.attempt.hand_over
+        if hand_over.settlement is not None:
+            return
+        if hand_over.written_s is None:
+            hand_over.settle(Settlement.UNSENT, self._timers.now_s())
+        else:
+            self._late_arrivals.expect(running.address, hand_over)
+
+    def _record_reply(self, running: _RunningAttempt) -> None:
+        """Record that a target has answered, or has ended the connection."""
+        hand_over = running.attempt.hand_over
+        hand_over.settle(Settlement.ANSWERED, self._timers.now_s())
+        self._late_arrivals.record_reply(running.address, hand_over)
+
     async def _read(
         self, attempt: OpenAttempt, running: _RunningAttempt
     ) -> Failure | None:
@@ -232,13 +260,22 @@
             if attempt.is_abandoned():
                 detail = "its caller has left"
                 return Failure(Reason.EXPIRED, Step.LINK, target, detail)
-            return self._checks.check_hand_over(
+            failure = self._checks.check_hand_over(
                 target, start.request_id, SWEEP_INTERVAL_S
             )
+            if failure is None:
+                attempt.hand_over.written_s = self._timers.now_s()
+            return failure
 
         async with self._dialer.send(target, request, check_before_write) as response:
             if isinstance(response, Failure):
+                if (
+                    response.step is not Step.LINK
+                    and response.reason is not Reason.LOST
+                ):
+                    self._record_reply(running)
                 return response
+            self._record_reply(running)
             headers = tuple(Header(name, value) for name, value in response.headers)
             head = AttemptHead(
                 start.request_id,
@@ -255,9 +292,9 @@
             if failure is None and not attempt.assembly.ends_inside_event:
                 return None
             if attempt.hold_ups.explains_cut(self._timers.now_s()):
-                return _make_unread_failure(attempt)
+                return make_unread_failure(attempt)
             if failure is None:
-                _log_truncated(attempt, response)
+                log_truncated(attempt, is_delimited=response.is_delimited)
             return failure
 
     async def _read_body(
@@ -281,7 +318,7 @@
             has_progressed = progress.feed(piece, self._timers.now_s())
             excess = progress.find_excess()
             if excess:
-                return _make_endless_failure(attempt, excess)
+                return make_endless_failure(attempt, excess)
             if has_progressed:
                 self._mark_received(attempt)
             else:
@@ -317,44 +354,9 @@
     return is_full or attempt.hold.is_full
 
 
-def _make_endless_failure(attempt: OpenAttempt, excess: str) -> Failure:
-    """Return the failure of an answer that goes on without progress."""
-    _logger.warning(
-        "answer without end",
-        extra={
-            "target": attempt.target,
-            "attempt": attempt.assembly.start.request_id,
-            "excess": excess,
-        },
-    )
-    return Failure(Reason.CORRUPT, Step.TARGET_CALL, attempt.target, excess)
-
-
-def _make_unread_failure(attempt: OpenAttempt) -> Failure:
-    """Return the failure of an answer that was cut while nobody read it.
-
-    Its reason is none of the target's faults: a crash would be read the same way, but
-    without one the target would be suspected for what its caller did.
-    """
-    detail = "the target cut an answer that its caller did not read"
-    _logger.info(
-        "unread answer was cut",
-        extra={"target": attempt.target, "attempt": attempt.assembly.start.request_id},
-    )
-    return Failure(Reason.CANCELLED, Step.RELAY, attempt.target, detail)
-
-
-def _log_truncated(attempt: OpenAttempt, response: DirectResponse) -> None:
-    assembly = attempt.assembly
-    _logger.warning(
-        "stream ended inside an event",
-        extra={
-            "target": attempt.target,
-            "attempt": assembly.start.request_id,
-            "size_bytes": assembly.size_bytes,
-            "is_delimited": response.is_delimited,
-        },
-    )
+def _is_reply(failure: Failure) -> bool:
+    """Return whether a failure tells that the target has read the connection."""
+    return failure.step is not Step.LINK and failure.reason is not Reason.LOST
 
 
 def _awaits_head(running: _RunningAttempt) -> bool:
@@ -369,6 +371,7 @@
     tasks: TaskSpawner,
     record_report: Callable[[str, LoadReport], None],
     checks: AttemptChecks,
+    late_arrivals: LateArrivals,
     plain_max_bytes: float,
 ) -> DirectAttemptClient:
     """Create a client whose attempts run in `tasks`.
@@ -376,5 +379,5 @@
     `plain_max_bytes` is the largest answer that is no stream of events.
     """
     return DirectAttemptClient(
-        dialer, timers, tasks, record_report, checks, plain_max_bytes
+        dialer, timers, tasks, record_report, checks, late_arrivals, plain_max_bytes
     )
--- a/reedspar/direct/retry_shares.py
+++ b/reedspar/direct/retry_shares.py
@@ -63,12 +63,22 @@
         self.budgets.set_burst(self._burst())
         self.budgets.refill_unused(self._timers.now_s(), self._window_s)
 
-    def _burst(self) -> float:
-        """Return this entry's part of the slack."""
+    def read_entries(self) -> list[tuple[float, dict[str, str]]]:
+        """Return among how many entries the slack is divided, for the metrics."""
+        return [(self._count() or 0, {})]
+
+    def _count(self) -> float | None:
+        """Return among how many entries the slack is divided, None if not known yet."""
         now_s = self._timers.now_s()
         if self._listed_s is None or now_s < self._listed_s + REGISTRATION_S:
+            return None
+        return max(ENTRIES_MIN, self._entries.read(now_s))
+
+    def _burst(self) -> float:
+        """Return this entry's part of the slack."""
+        count = self._count()
+        if count is None:
             return UNKNOWN_COUNT_BURST
-        count = max(ENTRIES_MIN, self._entries.read(now_s))
         return SLACK_FRACTION * self._slack / count
 
 
--- a/reedspar/direct/service.py
+++ b/reedspar/direct/service.py
@@ -47,6 +47,7 @@
 from .crashes import create_crash_detector
 from .endless_news import EndlessNews
 from .filters import DeadlineFilter, RouteIdentificationFilter
+from .late_arrivals import create_late_arrivals
 from .leaving_targets_log import LeavingTargetsLog
 from .loads import TargetLoads
 from .notices import TargetNotices
@@ -268,6 +269,7 @@
         tasks,
         chooser.record_report,
         checks,
+        create_late_arrivals(view, timers),
         settings.limits.answer_mb * BYTES_PER_MB,
     )
     retry_shares = create_retry_shares(bounds, timers)
--- a/reedspar/errors.py
+++ b/reedspar/errors.py
@@ -43,6 +43,8 @@
     TIMEOUT = "timeout"
     CORRUPT = "corrupt"
     """A digest or a length did not match."""
+    LOST = "lost"
+    """The connection has gone silent; the peer may still receive what was sent."""
     CANCELLED = "cancelled"
     NO_TARGET = "no_target"
     """No target is available for the request."""
--- a/reedspar/platform/http_client.py
+++ b/reedspar/platform/http_client.py
@@ -1,5 +1,7 @@
 """HTTP clients of the adapters, and the mapping of HTTP errors to failures."""
 
+import errno
+
 import httpx
 
 from reedspar.errors import Failure, Reason, Step
@@ -28,6 +30,7 @@
 """
 NOT_EXECUTED_STATUS = 503
 CONNECTIONS_MAX = 64
+PATH_LOST_ERRNOS = frozenset({errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH})
 IDENTITY_ENCODING_HEADERS = {"accept-encoding": "identity"}
 UNSENT_ERRORS = (
     httpx.ConnectError,
@@ -83,6 +86,16 @@
     return f"{kind}: {text}" if text else kind
 
 
+def is_path_lost(error: BaseException) -> bool:
+    """Return whether a connection ended as nothing was heard from its peer."""
+    cause: BaseException | None = error
+    while cause is not None:
+        if isinstance(cause, OSError) and cause.errno in PATH_LOST_ERRNOS:
+            return True
+        cause = cause.__cause__ or cause.__context__
+    return False
+
+
 def failure_of_write(error: Exception, step: Step, peer: str) -> Failure:
     """Return the failure of a write: `UNAVAILABLE` only if nothing was sent."""
     is_unsent = isinstance(error, UNSENT_ERRORS)
--- a/reedspar/requests/assembly.py
+++ b/reedspar/requests/assembly.py
@@ -32,7 +32,13 @@
 
 Half of the minimum time that an agent keeps the record of an ended attempt."""
 INCONCLUSIVE_REASONS = frozenset(
-    {Reason.OUTCOME_UNKNOWN, Reason.TIMEOUT, Reason.CORRUPT, Reason.CANCELLED}
+    {
+        Reason.OUTCOME_UNKNOWN,
+        Reason.LOST,
+        Reason.TIMEOUT,
+        Reason.CORRUPT,
+        Reason.CANCELLED,
+    }
 )
 """Failures at a target after which the request may have run."""
 
--- a/reedspar/requests/attempt_client.py
+++ b/reedspar/requests/attempt_client.py
@@ -31,6 +31,7 @@
 
 from .answer_buffers import HoldUps, RequestHold, create_free_hold
 from .assembly import AnswerAssembly, Progress
+from .hand_over import HandOver, Settlement
 
 __all__ = [
     "AttemptClient",
@@ -72,6 +73,7 @@
     def __init__(self, assembly: AnswerAssembly, now_s: float) -> None:
         self.assembly = assembly
         self.started_s = now_s
+        self.hand_over = HandOver(now_s)
         self.last_received_s = now_s
         self.last_resume_s = now_s
         self.acked_bytes = 0
@@ -176,6 +178,7 @@
     def close(self, attempt: OpenAttempt) -> None:
         """Close an attempt; cancel it at its agent if it is unfinished."""
         start = attempt.assembly.start
+        attempt.hand_over.settle(Settlement.CLOSED, self._timers.now_s())
         if self._open.pop((start.request_id, start.attempt), None) is None:
             return
         if attempt.assembly.end is not None:
--- a/reedspar/requests/attempt_opening.py
+++ b/reedspar/requests/attempt_opening.py
@@ -43,7 +43,9 @@
         attempt = self._client.open(chosen.name, start)
         if isinstance(attempt, Failure):
             self._chooser.on_refused(chosen, attempt)
+            state.retries.on_refused()
             return make_not_run(attempt)
+        state.retries.on_opened(chosen.name, attempt.hand_over)
         attempt.hold = request.hold
         attempt.is_abandoned = lambda: request.is_abandoned
         request.hold.deadline_s = request.deadline_s
--- a/reedspar/requests/backup_attempts.py
+++ b/reedspar/requests/backup_attempts.py
@@ -14,7 +14,6 @@
 from .relay_interfaces import AttemptOpener, ChosenTarget, TargetChooser
 from .relay_state import Backup, RelayState, make_answer
 from .request import Answer, Outcome, Request
-from .retry_budgets import RetryBudgets
 from .stream_forwarder import SUCCESS_STATUS, is_streamed
 
 __all__ = ["BROKEN_ATTEMPTS_MAX", "BackupAttempts"]
@@ -40,14 +39,12 @@
         opening: AttemptOpening,
         client: AttemptOpener,
         chooser: TargetChooser,
-        budgets: RetryBudgets,
         quarantine: Quarantine,
         timers: TimerService,
     ) -> None:
         self._opening = opening
         self._client = client
         self._chooser = chooser
-        self._budgets = budgets
         self._quarantine = quarantine
         self._timers = timers
 
@@ -97,7 +94,7 @@
         chosen = self._chooser.choose(request, state.tried)
         if isinstance(chosen, Failure):
             return None
-        if not self._budgets.for_pool(request.pool).try_spend():
+        if not state.retries.try_spend():
             return None
         state.tried.add(chosen.name)
         attempt = self._opening.open(request, chosen, state)
--- a/reedspar/requests/relay.py
+++ b/reedspar/requests/relay.py
@@ -23,6 +23,7 @@
 from .relay_interfaces import AttemptOpener, ChosenTarget, RelayOptions, TargetChooser
 from .relay_state import RelayState, make_answer
 from .request import Answer, Outcome, Proceed, Request, is_success
+from .request_retries import RequestRetries, RetryLog
 from .retry_budgets import RetryBudgets
 from .stream_forwarder import StreamForwarder, is_streamed
 
@@ -56,9 +57,10 @@
         self._quarantine = quarantine
         self._timers = timers
         self._options = options or RelayOptions()
+        self._retry_log = RetryLog(timers)
         self._opening = AttemptOpening(client, chooser, timers, self._options)
         self._backups = BackupAttempts(
-            self._opening, client, chooser, budgets, quarantine, timers
+            self._opening, client, chooser, quarantine, timers
         )
         self._last_served_s: dict[str, float] = {}
 
@@ -67,7 +69,9 @@
         return self._add_retry_delay(request, await self._make_attempts(request))
 
     async def _make_attempts(self, request: Request) -> Answer:
-        state = RelayState(StreamForwarder(request, self._client))
+        budget = self._budgets.for_pool(request.pool)
+        retries = RequestRetries(request, budget, self._retry_log)
+        state = RelayState(StreamForwarder(request, self._client), retries)
         try:
             while True:
                 chosen = await self._choose_or_wait(request, state)
@@ -85,6 +89,7 @@
             if backup is not None:
                 self._chooser.on_ended(request, backup.chosen, None)
                 self._client.close(backup.attempt)
+            retries.on_ended()
 
     async def _attempt_until_kept(
         self, request: Request, chosen: ChosenTarget, state: RelayState
@@ -123,12 +128,11 @@
 
     def _is_within_budget(self, request: Request, state: RelayState) -> bool:
         """Return whether the attempt is the first or the retry budget allows it."""
-        budget = self._budgets.for_pool(request.pool)
         if not state.handed_over_count:
             if not state.unreached_count:
-                budget.on_first_attempt()
+                self._budgets.for_pool(request.pool).on_first_attempt()
             return True
-        return budget.try_spend()
+        return state.retries.try_spend()
 
     async def _choose_or_wait(
         self, request: Request, state: RelayState
--- a/reedspar/requests/relay_state.py
+++ b/reedspar/requests/relay_state.py
@@ -9,6 +9,7 @@
 from .outcome_encoding import make_not_run
 from .relay_interfaces import ChosenTarget
 from .request import Answer, Outcome
+from .request_retries import RequestRetries
 from .stream_forwarder import StreamForwarder
 
 __all__ = ["Backup", "RelayState", "make_answer"]
@@ -30,6 +31,7 @@
     """Attempts of one request so far, and their result."""
 
     forwarder: StreamForwarder
+    retries: RequestRetries
     tried: set[str] = field(default_factory=set)
     result: Answer | None = None
     """Answer that follows from all attempts so far."""
--- a/reedspar/requests/retry_budgets.py
+++ b/reedspar/requests/retry_budgets.py
@@ -1,5 +1,9 @@
 """Retry budgets: token buckets that are filled by first attempts."""
 
+from collections import Counter
+
+from .hand_over import Settlement
+
 __all__ = ["RetryBudget", "RetryBudgets"]
 
 DEFAULT_BURST = 10.0
@@ -32,6 +36,10 @@
         """Retries since the start."""
         self.refused = 0
         """Retries since the start for which there was no token."""
+        self.held = 0
+        """Retries that may still arrive."""
+        self.settled: Counter[Settlement] = Counter()
+        """Retries since the start that can't arrive any more."""
 
     @property
     def left(self) -> float:
@@ -60,6 +68,21 @@
         self.made += 1
         return True
 
+    def try_hold(self) -> bool:
+        """Remove the token for a retry that arrives later; return whether it was there.
+
+        `release` tells when it can't arrive any more.
+        """
+        if not self.try_spend():
+            return False
+        self.held += 1
+        return True
+
+    def release(self, settlement: Settlement) -> None:
+        """Record that a retry has arrived, or never will."""
+        self.held -= 1
+        self.settled[settlement] += 1
+
     def refill_if_unused(self, now_s: float, window_s: float) -> None:
         """Fill the budget if no retry was made for a whole window."""
         if self.made != self._made_before:
@@ -126,6 +149,18 @@
             for outcome, count in (("made", budget.made), ("refused", budget.refused))
         ]
 
+    def read_held(self) -> list[tuple[float, dict[str, str]]]:
+        """Return the number of retries that may still arrive, by pool."""
+        return [(item.held, {"pool": pool}) for pool, item in self._budgets.items()]
+
+    def read_settled(self) -> list[tuple[float, dict[str, str]]]:
+        """Return the number of retries that can't arrive any more, by pool and why."""
+        return [
+            (count, {"pool": pool, "settlement": settlement.value})
+            for pool, budget in self._budgets.items()
+            for settlement, count in budget.settled.items()
+        ]
+
     def read_left(self) -> list[tuple[float, dict[str, str]]]:
         """Return the number of retries that are allowed now, by pool."""
         return [(item.left, {"pool": pool}) for pool, item in self._budgets.items()]
--- a/reedspar/telemetry/load_metrics.py
+++ b/reedspar/telemetry/load_metrics.py
@@ -93,6 +93,34 @@
             "pool",
         ),
     ]
+    retries_held: Annotated[
+        ObservableInstrument,
+        observed_gauge(
+            "retries.held",
+            "{retry}",
+            "Retries that may still arrive at a target.",
+            "pool",
+        ),
+    ]
+    retries_settled: Annotated[
+        ObservableInstrument,
+        observed_counter(
+            "retries.settled",
+            "{retry}",
+            "Retries that can't arrive any more, by why: answered, unsent, overtaken, "
+            "expired, closed.",
+            "pool",
+            "settlement",
+        ),
+    ]
+    retry_entries: Annotated[
+        ObservableInstrument,
+        observed_gauge(
+            "retries.entries",
+            "{entry}",
+            "Entries among which the slack of retries is divided; 0: not known yet.",
+        ),
+    ]
     endless_answers: Annotated[
         ObservableInstrument,
         observed_counter(
