Count a retry against its bound until it can't arrive any more

What targets saw: 72 retries at once as they went on after standing still, 100 more some seconds later, 1.24 times what is allowed.

Cause: a budget counted retries when they were chosen, and filled up a window after the last choice. The kernel of a target takes requests while its process stands still; they arrive when it goes on, also those whose connections were closed. The class: a limit on an effect that is counted by the clock of its cause.

Now a retry keeps its place until it is settled, and the budget never holds more than its part less what is held. With at most the whole part at the start of any window, what arrives in it is at most the part and what first attempts have earned in it, whatever lies between choice and arrival. All attempts of a request but one may hold a place, as the first one may arrive last.

Ruled out: attempts that are taken for never sent (a connection that times out brings no bytes: test_standing_runner); giving a token back by the clock alone, since a standstill may last longer than any window.

--- a/reedspar/requests/retry_budgets.py
+++ b/reedspar/requests/retry_budgets.py
@@ -16,6 +16,9 @@
     Each first attempt adds `share` tokens, and each retry uses 1.  The budget
     holds at most `burst` tokens, which limits the retries after a long period
     without failures.  `unused_since_s` is the time since which no retry was made.
+
+    The limit is on what arrives within a window.  So a retry that may still arrive
+    takes its room in the budget until it is settled, whenever it was made.
     """
 
     def __init__(
@@ -30,8 +33,8 @@
         self._burst = burst
         self._tokens = burst if is_full else 0.0
         self._unused_since_s = unused_since_s
-        self._made_before = 0
-        """Retries until `unused_since_s`."""
+        self._uses_before = 0
+        """Retries made and settled until `unused_since_s`."""
         self.made = 0
         """Retries since the start."""
         self.refused = 0
@@ -53,11 +56,12 @@
     def set_burst(self, burst: float) -> None:
         """Change the capacity."""
         self._burst = burst
-        self._tokens = min(self._tokens, burst)
+        self._limit()
 
     def on_first_attempt(self) -> None:
         """Add the tokens of a first attempt."""
-        self._tokens = min(self._burst, self._tokens + self._share)
+        self._tokens += self._share
+        self._limit()
 
     def try_spend(self) -> bool:
         """Remove the token for one retry; return whether there was one."""
@@ -76,6 +80,7 @@
         if not self.try_spend():
             return False
         self.held += 1
+        self._limit()
         return True
 
     def release(self, settlement: Settlement) -> None:
@@ -84,12 +89,17 @@
         self.settled[settlement] += 1
 
     def refill_if_unused(self, now_s: float, window_s: float) -> None:
-        """Fill the budget if no retry was made for a whole window."""
-        if self.made != self._made_before:
-            self._made_before = self.made
+        """Fill the budget if no retry was made or settled for a whole window."""
+        uses = self.made + self.settled.total()
+        if uses != self._uses_before:
+            self._uses_before = uses
             self._unused_since_s = now_s
         elif now_s - self._unused_since_s >= window_s:
             self._tokens = self._burst
+            self._limit()
+
+    def _limit(self) -> None:
+        self._tokens = max(0.0, min(self._tokens, self._burst - self.held))
 
 
 class RetryBudgets:
@@ -124,7 +134,7 @@
         return budget
 
     def refill_unused(self, now_s: float, window_s: float) -> None:
-        """Fill the budgets from which no retry was made for a whole window."""
+        """Fill the budgets whose retries have all arrived a whole window ago."""
         for budget in self._budgets.values():
             budget.refill_if_unused(now_s, window_s)
         self._is_full = self._is_full or now_s - self._unused_since_s >= window_s
