Give a new process a smaller part while targets may read its predecessor's

What targets saw: entries were killed while all targets stood still, and 14 s later 72 retries of the processes that had ended arrived at once; the new processes, quiet for a window, added 99 of their own (1.23 times what is allowed).

Cause: what a retry holds in its budget ends with the process, the retry does not. A new process can't know what is on its way. So the entries divide 0.3 of the slack, what the other budgets leave, for 20 s beyond the first window; both parts together are the slack.

A standstill of over 20 s from the start of a process on is not covered.

--- a/reedspar/direct/retry_shares.py
+++ b/reedspar/direct/retry_shares.py
@@ -10,8 +10,14 @@
 SLACK_FRACTION = 0.7
 """Fraction of the slack that the known entries divide among themselves.
 
-The rest is a reserve for entries that don't know of each other yet, and for retries
-that reach their targets later than they were counted."""
+The rest is a reserve for entries that have just started, and for entries that don't
+know of each other yet."""
+STARTUP_FRACTION = 1.0 - SLACK_FRACTION
+"""Fraction of the slack that entries divide which have just started.
+
+Targets that stand still may yet read the whole part of the processes before them."""
+STANDSTILL_S = 20.0
+"""Standstill of targets, from the start of a process on, for which it makes room."""
 ENTRIES_MIN = 3
 """Minimum number of entries assumed: one that just started may know no others."""
 ENTRY_MEMORY_S = 300.0
@@ -30,12 +36,14 @@
 
     No window of the bound holds the slack of two processes of one entry: a process
     starts without tokens, and what it has not used for a whole window is filled up.
+    Its part is smaller as long as retries of the process before it may still arrive.
     """
 
     def __init__(self, bounds: BoundSettings, timers: TimerService) -> None:
         self._slack = bounds.retry_slack
         self._window_s = bounds.retry_window_ms / 1000
         self._timers = timers
+        self._started_s = timers.now_s()
         self._entries = RecentMaximum(ENTRY_MEMORY_S)
         self._listed_s: float | None = None
         self.budgets = RetryBudgets(bounds.retry_share, self._burst())
@@ -79,7 +87,13 @@
         count = self._count()
         if count is None:
             return UNKNOWN_COUNT_BURST
-        return SLACK_FRACTION * self._slack / count
+        return self._fraction() * self._slack / count
+
+    def _fraction(self) -> float:
+        """Return the fraction of the slack that is divided now."""
+        full_s = self._started_s + self._window_s + STANDSTILL_S
+        is_full = self._timers.now_s() >= full_s
+        return SLACK_FRACTION if is_full else STARTUP_FRACTION
 
 
 def create_retry_shares(bounds: BoundSettings, timers: TimerService) -> RetryShares:
