Count the entries that the store turns away among those that retry

Cause: an entry was known by its registration alone, and the store is what keeps that. The class: a count of peers that has one witness. An entry that the store turns away asks its peers for news several times a second, so they have a link to it.

Measured: RetrySharesTest.test_entries_that_the_store_turns_away_count fails without the links (above) and passes with them.

--- a/reedspar/direct/retry_shares.py
+++ b/reedspar/direct/retry_shares.py
@@ -1,5 +1,7 @@
 """This entry's part of the retries that all entries together may make."""
 
+from collections.abc import Callable
+
 from reedspar.requests.retry_budgets import RetryBudgets
 from reedspar.settings import BoundSettings
 from reedspar.timers import TimerService
@@ -39,7 +41,14 @@
     Its part is smaller as long as retries of the process before it may still arrive.
     """
 
-    def __init__(self, bounds: BoundSettings, timers: TimerService) -> None:
+    def __init__(
+        self,
+        bounds: BoundSettings,
+        timers: TimerService,
+        count_unregistered: Callable[[], int],
+    ) -> None:
+        self._count_unregistered = count_unregistered
+        self._registered = 0
         self._slack = bounds.retry_slack
         self._window_s = bounds.retry_window_ms / 1000
         self._timers = timers
@@ -64,10 +73,12 @@
 
     def set_entry_count(self, count: int) -> None:
         """Set the number of entries that are registered now."""
-        self._entries.record(count, self._timers.now_s())
+        self._registered = count
         self._update()
 
     def _update(self) -> None:
+        count = self._registered + self._count_unregistered()
+        self._entries.record(count, self._timers.now_s())
         self.budgets.set_burst(self._burst())
         self.budgets.refill_unused(self._timers.now_s(), self._window_s)
 
@@ -96,6 +107,12 @@
         return SLACK_FRACTION if is_full else STARTUP_FRACTION
 
 
-def create_retry_shares(bounds: BoundSettings, timers: TimerService) -> RetryShares:
-    """Create an entry's part of the bounds, with a budget for each pool."""
-    return RetryShares(bounds, timers)
+def create_retry_shares(
+    bounds: BoundSettings, timers: TimerService, count_unregistered: Callable[[], int]
+) -> RetryShares:
+    """Create an entry's part of the bounds, with a budget for each pool.
+
+    `count_unregistered` tells how many entries have a link to this one, and no
+    registration: the store may turn them away.
+    """
+    return RetryShares(bounds, timers, count_unregistered)
--- a/reedspar/direct/service.py
+++ b/reedspar/direct/service.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 import anyio
 from starlette.types import ASGIApp
@@ -169,6 +170,12 @@
         self._retry_shares.set_entry_count(len(entries))
 
 
+def _count_unregistered(view: FleetView, network: Network) -> int:
+    """Return how many entries are linked to this one without being registered."""
+    registered = {entry.name for entry in view.daemons(Role.ENTRY.value)}
+    return len(set(network.peers(Role.ENTRY)) - registered)
+
+
 def create_direct_service(
     *,
     settings: SiteSettings,
@@ -272,7 +279,9 @@
         create_late_arrivals(view, timers),
         settings.limits.answer_mb * BYTES_PER_MB,
     )
-    retry_shares = create_retry_shares(bounds, timers)
+    retry_shares = create_retry_shares(
+        bounds, timers, partial(_count_unregistered, view, network)
+    )
     follower = _FleetFollower(view, loads, cold_limits, retry_shares, timers)
     view.on_change(follower.apply_change)
     drain_filter = DrainFilter(timers)
--- a/reedspar/direct/tests/test_retry_shares.py
+++ b/reedspar/direct/tests/test_retry_shares.py
@@ -32,9 +32,9 @@
 class Entry:
     """The retry budget of one entry, for which every request is one of a pool."""
 
-    def __init__(self, clock: VirtualClock) -> None:
+    def __init__(self, clock: VirtualClock, linked: int = 0) -> None:
         self.timers = TimerService(clock)
-        self.shares = create_retry_shares(BOUNDS, self.timers)
+        self.shares = create_retry_shares(BOUNDS, self.timers, lambda: linked)
         self.budget = self.shares.budgets.for_pool("p")
         self._has_listing = False
 
@@ -59,6 +59,10 @@
     """Entries that are registered, by time; None while the store is away."""
     kills_s: tuple[float, ...] = ()
     """Times at which all entries start anew."""
+    turned_away: int = 0
+    """Entries that the store turns away; they know all, and are never killed.
+
+    The others have links to them."""
     fails_s: float = FAILS_S
     """Time from which all requests fail."""
     rng: random.Random | None = None
@@ -81,12 +85,16 @@
             now_s = clock.now_s()
             if kills_s and now_s >= kills_s[0]:
                 kills_s.pop(0)
-                entries = [Entry(clock) for _ in range(self.count)]
+                entries[self.turned_away :] = [
+                    Entry(clock, self.turned_away)
+                    for _ in range(self.count - self.turned_away)
+                ]
             is_failing = self._is_failing(now_s, is_failing)
             for i, entry in enumerate(entries):
                 if self._is_drawn(KILL_SHARE):
                     entries[i] = entry = Entry(clock)
-                entry.hear(self.known(now_s))
+                is_turned_away = i < self.turned_away
+                entry.hear(self.count if is_turned_away else self.known(now_s))
                 entry.budget.on_first_attempt()
                 self.firsts_s.append(now_s)
                 while is_failing and entry.budget.try_spend():
@@ -195,6 +203,22 @@
         known = _fall_at(5.0, 9, 3)
         self.assert_bound_kept(RetryLoad(per_s=10, known=known))
 
+    def test_entries_that_the_store_turns_away_count(self) -> None:
+        # Guards against entries that start again and count only each other, while
+        # others serve callers whose registrations have lapsed.
+        self.assert_bound_kept(
+            *(
+                RetryLoad(
+                    count,
+                    known=_fall_at(5.0, count, count // 3),
+                    kills_s=(6.0,),
+                    turned_away=count - count // 3,
+                    fails_s=60.0,
+                )
+                for count in (9, 18, 45)
+            )
+        )
+
     def test_many_entries_keep_the_bound_in_an_outage(self) -> None:
         self.assert_bound_kept(RetryLoad(46, known=_fall_at(5.0, 46, 1)))
 
