Speak nothing but HTTP/1 on every port

What callers saw: no answer within 10 s of 40 connections that opened and reset streams of HTTP/2, and 503 for as long as 760 streams had no window, since each counted as an answer of 64 kB that is being sent.

Cause: the HTTP library takes HTTP/2 by its preface and by an upgrade, and WebSockets, on every port; nobody had decided on it, and no limit for one request at a time holds there.

HTTP/2 gets 505 before anything is made for it. A request to upgrade is answered as any other, as the protocol allows, so no caller is refused for a header.

Measured: CrowdTest.test_streams_that_are_reset_at_once_are_bounded and test_streams_without_window_leave_room_for_others failed on the code before and pass; ProtocolTest is new.

--- a/reedspar/serving/http1.py
+++ b/reedspar/serving/http1.py
@@ -5,20 +5,27 @@
 from typing import Any
 
 import h11
+from hypercorn.events import Closed
 from hypercorn.protocol import ProtocolWrapper
-from hypercorn.protocol.events import EndBody, Event, Response
-from hypercorn.protocol.h2 import H2Protocol
-from hypercorn.protocol.h11 import H11Protocol
+from hypercorn.protocol.events import EndBody, Event, Request, Response
+from hypercorn.protocol.h11 import STREAM_ID, H11Protocol
+from hypercorn.protocol.http_stream import HTTPStream
 
 LENGTH_HEADER = b"content-length"
 SHORT_ANSWER_MAX_BYTES = 64 * 1024
 CLOSE_HEADER = (b"connection", b"close")
+HTTP_VERSIONS = (b"1.0", b"1.1")
+VERSION_NOT_SUPPORTED = 505
 
 __all__ = ["Http1Protocol", "ObservedProtocol"]
 
 
 class Http1Protocol(H11Protocol):
-    """Tells what has arrived, and marks the last answer on a connection."""
+    """Tells what has arrived, and marks the last answer on a connection.
+
+    It speaks nothing but HTTP/1: the limits on a connection hold for one request at a
+    time, and requests to upgrade are answered as any other.
+    """
 
     def __init__(
         self,
@@ -43,6 +50,39 @@
             return False
         return bool(self.connection.trailing_data[0])
 
+    async def _check_protocol(self, event: h11.Request) -> None:
+        """Upgrade to no other protocol."""
+
+    async def _create_stream(self, request: h11.Request) -> None:
+        """Begin to serve a request."""
+        if request.http_version not in HTTP_VERSIONS:
+            await self._send_error_response(VERSION_NOT_SUPPORTED)
+            await self.send(Closed())
+            return
+        self.stream = HTTPStream(
+            self.app,
+            self.config,
+            self.context,
+            self.task_group,
+            self.ssl,
+            self.client,
+            self.server,
+            self.stream_send,
+            STREAM_ID,
+        )
+        await self.stream.handle(
+            Request(
+                stream_id=STREAM_ID,
+                headers=list(request.headers),
+                http_version=request.http_version.decode(),
+                method=request.method.decode("ascii").upper(),
+                raw_path=request.target,
+                state=self.connection_state,
+            )
+        )
+        self.keep_alive_requests += 1
+        await self.context.mark_request()
+
     async def stream_send(self, event: Event) -> None:
         """Send a part of an answer; the head of the last one says that it is that.
 
@@ -65,7 +105,7 @@
 
 
 class ObservedProtocol(ProtocolWrapper):
-    """The protocol of a connection: HTTP/1.1 until its peer asks for another."""
+    """The protocol of a connection, which is always HTTP/1."""
 
     def __init__(
         self,
@@ -92,6 +132,5 @@
     @property
     def is_answer_due(self) -> bool:
         """Return whether a request was read whose answer has not ended."""
-        if isinstance(self.protocol, H2Protocol):
-            return not self.protocol.idle
-        return self.protocol.stream is not None
+        is_http1 = isinstance(self.protocol, H11Protocol)
+        return is_http1 and self.protocol.stream is not None
