Bound connections, and what is sent ahead on them

What callers saw: a process ended for want of memory, or its descriptors ran out, as clients sent many requests ahead, or opened connections and sent nothing.

Cause: each connection kept what the transport reads at once (256 kB), twice the reader's limit (128 kB) and what the protocol was given (64 kB), and nothing bounded the sum, nor the connections. The class: a limit for each of a number that has none.

A connection now keeps 64 kB in all and as much in the kernel in each direction, all connections together a tenth of the memory limit; beyond it the one with most is closed. Connections have a limit from memory and descriptors. At the limit the quietest of a few without a request makes room, so that crowds which send nothing don't keep out those that ask; requests in progress keep their connections.

Ruled out: limits on the number of requests sent ahead, which would refuse sound clients that read their answers (AHEAD in test_limits: 400 on one connection are answered).

--- a/reedspar/daemon/http_server.py
+++ b/reedspar/daemon/http_server.py
@@ -9,9 +9,15 @@
 from hypercorn.typing import ASGIFramework
 from starlette.types import ASGIApp, Receive, Scope, Send
 
-from reedspar.serving import OpenConnections, create_http_server
+from reedspar.serving import (
+    SOCKET_BUFFER_BYTES,
+    OpenConnections,
+    create_http_server,
+    create_server_limits,
+)
+from reedspar.settings import LimitSettings
 
-__all__ = ["PortDispatcher", "serve_http"]
+__all__ = ["PortDispatcher", "create_connections", "serve_http"]
 
 LISTEN_BACKLOG = 2048
 KEEP_ALIVE_S = 75.0
@@ -22,6 +28,13 @@
 _logger = logging.getLogger(__name__)
 
 
+def create_connections(limits: LimitSettings) -> OpenConnections:
+    """Create the register of connections of a daemon with these limits."""
+    return OpenConnections(
+        create_server_limits(limits.memory_mb, limits.descriptors, limits.connections)
+    )
+
+
 class PortDispatcher:
     """An ASGI application that serves each port with a different application."""
 
@@ -46,6 +59,9 @@
     def create_sockets(self) -> Sockets:
         """Create the listening sockets; connections inherit their options."""
         sockets = super().create_sockets()
+        for item in sockets.insecure_sockets:
+            for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+                item.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
         if self.unread_timeout_s is not None:
             timeout_ms = round(self.unread_timeout_s * 1000)
             for item in sockets.insecure_sockets:
--- a/reedspar/daemon/site_agent.py
+++ b/reedspar/daemon/site_agent.py
@@ -29,7 +29,7 @@
     create_weight_controller,
 )
 
-from .http_server import PortDispatcher, serve_http
+from .http_server import PortDispatcher, create_connections, serve_http
 from .load_reporter import LoadReporter
 from .site_components import SiteComponents, StoreAccess, create_site_components
 from .site_weights import (
@@ -116,6 +116,7 @@
             self.settings.listen.metrics_port,
             self._stop_serving,
             grace_s=METRICS_SHUTDOWN_TIMEOUT_S,
+            connections=create_connections(self.settings.limits),
         )
 
     async def _run_weight_distribution(self) -> None:
--- a/reedspar/daemon/site_entry.py
+++ b/reedspar/daemon/site_entry.py
@@ -35,7 +35,7 @@
 from reedspar.timers import TimerService
 from reedspar.weights import VersionedOrigin, WeightCache, create_weight_cache
 
-from .http_server import PortDispatcher, serve_http
+from .http_server import PortDispatcher, create_connections, serve_http
 from .pool_state_metrics import observe_pool_state
 from .process_resources import ProcessResources
 from .signals import seconds_since
@@ -337,6 +337,7 @@
         tasks,
         selection,
         pool_state,
+        create_connections(settings.limits),
     )
     adapters.metrics.connections_ended.set_callback(entry.connections.read_counts)
     adapters.metrics.answers_cut.set_callback(service.cut_log.read_counts)
--- a/reedspar/serving/__init__.py
+++ b/reedspar/serving/__init__.py
@@ -1,6 +1,14 @@
 """HTTP server that knows what arrives on its connections, and owes answers."""
 
+from .limits import SOCKET_BUFFER_BYTES, ServerLimits, create_server_limits
 from .open_connections import OpenConnections
 from .server import HttpServer, create_http_server
 
-__all__ = ["HttpServer", "OpenConnections", "create_http_server"]
+__all__ = [
+    "SOCKET_BUFFER_BYTES",
+    "HttpServer",
+    "OpenConnections",
+    "ServerLimits",
+    "create_http_server",
+    "create_server_limits",
+]
--- a/reedspar/serving/connection.py
+++ b/reedspar/serving/connection.py
@@ -15,6 +15,7 @@
 from hypercorn.typing import ConnectionState as SharedState
 
 from .http1 import Http1Protocol, ObservedProtocol
+from .limits import RECEIVE_MAX_BYTES
 from .received_bytes import ReceivedBytes, is_readable
 
 __all__ = [
@@ -25,7 +26,6 @@
     "ServerConnection",
 ]
 
-RECEIVE_MAX_BYTES = 64 * 1024
 FIRST_REQUEST_S = 0.5
 """Time within which the first request on a new connection is expected."""
 LINGER_S = 1.0
@@ -69,6 +69,8 @@
     """Nothing was asked for too long."""
     SHUTDOWN = "shutdown"
     """The server shuts down."""
+    CROWDED = "crowded"
+    """Another client needs its place, or the memory that it holds."""
     ERROR = "error"
     """The protocol has failed."""
 
@@ -161,6 +163,10 @@
     def _is_body_due(self) -> bool:
         return self._http1 is not None and self._http1.is_body_due
 
+    @property
+    def _is_in_request(self) -> bool:
+        return self._protocol is not None and self._protocol.is_answer_due
+
     @property
     def _has_partial_request(self) -> bool:
         return self._http1 is not None and self._http1.has_partial_request
@@ -196,8 +202,20 @@
     def abort(self, end: ConnectionEnd) -> None:
         """Close the connection, without what is still to be sent."""
         self._begin_end(end)
+        self._reader.release()
         self._writer.transport.abort()
 
+    @property
+    def is_replaceable(self) -> bool:
+        """Return whether no request is in progress that has arrived whole or begins.
+
+        The head of a request that is still arriving does not count.
+        """
+        if self._state_at_close is not None:
+            return False
+        age_s = self.now_s - self._accepted_s
+        return not self._is_in_request and age_s >= FIRST_REQUEST_S
+
     def close_if_idle(self, end: ConnectionEnd) -> None:
         """Close the connection unless a request is here, or is expected."""
         if self.may_close:
--- a/reedspar/serving/http1.py
+++ b/reedspar/serving/http1.py
@@ -132,5 +132,5 @@
     @property
     def is_answer_due(self) -> bool:
         """Return whether a request was read whose answer has not ended."""
-        is_http1 = isinstance(self.protocol, H11Protocol)
-        return is_http1 and self.protocol.stream is not None
+        protocol = self.protocol
+        return isinstance(protocol, H11Protocol) and protocol.stream is not None
--- a/reedspar/serving/listener.py
+++ b/reedspar/serving/listener.py
@@ -12,6 +12,9 @@
 SHORTAGE_PAUSE_S = 1.0
 """Pause after a connection could not be accepted for want of a resource."""
 
+ACCEPTED_AT_ONCE = 64
+"""Connections accepted in a turn, so that those that end meanwhile are closed."""
+
 _logger = logging.getLogger(__name__)
 
 
@@ -36,7 +39,8 @@
     def close(self) -> None:
         """Accept the connections that wait, and close."""
         if self._listening.fileno() >= 0:
-            self._accept()
+            while self._accept():
+                pass
             self._loop.remove_reader(self._listening)
             self._listening.close()
 
@@ -44,19 +48,20 @@
         if self._listening.fileno() >= 0:
             self._loop.add_reader(self._listening, self._accept)
 
-    def _accept(self) -> None:
-        """Accept all connections that wait."""
-        while True:
+    def _accept(self) -> bool:
+        """Accept connections that wait; return whether there may be more."""
+        for _ in range(ACCEPTED_AT_ONCE):
             try:
                 connected, _ = self._listening.accept()
             except BlockingIOError:
-                return
+                return False
             except OSError as error:
                 _logger.warning("connection not accepted", extra={"error": repr(error)})
                 if error.errno in SHORTAGES:
                     self._loop.remove_reader(self._listening)
                     self._loop.call_later(SHORTAGE_PAUSE_S, self._resume)
-                    return
+                    return False
             else:
                 connected.setblocking(False)
                 self._on_accept(connected)
+        return True
--- a/reedspar/serving/open_connections.py
+++ b/reedspar/serving/open_connections.py
@@ -1,6 +1,8 @@
 """The open connections of a server, and how a shutdown ends them."""
 
 import logging
+import random
+import time
 from collections import Counter
 
 import anyio
@@ -13,11 +15,15 @@
     ConnectionState,
     ServerConnection,
 )
+from .limits import ReadAhead, ServerLimits, create_server_limits
 
 __all__ = ["OpenConnections"]
 
 LOG_LINES_PER_S = 5.0
 LOG_LINES_BURST = 50.0
+CROWD_LOG_LINES_PER_S = 1.0
+SAMPLE = 16
+"""Connections of which the quietest one is closed for a new one."""
 
 _logger = logging.getLogger(__name__)
 
@@ -25,10 +31,14 @@
 class OpenConnections:
     """Knows the open connections, and ends each when nothing is pending on it."""
 
-    def __init__(self) -> None:
+    def __init__(self, limits: ServerLimits | None = None) -> None:
+        self.limits = limits or create_server_limits()
+        self.read_ahead = ReadAhead(self.limits.read_ahead_bytes)
+        self.read_ahead.on_excess = self._end_furthest_ahead
         self._connections: set[ServerConnection] = set()
         self._ended: Counter[tuple[ConnectionEnd, ConnectionState]] = Counter()
         self._closing = anyio.Event()
+        self._crowd_log_limit = TokenBucket(CROWD_LOG_LINES_PER_S, LOG_LINES_BURST)
         self._log_limit = TokenBucket(LOG_LINES_PER_S, LOG_LINES_BURST)
         self.is_closed = False
         """Whether nothing is open, and nothing can be opened any more."""
@@ -83,6 +93,39 @@
             },
         )
 
+    def replace_one(self) -> bool:
+        """Close the quietest of some connections without a request, if there is one."""
+        sample = random.sample(tuple(self._connections), min(SAMPLE, self.open_count))
+        found = [connection for connection in sample if connection.is_replaceable]
+        if not found:
+            self._log_crowded("no connection without a request was found")
+            return False
+        quietest = max(found, key=lambda connection: connection.quiet_s)
+        self._log_crowded("a connection without a request is closed")
+        quietest.abort(ConnectionEnd.CROWDED)
+        self.discard(quietest)
+        return True
+
+    def _end_furthest_ahead(self) -> None:
+        """End the connection with the most bytes that wait to be parsed."""
+        furthest = max(
+            self._connections, key=lambda item: item.unread_bytes, default=None
+        )
+        if furthest is not None:
+            self._log_crowded("the connection with most bytes ahead is closed")
+            furthest.abort(ConnectionEnd.CROWDED)
+
+    def _log_crowded(self, detail: str) -> None:
+        if self._crowd_log_limit.try_consume(1, time.monotonic()):
+            _logger.warning(
+                "clients exceed the limits",
+                extra={
+                    "detail": detail,
+                    "connections": self.open_count,
+                    "read_ahead_bytes": self.read_ahead.total_bytes,
+                },
+            )
+
     def close_idle(self) -> None:
         """Close the connections on which no request is pending."""
         for connection in list(self._connections):
--- a/reedspar/serving/server.py
+++ b/reedspar/serving/server.py
@@ -12,6 +12,7 @@
 from hypercorn.typing import ASGIFramework
 
 from .connection import ConnectionEnd, ConnectionOptions, ServerConnection
+from .limits import RECEIVE_MAX_BYTES
 from .listener import Listener
 from .open_connections import OpenConnections
 from .received_bytes import ReceivedBytes
@@ -20,6 +21,8 @@
 
 CLOSING_INTERVAL_S = 0.02
 """Time between two looks at what is still open."""
+WRITE_BUFFER_BYTES = 16 * 1024
+"""Bytes of an answer beyond which its sender waits for its reader."""
 END_TIMEOUT_S = 1.0
 """Time for connections that were cancelled to end."""
 
@@ -89,16 +92,22 @@
             self._listeners.append(listener)
 
     def _accept(self, connected: socket.socket) -> None:
+        is_full = len(self._tasks) >= self.connections.limits.connections
+        if is_full and not self.connections.replace_one():
+            connected.close()
+            return
         task = asyncio.create_task(self._serve(connected))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _serve(self, connected: socket.socket) -> None:
         loop = asyncio.get_running_loop()
-        reader = ReceivedBytes(loop)
+        reader = ReceivedBytes(loop, self.connections.read_ahead)
         transport, protocol = await loop.connect_accepted_socket(
             lambda: asyncio.StreamReaderProtocol(reader, loop=loop), connected
         )
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        transport.max_size = RECEIVE_MAX_BYTES  # type: ignore[attr-defined]
         writer = asyncio.StreamWriter(transport, protocol, reader, loop)
         connection = ServerConnection(self._options, reader, writer)
         self.connections.add(connection)
@@ -109,6 +118,7 @@
             _logger.warning("connection failed", extra={"error": repr(error)})
             connection.abort(ConnectionEnd.ERROR)
         finally:
+            reader.release()
             self.connections.discard(connection)
 
 
--- /dev/null
+++ b/reedspar/serving/tests/test_limits.py
@@ -0,0 +1,124 @@
+"""Tests of the limits on what clients make a server keep, over loopback."""
+
+import asyncio
+import socket
+import struct
+import unittest
+
+import anyio
+
+from reedspar.serving import ServerLimits, create_server_limits
+from reedspar.serving.connection import FIRST_REQUEST_S
+from reedspar.serving.tests.test_server import (
+    ANSWER,
+    END_S,
+    REQUEST,
+    LoopbackServer,
+    ServerTestCase,
+)
+
+AHEAD = 400
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of `SO_LINGER` by which a closed connection is reset."""
+FEW = ServerLimits(connections=3, read_ahead_bytes=1_000_000)
+LITTLE = ServerLimits(connections=100, read_ahead_bytes=24_000)
+STEP_S = 0.05
+
+
+class SentAheadTest(ServerTestCase):
+    def test_requests_sent_ahead_are_answered_in_their_order(self) -> None:
+        # Guards against refusing a client that sends ahead and reads its answers.
+        async def script(site: LoopbackServer) -> None:
+            client = site.connect()
+            sending = asyncio.create_task(_send(client, REQUEST * AHEAD))
+            received = b""
+            async with asyncio.timeout(END_S):
+                while received.count(ANSWER) < AHEAD:
+                    loop = asyncio.get_running_loop()
+                    received += await loop.sock_recv(client, 1 << 16)
+            await sending
+            self.assertEqual(site.served, AHEAD)
+
+        self.run_server(script)
+
+
+class ConnectionLimitTest(ServerTestCase):
+    def test_quiet_connection_makes_room_for_the_next_client(self) -> None:
+        # Guards against clients that open connections and send nothing, and take the
+        # place of those that ask something.
+        async def script(site: LoopbackServer) -> None:
+            silent = [site.connect() for _ in range(FEW.connections)]
+            await anyio.sleep(FIRST_REQUEST_S + STEP_S)
+            self.assertIn(ANSWER, await site.ask(site.connect()))
+            self.assertLessEqual(site.connections.open_count, FEW.connections)
+            async with asyncio.timeout(END_S):
+                ends = [asyncio.create_task(site.read_to_end(one)) for one in silent]
+                done, _ = await asyncio.wait(
+                    ends, return_when=asyncio.FIRST_COMPLETED, timeout=END_S
+                )
+                for end in ends:
+                    end.cancel()
+            self.assertTrue(done)
+
+        self.run_server(script, limits=FEW)
+
+    def test_requests_in_progress_keep_their_connections(self) -> None:
+        # Guards against answers that are cut for clients which come later.
+        async def script(site: LoopbackServer) -> None:
+            site.answer_s = FIRST_REQUEST_S + 0.5
+            asking = [
+                asyncio.create_task(site.ask(site.connect()))
+                for _ in range(FEW.connections)
+            ]
+            await anyio.sleep(FIRST_REQUEST_S + 0.1)
+            self.assertEqual(await site.read_to_end(site.connect()), b"")
+            for answer in await asyncio.gather(*asking):
+                self.assertIn(ANSWER, answer)
+
+        self.run_server(script, limits=FEW)
+
+
+class ReadAheadTest(ServerTestCase):
+    def test_connection_furthest_ahead_is_closed(self) -> None:
+        # Guards against memory that many clients use up by sending ahead, none of them
+        # more than a connection may.
+        async def script(site: LoopbackServer) -> None:
+            site.answer_s = 0.5
+            ahead = [site.connect() for _ in range(4)]
+            sending = [asyncio.create_task(_send(c, REQUEST * 2000)) for c in ahead]
+            await anyio.sleep(STEP_S)
+            total = site.connections.read_ahead.total_bytes
+            self.assertLessEqual(total, LITTLE.read_ahead_bytes)
+            self.assertLess(site.connections.open_count, len(ahead))
+            self.assertIn(ANSWER, await site.ask(site.connect()))
+            for task in sending:
+                task.cancel()
+
+        self.run_server(script, limits=LITTLE)
+
+
+class DefaultLimitsTest(unittest.TestCase):
+    def test_limits_follow_from_memory_and_descriptors(self) -> None:
+        limits = create_server_limits(memory_mb=300, descriptors=4100)
+        self.assertEqual(limits, ServerLimits(1875, 30_000_000))
+        limits = create_server_limits(memory_mb=168, descriptors=1124)
+        self.assertEqual(limits, ServerLimits(693, 16_800_000))
+        limits = create_server_limits(memory_mb=300, descriptors=4100, connections=7)
+        self.assertEqual(limits.connections, 7)
+
+    def test_process_without_limits_has_some(self) -> None:
+        limits = create_server_limits()
+        self.assertGreater(limits.connections, 0)
+        self.assertLessEqual(limits.connections, 10_000)
+
+
+async def _send(client: socket.socket, data: bytes) -> None:
+    try:
+        await asyncio.get_running_loop().sock_sendall(client, data)
+    except OSError:
+        # The server closes connections at its limits.
+        return
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/reedspar/serving/tests/test_server.py
+++ b/reedspar/serving/tests/test_server.py
@@ -11,7 +11,12 @@
 from hypercorn.config import Config
 from starlette.types import Receive, Scope, Send
 
-from reedspar.serving import OpenConnections, connection, create_http_server
+from reedspar.serving import (
+    OpenConnections,
+    ServerLimits,
+    connection,
+    create_http_server,
+)
 
 HOST = "127.0.0.1"
 REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
@@ -23,15 +28,18 @@
 """More than the buffers of a connection on loopback hold."""
 PIECE_BYTES = 256 * 1024
 END_S = 5.0
+IDLE_S = 5.0
 PAUSE_S = 0.1
 
 
 class LoopbackServer:
     """A server in this process, and raw connections to it."""
 
-    def __init__(self, address: tuple[str, int]) -> None:
+    def __init__(
+        self, address: tuple[str, int], limits: ServerLimits | None = None
+    ) -> None:
         self.address = address
-        self.connections = OpenConnections()
+        self.connections = OpenConnections(limits)
         self.answer = ANSWER
         self.answer_s = 0.0
         self.body_delay_s = 0.0
@@ -92,14 +100,18 @@
         script: Callable[[LoopbackServer], Awaitable[None]],
         grace_s: float = 2.0,
         host: str = HOST,
+        limits: ServerLimits | None = None,
+        idle_s: float = IDLE_S,
     ) -> None:
         async def run() -> None:
             config = Config()
             config.bind = [f"{host}:0"]
             config.graceful_timeout = grace_s
+            config.keep_alive_timeout = idle_s
             sockets = config.create_sockets()
             config.create_sockets = lambda: sockets  # type: ignore[method-assign]
-            site = LoopbackServer(sockets.insecure_sockets[0].getsockname()[:2])
+            address = sockets.insecure_sockets[0].getsockname()[:2]
+            site = LoopbackServer(address, limits)
             server = create_http_server(
                 site,  # type: ignore[arg-type]
                 config,
--- a/reedspar/settings/site.py
+++ b/reedspar/settings/site.py
@@ -155,6 +155,13 @@
     descriptors: int | None = Field(
         None, gt=0, description="Maximum number of file descriptors."
     )
+    connections: int | None = Field(
+        None,
+        gt=0,
+        description="Maximum number of connections of clients. By default three "
+        "quarters of the descriptors beyond 200, and as many as fit a quarter of the "
+        "memory at 40 kB each.",
+    )
     requests: int | None = Field(
         None, gt=0, description="Requests in flight that the process can bear."
     )
--- a/reedspar/telemetry/metrics.py
+++ b/reedspar/telemetry/metrics.py
@@ -83,9 +83,9 @@
             "connections.ended",
             "{connection}",
             "Connections to this process that ended, by cause (peer, last-answer, "
-            "idle-timeout, shutdown, error) and by what had arrived (fresh: nothing, "
-            "idle: nothing unanswered, receiving: a part of a request, answering: a "
-            "whole one, crossed: something after the last answer).",
+            "idle-timeout, shutdown, crowded, error) and by what had arrived (fresh: "
+            "nothing, idle: nothing unanswered, receiving: a part of a request, "
+            "answering: a whole one, crossed: something after the last answer).",
             "end",
             "request",
         ),
