Begin no request that was sent ahead on a broken connection

What callers saw: no answer for a long time after a crowd had left, and `socket.send() raised exception.` in the log without end.

Cause: when a write failed, the request in progress was told that its client is gone, and then the protocol went on with what was read ahead: each request was run, at a target, for nobody, and its answer written to a closed socket.

The first failed write now ends the reading of requests on that connection. The request in progress ends as for any client that leaves.

--- a/reedspar/serving/connection.py
+++ b/reedspar/serving/connection.py
@@ -108,6 +108,7 @@
         self._is_on_last_answer = False
         self._is_overdue = False
         self._crossed_bytes = 0
+        self._is_broken = False
         self.end = ConnectionEnd.PEER
 
     @property
@@ -265,13 +266,7 @@
         """Do what the protocol asks for: send, close, or wait for the next request."""
         assert self._protocol is not None
         if isinstance(event, RawData):
-            async with self._send_lock:
-                try:
-                    self._writer.write(event.data)
-                    await self._writer.drain()
-                except WRITE_ERRORS as error:
-                    _log_broken(error)
-                    await self._protocol.handle(Closed())
+            await self._write(event.data)
         elif isinstance(event, Closed):
             self._end_after_answer()
         elif isinstance(event, Updated):
@@ -280,6 +275,28 @@
             if event.idle:
                 self._start_timer(self._options.config.keep_alive_timeout)
 
+    async def _write(self, data: bytes) -> None:
+        async with self._send_lock:
+            if self._is_broken:
+                return
+            try:
+                if self._writer.is_closing() and self._state_at_close is None:
+                    raise ConnectionResetError("the peer has closed the connection")
+                self._writer.write(data)
+                await self._writer.drain()
+                return
+            except WRITE_ERRORS as error:
+                _log_broken(error)
+                self._is_broken = True
+        await self._abandon()
+
+    async def _abandon(self) -> None:
+        """Begin no request of those that were read ahead, as the connection broke."""
+        self._begin_end(ConnectionEnd.PEER)
+        self._reader.release()
+        if self._http1 is not None:
+            await self._http1.abandon()
+
     def _end_early(self) -> None:
         """Drop the rest of a body whose request has its answer."""
         if self._state_at_close is None:
--- a/reedspar/serving/http1.py
+++ b/reedspar/serving/http1.py
@@ -20,6 +20,26 @@
 __all__ = ["Http1Protocol", "ObservedProtocol"]
 
 
+class _EndedConnection:
+    """Stands in for the state of a connection on which nothing is read any more."""
+
+    our_state = None
+    their_state = None
+    they_are_waiting_for_100_continue = False
+    trailing_data = (b"", False)
+
+    def receive_data(self, data: bytes) -> None:
+        """Drop what arrives."""
+
+    def next_event(self) -> type[h11.NEED_DATA]:
+        """Return that no request has arrived."""
+        return h11.NEED_DATA
+
+    def send(self, event: object) -> bytes:
+        """Return nothing to send."""
+        return b""
+
+
 class Http1Protocol(H11Protocol):
     """Tells what has arrived, and marks the last answer on a connection.
 
@@ -50,6 +70,12 @@
             return False
         return bool(self.connection.trailing_data[0])
 
+    async def abandon(self) -> None:
+        """Begin no further request, as nobody can be answered any more."""
+        self.connection = _EndedConnection()  # type: ignore[assignment]
+        await self.can_read.set()
+        await self.handle(Closed())
+
     async def _check_protocol(self, event: h11.Request) -> None:
         """Upgrade to no other protocol."""
 
--- a/reedspar/serving/tests/test_limits.py
+++ b/reedspar/serving/tests/test_limits.py
@@ -25,7 +25,23 @@
 STEP_S = 0.05
 
 
-class SentAheadTest(ServerTestCase):
+class BrokenConnectionTest(ServerTestCase):
+    def test_requests_of_a_client_that_has_gone_are_not_begun(self) -> None:
+        # Guards against work for nobody on what was read ahead, while others wait.
+        async def script(site: LoopbackServer) -> None:
+            site.answer_s = 0.01
+            client = site.connect()
+            client.sendall(REQUEST * AHEAD)
+            await anyio.sleep(10 * site.answer_s)
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            client.close()
+            await anyio.sleep(2 * site.answer_s)
+            served = site.served
+            await anyio.sleep(20 * site.answer_s)
+            self.assertLessEqual(site.served, served + 2)
+
+        self.run_server(script)
+
     def test_requests_sent_ahead_are_answered_in_their_order(self) -> None:
         # Guards against refusing a client that sends ahead and reads its answers.
         async def script(site: LoopbackServer) -> None:
