Close a connection whose client stops in the midst of a body

What callers saw: clients that send half a request held a connection, and what they had sent, for good.

Cause: the idle time of a connection was stopped with the head of a request, and nothing else bounds a body that doesn't arrive. Now the timer goes on and looks whether the body does; a body that goes on slowly, and an answer that takes long, are left alone.

Measured: UploadTest.test_body_that_does_not_go_on_ends_its_connection failed before (the connection was open at the end of the test) and passes; the two tests beside it check sound clients.

--- a/reedspar/serving/connection.py
+++ b/reedspar/serving/connection.py
@@ -270,10 +270,9 @@
         elif isinstance(event, Closed):
             self._end_after_answer()
         elif isinstance(event, Updated):
-            self._stop_timer()
             self._is_overdue = False
-            if event.idle:
-                self._start_timer(self._options.config.keep_alive_timeout)
+            # In a request, the timer looks whether its body goes on.
+            self._start_timer(self._options.config.keep_alive_timeout)
 
     async def _write(self, data: bytes) -> None:
         async with self._send_lock:
@@ -343,7 +342,17 @@
             self._timer = None
 
     def _end_waiting(self) -> None:
-        """Close the connection after its timeout, unless bytes have just arrived."""
+        """Close the connection after its timeout, unless bytes have just arrived.
+
+        In a request, do so only if its body has stopped arriving.
+        """
+        timeout_s = self._options.config.keep_alive_timeout
+        if self._state_at_close is None and self._is_in_request:
+            if not self._is_body_due:
+                return
+            if self.quiet_s < timeout_s:
+                self._start_timer(timeout_s - self.quiet_s)
+                return
         has_arrived = self._reader.unread_bytes or self._has_waiting_bytes
         if self._state_at_close is None and has_arrived and not self._is_overdue:
             self._is_overdue = True
--- a/reedspar/serving/tests/test_limits.py
+++ b/reedspar/serving/tests/test_limits.py
@@ -12,6 +12,7 @@
 from reedspar.serving.tests.test_server import (
     ANSWER,
     END_S,
+    LONG_UPLOAD_HEAD,
     REQUEST,
     LoopbackServer,
     ServerTestCase,
@@ -58,6 +59,40 @@
         self.run_server(script)
 
 
+class UploadTest(ServerTestCase):
+    def test_body_that_does_not_go_on_ends_its_connection(self) -> None:
+        # Guards against connections that clients hold for good with half a request.
+        async def script(site: LoopbackServer) -> None:
+            client = site.connect()
+            client.sendall(LONG_UPLOAD_HEAD + b"x")
+            self.assertEqual(await site.read_to_end(client), b"")
+
+        self.run_server(script, idle_s=0.3)
+
+    def test_body_that_goes_on_slowly_is_read(self) -> None:
+        # Guards against a limit on slow clients that is one on the whole body.
+        async def script(site: LoopbackServer) -> None:
+            client = site.connect()
+            head = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 12\r\n\r\n"
+            client.sendall(head)
+            for _ in range(12):
+                await anyio.sleep(2 * STEP_S)
+                client.sendall(b"x")
+            async with asyncio.timeout(END_S):
+                answer = await asyncio.get_running_loop().sock_recv(client, 1 << 16)
+            self.assertIn(b"200", answer)
+
+        self.run_server(script, idle_s=0.4)
+
+    def test_answer_that_takes_long_does_not_end_its_connection(self) -> None:
+        async def script(site: LoopbackServer) -> None:
+            site.answer_s = 0.8
+            client = site.connect()
+            self.assertIn(ANSWER, await site.ask(client))
+
+        self.run_server(script, idle_s=0.3)
+
+
 class ConnectionLimitTest(ServerTestCase):
     def test_quiet_connection_makes_room_for_the_next_client(self) -> None:
         # Guards against clients that open connections and send nothing, and take the
