Let connections with requests ahead make room at the limit

What callers saw: at the limit of connections, all of them with requests in progress that send ahead and read nothing, every new client was refused until the crowd left or was given up after 15 s.

Such a connection is now replaceable as one without a request is.

Measured: ConnectionLimitTest.test_requests_ahead_make_room_for_the_next_client failed before (the fourth client was closed) and passes, beside test_requests_in_progress_keep_their_connections.

--- a/reedspar/serving/connection.py
+++ b/reedspar/serving/connection.py
@@ -208,14 +208,16 @@
 
     @property
     def is_replaceable(self) -> bool:
-        """Return whether no request is in progress that has arrived whole or begins.
+        """Return whether the connection may be closed for that of another client.
 
-        The head of a request that is still arriving does not count.
+        It may without a request in progress, which a part of a head is not, and with
+        further ones sent ahead.
         """
         if self._state_at_close is not None:
             return False
-        age_s = self.now_s - self._accepted_s
-        return not self._is_in_request and age_s >= FIRST_REQUEST_S
+        if self._is_in_request:
+            return bool(self._reader.unread_bytes) or self._has_partial_request
+        return self.now_s - self._accepted_s >= FIRST_REQUEST_S
 
     def close_if_idle(self, end: ConnectionEnd) -> None:
         """Close the connection unless a request is here, or is expected."""
--- a/reedspar/serving/open_connections.py
+++ b/reedspar/serving/open_connections.py
@@ -94,14 +94,14 @@
         )
 
     def replace_one(self) -> bool:
-        """Close the quietest of some connections without a request, if there is one."""
+        """Close the quietest of some connections that are replaceable, if any is."""
         sample = random.sample(tuple(self._connections), min(SAMPLE, self.open_count))
         found = [connection for connection in sample if connection.is_replaceable]
         if not found:
-            self._log_crowded("no connection without a request was found")
+            self._log_crowded("a connection is refused")
             return False
         quietest = max(found, key=lambda connection: connection.quiet_s)
-        self._log_crowded("a connection without a request is closed")
+        self._log_crowded("a connection is replaced")
         quietest.abort(ConnectionEnd.CROWDED)
         self.discard(quietest)
         return True
--- a/reedspar/serving/tests/test_limits.py
+++ b/reedspar/serving/tests/test_limits.py
@@ -113,6 +113,17 @@
 
         self.run_server(script, limits=FEW)
 
+    def test_requests_ahead_make_room_for_the_next_client(self) -> None:
+        # Guards against clients that send ahead, read nothing and keep all others out.
+        async def script(site: LoopbackServer) -> None:
+            site.answer_s = 0.4
+            for _ in range(FEW.connections):
+                site.connect().sendall(REQUEST * 3)
+            await anyio.sleep(STEP_S)
+            self.assertIn(ANSWER, await site.ask(site.connect()))
+
+        self.run_server(script, limits=FEW)
+
     def test_requests_in_progress_keep_their_connections(self) -> None:
         # Guards against answers that are cut for clients which come later.
         async def script(site: LoopbackServer) -> None:
