Bound the requests in progress, and what each of them holds

What callers saw: 235 MB where 128 are allowed, and after the bounds on connections still 120 to 153 MB, as 200 clients asked for answers of 256 KiB and read none.

Cause: the budget counts answers, not what a request needs beside them. Most of it, 256 kB, was an answer that the HTTP client's library takes from the kernel at once, however little of it is asked for; besides there are the piece that is being sent (256 kB, and again in the transport) and its tasks.

Requests in progress have a bound from the memory now; beyond it they are refused as not run, at once.

Ruled out: a smaller budget for answers (0.15 in the place of 0.2) raised the peak to 132 and 144 MB, since more answers then wait in the library; counting requests to that budget took the room of bodies.

--- a/reedspar/requests/answer_buffers.py
+++ b/reedspar/requests/answer_buffers.py
@@ -26,6 +26,11 @@
 """Bound with which an answer still goes on, some dozens of events."""
 SOCKET_BUFFER_BYTES = 64 * 1024
 """Bytes that a connection buffers before a send waits for its reader."""
+REQUEST_BYTES = 160 * 1024
+"""Memory of a request in progress beside its body and answer: its task, its attempt
+and the buffers of both connections."""
+REQUESTS_MEMORY_SHARE = 0.1
+"""Share of the daemon's memory for requests in progress."""
 UNREAD_CUT_MIN_S = 1.0
 """Time without reading from which a target may cut its answer for that."""
 UNREAD_CUT_LAG_S = 0.5
@@ -43,13 +48,17 @@
 class AnswerBuffers:
     """The daemon's budget, and all bytes that count to it."""
 
-    def __init__(self, budget_bytes: float = math.inf) -> None:
+    def __init__(
+        self, budget_bytes: float = math.inf, requests_max: float = math.inf
+    ) -> None:
         self._budget_bytes = budget_bytes
+        self._requests_max = requests_max
+        self._request_count = 0
         self._holds: set[RequestHold] = set()
         self.answer_bytes = 0
         self.body_bytes = 0
         self.refused = 0
-        """Requests refused because the budget was used up."""
+        """Requests refused because the budget or the number was used up."""
         self.on_given_up: Callable[[RequestHold, GiveUpLimit], None] | None = None
 
     @property
@@ -65,7 +74,8 @@
     @property
     def is_short(self) -> bool:
         """Return whether new requests must be refused."""
-        return self.held_bytes > self._budget_bytes
+        is_full = self._request_count > self._requests_max
+        return is_full or self.held_bytes > self._budget_bytes
 
     def answer_bound_bytes(self) -> float:
         """Return how much of its answer each request may hold now."""
@@ -81,6 +91,10 @@
         self._holds.add(hold)
         return hold
 
+    def count_request(self, change: int) -> None:
+        """Count a request that begins (1), or that ends or was refused (-1)."""
+        self._request_count += change
+
     def discard(self, hold: "RequestHold") -> None:
         """Forget a closed hold."""
         self._holds.discard(hold)
@@ -98,6 +112,8 @@
         self._pending_bytes = 0
         self._sending_bytes = 0
         self._body_bytes = 0
+        self._is_counted = True
+        buffers.count_request(1)
         self.caller_request_id = ""
         self.deadline_s = math.inf
         self.sending_since_s: float | None = None
@@ -130,6 +146,7 @@
         if self._buffers.is_short:
             self._buffers.body_bytes -= self._body_bytes
             self._body_bytes = 0
+            self._end_count()
             self._buffers.refused += 1
             self.is_refused = True
         return not self.is_refused
@@ -175,8 +192,14 @@
         self.set_pending(0)
         self._buffers.body_bytes -= self._body_bytes
         self._body_bytes = 0
+        self._end_count()
         self._buffers.discard(self)
 
+    def _end_count(self) -> None:
+        if self._is_counted:
+            self._is_counted = False
+            self._buffers.count_request(-1)
+
     def _set_sending(self, size_bytes: int) -> None:
         before = self._sending_bytes + SOCKET_BUFFER_BYTES * (self._sending_bytes > 0)
         after = size_bytes + SOCKET_BUFFER_BYTES * (size_bytes > 0)
@@ -226,7 +249,9 @@
     """Create the budget for a share of the daemon's memory; unlimited without one."""
     if memory_mb is None:
         return AnswerBuffers()
-    return AnswerBuffers(memory_mb * BYTES_PER_MB * held_share)
+    memory_bytes = memory_mb * BYTES_PER_MB
+    requests_max = memory_bytes * REQUESTS_MEMORY_SHARE // REQUEST_BYTES
+    return AnswerBuffers(memory_bytes * held_share, requests_max)
 
 
 def create_free_hold() -> RequestHold:
--- a/reedspar/requests/application.py
+++ b/reedspar/requests/application.py
@@ -31,7 +31,7 @@
 Under HTTP/1.0, closing the connection is the normal end of an answer; under
 HTTP/2, the server never closes a broken stream."""
 BODILESS_STATUSES = frozenset({204, 304})
-SEND_PIECE_BYTES = 256 * 1024
+SEND_PIECE_BYTES = 32 * 1024
 """Size of the pieces of a long answer, which show whether its caller reads it."""
 MEMORY_RETRY_AFTER_S = 0.5
 """Retry delay while the daemon holds too much: slow readers free some of it by then."""
--- a/reedspar/requests/tests/test_slow_readers.py
+++ b/reedspar/requests/tests/test_slow_readers.py
@@ -58,6 +58,17 @@
         holds[0].close()
         self.assertTrue(buffers.open_hold().add_body(100_000))
 
+    def test_requests_in_progress_are_bounded_by_the_memory(self) -> None:
+        # Guards against a process that ends for want of memory, as each request needs
+        # some beside its body and answer.
+        buffers = create_answer_buffers(128.0, 0.2)
+        holds = [buffers.open_hold() for _ in range(400)]
+        taken = [hold.add_body(0) for hold in holds]
+        self.assertEqual(sum(taken), 78)
+        for hold in holds:
+            hold.close()
+        self.assertTrue(buffers.open_hold().add_body(0))
+
     def test_without_a_limit_nothing_is_bounded(self) -> None:
         buffers = create_answer_buffers(None, 0.2)
         hold = buffers.open_hold()
