Leave half of the places for clients that wait for each answer

What callers saw: 503 for as long as a crowd of 250 connections sent orders ahead, as its requests took all places for requests in progress.

A request behind which its client has sent others is refused once half of the places are taken.

--- a/reedspar/requests/answer_buffers.py
+++ b/reedspar/requests/answer_buffers.py
@@ -91,6 +91,11 @@
         self._holds.add(hold)
         return hold
 
+    @property
+    def is_half_full(self) -> bool:
+        """Return whether half of the requests are in progress that may be."""
+        return self._request_count > self._requests_max / 2
+
     def count_request(self, change: int) -> None:
         """Count a request that begins (1), or that ends or was refused (-1)."""
         self._request_count += change
@@ -144,13 +149,22 @@
         self._body_bytes += size_bytes
         self._buffers.body_bytes += size_bytes
         if self._buffers.is_short:
-            self._buffers.body_bytes -= self._body_bytes
-            self._body_bytes = 0
-            self._end_count()
-            self._buffers.refused += 1
-            self.is_refused = True
+            self.refuse()
         return not self.is_refused
 
+    def refuse_in_crowd(self) -> None:
+        """Refuse the request if requests of clients within their limits need room."""
+        if self._buffers.is_half_full and not self.is_refused:
+            self.refuse()
+
+    def refuse(self) -> None:
+        """Hold nothing for the request, which gets a refusal."""
+        self._buffers.body_bytes -= self._body_bytes
+        self._body_bytes = 0
+        self._end_count()
+        self._buffers.refused += 1
+        self.is_refused = True
+
     def set_pending(self, size_bytes: int) -> None:
         """Set the bytes that were received and are not being sent yet."""
         self._buffers.answer_bytes += size_bytes - self._pending_bytes
--- a/reedspar/requests/application.py
+++ b/reedspar/requests/application.py
@@ -9,6 +9,7 @@
 
 from reedspar.attempts import Header
 from reedspar.errors import Failure, Reason, Step
+from reedspar.serving import REQUESTS_AHEAD_KEY
 from reedspar.telemetry import check_invariant
 from reedspar.timers import TimerService
 
@@ -191,6 +192,8 @@
                 self._uploads.discard(upload)
         if body is None:
             return
+        if _has_requests_ahead(scope):
+            hold.refuse_in_crowd()
         request = self._adapter.read(scope, body, arrived_s, responder)
         request.request_id = self._ids.make()
         request.caller_request_id = request.caller_request_id or request.request_id
@@ -267,6 +270,12 @@
             return Answer(Outcome.UNKNOWN, failure=failure, is_sent=started)
 
 
+def _has_requests_ahead(scope: Scope) -> bool:
+    """Return whether the client has sent further requests behind this one."""
+    has_requests_ahead = scope.get("state", {}).get(REQUESTS_AHEAD_KEY)
+    return has_requests_ahead is not None and has_requests_ahead()
+
+
 async def _discard_body(receive: Receive) -> None:
     """Read what still arrives; the end of an answer waits for unread parts of it."""
     while (await receive())["type"] != "http.disconnect":
--- a/reedspar/requests/tests/test_slow_readers.py
+++ b/reedspar/requests/tests/test_slow_readers.py
@@ -69,6 +69,19 @@
             hold.close()
         self.assertTrue(buffers.open_hold().add_body(0))
 
+    def test_requests_with_others_behind_them_leave_room(self) -> None:
+        # Guards against refusals of clients that wait for each answer, as others send
+        # their requests ahead.
+        buffers = create_answer_buffers(128.0, 0.2)
+        ahead = []
+        for _ in range(100):
+            ahead.append(buffers.open_hold())
+            ahead[-1].add_body(0)
+            ahead[-1].refuse_in_crowd()
+        self.assertEqual(sum(not hold.is_refused for hold in ahead), 39)
+        patient = [buffers.open_hold() for _ in range(39)]
+        self.assertTrue(all(hold.add_body(0) for hold in patient))
+
     def test_without_a_limit_nothing_is_bounded(self) -> None:
         buffers = create_answer_buffers(None, 0.2)
         hold = buffers.open_hold()
--- a/reedspar/serving/connection.py
+++ b/reedspar/serving/connection.py
@@ -19,6 +19,7 @@
 from .received_bytes import ReceivedBytes, is_readable
 
 __all__ = [
+    "REQUESTS_AHEAD_KEY",
     "UNANSWERED_STATES",
     "ConnectionEnd",
     "ConnectionOptions",
@@ -28,6 +29,10 @@
 
 FIRST_REQUEST_S = 0.5
 """Time within which the first request on a new connection is expected."""
+REQUESTS_AHEAD_KEY = "has_requests_ahead"
+"""Key in the state of an ASGI scope.
+
+Its value tells whether the client has sent further requests behind a request."""
 LINGER_S = 1.0
 """Time for which bytes are read after the last answer.
 
@@ -216,7 +221,7 @@
         if self._state_at_close is not None:
             return False
         if self._is_in_request:
-            return bool(self._reader.unread_bytes) or self._has_partial_request
+            return self._has_requests_ahead()
         return self.now_s - self._accepted_s >= FIRST_REQUEST_S
 
     def close_if_idle(self, end: ConnectionEnd) -> None:
@@ -230,7 +235,7 @@
             self._options.config,
             self._options.context,
             tasks,
-            SharedState({}),
+            SharedState({REQUESTS_AHEAD_KEY: self._has_requests_ahead}),
             False,
             _host_and_port(self._writer.get_extra_info("peername")),
             _host_and_port(self._writer.get_extra_info("sockname")),
@@ -240,6 +245,12 @@
             on_early_end=self._end_early,
         )
 
+    def _has_requests_ahead(self) -> bool:
+        """Return whether bytes have arrived behind the present request."""
+        is_body_due = self._is_body_due
+        has_bytes = bool(self._reader.unread_bytes) or self._has_partial_request
+        return has_bytes and not is_body_due
+
     def _is_last_answer(self) -> bool:
         """Return whether the connection is to end after the answer that begins now."""
         if not self._options.is_draining():
