Make no retry budget for a pool that has no target

Following the retries of a request looked up the budget of its pool before a target was chosen, which a client of the own interface names: the register would have grown with each name. Found in reading, before it landed; RequestRetriesTest.test_pools_without_a_target_have_no_budget fails without the change.

--- a/reedspar/requests/relay.py
+++ b/reedspar/requests/relay.py
@@ -69,8 +69,7 @@
         return self._add_retry_delay(request, await self._make_attempts(request))
 
     async def _make_attempts(self, request: Request) -> Answer:
-        budget = self._budgets.for_pool(request.pool)
-        retries = RequestRetries(request, budget, self._retry_log)
+        retries = RequestRetries(request, self._budgets, self._retry_log)
         state = RelayState(StreamForwarder(request, self._client), retries)
         try:
             while True:
--- a/reedspar/requests/request_retries.py
+++ b/reedspar/requests/request_retries.py
@@ -7,7 +7,7 @@
 
 from .hand_over import HandOver, Settlement
 from .request import Request
-from .retry_budgets import RetryBudget
+from .retry_budgets import RetryBudget, RetryBudgets
 
 __all__ = ["RequestRetries", "RetryLog"]
 
@@ -51,13 +51,18 @@
     It need not be the first one that was made: that may arrive last.
     """
 
-    def __init__(self, request: Request, budget: RetryBudget, log: RetryLog) -> None:
+    def __init__(self, request: Request, budgets: RetryBudgets, log: RetryLog) -> None:
         self._request = request
-        self._budget = budget
+        self._budgets = budgets
         self._log = log
         self._held = 0
         self._pending: list[HandOver] = []
 
+    @property
+    def _budget(self) -> RetryBudget:
+        """Return the budget, which is made for pools that have had a target."""
+        return self._budgets.for_pool(self._request.pool)
+
     def try_spend(self) -> bool:
         """Hold the token for one retry; return whether there was one."""
         if not self._budget.try_hold():
--- a/reedspar/requests/tests/test_request_retries.py
+++ b/reedspar/requests/tests/test_request_retries.py
@@ -6,7 +6,7 @@
 from reedspar.requests.hand_over import HandOver, Settlement
 from reedspar.requests.request import Request
 from reedspar.requests.request_retries import RequestRetries, RetryLog
-from reedspar.requests.retry_budgets import RetryBudget
+from reedspar.requests.retry_budgets import RetryBudgets
 from reedspar.timers import TimerService, VirtualClock
 
 BURST = 4.0
@@ -15,13 +15,14 @@
 
 class RequestRetriesTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.budget = RetryBudget(0.2, BURST)
+        self.budgets = RetryBudgets(0.2, BURST)
+        self.budget = self.budgets.for_pool("p")
         self.retries = self.make_retries()
 
     def make_retries(self) -> RequestRetries:
         request = Request("r", "c", "POST", "p", "/", (), b"", mock.Mock(), 0.0)
         log = RetryLog(TimerService(VirtualClock()))
-        return RequestRetries(request, self.budget, log)
+        return RequestRetries(request, self.budgets, log)
 
     def open(self) -> HandOver:
         hand_over = HandOver(0.0, 0.0)
@@ -81,6 +82,13 @@
         self.budget.refill_if_unused(WINDOW_S + 8.9, WINDOW_S)
         self.assertLess(self.budget.left, 1.0)
 
+    def test_pools_without_a_target_have_no_budget(self) -> None:
+        # Guards against a register that grows with each pool that a client names.
+        request = Request("r", "c", "POST", "none", "/", (), b"", mock.Mock(), 0.0)
+        log = RetryLog(TimerService(VirtualClock()))
+        RequestRetries(request, self.budgets, log).on_ended()
+        self.assertEqual(len(self.budgets.read_left()), 1)
+
     def test_request_without_retries_is_not_followed(self) -> None:
         # Guards against a register that grows with each caller that leaves.
         first = self.open()
