Bound what others than daemons send to the port for peers

What callers would see: a process that ends for want of memory, as 500 connections to its port for peers each send 1 MB of a frame that never ends. The port took any number of connections, and 4 MB of a frame from anybody who had not said yet who he is.

The first frame, which tells whose connection it is, may have 16 kB, and 256 connections may wait for it.

--- a/reedspar/links/connection.py
+++ b/reedspar/links/connection.py
@@ -16,6 +16,8 @@
 
 LENGTH_PREFIX_BYTES = 4
 FRAME_SIZE_MAX_BYTES = 4 * 1024 * 1024
+HELLO_MAX_BYTES = 16 * 1024
+"""Maximum size of the first frame, which tells whose connection it is."""
 RECEIVE_SIZE_BYTES = 256 * 1024
 BULK_WRITE_MAX_BYTES = 128 * 1024
 LIVE_BACKLOG_MAX_BYTES = 16 * 1024 * 1024
@@ -32,11 +34,12 @@
 class FrameBuffer:
     """Splits a byte stream into frames, each prefixed by its big-endian length."""
 
-    def __init__(self) -> None:
+    def __init__(self, first_max_bytes: int = FRAME_SIZE_MAX_BYTES) -> None:
         self._data = bytearray()
+        self._max_bytes = first_max_bytes
 
     def feed(self, data: bytes) -> list[bytes] | Failure:
-        """Return the frames that `data` completes.
+        """Return the frames that `data` completes; the first has a limit of its own.
 
         A length above the limit means that the stream is no longer in sync.  The
         connection must be closed then, as every later frame would be misread.
@@ -47,12 +50,13 @@
         while len(self._data) - start >= LENGTH_PREFIX_BYTES:
             prefix_end = start + LENGTH_PREFIX_BYTES
             size = int.from_bytes(self._data[start:prefix_end], "big")
-            if size > FRAME_SIZE_MAX_BYTES:
+            if size > self._max_bytes:
                 return Failure(Reason.CORRUPT, Step.LINK, detail=f"frame of {size} B")
             if len(self._data) - prefix_end < size:
                 break
             frames.append(bytes(self._data[prefix_end : prefix_end + size]))
             start = prefix_end + size
+            self._max_bytes = FRAME_SIZE_MAX_BYTES
         del self._data[:start]
         return frames
 
@@ -131,7 +135,7 @@
 
     async def read_frames(self, handle: Callable[[bytes], bool]) -> None:
         """Pass frames to `handle` until it returns False or the connection ends."""
-        buffer = FrameBuffer()
+        buffer = FrameBuffer(HELLO_MAX_BYTES)
         while not self._is_closed:
             try:
                 data = await self._stream.receive(RECEIVE_SIZE_BYTES)
--- a/reedspar/links/tcp_network.py
+++ b/reedspar/links/tcp_network.py
@@ -27,6 +27,7 @@
 from reedspar.timers import TimerService
 
 from .connection import FrameConnection
+from .dialling import open_stream
 from .messages import Heartbeat, Hello, Role
 from .monitor import (
     CloseConnection,
@@ -43,6 +44,9 @@
 __all__ = ["TcpNetwork", "create_tcp_network"]
 
 MONITOR_INTERVAL_S = 0.1
+UNIDENTIFIED_MAX = 256
+"""Accepted connections on which no peer has told its name; others are closed."""
+
 _logger = logging.getLogger(__name__)
 
 
@@ -76,6 +80,7 @@
         self._handlers: dict[type, list[Handler]] = defaultdict(list)
         self._link_listeners: list[LinkListener] = []
         self._sender_listeners: list[Callable[[Sender], None]] = []
+        self._accepted: set[_Session] = set()
         self._connection_ids = itertools.count(1)
         self._nonces = itertools.count(1)
         self._tasks: ContainedTasks | None = None
@@ -218,11 +223,19 @@
             call_contained("link listener", listener, event, subject=peer.name)
 
     async def _accept(self, stream: ByteStream) -> None:
+        if self._unidentified_count >= UNIDENTIFIED_MAX:
+            await stream.aclose()
+            return
         await self._run_connection(stream, expected_peer=None)
 
+    @property
+    def _unidentified_count(self) -> int:
+        """Return on how many accepted connections the peer has not told its name."""
+        return sum(session.peer is None for session in self._accepted)
+
     async def _dial(self, peer: Peer) -> None:
         assert peer.address is not None
-        stream = await self._open_stream(peer.address)
+        stream = await open_stream(peer.address, self._settings.dial_timeout_s)
         if isinstance(stream, Reason):
             reason = stream
         elif await self._run_connection(stream, expected_peer=peer.name):
@@ -232,24 +245,14 @@
         actions = peer.monitor.handle_dial_failure(reason, self._timers.now_s())
         self._execute(peer, actions)
 
-    async def _open_stream(self, address: PeerAddress) -> ByteStream | Reason:
-        try:
-            with anyio.fail_after(self._settings.dial_timeout_s):
-                return await anyio.connect_tcp(address.host, address.port)
-        except TimeoutError:
-            return Reason.TIMEOUT
-        except OSError:
-            return Reason.UNAVAILABLE
-        except Exception as error:
-            report_unexpected_error("link dial", error, address.name)
-            return Reason.INVALID
-
     async def _run_connection(
         self, stream: ByteStream, expected_peer: str | None
     ) -> bool:
         """Run a connection until it ends; return whether the peer sent its hello."""
         connection = FrameConnection(stream, self._encode_batch)
         session = _Session(self, connection, expected_peer)
+        if expected_peer is None:
+            self._accepted.add(session)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(session.connection.write_frames)
@@ -260,6 +263,7 @@
         except Exception as error:
             report_unexpected_error("link", error, expected_peer or "")
         finally:
+            self._accepted.discard(session)
             await session.connection.close()
             self._handle_closed(session)
         return session.peer is not None
