Test late arrivals with entries that have their whole parts

The entries of the test were 26 s old when the targets came to a stand, and since a new process has a smaller part for 30 s, its budgets were not whole. They are 50 s old now, which makes the test stricter.

--- a/reedspar/direct/tests/standing_targets.py
+++ b/reedspar/direct/tests/standing_targets.py
@@ -36,8 +36,8 @@
 BOUNDS = BoundSettings(retry_share=0.2, retry_slack=106)
 WINDOW_S = 10.0
 TARGET_COUNT = 5
-SETTLED_S = 15.0
-"""Time until the load begins; budgets are full by then."""
+SETTLED_S = 40.0
+"""Time until the load begins; budgets have their whole parts by then."""
 CALLER_LEAVES_S = 2.3
 ANSWER_S = 0.3
 RUN_ON_S = 14.0
