Let clients that take no last answer make room at the limit

A connection that has ended on this side, and whose client reads nothing, kept its place until its time-out; at the limit every new client was refused meanwhile.

Measured: ConnectionLimitTest.test_client_that_takes_no_last_answer_makes_room fails without the change (the new connection is reset) and passes.

--- a/reedspar/serving/connection.py
+++ b/reedspar/serving/connection.py
@@ -215,11 +215,11 @@
     def is_replaceable(self) -> bool:
         """Return whether the connection may be closed for that of another client.
 
-        It may without a request in progress, which a part of a head is not, and with
-        further ones sent ahead.
+        It may without a request in progress, which a part of a head is not, with
+        further ones sent ahead, and if its client does not take the last answer.
         """
         if self._state_at_close is not None:
-            return False
+            return self.quiet_s >= FIRST_REQUEST_S
         if self._is_in_request:
             return self._has_requests_ahead()
         return self.now_s - self._accepted_s >= FIRST_REQUEST_S
--- a/reedspar/serving/tests/test_limits.py
+++ b/reedspar/serving/tests/test_limits.py
@@ -8,10 +8,11 @@
 import anyio
 
 from reedspar.serving import ServerLimits, create_server_limits
-from reedspar.serving.connection import FIRST_REQUEST_S
+from reedspar.serving.connection import FIRST_REQUEST_S, ConnectionEnd
 from reedspar.serving.tests.test_server import (
     ANSWER,
     END_S,
+    LONG_ANSWER_BYTES,
     LONG_UPLOAD_HEAD,
     REQUEST,
     LoopbackServer,
@@ -124,6 +125,21 @@
 
         self.run_server(script, limits=FEW)
 
+    def test_client_that_takes_no_last_answer_makes_room(self) -> None:
+        # Guards against connections that have ended on this side, while their clients
+        # keep the places by reading nothing.
+        async def script(site: LoopbackServer) -> None:
+            site.answer = bytes(LONG_ANSWER_BYTES)
+            for _ in range(FEW.connections):
+                site.connect().sendall(b"GET / HTTP/1.0\r\n\r\n")
+            await anyio.sleep(FIRST_REQUEST_S + 0.2)
+            for one in list(site.connections._connections):
+                one.close(ConnectionEnd.LAST_ANSWER)
+            site.answer = ANSWER
+            self.assertIn(ANSWER, await site.ask(site.connect()))
+
+        self.run_server(script, limits=FEW)
+
     def test_requests_in_progress_keep_their_connections(self) -> None:
         # Guards against answers that are cut for clients which come later.
         async def script(site: LoopbackServer) -> None:
--- a/reedspar/serving/tests/test_server.py
+++ b/reedspar/serving/tests/test_server.py
@@ -58,12 +58,13 @@
         await anyio.sleep(self.answer_s)
         before_head, self.before_head = self.before_head, lambda: None
         before_head()
-        size = str(len(self.answer)).encode()
+        answer = self.answer
+        size = str(len(answer)).encode()
         headers = [(b"content-length", size)] if self.has_length else []
         await send({"type": "http.response.start", "status": 200, "headers": headers})
         await anyio.sleep(self.body_delay_s)
-        for offset in range(0, len(self.answer), PIECE_BYTES):
-            body = self.answer[offset : offset + PIECE_BYTES]
+        for offset in range(0, len(answer), PIECE_BYTES):
+            body = answer[offset : offset + PIECE_BYTES]
             await send({"type": "http.response.body", "body": body, "more_body": True})
         await send({"type": "http.response.body", "body": b""})
 
