End the connection of a client whose requests ahead are refused

What callers saw: 503 and 504 for over 20 s while 600 connections sent orders ahead. Each refusal is cheap and the next request is here at once, so the entry and its targets' connections had no processor time.

A request that is refused for those behind it is the last one on its connection. Nothing of what follows was begun, so its client may send it again.

--- a/reedspar/requests/answer_buffers.py
+++ b/reedspar/requests/answer_buffers.py
@@ -125,6 +125,8 @@
         """Start of the send that has not ended; None if there is none."""
         self.is_refused = False
         """Whether the body did not fit the budget."""
+        self.ends_connection = False
+        """Whether the refusal is the last answer on its connection."""
         self.given_up: GiveUpLimit | None = None
         self.on_released: Callable[[], None] | None = None
         """Called when bytes of the answer are no longer held."""
@@ -153,9 +155,13 @@
         return not self.is_refused
 
     def refuse_in_crowd(self) -> None:
-        """Refuse the request if requests of clients within their limits need room."""
+        """Refuse the request if requests of clients within their limits need room.
+
+        Its connection is to end: what is sent ahead on it would be refused as well.
+        """
         if self._buffers.is_half_full and not self.is_refused:
             self.refuse()
+            self.ends_connection = True
 
     def refuse(self) -> None:
         """Hold nothing for the request, which gets a refusal."""
--- a/reedspar/requests/application.py
+++ b/reedspar/requests/application.py
@@ -99,6 +99,8 @@
         fields = self._adapter.make_headers(
             answer.outcome, self.caller_request_id, answer.weights_digest, headers
         )
+        if self._hold.ends_connection:
+            fields.append((b"connection", b"close"))
         if status not in BODILESS_STATUSES:
             fields.append((b"content-length", str(len(body)).encode()))
         await self._send_start(status, fields)
--- a/reedspar/requests/tests/test_slow_readers.py
+++ b/reedspar/requests/tests/test_slow_readers.py
@@ -79,6 +79,7 @@
             ahead[-1].add_body(0)
             ahead[-1].refuse_in_crowd()
         self.assertEqual(sum(not hold.is_refused for hold in ahead), 39)
+        self.assertEqual(sum(hold.ends_connection for hold in ahead), 61)
         patient = [buffers.open_hold() for _ in range(39)]
         self.assertTrue(all(hold.add_body(0) for hold in patient))
 
