--- a/review/support_2/http1.py
+++ b/review/support_2/http1.py
@@ -119,13 +119,21 @@
 
 async def _read_chunks(reader: asyncio.StreamReader) -> bytes:
     pieces = []
-    while size := int((await reader.readline()).strip() or b"0", 16):
+    while size := int(await _read_line(reader), 16):
         pieces.append(await reader.readexactly(size))
         await reader.readexactly(2)
-    await reader.readline()
+    await _read_line(reader)
     return b"".join(pieces)
 
 
+async def _read_line(reader: asyncio.StreamReader) -> bytes:
+    """Return a line; the end of the connection is none."""
+    line = await reader.readline()
+    if not line.endswith(b"\r\n"):
+        raise asyncio.IncompleteReadError(line, None)
+    return line.strip()
+
+
 def encode_chunks(body: bytes) -> bytes:
     """Return a body in chunks."""
     pieces = (body[i : i + CHUNK_BYTES] for i in range(0, len(body), CHUNK_BYTES))
