--- a/review/support_2/deployment.py
+++ b/review/support_2/deployment.py
@@ -32,8 +32,9 @@
 """Beneath the range from which the kernel takes ports of outgoing connections."""
 LEASE_CHECK_S = 0.1
 EXIT_TIMEOUT_S = 12.0
-ZONE = "zone-a"
 REGION = "region-a"
+ZONES = {"region-a": "zone-a", "region-b": "zone-b"}
+"""Zone of each region."""
 BOUNDS = {
     "drainMs": 2000,
     "graceS": 8,
@@ -216,10 +217,12 @@
         self.store.put(f"op/version/{model}", value)
         self.record.write(f"operator: version {version} of {model} is named")
 
-    def add_entry(self, host: str) -> tuple[Daemon, int, int]:
+    def add_entry(
+        self, host: str, ports: list[int] | None = None, region: str = REGION
+    ) -> tuple[Daemon, int, int]:
         """Return an entry, its port for callers and the port of its ready check."""
-        callers, ready, directory, *internal = find_ports(5, host)
-        fields = self._fields("entry", host, internal, ENTRY_LIMITS) | {
+        callers, ready, directory, *internal = ports or find_ports(5, host)
+        fields = self._fields("entry", host, internal, ENTRY_LIMITS, region) | {
             "listen": {
                 "front": f"{host}:{callers}",
                 "ready": f"{host}:{ready}",
@@ -237,15 +240,20 @@
         return self._add("agent", fields | {"app": app, "service": service})
 
     def _fields(
-        self, role: str, host: str, internal: list[int], limits: dict[str, Any]
+        self,
+        role: str,
+        host: str,
+        internal: list[int],
+        limits: dict[str, Any],
+        region: str = REGION,
     ) -> dict[str, Any]:
         self._names += 1
         return {
             "nodeName": f"{role}-{self._names}",
             "ip": host,
-            "zone": ZONE,
-            "region": REGION,
-            "zones": {ZONE: REGION},
+            "zone": ZONES[region],
+            "region": region,
+            "zones": {zone: name for name, zone in ZONES.items()},
             "internalPorts": internal,
             "platform": {"addr": f"{HOST}:{self._store_port}"},
             "limits": limits,
