Refuse bodies above the limit in force, and never cut them

With a lowered limit, bodies up to 4 MiB + 1 ran.

Cause: the application cut a body just above a constant, so that a filter behind it could refuse it. The chain of a site's entry has no such filter, and the constant was the default of the configuration in the place of the limit in force.

Change: an upload is read against the limit in force and ends as a whole body or as a refusal; there is no third outcome, so that no chain can run a part. A declared length above the limit is refused before it arrives; the rest is read and dropped, for 5 s at most, so that the caller sees the answer. While the store is slow or no configuration is known, the refusal is 503 with Retry-After, as for unknown routes and keys.

--- a/reedspar/direct/service.py
+++ b/reedspar/direct/service.py
@@ -36,7 +36,7 @@
 from reedspar.requests.relay_interfaces import RelayOptions
 from reedspar.requests.request import Filter
 from reedspar.requests.slow_readers import SlowReaders
-from reedspar.routes import CallerLimits
+from reedspar.requests.uploads import BodyLimit
 from reedspar.settings import BoundSettings, SiteSettings
 from reedspar.supervision import TaskSpawner
 from reedspar.timers import TimerService
@@ -309,8 +309,7 @@
     slow_readers = SlowReaders(buffers)
 
     def sweep_readers() -> None:
-        limits = view.routes.limits if view.routes is not None else CallerLimits()
-        slow_readers.sweep(timers.now_s(), limits.idle_timeout_s)
+        slow_readers.sweep(timers.now_s(), view.caller_limits.idle_timeout_s)
 
     timers.call_every(SLOW_READER_SWEEP_S, sweep_readers)
     application = RequestApplication(
@@ -318,7 +317,10 @@
         adapter,
         RequestIdGenerator(settings.name, incarnation),
         timers,
-        CallerLimits().body_bytes,
+        BodyLimit(
+            lambda: view.caller_limits.body_bytes,
+            lambda: view.routes is None or is_store_slow(),
+        ),
         fallback,
         buffers,
         cut_log,
--- a/reedspar/fleet/view.py
+++ b/reedspar/fleet/view.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import replace
 
-from reedspar.routes import RouteTable
+from reedspar.routes import CallerLimits, RouteTable
 from reedspar.supervision import call_contained
 from reedspar.timers import TimerService
 
@@ -62,6 +62,11 @@
         """Return the zones that get no requests."""
         return frozenset(self._zones_out)
 
+    @property
+    def caller_limits(self) -> CallerLimits:
+        """Return the limits in force, or the defaults before the first routes."""
+        return self.routes.limits if self.routes is not None else CallerLimits()
+
     def on_change(self, listener: Listener) -> None:
         """Call `listener` after each change that was applied."""
         self._listeners.append(listener)
--- a/reedspar/requests/answer_buffers.py
+++ b/reedspar/requests/answer_buffers.py
@@ -154,6 +154,14 @@
             self.refuse()
         return not self.is_refused
 
+    def drop(self) -> None:
+        """Stop counting a request, and its body, that is not passed on any more."""
+        self._buffers.body_bytes -= self._body_bytes
+        self._body_bytes = 0
+        if self._is_counted:
+            self._is_counted = False
+            self._buffers.count_request(-1)
+
     def refuse_in_crowd(self) -> None:
         """Refuse the request if requests of clients within their limits need room.
 
@@ -165,9 +173,7 @@
 
     def refuse(self) -> None:
         """Hold nothing for the request, which gets a refusal."""
-        self._buffers.body_bytes -= self._body_bytes
-        self._body_bytes = 0
-        self._end_count()
+        self.drop()
         self._buffers.refused += 1
         self.is_refused = True
 
@@ -210,16 +216,9 @@
         self.sending_since_s = None
         self._set_sending(0)
         self.set_pending(0)
-        self._buffers.body_bytes -= self._body_bytes
-        self._body_bytes = 0
-        self._end_count()
+        self.drop()
         self._buffers.discard(self)
 
-    def _end_count(self) -> None:
-        if self._is_counted:
-            self._is_counted = False
-            self._buffers.count_request(-1)
-
     def _set_sending(self, size_bytes: int) -> None:
         before = self._sending_bytes + SOCKET_BUFFER_BYTES * (self._sending_bytes > 0)
         after = size_bytes + SOCKET_BUFFER_BYTES * (size_bytes > 0)
--- a/reedspar/requests/application.py
+++ b/reedspar/requests/application.py
@@ -2,7 +2,8 @@
 
 import itertools
 import logging
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable, Iterator
+from contextlib import contextmanager
 
 import anyio
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
@@ -23,6 +24,7 @@
 from .cut_log import CutLog
 from .outcome_encoding import make_not_run
 from .request import Answer, Outcome, Proceed, Request
+from .uploads import BodyEnd, BodyLimit, Upload
 
 __all__ = ["AsgiResponder", "RequestApplication", "RequestIdGenerator"]
 
@@ -90,8 +92,17 @@
         """Send a piece of a stream."""
         await self._deliver(_make_body(data, more_body=not is_last), len(data))
 
-    async def finish(self, request: Request, answer: Answer) -> None:
-        """Send a complete answer, or the refusal in its place."""
+    async def finish(
+        self,
+        request: Request,
+        answer: Answer,
+        before_end: Callable[[], Awaitable[None]] | None = None,
+    ) -> None:
+        """Send a complete answer, or the refusal in its place.
+
+        `before_end` is awaited once all bytes are sent; a connection without a whole
+        request closes with the end of its answer.
+        """
         if answer.failure is not None:
             status, headers, body = self._adapter.encode_refusal(request, answer)
         else:
@@ -106,8 +117,12 @@
         await self._send_start(status, fields)
         for offset in range(0, len(body) or 1, SEND_PIECE_BYTES):
             end = offset + SEND_PIECE_BYTES
-            message = _make_body(body[offset:end], more_body=end < len(body))
+            more_body = end < len(body) or before_end is not None
+            message = _make_body(body[offset:end], more_body=more_body)
             await self._deliver(message, len(body) - offset)
+        if before_end is not None:
+            await before_end()
+            await self._send(_make_body(b"", more_body=False))
 
     async def _deliver(self, message: Message, held_bytes: int) -> None:
         """Send a part of the body; count it as held until the caller takes it.
@@ -145,7 +160,7 @@
         adapter: CallerAdapter,
         ids: RequestIdGenerator,
         timers: TimerService,
-        body_limit_bytes: int,
+        body_limit: BodyLimit,
         fallback: ASGIApp,
         buffers: AnswerBuffers | None = None,
         cut_log: CutLog | None = None,
@@ -155,7 +170,7 @@
         self._adapter = adapter
         self._ids = ids
         self._timers = timers
-        self._body_limit_bytes = body_limit_bytes
+        self._body_limit = body_limit
         self._fallback = fallback
         self._buffers = buffers or AnswerBuffers()
         self._active: dict[str, anyio.CancelScope] = {}
@@ -185,18 +200,16 @@
     ) -> None:
         responder = AsgiResponder(send, self._adapter, self._timers, hold)
         arrived_s = self._timers.now_s()
-        body: bytes | None = b""
-        with anyio.CancelScope() as upload:
-            self._uploads.add(upload)
-            try:
-                body = await _read_body(receive, self._body_limit_bytes, hold)
-            finally:
-                self._uploads.discard(upload)
-        if body is None:
+        upload = Upload(scope, receive, self._body_limit, hold)
+        body: bytes | BodyEnd = b""
+        with self._bound_upload() as uploading:
+            body = await upload.read()
+        if body is BodyEnd.DISCONNECTED:
             return
         if _has_requests_ahead(scope):
             hold.refuse_in_crowd()
-        request = self._adapter.read(scope, body, arrived_s, responder)
+        received = body if isinstance(body, bytes) else b""
+        request = self._adapter.read(scope, received, arrived_s, responder)
         request.request_id = self._ids.make()
         request.caller_request_id = request.caller_request_id or request.request_id
         request.can_signal_truncation = (
@@ -205,14 +218,40 @@
         responder.caller_request_id = request.caller_request_id
         request.hold = hold
         hold.caller_request_id = request.caller_request_id
-        if upload.cancelled_caught:
+        if uploading.cancelled_caught:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(_discard_body, receive)
+                tasks.start_soon(upload.discard)
                 await responder.finish(request, _refuse_upload())
                 tasks.cancel_scope.cancel()
+        elif body is BodyEnd.TOO_LARGE:
+            await self._refuse_oversized(request, responder, upload)
         else:
             await self._run(request, responder, receive)
 
+    @contextmanager
+    def _bound_upload(self) -> Iterator[anyio.CancelScope]:
+        """End what reads a body when the requests in flight are aborted."""
+        with anyio.CancelScope() as scope:
+            self._uploads.add(scope)
+            try:
+                yield scope
+            finally:
+                self._uploads.discard(scope)
+
+    async def _refuse_oversized(
+        self, request: Request, responder: AsgiResponder, upload: Upload
+    ) -> None:
+        """Refuse a body at once, and let its caller end sending it."""
+        failure = self._body_limit.refuse()
+        extra = {"request": request.caller_request_id, "refusal": str(failure)}
+        logger.info("body refused", extra=extra)
+
+        async def discard() -> None:
+            with self._bound_upload():
+                await upload.discard()
+
+        await responder.finish(request, make_not_run(failure), discard)
+
     async def _run(
         self, request: Request, responder: AsgiResponder, receive: Receive
     ) -> None:
@@ -278,12 +317,6 @@
     return has_requests_ahead is not None and has_requests_ahead()
 
 
-async def _discard_body(receive: Receive) -> None:
-    """Read what still arrives; the end of an answer waits for unread parts of it."""
-    while (await receive())["type"] != "http.disconnect":
-        pass
-
-
 def _refuse_upload() -> Answer:
     """Return the answer to a request whose body has not arrived in time."""
     detail = "this entry had to stop before the request had arrived"
@@ -304,28 +337,3 @@
     request.is_abandoned = True
     if request.is_cancellable or not request.may_have_run:
         scope.cancel()
-
-
-async def _read_body(
-    receive: Receive, limit_bytes: int, hold: RequestHold
-) -> bytes | None:
-    """Return the body, or None if the caller disconnected.
-
-    A body above the limit is truncated just above it, so that it can be refused.  One
-    that does not fit the daemon's memory is read and dropped: a connection that closes
-    with unread bytes is reset, and its caller would miss the refusal.
-    """
-    pieces: list[bytes] = []
-    size_bytes = 0
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            return None
-        piece = message.get("body", b"")
-        if size_bytes <= limit_bytes and hold.add_body(len(piece)):
-            pieces.append(piece)
-        if hold.is_refused:
-            pieces.clear()
-        size_bytes += len(piece)
-        if not message.get("more_body", False):
-            return b"".join(pieces)
--- a/reedspar/requests/filters.py
+++ b/reedspar/requests/filters.py
@@ -56,20 +56,14 @@
 
 
 class RequestLimitsFilter:
-    """Limits the time and the size of a request."""
+    """Limits the time of a request; the application limits its size."""
 
-    def __init__(
-        self, timers: TimerService, deadline_s: float, body_limit_bytes: int
-    ) -> None:
+    def __init__(self, timers: TimerService, deadline_s: float) -> None:
         self._timers = timers
         self._deadline_s = deadline_s
-        self._body_limit_bytes = body_limit_bytes
 
     async def apply(self, request: Request, proceed: Proceed) -> Answer:
-        """Set the deadline; refuse bad deadlines and oversized bodies."""
-        if len(request.body) > self._body_limit_bytes:
-            detail = f"the body has more than {self._body_limit_bytes} bytes"
-            return make_not_run(Failure(Reason.OVERLOADED, Step.BOUND, detail=detail))
+        """Set the deadline; refuse bad deadlines."""
         allowed_s = self._read_deadline_s(request)
         if allowed_s is None:
             detail = f"header {DEADLINE_HEADER} is no positive number of seconds"
--- a/reedspar/requests/service.py
+++ b/reedspar/requests/service.py
@@ -39,6 +39,7 @@
 from .retry_budgets import RetryBudgets
 from .routing import PoolChooser, Router
 from .target_directory import TargetDirectory, create_target_directory
+from .uploads import BodyLimit
 from .verdict_archive import VerdictArchive, create_verdict_archive
 from .views import ConfigurationView, EntryDirectory
 
@@ -153,7 +154,7 @@
     cut_log = CutLog(drain_filter, timers)
     filters: list[Filter] = [
         IdentificationFilter(configuration),
-        RequestLimitsFilter(timers, settings.deadline_s, settings.body_limit_bytes),
+        RequestLimitsFilter(timers, settings.deadline_s),
         ClassificationFilter(configuration),
         DeduplicationFilter(claims, timers, unix_time, settings.claim_ttl_s),
         drain_filter,
@@ -171,7 +172,7 @@
         PoolAdapter(),
         RequestIdGenerator(name, incarnation),
         timers,
-        settings.body_limit_bytes,
+        BodyLimit(lambda: settings.body_limit_bytes),
         Starlette(routes=[addresses.route, *extra_routes]),
         cut_log=cut_log,
     )
