Apply the limits in force to heads and idle connections

Callers saw: with a raised maxHeaderBytes, heads above 16 KiB got 431; with a raised idleTimeoutMs, kept connections closed after 15 s, while callers could still use them.

Cause: as for bodies: the server of an entry is set up once, with the defaults of the configuration, before any configuration is known.

Change: the server's configuration reads both limits from the fleet's view whenever it needs them. A connection that is open follows a raised limit: the limit on heads is read again with each arrival, and the idle timer starts again for what is left. The time-out of the kernel for unread answers is set as a connection is accepted.

--- a/reedspar/daemon/http_server.py
+++ b/reedspar/daemon/http_server.py
@@ -2,13 +2,14 @@
 
 import logging
 import socket
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import anyio
 from hypercorn.config import Config, Sockets
 from hypercorn.typing import ASGIFramework
 from starlette.types import ASGIApp, Receive, Scope, Send
 
+from reedspar.routes import CallerLimits
 from reedspar.serving import (
     SOCKET_BUFFER_BYTES,
     OpenConnections,
@@ -20,7 +21,7 @@
 __all__ = ["PortDispatcher", "create_connections", "serve_http"]
 
 LISTEN_BACKLOG = 2048
-KEEP_ALIVE_S = 75.0
+DEFAULT_LIMITS = CallerLimits(idle_timeout_s=75.0)
 SHUTDOWN_TIMEOUT_S = 2.0
 """Time to send the last bytes of answers, after the drain has waited for requests."""
 
@@ -48,13 +49,20 @@
 
 
 class _ServerConfig(Config):
-    """Configuration whose connections end if their peers take nothing for a while.
+    """Configuration with the limits on clients that are in force at each moment."""
 
-    Closing a connection waits for what is still to be sent on it, for as long as its
-    peer confirms that it is there.
-    """
+    read_limits: Callable[[], CallerLimits]
+    unread_margin_s: float | None = None
+
+    @property
+    def keep_alive_timeout(self) -> float:  # type: ignore[override]
+        """Return for how long a connection without a request stays open."""
+        return self.read_limits().idle_timeout_s
 
-    unread_timeout_s: float | None = None
+    @property
+    def h11_max_incomplete_size(self) -> int:  # type: ignore[override]
+        """Return the size up to which a request's head is read."""
+        return self.read_limits().header_bytes
 
     def create_sockets(self) -> Sockets:
         """Create the listening sockets; connections inherit their options."""
@@ -62,18 +70,27 @@
         for item in sockets.insecure_sockets:
             for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
                 item.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
-        if self.unread_timeout_s is not None:
-            timeout_ms = round(self.unread_timeout_s * 1000)
-            for item in sockets.insecure_sockets:
-                _set_user_timeout(item, timeout_ms)
         return sockets
 
+    def bound_unread(self, connected: socket.socket) -> None:
+        """Let a connection end if its peer takes nothing for a while.
+
+        Closing a connection waits for what is still to be sent on it, for as long as
+        its peer confirms that it is there.
+        """
+        if self.unread_margin_s is None:
+            return
+        timeout_s = self.keep_alive_timeout + self.unread_margin_s
+        option = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, round(timeout_s * 1000))
+        try:
+            connected.setsockopt(*option)
+        except OSError as error:
+            extra = {"error": repr(error)}
+            _logger.warning("unread timeout is not available", extra=extra)
 
-def _set_user_timeout(listening: socket.socket, timeout_ms: int) -> None:
-    try:
-        listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
-    except OSError as error:
-        _logger.warning("unread timeout is not available", extra={"error": repr(error)})
+
+def _use_defaults() -> CallerLimits:
+    return DEFAULT_LIMITS
 
 
 async def serve_http(
@@ -81,21 +98,22 @@
     host: str,
     ports: int | Sequence[int],
     stop: anyio.Event,
-    keep_alive_s: float = KEEP_ALIVE_S,
     grace_s: float = SHUTDOWN_TIMEOUT_S,
-    unread_timeout_s: float | None = None,
+    read_limits: Callable[[], CallerLimits] = _use_defaults,
+    unread_margin_s: float | None = None,
     connections: OpenConnections | None = None,
 ) -> None:
     """Serve on `host` and one or more ports until `stop` is set.
 
-    A connection ends if its peer takes nothing for `unread_timeout_s`; None: never.
+    A connection ends if its peer takes nothing for the idle time-out and
+    `unread_margin_s`; None: never.
     """
     config = _ServerConfig()
-    config.unread_timeout_s = unread_timeout_s
+    config.read_limits = read_limits
+    config.unread_margin_s = unread_margin_s
     all_ports = [ports] if isinstance(ports, int) else ports
     config.bind = [f"{host}:{port}" for port in all_ports]
     config.backlog = LISTEN_BACKLOG
-    config.keep_alive_timeout = keep_alive_s
     config.graceful_timeout = grace_s
     config.include_server_header = False
     config.accesslog = None
@@ -103,5 +121,7 @@
     # Connections need not be closed after a number of requests for load balancing:
     # callers choose an entry again whenever their addresses expire.
     config.keep_alive_max_requests = 1_000_000
-    server = create_http_server(application, config, connections or OpenConnections())
+    server = create_http_server(
+        application, config, connections or OpenConnections(), config.bound_unread
+    )
     await server.run(stop)
--- a/reedspar/daemon/site_entry.py
+++ b/reedspar/daemon/site_entry.py
@@ -27,7 +27,6 @@
 from reedspar.requests.caller_adapter import CallerAdapter
 from reedspar.requests.draining import DrainOptions, run_drain
 from reedspar.requests.verdict_archive import VerdictArchive, create_verdict_archive
-from reedspar.routes import CallerLimits
 from reedspar.serving import OpenConnections
 from reedspar.settings import LimitSettings, SiteSettings
 from reedspar.supervision import ContainedTasks, run_restarting
@@ -158,16 +157,15 @@
         await run_restarting(cache.run)
 
     async def _serve(self, application: ASGIApp) -> None:
-        idle_s = CallerLimits().idle_timeout_s
         await serve_http(
             application,  # type: ignore[arg-type]
             self.settings.host,
             self._distinct_ports(),
             self._stop_serving,
-            keep_alive_s=idle_s,
             grace_s=SHUTDOWN_TIMEOUT_S,
-            unread_timeout_s=(
-                idle_s + UNREAD_MARGIN_S if self.settings.limits.memory_mb else None
+            read_limits=lambda: self.components.view.caller_limits,
+            unread_margin_s=(
+                UNREAD_MARGIN_S if self.settings.limits.memory_mb else None
             ),
             connections=self.connections,
         )
--- a/reedspar/daemon/tests/test_http_server.py
+++ b/reedspar/daemon/tests/test_http_server.py
@@ -8,6 +8,7 @@
 from starlette.types import Receive, Scope, Send
 
 from reedspar.daemon.http_server import serve_http
+from reedspar.routes import CallerLimits
 
 HOST = "127.0.0.1"
 UNREAD_TIMEOUT_S = 0.5
@@ -51,7 +52,10 @@
                         port,
                         stop,
                         grace_s=0.1,
-                        unread_timeout_s=UNREAD_TIMEOUT_S,
+                        read_limits=lambda: CallerLimits(
+                            idle_timeout_s=UNREAD_TIMEOUT_S / 2
+                        ),
+                        unread_margin_s=UNREAD_TIMEOUT_S / 2,
                     )
 
                 tasks.start_soon(serve)
--- a/reedspar/serving/connection.py
+++ b/reedspar/serving/connection.py
@@ -4,7 +4,6 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
-from enum import Enum
 from typing import Any
 
 from hypercorn.asyncio.task_group import TaskGroup
@@ -17,13 +16,11 @@
 from .http1 import Http1Protocol, ObservedProtocol
 from .limits import RECEIVE_MAX_BYTES
 from .received_bytes import ReceivedBytes, is_readable
+from .states import UNANSWERED_STATES, ConnectionEnd, ConnectionState
 
 __all__ = [
     "REQUESTS_AHEAD_KEY",
-    "UNANSWERED_STATES",
-    "ConnectionEnd",
     "ConnectionOptions",
-    "ConnectionState",
     "ServerConnection",
 ]
 
@@ -45,41 +42,6 @@
 _logger = logging.getLogger(__name__)
 
 
-class ConnectionState(Enum):
-    """How far the request on a connection has come."""
-
-    FRESH = "fresh"
-    """Nothing has arrived yet."""
-    IDLE = "idle"
-    """All requests that have arrived have their answers."""
-    RECEIVING = "receiving"
-    """A part of a request has arrived, or bytes that were not read yet."""
-    ANSWERING = "answering"
-    """A whole request has no whole answer yet."""
-    CROSSED = "crossed"
-    """Bytes have arrived after the last answer."""
-
-
-UNANSWERED_STATES = (ConnectionState.RECEIVING, ConnectionState.ANSWERING)
-
-
-class ConnectionEnd(Enum):
-    """Why a connection ended."""
-
-    PEER = "peer"
-    """The peer has closed it, or it broke."""
-    LAST_ANSWER = "last-answer"
-    """The last answer on it has been sent."""
-    IDLE_TIMEOUT = "idle-timeout"
-    """Nothing was asked for too long."""
-    SHUTDOWN = "shutdown"
-    """The server shuts down."""
-    CROWDED = "crowded"
-    """Another client needs its place, or the memory that it holds."""
-    ERROR = "error"
-    """The protocol has failed."""
-
-
 @dataclass(frozen=True, slots=True)
 class ConnectionOptions:
     """What all connections of a server share."""
@@ -108,6 +70,7 @@
         self._send_lock = asyncio.Lock()
         self._protocol: ObservedProtocol | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._idle_since_s = self._accepted_s
         self._state_at_close: ConnectionState | None = None
         self._task: asyncio.Task[None] | None = None
         self._is_on_last_answer = False
@@ -190,7 +153,7 @@
             async with TaskGroup(self._loop) as tasks:
                 self._protocol = self._create_protocol(tasks)
                 await self._protocol.initiate()
-                self._start_timer(self._options.config.keep_alive_timeout)
+                self._begin_waiting()
                 await self._read()
                 self._state_at_close = self.state
                 await self._protocol.handle(Closed())
@@ -285,7 +248,7 @@
         elif isinstance(event, Updated):
             self._is_overdue = False
             # In a request, the timer looks whether its body goes on.
-            self._start_timer(self._options.config.keep_alive_timeout)
+            self._begin_waiting()
 
     async def _write(self, data: bytes) -> None:
         async with self._send_lock:
@@ -345,6 +308,10 @@
             self._state_at_close = state or self.state
             self.end = end
 
+    def _begin_waiting(self) -> None:
+        self._idle_since_s = self.now_s
+        self._start_timer(self._options.config.keep_alive_timeout)
+
     def _start_timer(self, timeout_s: float) -> None:
         self._stop_timer()
         self._timer = self._loop.call_later(timeout_s, self._end_waiting)
@@ -357,14 +324,18 @@
     def _end_waiting(self) -> None:
         """Close the connection after its timeout, unless bytes have just arrived.
 
-        In a request, do so only if its body has stopped arriving.
+        In a request, do so only if its body has stopped arriving.  The timeout may have
+        grown since the timer began.
         """
         timeout_s = self._options.config.keep_alive_timeout
-        if self._state_at_close is None and self._is_in_request:
-            if not self._is_body_due:
+        if self._state_at_close is None:
+            if self._is_in_request and not self._is_body_due:
                 return
-            if self.quiet_s < timeout_s:
-                self._start_timer(timeout_s - self.quiet_s)
+            waited_s = (
+                self.quiet_s if self._is_in_request else self.now_s - self._idle_since_s
+            )
+            if waited_s < timeout_s:
+                self._start_timer(timeout_s - waited_s)
                 return
         has_arrived = self._reader.unread_bytes or self._has_waiting_bytes
         if self._state_at_close is None and has_arrived and not self._is_overdue:
--- a/reedspar/serving/http1.py
+++ b/reedspar/serving/http1.py
@@ -6,6 +6,7 @@
 
 import h11
 from hypercorn.events import Closed
+from hypercorn.events import Event as ConnectionEvent
 from hypercorn.protocol import ProtocolWrapper
 from hypercorn.protocol.events import EndBody, Event, Request, Response
 from hypercorn.protocol.h11 import STREAM_ID, H11Protocol
@@ -70,6 +71,14 @@
             return False
         return bool(self.connection.trailing_data[0])
 
+    async def handle(self, event: ConnectionEvent) -> None:
+        """Process what has arrived, with the limit on heads that is in force now."""
+        if isinstance(self.connection, h11.Connection):
+            # The constructor alone takes the limit, which may change afterwards.
+            limit_bytes = self.config.h11_max_incomplete_size
+            self.connection._max_incomplete_event_size = limit_bytes
+        await super().handle(event)
+
     async def abandon(self) -> None:
         """Begin no further request, as nobody can be answered any more."""
         self.connection = _EndedConnection()  # type: ignore[assignment]
--- a/reedspar/serving/open_connections.py
+++ b/reedspar/serving/open_connections.py
@@ -9,13 +9,9 @@
 
 from reedspar.utils import TokenBucket
 
-from .connection import (
-    UNANSWERED_STATES,
-    ConnectionEnd,
-    ConnectionState,
-    ServerConnection,
-)
+from .connection import ServerConnection
 from .limits import ReadAhead, ServerLimits, create_server_limits
+from .states import UNANSWERED_STATES, ConnectionEnd, ConnectionState
 
 __all__ = ["OpenConnections"]
 
--- a/reedspar/serving/server.py
+++ b/reedspar/serving/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -11,11 +12,12 @@
 from hypercorn.config import Config
 from hypercorn.typing import ASGIFramework
 
-from .connection import ConnectionEnd, ConnectionOptions, ServerConnection
+from .connection import ConnectionOptions, ServerConnection
 from .limits import RECEIVE_MAX_BYTES
 from .listener import Listener
 from .open_connections import OpenConnections
 from .received_bytes import ReceivedBytes
+from .states import ConnectionEnd
 
 __all__ = ["HttpServer", "create_http_server"]
 
@@ -36,6 +38,7 @@
     connections: OpenConnections
     _config: Config
     _options: ConnectionOptions
+    _prepare: Callable[[socket.socket], None]
     _listeners: list[Listener] = field(default_factory=list)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -96,6 +99,7 @@
         if is_full and not self.connections.replace_one():
             connected.close()
             return
+        self._prepare(connected)
         task = asyncio.create_task(self._serve(connected))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -122,14 +126,24 @@
             self.connections.discard(connection)
 
 
+def _prepare_nothing(connected: socket.socket) -> None:
+    """Leave a socket as it is."""
+
+
 def create_http_server(
-    application: ASGIFramework, config: Config, connections: OpenConnections
+    application: ASGIFramework,
+    config: Config,
+    connections: OpenConnections,
+    prepare: Callable[[socket.socket], None] = _prepare_nothing,
 ) -> HttpServer:
-    """Create a server for the sockets that a configuration names."""
+    """Create a server for the sockets that a configuration names.
+
+    `prepare` sets the options of each socket that was accepted.
+    """
     options = ConnectionOptions(
         ASGIWrapper(application),
         config,
         WorkerContext(None),
         lambda: connections.is_draining,
     )
-    return HttpServer(connections, config, options)
+    return HttpServer(connections, config, options, prepare)
--- a/reedspar/serving/tests/test_limits.py
+++ b/reedspar/serving/tests/test_limits.py
@@ -8,7 +8,8 @@
 import anyio
 
 from reedspar.serving import ServerLimits, create_server_limits
-from reedspar.serving.connection import FIRST_REQUEST_S, ConnectionEnd
+from reedspar.serving.connection import FIRST_REQUEST_S
+from reedspar.serving.states import ConnectionEnd
 from reedspar.serving.tests.test_server import (
     ANSWER,
     END_S,
