Audit the watches of the store, and replace those that have missed a change

Cause: what a daemon believes has no age. A watch whose answer was lost looks the same as one on which nothing happens, until its timeout of 15 s. Peers help if one of them has heard; here all watches are lost in the same moment.

Change: every two seconds one entry of the fleet, chosen by rendezvous, asks the store for the changes of all keys since the last audit, and tells all daemons the newest revision below each prefix. A daemon that lacks it replaces its watch, which brings the change with all that applies to watches (deferred removals, restores). Others take over in turn when no audit is heard of. A document whose change is known or on its way is not read once more. Watches last 18 s in the place of 15 s, which pays for the audits. The age of the last audit is a metric, and a log line beyond 6 s.

Ruled out: that calls other than watches fail as well (the lease renewals mostly succeed; where one fails, the watch was replaced before, too).

--- a/reedspar/daemon/site_components.py
+++ b/reedspar/daemon/site_components.py
@@ -14,9 +14,11 @@
     LeasingStore,
     Registration,
     WatchableStore,
+    WatchAudit,
     create_fleet_exchange,
     create_fleet_feed,
     create_registration,
+    create_watch_audit,
 )
 from reedspar.settings import SiteSettings
 from reedspar.timers import TimerService
@@ -64,6 +66,7 @@
     view: FleetView
     feed: FleetFeed
     registration: Registration
+    audit: WatchAudit
     links: SiteLinks
 
 
@@ -101,7 +104,10 @@
         settings.region,
         settings.role,
     )
-    return SiteComponents(view, feed, registration, links)
+    audit = create_watch_audit(
+        settings.name, store_access.store, feed, view, network, timers
+    )
+    return SiteComponents(view, feed, registration, audit, links)
 
 
 def _to_daemon_record(settings: SiteSettings) -> DaemonRecord:
--- a/reedspar/daemon/site_entry.py
+++ b/reedspar/daemon/site_entry.py
@@ -130,6 +130,7 @@
         self.tasks.start_soon(self._serve, application)
         background = ContainedTasks(self.tasks)
         background.start_soon(run_restarting, self.components.feed.run)
+        background.start_soon(run_restarting, self.components.audit.run)
         background.start_soon(self._register)
         background.start_soon(self._cache_weights)
         background.start_soon(run_restarting, self.verdict_archive.run)
@@ -301,6 +302,8 @@
     adapters.metrics.removals_deferred.set_callback(
         lambda: read_deferral_counts(components.feed.caches.values())
     )
+    adapters.metrics.watch_audit_age.set_callback(components.audit.read_age)
+    adapters.metrics.watches_lost.set_callback(components.audit.read_lost)
     observe_pool_state(pool_state, adapters.metrics)
     weights_network = links.create_network("weights")
     origin = create_origin_with_exchange(
--- a/reedspar/fleet/__init__.py
+++ b/reedspar/fleet/__init__.py
@@ -11,8 +11,9 @@
     WeightsChange,
     ZoneChange,
 )
+from .codec import FleetCodec
 from .exchange import FleetExchange, create_fleet_exchange
-from .feed import FleetCodec, FleetFeed, create_fleet_feed
+from .feed import FleetFeed, create_fleet_feed
 from .messages import (
     SpeedRow,
     TargetEndlessNews,
@@ -40,6 +41,7 @@
     WatchedEntry,
 )
 from .view import FleetView, KnownTarget
+from .watch_audit import WatchAudit, create_watch_audit
 
 __all__ = [
     "DaemonChange",
@@ -65,6 +67,7 @@
     "TargetRecord",
     "TargetSpeedNews",
     "TargetState",
+    "WatchAudit",
     "WatchableStore",
     "WatchedChanges",
     "WatchedEntry",
@@ -73,6 +76,7 @@
     "create_fleet_exchange",
     "create_fleet_feed",
     "create_registration",
+    "create_watch_audit",
     "describe_revision",
     "epoch_of",
     "join_revision",
--- a/reedspar/fleet/feed.py
+++ b/reedspar/fleet/feed.py
@@ -4,7 +4,6 @@
 import random
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 from functools import partial
-from typing import Protocol
 
 import anyio
 
@@ -12,7 +11,7 @@
 from reedspar.supervision import call_contained, run_restarting
 from reedspar.timers import TimerService
 
-from .changes import FleetChange
+from .codec import FleetCodec
 from .prefix_cache import PrefixCache
 from .prefix_options import FleetPrefix
 from .revisions import describe_revision
@@ -21,13 +20,14 @@
 from .view import FleetView
 from .watch_gate import WatchGate
 
-__all__ = ["FleetCodec", "FleetFeed", "create_fleet_feed"]
+__all__ = ["FleetFeed", "create_fleet_feed"]
 
-WATCH_TIMEOUT_S = 15.0
+WATCH_TIMEOUT_S = 18.0
 """Timeout of one watch; each watch counts as a call.
 
-It is below the 20 s of history that the store keeps.  A longer watch may fail with
-EXPIRED, after which the prefix has to be listed again."""
+Audits notice a watch that is lost before its timeout.  It is below the 20 s of history
+that the store keeps.  A longer watch may fail with EXPIRED, after which the prefix has
+to be listed again."""
 RECOVERY_WATCH_TIMEOUT_S = 0.05
 """Watch timeout after a failure, short so that recovery is detected early."""
 POLL_JITTER_MIN = 0.5
@@ -41,18 +41,6 @@
 _logger = logging.getLogger(__name__)
 
 
-class FleetCodec(Protocol):
-    """Decodes the store's entries."""
-
-    def decode(self, entry: WatchedEntry) -> FleetChange | None:
-        """Return the change that an entry describes, None if it describes none."""
-        ...
-
-    def is_older(self, entry: WatchedEntry, known: WatchedEntry) -> bool:
-        """Return whether an entry's value is provably older than a known one's."""
-        ...
-
-
 class FleetFeed:
     """Follows prefixes of the store, with one task for each."""
 
@@ -82,6 +70,7 @@
         self._entries_listeners: list[EntriesListener] = []
         self._min_batch_interval_s = 0.0
         self._listed: set[str] = set()
+        self._answered_s = float("-inf")
         self._retry = StoreRetry(rng)
         self._initialized = anyio.Event()
         self._epoch = 0
@@ -122,6 +111,11 @@
         """Return the caches of the prefixes whose changes readers push."""
         return [c for p, c in self._caches.items() if self._prefixes[p].is_pushed]
 
+    @property
+    def document_caches(self) -> list[PrefixCache]:
+        """Return the caches of the relayed prefixes that have a single, large key."""
+        return [c for p, c in self._caches.items() if self._is_relayed_document(p)]
+
     @property
     def polled_caches(self) -> list[PrefixCache]:
         """Return the caches of the prefixes that are read at intervals, not watched."""
@@ -131,6 +125,20 @@
             if self._prefixes[prefix].poll_interval_s is not None
         ]
 
+    @property
+    def unanswered_s(self) -> float:
+        """Return the time since the store has answered any call of this daemon."""
+        return self._timers.now_s() - self._answered_s
+
+    def replace_watch(self, prefix: str) -> bool:
+        """Replace the watch of a prefix; return whether there was one in progress."""
+        return self._gates[prefix].cancel_call()
+
+    def replace_watches(self) -> None:
+        """Replace all watches in progress."""
+        for prefix in self._gates:
+            self.replace_watch(prefix)
+
     def set_peer_poll(self, prefix: str, poll: Callable[[], Awaitable[bool]]) -> None:
         """Call `poll` to ask peers before each read of the store; True skips it."""
         self._peer_polls[prefix] = poll
@@ -169,7 +177,7 @@
 
     def record_store_success(self) -> None:
         """Record that the store has answered any call of this daemon."""
-        now_s = self._timers.now_s()
+        self._answered_s = now_s = self._timers.now_s()
         for prefix, cache in self._caches.items():
             if self._gates[prefix].is_open:
                 cache.record_store_success(now_s)
@@ -270,7 +278,7 @@
             await self._wait_for_store(cache, listing)
             return False
         self._handle_answer(cache, now_s)
-        _log_outdated_entries(cache, listing)
+        cache.log_outdated(listing)
         self._apply_changes(cache, cache.apply_listing(listing, now_s))
         self._mark_listed(cache)
         return True
@@ -368,29 +376,13 @@
         """Replace the watches of an earlier epoch, which may never be answered."""
         if self.is_initialized and self._store.epoch > self._epoch:
             self._epoch = self._store.epoch
-            for gate in self._gates.values():
-                gate.cancel_call()
+            self.replace_watches()
 
     def _release_deferred(self) -> None:
         for cache in self._caches.values():
             self._apply_changes(cache, cache.release_deferred(self._timers.now_s()))
 
 
-def _log_outdated_entries(cache: PrefixCache, listing: Listing) -> None:
-    """Log a listing by the store with entries that are older than what is known."""
-    outdated = cache.count_outdated(listing)
-    if outdated:
-        _logger.warning(
-            "store lists older entries than it did before",
-            extra={
-                "prefix": cache.prefix,
-                "listed": len(listing.entries),
-                "outdated": outdated,
-                **describe_revision(listing.revision),
-            },
-        )
-
-
 def create_fleet_feed(
     store: WatchableStore,
     view: FleetView,
--- a/reedspar/fleet/fleet.capnp
+++ b/reedspar/fleet/fleet.capnp
@@ -33,6 +33,17 @@
   isServed @1 :Bool;
 }
 
+struct ChangedPrefix {
+  prefix @0 :Text;
+  newestRevision @1 :UInt64;
+}
+
+struct AuditNews {
+  revision @0 :UInt64;
+  changed @1 :List(ChangedPrefix);
+  isComplete @2 :Bool;
+}
+
 struct DocumentRequest {
   prefix @0 :Text;
   afterRevision @1 :UInt64;
--- a/reedspar/fleet/messages.py
+++ b/reedspar/fleet/messages.py
@@ -5,6 +5,8 @@
 from reedspar.messages import MessageRegistry, load_schema
 
 __all__ = [
+    "AuditNews",
+    "ChangedPrefix",
     "DocumentNews",
     "DocumentRequest",
     "FleetEntries",
@@ -79,6 +81,25 @@
     """True while the store answers the sender."""
 
 
+@dataclass(frozen=True, slots=True)
+class ChangedPrefix:
+    """Names the newest change below a prefix that an audit has found."""
+
+    prefix: str
+    newest_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class AuditNews:
+    """Tells daemons what the store has changed, so that they check their watches."""
+
+    revision: int
+    """The audits cover all changes up to this revision."""
+    changed: tuple[ChangedPrefix, ...]
+    is_complete: bool = True
+    """False if changes may have been missed that the store can't tell any more."""
+
+
 @dataclass(frozen=True, slots=True)
 class DocumentRequest:
     """Requests a document; answered even if it is not newer than the revision."""
@@ -196,6 +217,7 @@
         FleetRequest,
         FleetEntries,
         FleetNews,
+        AuditNews,
         DocumentNews,
         DocumentRequest,
         RemovalQuery,
--- a/reedspar/fleet/prefix_cache.py
+++ b/reedspar/fleet/prefix_cache.py
@@ -4,6 +4,7 @@
 of order; the store's revision of each key decides which of them is current.
 """
 
+import logging
 import zlib
 from collections import Counter
 from collections.abc import Iterable
@@ -11,6 +12,7 @@
 
 from .deferred_removals import DeferredRemovals
 from .restores import IsOlder, RestoreTracker
+from .revisions import describe_revision
 from .store import Listing, WatchedEntry
 
 __all__ = ["LEASE_EXPIRY_GRACE_S", "PrefixCache", "read_deferral_counts"]
@@ -33,6 +35,8 @@
 The last failure precedes the end of an outage by up to 1.5 s, and removals are deferred
 until the grace period after it."""
 
+_logger = logging.getLogger(__name__)
+
 
 @dataclass(slots=True)
 class PrefixCache:
@@ -81,6 +85,11 @@
         """Return whether calls to the store are failing."""
         return self._is_unavailable
 
+    @property
+    def size(self) -> int:
+        """Return the number of keys that exist or were removed."""
+        return len(self._entries)
+
     @property
     def newest_revision(self) -> int:
         """Return the revision of the newest cached entry or removal."""
@@ -114,13 +123,23 @@
         newer = [e for e in self._entries.values() if e.revision > revision]
         return sorted(newer, key=lambda entry: entry.revision)
 
-    def count_outdated(self, listing: Listing) -> int:
-        """Return how many listed entries have a lower revision than the cached ones."""
-        return sum(
+    def log_outdated(self, listing: Listing) -> None:
+        """Log a listing by the store with entries that are older than cached ones."""
+        outdated = sum(
             known.revision > entry.revision
             for entry in listing.entries
             if (known := self._entries.get(entry.key)) is not None
         )
+        if outdated:
+            _logger.warning(
+                "store lists older entries than it did before",
+                extra={
+                    "prefix": self.prefix,
+                    "listed": len(listing.entries),
+                    "outdated": outdated,
+                    **describe_revision(listing.revision),
+                },
+            )
 
     def mark_unavailable(self) -> bool:
         """Record a failed call; return whether the state has changed."""
--- a/reedspar/fleet/store.py
+++ b/reedspar/fleet/store.py
@@ -49,6 +49,11 @@
         """Return the epoch of the last answer; it rises when the store is restored."""
         ...
 
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether bytes of an answer are arriving."""
+        ...
+
     async def list_entries(self, prefix: str) -> Listing | Failure:
         """Return every entry below a prefix."""
         ...
--- a/reedspar/fleet/tests/fakes.py
+++ b/reedspar/fleet/tests/fakes.py
@@ -49,6 +49,7 @@
         self.leases: dict[str, set[str]] = {}
         self.first_kept_revision = 0
         self.is_unavailable = False
+        self.is_receiving = False
         self.calls: list[str] = []
         self.interruption_count = 0
         self.lost_watch_count = 0
--- a/reedspar/fleet/watch_gate.py
+++ b/reedspar/fleet/watch_gate.py
@@ -33,10 +33,12 @@
         self._opened = anyio.Event()
         self.cancel_call()
 
-    def cancel_call(self) -> None:
-        """Cancel the call in progress, if any."""
-        if self._scope is not None:
-            self._scope.cancel()
+    def cancel_call(self) -> bool:
+        """Cancel the call in progress; return whether there was one."""
+        if self._scope is None:
+            return False
+        self._scope.cancel()
+        return True
 
     def suspect_call(self) -> None:
         """Record that the call in progress may never be answered."""
--- a/reedspar/telemetry/metrics.py
+++ b/reedspar/telemetry/metrics.py
@@ -246,6 +246,23 @@
             "outcome",
         ),
     ]
+    watch_audit_age: Annotated[
+        ObservableInstrument,
+        observed_gauge(
+            "fleet.watch_audit_age",
+            "s",
+            "Time since an audit has confirmed that no watch of the store was lost.",
+        ),
+    ]
+    watches_lost: Annotated[
+        ObservableInstrument,
+        observed_counter(
+            "fleet.watches_lost",
+            "{watch}",
+            "Watches of the store that had missed a change and were replaced.",
+            "prefix",
+        ),
+    ]
     rate_limits: Annotated[
         ObservableInstrument,
         observed_counter(
