Keep the time of the first newer version, however many are named

Cause: the view kept the last four named versions. With the fifth, the naming time of the first version above an old one was forgotten, and its deadline moved into the future. A bound by count dropped what a bound by time needs.

Only the newest version's age is asked for; the answers cover all versions below it.

The logger of corrected naming times is that of the new module, which test_version_ages names now.

--- a/reedspar/fleet/tests/test_version_ages.py
+++ b/reedspar/fleet/tests/test_version_ages.py
@@ -50,7 +50,7 @@
 
     def test_naming_time_moves_earlier_but_never_later(self) -> None:
         self.clock.advance(3.0)
-        with self.assertLogs("reedspar.fleet.view", "INFO") as logs:
+        with self.assertLogs("reedspar.fleet.named_versions", "INFO") as logs:
             self.network.deliver("e2", VersionAge("m", 2, 4000))
         self.assertEqual(vars(logs.records[0])["late_ms"], 1000)
         self.assertAlmostEqual(self.named_at_s(), START_S - 1.0)
--- a/reedspar/fleet/version_ages.py
+++ b/reedspar/fleet/version_ages.py
@@ -51,15 +51,18 @@
         network.subscribe(VersionAge, self._handle_age)
 
     def request_ages(self, peers: Sequence[str]) -> None:
-        """Ask peers, and sometimes a random one, about recently learned versions."""
+        """Ask peers, and sometimes a random one, about recently learned versions.
+
+        They answer for all versions up to the newest, which is the only one asked for.
+        """
         horizon_s = self._timers.now_s() - QUERY_WINDOW_S
         recent = [v for v in self._view.all_versions() if v.learned_at_s > horizon_s]
-        if not recent:
+        newest = {named.model: named.version for named in recent}
+        if not newest:
             return
         for peer in [*peers, *self._choose_random_peer()]:
-            for named in recent:
-                request = VersionAgeRequest(named.model, named.version)
-                self._network.send(peer, request)
+            for model, version in newest.items():
+                self._network.send(peer, VersionAgeRequest(model, version))
 
     def _choose_random_peer(self) -> list[str]:
         names = [name for name in self._view.daemon_names() if name != self._name]
--- a/reedspar/fleet/view.py
+++ b/reedspar/fleet/view.py
@@ -2,7 +2,6 @@
 
 import logging
 from collections.abc import Callable, Iterator
-from dataclasses import replace
 
 from reedspar.routes import CallerLimits, RouteTable
 from reedspar.supervision import call_contained
@@ -17,15 +16,11 @@
     WeightsChange,
     ZoneChange,
 )
+from .named_versions import NamedVersions
 from .records import DaemonRecord, NamedVersion, TargetRecord
 
 __all__ = ["FleetView", "KnownTarget"]
 
-VERSIONS_PER_MODEL_MAX = 4
-"""Maximum number of named versions kept for a model; the origin keeps two."""
-LOGGED_CORRECTION_MIN_S = 0.1
-"""Smallest correction of a naming time that is logged."""
-
 _logger = logging.getLogger(__name__)
 Listener = Callable[[FleetChange], None]
 
@@ -52,7 +47,7 @@
         self._addresses = AddressIndex()
         self._daemons: dict[str, DaemonRecord] = {}
         self._zones_out: set[str] = set()
-        self._versions: dict[str, list[NamedVersion]] = {}
+        self._versions: dict[str, NamedVersions] = {}
         self._listeners: list[Listener] = []
         self._is_initialized = False
         self.routes: RouteTable | None = None
@@ -147,39 +142,25 @@
     def version_of(self, model: str) -> NamedVersion | None:
         """Return the latest named version of a model, if any."""
         named = self._versions.get(model)
-        return named[-1] if named else None
+        return named.newest if named is not None else None
 
     def versions_of(self, model: str) -> tuple[NamedVersion, ...]:
         """Return the named versions of a model in ascending order."""
-        return tuple(self._versions.get(model, ()))
+        named = self._versions.get(model)
+        return named.all() if named is not None else ()
 
     def all_versions(self) -> Iterator[NamedVersion]:
         """Yield the named versions of every model."""
         for named in self._versions.values():
-            yield from named
+            yield from named.all()
 
     def record_naming_time(
         self, model: str, version: int, named_at_s: float, peer: str
     ) -> None:
         """Correct a version's naming time to a peer's if that is earlier."""
-        named = self._versions.get(model, [])
-        if named and version < named[-1].version:
-            now_s = self._timers.now_s()
-            _insert_skipped(named, NamedVersion(model, version, now_s, named_at_s))
-        for i, known in enumerate(named):
-            if known.version != version or named_at_s >= known.named_at_s:
-                continue
-            named[i] = replace(known, named_at_s=named_at_s)
-            if known.named_at_s - named_at_s >= LOGGED_CORRECTION_MIN_S:
-                _logger.info(
-                    "naming time of weights corrected",
-                    extra={
-                        "model": model,
-                        "version": version,
-                        "peer": peer,
-                        "late_ms": round((known.learned_at_s - named_at_s) * 1000),
-                    },
-                )
+        named = self._versions.get(model)
+        if named is not None:
+            named.record_naming_time(version, named_at_s, self._timers.now_s(), peer)
 
     def apply(self, change: FleetChange) -> None:
         """Apply a change, unless it is outdated or has no effect."""
@@ -274,21 +255,10 @@
         return True
 
     def _apply_version(self, change: WeightsChange) -> bool:
-        named = self._versions.setdefault(change.model, [])
-        if named and change.version <= named[-1].version:
+        named = self._versions.setdefault(change.model, NamedVersions(change.model))
+        if not named.add(change.version, self._timers.now_s()):
             return False
-        now_s = self._timers.now_s()
-        named.append(NamedVersion(change.model, change.version, now_s, now_s))
-        del named[:-VERSIONS_PER_MODEL_MAX]
         _logger.info(
             "weights named", extra={"model": change.model, "version": change.version}
         )
         return True
-
-
-def _insert_skipped(named: list[NamedVersion], skipped: NamedVersion) -> None:
-    """Add a version that was replaced before this daemon learned of it."""
-    if all(known.version != skipped.version for known in named):
-        named.append(skipped)
-        named.sort(key=lambda known: known.version)
-        del named[:-VERSIONS_PER_MODEL_MAX]
