Finish transfers that can still serve while newer versions are named

Callers saw: while versions are named every few seconds, no target gets any of them whole, and once the last whole one has expired all streams are refused until the series ends.

Cause: work that is nearly done is thrown away for newer work that will be thrown away too. The decision compared with the deadline of the version before the current one, though that was dropped and nobody served it, and with that of the newest in the place of the first newer version. Caches kept the two newest versions only, shared the origin's link among all, and asked it again and again for chunks that it has removed.

Change: a transfer is finished if its version can still serve for a second or more and the origin provides it for long enough. Caches keep earlier versions that agents lack, read one version at a time, and take 410 for what it says. Prefetches of replaced versions are cancelled. Manifests and chunk locations are bounded; a chunk that versions share is read as the newest.

--- a/bench/hashed_distribution.py
+++ b/bench/hashed_distribution.py
@@ -19,6 +19,7 @@
     ObjectReady,
     ReadOrigin,
     SendMessage,
+    VersionStatus,
     WeightPeer,
 )
 from reedspar.weights.manifest import Manifest
@@ -100,6 +101,13 @@
             if not fetch.roots:
                 del self._fetches[fetch.digest]
 
+    def status(self, root_digest: str, now_s: float) -> VersionStatus:
+        """Return the status of a transfer of which nothing is known."""
+        return VersionStatus()
+
+    def set_drawn_version(self, model: str, root_digest: str, now_s: float) -> None:
+        """Do nothing: only caches choose."""
+
     def receive(self, peer: str, message: WeightMessage, now_s: float) -> None:
         """Handle a message from a peer."""
         if isinstance(message, ChunkRequest):
--- a/bench/origin_only_distribution.py
+++ b/bench/origin_only_distribution.py
@@ -5,7 +5,12 @@
 from reedspar.errors import Failure
 from reedspar.utils import digest_bytes
 from reedspar.weights import Manifest, WeightPeer
-from reedspar.weights.distribution import Action, ObjectReady, ReadOrigin
+from reedspar.weights.distribution import (
+    Action,
+    ObjectReady,
+    ReadOrigin,
+    VersionStatus,
+)
 from reedspar.weights.messages import WeightMessage
 
 __all__ = ["OriginOnlyDistribution"]
@@ -41,6 +46,13 @@
         """Stop reading."""
         self._to_read = []
 
+    def status(self, root_digest: str, now_s: float) -> VersionStatus:
+        """Return the status of a transfer of which nothing is known."""
+        return VersionStatus()
+
+    def set_drawn_version(self, model: str, root_digest: str, now_s: float) -> None:
+        """Do nothing: only caches choose."""
+
     def receive(self, peer: str, message: WeightMessage, now_s: float) -> None:
         """Do nothing: no peer is asked for chunks."""
 
--- a/reedspar/daemon/site_agent.py
+++ b/reedspar/daemon/site_agent.py
@@ -37,6 +37,7 @@
     add_origin_region,
     create_origin_with_exchange,
     list_named_models,
+    read_origin_bytes_per_s,
     wait_for_routes,
 )
 
@@ -125,7 +126,11 @@
         controller = self.create_controller(settings)
         self._weights = controller
         self.catalog.set_callbacks(
-            controller.add_object, controller.left_s, controller.prefetch
+            controller.add_object,
+            controller.transfers.left_s,
+            controller.transfers.prefetch,
+            controller.transfers.cancel_prefetch,
+            controller.transfers.is_stalled,
         )
         controller.start()
         self.components.view.on_change(lambda change: self._update_named_versions())
@@ -209,6 +214,7 @@
         rng,
         settings.bounds.version_ms / 1000 - OLDER_VERSION_MARGIN_S,
         settings.links.machine_bytes_per_s,
+        lambda: read_origin_bytes_per_s(view),
     )
     engine = adapters.create_engine(catalog)
     contained_tasks = ContainedTasks(tasks)
--- a/reedspar/daemon/site_entry.py
+++ b/reedspar/daemon/site_entry.py
@@ -45,6 +45,7 @@
     add_origin_region,
     create_origin_with_exchange,
     list_named_models,
+    read_origin_bytes_per_s,
     wait_for_routes,
 )
 
@@ -319,6 +320,7 @@
             origin=origin,
             peers=SitePeers(view, settings_with_origin),
             rng=rng,
+            read_origin_bytes_per_s=lambda: read_origin_bytes_per_s(view),
         )
 
     archive = create_verdict_archive(
--- a/reedspar/daemon/site_weights.py
+++ b/reedspar/daemon/site_weights.py
@@ -1,5 +1,6 @@
 """Weight distribution on a site: peers, named versions and the origin."""
 
+import math
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -24,6 +25,7 @@
     "add_origin_region",
     "create_origin_with_exchange",
     "list_named_models",
+    "read_origin_bytes_per_s",
     "wait_for_routes",
 ]
 
@@ -101,6 +103,14 @@
             yield NamedModel(model, named.version if named else FIRST_VERSION)
 
 
+def read_origin_bytes_per_s(view: FleetView) -> float:
+    """Return the capacity of the origin's link, infinity if it is not known."""
+    service = view.routes.origin if view.routes is not None else None
+    if service is None or service.origin is None:
+        return math.inf
+    return service.origin.link_bytes_per_s or math.inf
+
+
 async def wait_for_routes(components: SiteComponents) -> None:
     """Wait until the routes are known, which contain the location of the origin."""
     await components.feed.wait_initialized()
--- a/reedspar/platform/http_client.py
+++ b/reedspar/platform/http_client.py
@@ -120,7 +120,7 @@
         return Failure(Reason.UNAVAILABLE, step, peer, detail)
     if status >= httpx.codes.INTERNAL_SERVER_ERROR:
         return Failure(Reason.OUTCOME_UNKNOWN, step, peer, detail)
-    if status == httpx.codes.NOT_FOUND:
+    if status in (httpx.codes.NOT_FOUND, httpx.codes.GONE):
         return Failure(Reason.NOT_FOUND, step, peer, detail)
     if status == httpx.codes.CONFLICT:
         return Failure(Reason.CONFLICT, step, peer, detail)
--- a/reedspar/weights/cache.py
+++ b/reedspar/weights/cache.py
@@ -12,23 +12,27 @@
 """
 
 import logging
+import math
 import random
+from collections.abc import Callable
 from typing import Any
 
 import anyio
 
 from reedspar.errors import Failure, Reason
+from reedspar.fleet.named_versions import NamedVersions
 from reedspar.links import Network
 from reedspar.messages import Sender
 from reedspar.supervision import TaskSpawner
 from reedspar.timers import TimerService
 
 from .action_runner import TICK_INTERVAL_S, ActionRunner
-from .distribution import Distribution, WeightPeer
+from .distribution import Distribution, VersionStatus, WeightPeer
 from .limits import create_swarm_limits
 from .manifest import Manifest
 from .manifest_exchange import CachePeers, VersionedOrigin
-from .messages import DISTRIBUTION_MESSAGES
+from .messages import DISTRIBUTION_MESSAGES, HaveMap
+from .succession import DRAW_OVERHEAD, estimate_time_left_s
 from .swarm import SwarmDistribution
 from .views import AgentSettings
 
@@ -38,7 +42,9 @@
 MANIFEST_RETRY_MIN_S = 0.1
 MANIFEST_RETRY_MAX_S = 0.5
 VERSIONS_PER_MODEL_MAX = 2
-"""Maximum number of versions of a model that are transferred at the same time."""
+"""Number of the newest versions of a model that are transferred at the same time."""
+REQUESTED_VERSIONS_MAX = 2
+"""Maximum number of earlier ones that agents are still transferring."""
 
 _logger = logging.getLogger(__name__)
 
@@ -55,7 +61,9 @@
         peers: CachePeers,
         distribution: Distribution,
         rng: random.Random,
+        read_origin_bytes_per_s: Callable[[], float] = lambda: math.inf,
     ) -> None:
+        self._read_origin_bytes_per_s = read_origin_bytes_per_s
         self._network = network
         self._timers = timers
         self._origin = origin
@@ -67,10 +75,13 @@
         )
         self._named: dict[str, list[int]] = {}
         """The newest versions of each model, in the order of naming."""
+        self._naming_times: dict[str, NamedVersions] = {}
         self._named_while_caching: set[tuple[str, int]] = set()
         """Versions named while this daemon was a cache."""
         self._removed_from_origin: set[tuple[str, int]] = set()
         """Earlier versions that the origin no longer holds."""
+        self._dropped: set[tuple[str, int]] = set()
+        """Versions that agents have given up; they are not cached once more."""
         self._manifests: dict[str, list[Manifest]] = {}
         self._wakeup = anyio.Event()
 
@@ -92,6 +103,16 @@
         if named and self._peers.is_cache():
             self._named_while_caching.add((model, version))
         named.append(version)
+        times = self._naming_times.setdefault(model, NamedVersions(model))
+        times.add(version, self._now_s())
+        self._choose_drawn(model)
+        for old in named[:-VERSIONS_PER_MODEL_MAX]:
+            for versions in (
+                self._named_while_caching,
+                self._removed_from_origin,
+                self._dropped,
+            ):
+                versions.discard((model, old))
         del named[:-VERSIONS_PER_MODEL_MAX]
         self._wakeup.set()
 
@@ -122,7 +143,7 @@
             return []
         held = {(m, k.sequence) for m, kept in self._manifests.items() for k in kept}
         named = {(m, version) for m, kept in self._named.items() for version in kept}
-        return sorted(named - held - self._removed_from_origin)
+        return sorted(named - held - self._removed_from_origin - self._dropped)
 
     async def _cache_version(self, model: str, version: int) -> Failure | None:
         manifest = await self._origin.read_manifest(model, version)
@@ -137,30 +158,81 @@
         manifests.append(manifest)
         manifests.sort(key=lambda kept: kept.sequence)
         now_s = self._now_s()
-        for older in manifests[:-VERSIONS_PER_MODEL_MAX]:
-            self._distribution.remove_version(older.root_digest, now_s)
-        del manifests[:-VERSIONS_PER_MODEL_MAX]
+        self._drop_unneeded(model)
         self._set_peers(model)
         self._distribution.register_version(manifest, now_s)
+        self._choose_drawn(model)
         if (model, version) in self._named_while_caching:
             self._distribution.fetch_chunks(manifest, now_s)
         self._runner.run()
         return None
 
+    def _drop_unneeded(self, model: str) -> None:
+        """Drop versions that agents have given up, or are not to load any more.
+
+        What the origin still sends of them would delay the newest version.  Agents may
+        finish an earlier version, which the origin no longer holds.
+        """
+        *older, newest = self._manifests[model]
+        asked = [self._status_of(manifest).is_requested for manifest in older]
+        kept = [m for m, is_asked in zip(older, asked, strict=True) if is_asked]
+        del kept[REQUESTED_VERSIONS_MAX:]
+        if older and asked[-1] is None:
+            kept.append(older[-1])
+        for manifest in older:
+            if manifest not in kept:
+                self._dropped.add((model, manifest.sequence))
+                self._distribution.remove_version(manifest.root_digest, self._now_s())
+        self._manifests[model] = [*kept, newest]
+        self._choose_drawn(model)
+
+    def _status_of(self, manifest: Manifest) -> VersionStatus:
+        return self._distribution.status(manifest.root_digest, self._now_s())
+
+    def _choose_drawn(self, model: str) -> None:
+        """Choose the version that is read from the origin.
+
+        That is the newest, unless agents wait for an earlier one that can be complete
+        before the origin removes it.  Two versions would share the link, and none be
+        complete.
+        """
+        named = self._naming_times[model].all()
+        chosen = ""
+        for manifest in self._manifests.get(model, []):
+            root = manifest.root_digest
+            if manifest.sequence == named[-1].version:
+                chosen = chosen or root
+                continue
+            status = self._status_of(manifest)
+            copy_s = status.lacking_bytes / self._read_origin_bytes_per_s()
+            draw_s = DRAW_OVERHEAD * copy_s
+            left_s = estimate_time_left_s(manifest.sequence, named, self._now_s())
+            is_given_up = status.is_requested is False
+            is_waited_for = status.lacking_bytes > 0 and not is_given_up
+            if not chosen and is_waited_for and draw_s <= left_s:
+                chosen = root
+        self._distribution.set_drawn_version(model, chosen, self._now_s())
+
     def _release(self, digest: str) -> None:
         """Allow a chunk to be evicted when the chunk memory is full."""
         self._distribution.release(digest, self._now_s())
 
     def _receive(self, sender: Sender, message: Any) -> None:
         self._distribution.receive(sender.name, message, self._now_s())
+        if isinstance(message, HaveMap):
+            for model in self._manifests:
+                self._choose_drawn(model)
         self._runner.run()
 
     def _tick(self) -> None:
+        for model in self._manifests:
+            self._choose_drawn(model)
         self._distribution.tick(self._now_s())
         self._runner.run()
 
     def _refresh_peers(self) -> None:
         for model in self._manifests:
+            self._drop_unneeded(model)
             self._set_peers(model)
         if self._list_uncached():
             self._wakeup.set()
@@ -182,10 +254,20 @@
     origin: VersionedOrigin,
     peers: CachePeers,
     rng: random.Random,
+    read_origin_bytes_per_s: Callable[[], float] = lambda: math.inf,
 ) -> WeightCache:
     """Create the cache of an entry; call `start` next, and `run` in a task."""
     me = WeightPeer(settings.name, settings.region, settings.zone, is_cache=True)
     distribution = SwarmDistribution(
         me, create_swarm_limits(settings), random.Random(settings.name)
     )
-    return WeightCache(network, timers, tasks, origin, peers, distribution, rng)
+    return WeightCache(
+        network,
+        timers,
+        tasks,
+        origin,
+        peers,
+        distribution,
+        rng,
+        read_origin_bytes_per_s,
+    )
--- a/reedspar/weights/catalog.py
+++ b/reedspar/weights/catalog.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -23,10 +24,15 @@
 from reedspar.utils import digest_bytes
 
 from .manifest import Manifest, encode_manifest
-from .succession import LOAD_DURATION_S, Succession, should_finish_current
+from .succession import (
+    LOAD_DURATION_S,
+    TransferSequence,
+)
 
 __all__ = ["KnownVersion", "ManifestReader", "VersionCatalog"]
 
+KNOWN_VERSIONS_MAX = 8
+"""Number of the newest versions of a model whose manifests are kept."""
 MANIFEST_RETRY_MIN_S = 0.1
 MANIFEST_RETRY_MAX_S = 0.5
 """Bounds of the random delay before a manifest is read again."""
@@ -69,17 +75,23 @@
         rng: random.Random,
         bound_s: float,
         link_bytes_per_s: float,
+        read_origin_bytes_per_s: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self._pool = pool
         self._reader = reader
         self._timers = timers
         self._version_bound_s = bound_s
         self._link_bytes_per_s = link_bytes_per_s
+        self._read_origin_bytes_per_s = read_origin_bytes_per_s
         self._store_object: Callable[[str, bytes], None] = lambda digest, data: None
         self._left_s: Callable[[str], float | None] = lambda model: None
         self._prefetch: Callable[[Manifest], None] = lambda manifest: None
-        self._prefetched: set[tuple[str, int]] = set()
-        self._named_at_s: dict[tuple[str, int], float] = {}
+        self._cancel_prefetch: Callable[[Manifest], None] = lambda manifest: None
+        self._is_stalled: Callable[[str], bool] = lambda model: False
+        self._prefetched: dict[str, Manifest] = {}
+        self._sequences: dict[str, TransferSequence] = {}
+        self._finished_before: dict[str, int] = {}
+        """The version before which the current transfer is to be finished, by model."""
         self._rng = rng
         self._named_versions: dict[str, int] = {}
         self._known: dict[tuple[str, int], KnownVersion] = {}
@@ -102,48 +114,53 @@
         store_object: Callable[[str, bytes], None],
         left_s: Callable[[str], float | None],
         prefetch: Callable[[Manifest], None],
+        cancel_prefetch: Callable[[Manifest], None] = lambda manifest: None,
+        is_stalled: Callable[[str], bool] = lambda model: False,
     ) -> None:
         """Set the callbacks of the weight controller.
 
         `store_object` receives encoded manifests, and `left_s` returns the remaining
         transfer time of a model's current version.  `prefetch` receives the manifest of
-        a version that is loaded only after the current one.
+        a version that is loaded only after the current one, `cancel_prefetch` that of
+        one that will not be loaded any more.  `is_stalled` returns whether no missing
+        chunk of a model's current version becomes available.
         """
+        self._is_stalled = is_stalled
         self._store_object = store_object
         self._left_s = left_s
         self._prefetch = prefetch
+        self._cancel_prefetch = cancel_prefetch
 
     def service_deadline_s(self, model: str, served: int) -> float:
         """Return when a version may no longer be served; infinity for the newest."""
-        newer = [
-            named_at_s
-            for (name, version), named_at_s in self._named_at_s.items()
-            if name == model and version > served
-        ]
-        return min(newer, default=float("inf")) + self._version_bound_s
+        return self._sequence_of(model).service_deadline_s(served)
 
     def set_named_version(self, model: str, version: int) -> None:
         """Set the version that targets are to serve; ignore older versions."""
         if version > self._named_versions.get(model, 0):
-            if model in self._named_versions:
-                self._named_at_s[model, version] = self._timers.now_s()
+            self._sequence_of(model).add_named(version, self._timers.now_s())
             self._named_versions[model] = version
             self._wakeup.set()
 
     def record_naming_time(self, model: str, version: int, named_at_s: float) -> None:
         """Record that a version was named earlier than this agent learned of it."""
-        known_s = self._named_at_s.get((model, version))
-        if known_s is not None and named_at_s < known_s:
-            self._named_at_s[model, version] = named_at_s
+        now_s = self._timers.now_s()
+        self._sequence_of(model).record_naming_time(version, named_at_s, now_s)
+
+    def _sequence_of(self, model: str) -> TransferSequence:
+        if model not in self._sequences:
+            self._sequences[model] = TransferSequence(model, self._version_bound_s)
+        return self._sequences[model]
 
     def find_version(self, root_digest: str) -> tuple[str, int] | None:
         """Return the model and version with a root digest, or None if unknown."""
-        found = (
+        found = [
             key
             for key, known in self._known.items()
             if known.manifest.root_digest == root_digest
-        )
-        return next(found, None)
+        ]
+        # Versions with the same chunks have the same digest.
+        return max(found, key=lambda key: key[1], default=None)
 
     def root_digest_of(self, model: str, version: int) -> str:
         """Return a version's root digest, empty if its manifest is not known."""
@@ -175,38 +192,51 @@
         version with the fewest missing chunks first.
         """
         known = self._known[model, version]
+        prefetched = self._prefetched.get(model)
+        if prefetched is not None and prefetched.sequence != version:
+            self._cancel_prefetch(self._prefetched.pop(model))
         if not self._should_defer(model, version):
+            self._begin(known)
             self._publish(known)
-        elif (model, version) not in self._prefetched:
-            self._prefetched.add((model, version))
+        elif model not in self._prefetched:
+            self._prefetched[model] = known.manifest
             self._store_object(known.digest, known.encoded)
             self._prefetch(known.manifest)
 
+    def _begin(self, known: KnownVersion) -> None:
+        manifest = known.manifest
+        self._prefetched.pop(manifest.model, None)
+        self._sequence_of(manifest.model).begin(
+            manifest.sequence,
+            self._timers.now_s(),
+            has_current_arrived=self._left_s(manifest.model) is None,
+        )
+
     def _should_defer(self, model: str, version: int) -> bool:
         """Return whether the current transfer is to be finished first."""
         current = self._published.get(model)
         left_s = self._left_s(model)
         if current is None or left_s is None:
             return False
+        sequence = self._sequence_of(model)
         number = current.manifest.sequence
-        named_at_s = self._named_at_s.get((model, number))
-        next_named_at_s = self._named_at_s.get((model, version))
-        if named_at_s is None or next_named_at_s is None:
+        until_s = sequence.service_deadline_s(number)
+        if self._timers.now_s() + left_s + LOAD_DURATION_S >= until_s:
             return False
-        copy_s = current.manifest.size_bytes / self._link_bytes_per_s
-        current_until_s = next_named_at_s + self._version_bound_s
-        # The decision depends on the times of naming, which are the same on all agents.
-        # If each agent used its own missing chunks, half of the fleet would drop the
-        # version while the others finish it, and neither would arrive in time.
-        succession = Succession(
-            next_named_at_s,
-            max(0.0, named_at_s + copy_s - next_named_at_s),
-            copy_s,
-            named_at_s + self._version_bound_s,
-            current_until_s,
+        if sequence.is_removed(number) and self._is_stalled(model):
+            return False
+        # Corrections of naming times must not reverse a decision on some of the agents.
+        if self._finished_before.get(model) == version:
+            return True
+        size_bytes = current.manifest.size_bytes
+        is_finished = sequence.should_finish(
+            version,
+            size_bytes / self._link_bytes_per_s,
+            size_bytes / self._read_origin_bytes_per_s(),
         )
-        is_in_time = self._timers.now_s() + left_s + LOAD_DURATION_S < current_until_s
-        return is_in_time and should_finish_current(succession)
+        if is_finished:
+            self._finished_before[model] = version
+        return is_finished
 
     def _unpublished(self) -> list[tuple[str, int]]:
         return [
@@ -235,6 +265,7 @@
     def _publish(self, known: KnownVersion) -> None:
         manifest = known.manifest
         self._published[manifest.model] = known
+        self._forget_old(manifest.model)
         self._store_object(known.digest, known.encoded)
         self._document = self._build_document()
         _logger.info(
@@ -248,6 +279,14 @@
         for listener in self._listeners:
             listener(self._document)
 
+    def _forget_old(self, model: str) -> None:
+        """Forget the manifests of versions that are neither new nor served."""
+        versions = sorted(version for name, version in self._known if name == model)
+        served = self._sequence_of(model).arrived_version
+        for version in versions[:-KNOWN_VERSIONS_MAX]:
+            if version != served:
+                del self._known[model, version]
+
     def _build_document(self) -> ConfigurationDocument:
         number = self._document.version + 1 if self._document is not None else 1
         models = {
--- a/reedspar/weights/controller.py
+++ b/reedspar/weights/controller.py
@@ -20,7 +20,7 @@
 from .fencing import FencingNumbers
 from .limits import create_swarm_limits
 from .loading import Loader
-from .manifest import Manifest, decode_manifest
+from .manifest import decode_manifest
 from .messages import DISTRIBUTION_MESSAGES, VersionNotice, VersionPhase
 from .offers import OfferTracker
 from .progress import ProgressLog
@@ -30,6 +30,7 @@
 from .stager import Stager
 from .swarm import SwarmDistribution
 from .verification import StagedVerifier
+from .version_transfers import VersionTransfers
 from .views import AgentSettings, ConfigurationView, PeerView, VersionDeadlines
 
 __all__ = ["WeightController", "create_weight_controller"]
@@ -105,6 +106,9 @@
         self._runner = ActionRunner(
             distribution, network, origin, timers, tasks, self._on_object
         )
+        self.transfers = VersionTransfers(
+            distribution, self._staged, self._offers, self._runner.run, timers
+        )
         self._progress = ProgressLog(distribution.left_s)
         self._last_offered: tuple[LoadedWeights, ...] = ()
 
@@ -140,13 +144,6 @@
         self._distribution.add_object(digest, data, self._timers.now_s())
         self._runner.run()
 
-    def prefetch(self, manifest: Manifest) -> None:
-        """Fetch the chunks of a version that is to be loaded after the current one."""
-        now_s = self._timers.now_s()
-        self._distribution.register_version(manifest, now_s)
-        self._distribution.fetch_chunks(manifest, now_s)
-        self._runner.run()
-
     def record_engine_state(self, state: EngineState) -> None:
         """Record a state that was read from the engine; call it after each read."""
         confirmed = {m for m in self._staged if self._offers.is_confirmed(m)}
@@ -278,15 +275,6 @@
     def _is_current(self, staged: StagedVersion) -> bool:
         return self._staged.get(staged.model) is staged
 
-    def left_s(self, model: str) -> float | None:
-        """Return a model's remaining transfer time; None if loaded or unconfigured."""
-        staged = self._staged.get(model)
-        if staged is None or self._offers.is_confirmed(model):
-            return None
-        if staged.manifest is None:
-            return float("inf")
-        return self._distribution.left_s(staged.root_digest)
-
     def _on_staged(self, order: StagingOrder) -> None:
         """Release a staged chunk that no version still needs."""
         staged = self._staged.get(order.model)
--- a/reedspar/weights/distribution.py
+++ b/reedspar/weights/distribution.py
@@ -60,6 +60,18 @@
 Action = SendMessage | ReadOrigin | ObjectReady
 
 
+@dataclass(frozen=True, slots=True)
+class VersionStatus:
+    """How the transfer of a version stands, as far as is known."""
+
+    lacking_bytes: int = 0
+    """Size of the wanted chunks that no agent of this region holds."""
+    is_stalled: bool = False
+    """Whether no missing chunk has become available for a while."""
+    is_requested: bool | None = None
+    """Whether agents lack chunks; None if none has asked."""
+
+
 class Distribution(Protocol):
     """Decides which objects an agent fetches and sends; times are in seconds."""
 
@@ -94,6 +106,14 @@
         """Stop fetching the chunks that only this version needs."""
         ...
 
+    def status(self, root_digest: str, now_s: float) -> VersionStatus:
+        """Return how the transfer of a version stands."""
+        ...
+
+    def set_drawn_version(self, model: str, root_digest: str, now_s: float) -> None:
+        """Set the only version of a model that is to be read from the origin."""
+        ...
+
     def receive(self, peer: str, message: WeightMessage, now_s: float) -> None:
         """Handle a message of a peer."""
         ...
--- a/reedspar/weights/limits.py
+++ b/reedspar/weights/limits.py
@@ -1,6 +1,7 @@
 """Limits of an agent in the distribution, derived from its settings."""
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from .distribution import WeightPeer
@@ -103,6 +104,12 @@
             else self.request_timeout_s
         )
 
+    def list_wait_limits_s(
+        self, placements: Iterable[Placement], is_same_region: bool
+    ) -> list[float]:
+        """Return the maximum wait of a peer's request by placement."""
+        return [self.wait_limit_s(p, is_same_region=is_same_region) for p in placements]
+
     def origin_window(self, placement: Placement) -> int:
         """Return the maximum number of concurrent origin reads of this agent."""
         return math.ceil(OPEN_ORIGIN_READS_MAX / max(1, placement.origin_reader_count))
--- a/reedspar/weights/receiving.py
+++ b/reedspar/weights/receiving.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterator
 
-from reedspar.errors import Failure
+from reedspar.errors import Failure, Reason
 from reedspar.utils import digest_bytes
 
 from .fetches import ORIGIN, Fetch, FetchTable, PeerBackoff, Request
@@ -85,7 +85,10 @@
         request = self._fetches.find_origin_read(digest)
         fetch = self._fetches.get(digest)
         if fetch is not None and request is not None:
-            if isinstance(result, Failure) or digest_bytes(result) != digest:
+            if isinstance(result, Failure) and result.reason is Reason.NOT_FOUND:
+                # The origin answers; it only holds other versions now.
+                self._fail(fetch, request, now_s)
+            elif isinstance(result, Failure) or digest_bytes(result) != digest:
                 self._peers.record_origin_failure(now_s)
                 self._fail(fetch, request, now_s)
                 if isinstance(result, Failure):
--- a/reedspar/weights/swarm.py
+++ b/reedspar/weights/swarm.py
@@ -11,7 +11,8 @@
 from reedspar.errors import Failure
 
 from .announcing import Announcer, EarlyMaps
-from .distribution import Action, ObjectReady, WeightPeer
+from .distribution import Action, ObjectReady, VersionStatus, WeightPeer
+from .draws import DrawOrder, describe_transfer
 from .fetches import Fetch, FetchTable, PeerBackoff, Request
 from .inbound_credit import InboundCredit
 from .limits import SwarmLimits
@@ -33,7 +34,7 @@
 from .receiving import ChunkReceiver
 from .remote_fetching import RemoteFetcher
 from .serving import ChunkServer
-from .transfers import Transfer, rank_of_object
+from .transfers import Transfer, rank_chunk, rank_of_object
 
 __all__ = ["SwarmDistribution"]
 
@@ -65,6 +66,7 @@
         self._ready: set[str] = set()
         self._early_maps = EarlyMaps()
         self._live: dict[str, tuple[WeightPeer, ...]] = {}
+        self._draws = DrawOrder(is_cache=me.is_cache)
         self._reachable = Reachability()
         self._remote = RemoteFetcher(limits, self._fetches, self._peers, self._memory)
         self._receiver = ChunkReceiver(
@@ -161,6 +163,16 @@
         self._remote.requested.remove_version(transfer)
         self._schedule(now_s)
 
+    def set_drawn_version(self, model: str, root_digest: str, now_s: float) -> None:
+        """Set the only version of a model that is to be read from the origin."""
+        if self._draws.set_drawn(model, root_digest):
+            self._schedule(now_s)
+
+    def status(self, root_digest: str, now_s: float) -> VersionStatus:
+        """Return how the transfer of a version stands."""
+        stall_s = self._limits.no_progress_timeout_s
+        return describe_transfer(self._transfers.get(root_digest), now_s, stall_s)
+
     def receive(self, peer: str, message: WeightMessage, now_s: float) -> None:
         """Handle a message of a peer."""
         if self._reachable.record_message(peer):
@@ -278,11 +290,11 @@
         """Start the requests and send the pieces that the limits allow."""
         self._now_s = now_s
         self._remote.fetch_objects(self._objects, self._placements, now_s)
-        incomplete = (t for t in self._transfers.values() if not t.is_complete)
-        transfers = sorted(incomplete, key=self._count_remaining)
+        transfers = self._draws.sort(self._transfers.values())
         for transfer in transfers:
             placement = self._placements[transfer.model]
-            self._remote.fetch_assigned(transfer, placement, now_s)
+            if self._draws.may_draw(transfer, placement):
+                self._remote.fetch_assigned(transfer, placement, now_s)
             self._region_fetcher.fetch(transfer, placement, now_s)
             self._remote.fetch_from_replicas(transfer, placement, now_s)
         self._remote.requested.run(self._placements, now_s)
@@ -291,10 +303,6 @@
         for announcer in self._announcers.values():
             announcer.flush(now_s)
 
-    def _count_remaining(self, transfer: Transfer) -> int:
-        """Return the number of chunks to fetch; the lowest has precedence."""
-        return len(transfer.assigned if self._me.is_cache else transfer.missing)
-
     def _handle_received(
         self, digest: str, data: bytes, request: Request, now_s: float
     ) -> None:
@@ -324,24 +332,18 @@
 
     def _serve(self, peer: str, request: ChunkRequest, now_s: float) -> None:
         region = self._region_of(peer)
-        is_same_region = region == self._me.region
-        wait_limit_s = max(
-            (
-                self._limits.wait_limit_s(placement, is_same_region=is_same_region)
-                for placement in self._placements.values()
-            ),
-            default=0.0,
-        )
-        if not self._server.serve(peer, request, region, now_s + wait_limit_s):
-            return
+        is_local = region == self._me.region
+        waits_s = self._limits.list_wait_limits_s(self._placements.values(), is_local)
+        until_s = now_s + max(waits_s, default=0.0)
+        is_waiting = self._server.serve(peer, request, region, until_s)
         for transfer in self._transfers.values():
-            self._remote.requested.add(
-                transfer,
-                self._placements[transfer.model],
-                request.digest,
-                now_s,
-                is_same_region=is_same_region,
-            )
+            if not is_local:
+                transfer.record_request_from_afar(request.digest, now_s)
+            placement = self._placements[transfer.model]
+            if is_waiting and self._draws.may_draw(transfer, placement):
+                self._remote.requested.add(
+                    transfer, placement, request.digest, now_s, is_same_region=is_local
+                )
 
     def _region_of(self, peer: str) -> str:
         for placement in self._placements.values():
@@ -387,12 +389,10 @@
     def _rank_victim(self, digest: str) -> tuple[bool, bool, bool, int]:
         """Return the eviction rank of an object; the lowest is evicted first."""
         for transfer in self._transfers.values():
-            index = transfer.index_of.get(digest)
-            if index is not None:
-                replicas = self._placements[transfer.model].replicas(digest)
-                is_kept = self._me.name in replicas[: self._limits.copies_per_region]
-                is_needed = transfer.table.is_needed(index, self._now_s)
-                return True, is_needed, is_kept, -transfer.table.count(index)
+            if digest in transfer.index_of:
+                copies = self._limits.copies_per_region
+                placement = self._placements[transfer.model]
+                return rank_chunk(transfer, digest, placement, copies, self._now_s)
         return digest in self._objects, False, False, 0
 
     def _handle_evicted(self, digest: str) -> None:
--- a/reedspar/weights/tests/test_succession.py
+++ b/reedspar/weights/tests/test_succession.py
@@ -12,7 +12,12 @@
 from reedspar.weights import Chunk, Manifest, VersionCatalog
 from reedspar.weights.activation import SwitchDecision
 from reedspar.weights.manifest import compute_root_digest
-from reedspar.weights.succession import Succession, should_finish_current
+from reedspar.weights.succession import (
+    COPY_OVERHEAD,
+    Succession,
+    TransferSequence,
+    should_finish_current,
+)
 
 BOUND_S = 8.0
 
@@ -38,6 +43,73 @@
         self.assertFalse(should_finish_current(Succession(0.2, 6.0, 6.0, 7.6, 7.8)))
 
 
+class TransferSequenceTest(unittest.TestCase):
+    """Versions of which a copy takes 5.2 s, and 2.6 s on the origin's link."""
+
+    def find_arrivals(self, interval_s: float, count: int) -> dict[int, float]:
+        """Return the times at which versions arrive that are named at intervals."""
+        sequence = TransferSequence("m", BOUND_S - 0.4)
+        sequence.add_named(1, 0.0)
+        current, began_s, arrivals_s = 1, -100.0, {}
+        copy_s, draw_s = 5.2, 2.6
+        times_s = [100.0 + interval_s * number for number in range(count)]
+        sequence.begin(1, 0.0, has_current_arrived=True)
+        for number, named_s in enumerate(times_s):
+            version = number + 2
+            if began_s + COPY_OVERHEAD * copy_s <= named_s:
+                self.arrive(sequence, arrivals_s, current, began_s, version - 1)
+                current, began_s = version - 1, began_s + COPY_OVERHEAD * copy_s
+            sequence.add_named(version, named_s)
+            has_arrived = current in arrivals_s or current == 1
+            if has_arrived or not sequence.should_finish(version, copy_s, draw_s):
+                sequence.begin(version, named_s, has_current_arrived=has_arrived)
+                current, began_s = version, named_s
+        arrivals_s[current] = began_s + COPY_OVERHEAD * copy_s
+        return arrivals_s
+
+    def arrive(
+        self,
+        sequence: TransferSequence,
+        arrivals_s: dict[int, float],
+        current: int,
+        began_s: float,
+        newest: int,
+    ) -> None:
+        """Let a transfer end, and begin that of the newest version."""
+        if current == 1 or current in arrivals_s:
+            return
+        arrives_s = began_s + COPY_OVERHEAD * 5.2
+        arrivals_s[current] = arrives_s
+        if newest != current:
+            sequence.begin(newest, arrives_s, has_current_arrived=True)
+
+    def test_versions_arrive_while_others_are_named_in_quick_succession(self) -> None:
+        # Guards against a series in which each name drops the transfer before it, so
+        # that nothing can be served until the series ends.
+        for interval_s in (2.0, 2.5, 3.0, 4.0):
+            with self.subTest(interval_s=interval_s):
+                arrivals_s = self.find_arrivals(interval_s, 20)
+                early = [v for v in arrivals_s if v < 21]
+                self.assertGreaterEqual(len(early), 20 * interval_s // 12)
+
+    def test_version_that_the_origin_removes_too_early_is_not_finished(self) -> None:
+        # Guards against targets that wait for chunks that nobody can provide any more.
+        self.assertEqual(set(self.find_arrivals(1.0, 20)), {21})
+
+    def test_served_version_is_the_last_that_has_arrived(self) -> None:
+        # Guards against a deadline of the version before the current one, though that
+        # was dropped and nobody serves it.
+        sequence = TransferSequence("m", BOUND_S)
+        sequence.add_named(1, 0.0)
+        sequence.begin(1, 0.0, has_current_arrived=True)
+        for version, named_s in ((2, 100.0), (3, 100.2), (4, 103.2)):
+            sequence.add_named(version, named_s)
+            if version < 4:
+                is_first = version == 2
+                sequence.begin(version, named_s, has_current_arrived=is_first)
+        self.assertTrue(sequence.should_finish(4, 5.2, 2.0))
+
+
 class FakeReader:
     def __init__(self) -> None:
         self.failures = 0
@@ -98,6 +170,28 @@
         anyio.run(run)
         return self.versions()
 
+    def test_prefetch_of_a_replaced_version_is_cancelled(self) -> None:
+        # Guards against links that carry chunks of versions that nobody will load.
+        self.reader.chunks = 5
+        cancelled: list[int] = []
+
+        async def scenario(catalog: VersionCatalog) -> None:
+            catalog.set_callbacks(
+                lambda digest, data: None,
+                lambda model: self.left_s,
+                lambda manifest: self.prefetched.append(manifest.sequence),
+                lambda manifest: cancelled.append(manifest.sequence),
+            )
+            await self.name_in_sequence(catalog, 1, 2)
+            self.left_s = 2.0
+            self.clock.advance(4.0)
+            await self.name_in_sequence(catalog, 3)
+            self.clock.advance(0.5)
+            await self.name_in_sequence(catalog, 4)
+            self.assertEqual((self.prefetched, cancelled), ([3, 4], [3]))
+
+        self.assertEqual(self.run_scenario(scenario), [1, 2])
+
     async def name_in_sequence(self, catalog: VersionCatalog, *versions: int) -> None:
         for version in versions:
             catalog.set_named_version("m", version)
--- a/reedspar/weights/tests/test_weight_cache.py
+++ b/reedspar/weights/tests/test_weight_cache.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from typing import Any
 
 import anyio
 
@@ -27,6 +28,10 @@
 
     def __init__(self) -> None:
         self.chunk_reads = 0
+        self.versions_read: set[int] = set()
+        self.blocked: anyio.Event | None = None
+        """Reads of chunks wait for it."""
+        self._version_of: dict[str, int] = {}
         self.manifests: dict[int, Manifest] = {}
         self._objects: dict[str, bytes] = {}
 
@@ -35,6 +40,7 @@
         for start in range(0, len(weights), CHUNK_BYTES):
             chunk = weights[start : start + CHUNK_BYTES]
             self._objects[digest_bytes(chunk)] = chunk
+            self._version_of[digest_bytes(chunk)] = version
         manifest = build_manifest(model, str(version), version, weights, CHUNK_BYTES)
         assert not isinstance(manifest, Failure)
         self.manifests[version] = manifest
@@ -42,6 +48,9 @@
 
     async def read(self, name: str, offset: int, size_bytes: int) -> bytes | Failure:
         self.chunk_reads += 1
+        self.versions_read.add(self._version_of[name])
+        if self.blocked is not None:
+            await self.blocked.wait()
         return self._objects[name]
 
 
@@ -114,6 +123,39 @@
 
         anyio.run(scenario)
 
+    def test_one_version_is_read_from_the_origin_at_a_time(self) -> None:
+        # Guards against two versions that share the origin's link, so that the origin
+        # removes the first before it is complete.
+        async def scenario() -> None:
+            origin = NumberedOrigin()
+            clock = VirtualClock()
+            timers = TimerService(clock)
+            origin.blocked = anyio.Event()
+            async with anyio.create_task_group() as tasks:
+                cache = make_cache(
+                    origin, tasks, timers=timers, read_origin_bytes_per_s=lambda: 1e6
+                )
+                cache.start()
+                tasks.start_soon(cache.run)
+                cache.set_named_version(MODEL, 1)
+                await anyio.wait_all_tasks_blocked()
+                clock.advance(100.0)
+                cache.set_named_version(MODEL, 2)
+                await anyio.wait_all_tasks_blocked()
+                clock.advance(3.0)
+                cache.set_named_version(MODEL, 3)
+                await anyio.wait_all_tasks_blocked()
+                self.assertEqual(origin.versions_read, {2})
+                origin.blocked.set()
+                for _ in range(3):
+                    clock.advance(0.1)
+                    timers.run_due()
+                    await anyio.wait_all_tasks_blocked()
+                self.assertEqual(origin.versions_read, {2, 3})
+                tasks.cancel_scope.cancel()
+
+        anyio.run(scenario)
+
 
 def make_cache(
     origin: NumberedOrigin,
@@ -121,6 +163,7 @@
     view: FakePeerView | None = None,
     links: FakeLinks | None = None,
     timers: TimerService | None = None,
+    **more: Any,
 ) -> WeightCache:
     me = WeightPeer("entry-1", "ra", "a", is_cache=True)
     limits = SwarmLimits(
@@ -138,6 +181,7 @@
         view or FakePeerView(),
         SwarmDistribution(me, limits, random.Random(1)),
         random.Random(1),
+        **more,
     )
 
 
--- a/reedspar/weights/transfers.py
+++ b/reedspar/weights/transfers.py
@@ -6,7 +6,7 @@
 from .neighbours import HaveTable
 from .placement import Placement
 
-__all__ = ["Transfer", "rank_of_object"]
+__all__ = ["Transfer", "rank_chunk", "rank_of_object"]
 
 ANNOUNCEMENTS_PER_COPY = 80
 """Announcements to a neighbour during the transfer of a version over the slowest link.
@@ -35,6 +35,8 @@
         self.held = 0
         self.obtained = 0
         self.is_wanted = False
+        self.asked_from_afar_s = float("-inf")
+        """When another region last asked for a chunk."""
         self.assigned: list[int] = []
         self.assigned_share = 0.0
         """Share of the missing chunks that is assigned to this agent."""
@@ -135,6 +137,11 @@
         """Record that a neighbour has announced a new chunk."""
         self.progress_s = now_s
 
+    def record_request_from_afar(self, digest: str, now_s: float) -> None:
+        """Record that another region has asked for a chunk."""
+        if digest in self.index_of:
+            self.asked_from_afar_s = now_s
+
     def update_assignment(self, placement: Placement) -> None:
         """Update the chunks assigned to this agent, in descending order."""
         me = placement.me
@@ -150,3 +157,13 @@
     """Return the position of the first transfer that needs an object, else 0."""
     ranks = (i for i, transfer in enumerate(transfers) if transfer.needs(digest))
     return next(ranks, 0)
+
+
+def rank_chunk(
+    transfer: Transfer, digest: str, placement: Placement, copies: int, now_s: float
+) -> tuple[bool, bool, bool, int]:
+    """Return the eviction rank of a chunk; the lowest is evicted first."""
+    index = transfer.index_of[digest]
+    is_kept = placement.me in placement.replicas(digest)[:copies]
+    is_needed = transfer.table.is_needed(index, now_s)
+    return True, is_needed, is_kept, -transfer.table.count(index)
