Take only Not-Executed for proof that an order has not run

Callers saw: an order that a runner had run was answered 503 (also 408 and 429), with or without the runner's stamp; by these statuses callers place it once more (REFUSED).

Cause: the status of a server was taken for a promise of ours. Each answer that is no success, and neither 421 nor marked Not-Executed, was passed on as it was.

Change: for a request that may not be repeated, these statuses without the mark are a failure with an unknown outcome: the caller gets 502 without the stamp. Reads are passed on or repeated as before, 421 and marked refusals are sent elsewhere as before. The own interface names the outcome in a header of its own, which is not affected.

--- a/reedspar/direct/client.py
+++ b/reedspar/direct/client.py
@@ -253,6 +253,7 @@
             start.priority,
             start.workspace,
             start.weights_digest,
+            is_idempotent=start.is_idempotent,
         )
         target = attempt.target
 
