Take no answer with a status outside 200 to 599 for an answer

Callers saw: 600, 700 and 999 of a target in trouble, with its stamp. 000, 001 and other forms became 502 only since the HTTP library refuses them.

Cause: nothing of ours checked the status of an answer; the library lets 101 and 600 to 999 pass.

Change: the transport that all adapters use (targets, agents, store, origin) raises a protocol error, and an entry takes no head with such a status from an agent either. The outcome of an order is unknown then, also where the answer says Not-Executed.

--- a/reedspar/platform/bounded_transport.py
+++ b/reedspar/platform/bounded_transport.py
@@ -13,6 +13,8 @@
 import httpcore
 import httpx
 
+from reedspar.utils import is_final_status
+
 __all__ = ["BoundedTransport", "UnboundedAnswerError"]
 
 HEAD_MAX_BYTES = 128 * 1024
@@ -155,7 +157,10 @@
         )
 
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
-        """Send a request; raises `UnboundedAnswerError` for a head without end."""
+        """Send a request; raises `UnboundedAnswerError` for a head without end.
+
+        Raises `RemoteProtocolError` for a status that no final answer has.
+        """
         with _translate_errors():
             response = await self._pool.handle_async_request(
                 httpcore.Request(
@@ -174,6 +179,10 @@
         stream = response.extensions.get("network_stream")
         if isinstance(stream, _CountedStream):
             stream.end_head()
+        if not is_final_status(response.status):
+            await response.aclose()
+            detail = f"status {response.status} of a final answer"
+            raise httpx.RemoteProtocolError(detail)
         return httpx.Response(
             response.status,
             headers=response.headers,
--- a/reedspar/requests/assembly.py
+++ b/reedspar/requests/assembly.py
@@ -21,6 +21,7 @@
     EndKind,
 )
 from reedspar.errors import Failure, Reason, Step
+from reedspar.utils import is_final_status
 
 from .event_stream import EventBoundary, is_event_stream
 
@@ -104,6 +105,9 @@
         """Store the status and headers; repeated ones are ignored."""
         if self.head is not None or not self.is_open:
             return Progress.NOTHING
+        if not is_final_status(message.status):
+            detail = f"status {message.status} of a final answer"
+            return self._finish(Verdict.UNKNOWN, Reason.CORRUPT, detail)
         self.head = message
         if is_event_stream(message.headers):
             self._event_boundary = EventBoundary()
--- a/reedspar/requests/tests/test_assembly.py
+++ b/reedspar/requests/tests/test_assembly.py
@@ -47,6 +47,18 @@
 
 
 class AssemblyTest(unittest.TestCase):
+    def test_answer_without_a_valid_status_is_not_passed_on(self) -> None:
+        # Guards against an answer behind a peer whose status no caller can read.
+        for status in (0, 1, 42, 99, 100, 101, 199, 600, 700, 999):
+            with self.subTest(status=status):
+                assembly = AnswerAssembly(START, "t1")
+                for message in make_answer(START, b"x"):
+                    if isinstance(message, AttemptHead):
+                        message = replace(message, status=status)
+                    feed(assembly, message)
+                self.assertIs(assembly.verdict, Verdict.UNKNOWN)
+                self.assertIsNone(assembly.head)
+
     @settings(max_examples=100, deadline=None, derandomize=True)
     @given(st.binary(min_size=1, max_size=60), st.integers(0, 2**32), st.booleans())
     def test_reordered_repeated_and_missing_pieces(
--- a/reedspar/utils/headers.py
+++ b/reedspar/utils/headers.py
@@ -1,8 +1,8 @@
-"""HTTP headers that proxies do not forward."""
+"""Heads of HTTP messages: headers that proxies do not forward, numbers, statuses."""
 
 import math
 
-__all__ = ["HOP_BY_HOP_HEADERS", "parse_non_negative"]
+__all__ = ["HOP_BY_HOP_HEADERS", "is_final_status", "parse_non_negative"]
 
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -28,3 +28,8 @@
     except ValueError:
         return None
     return value if math.isfinite(value) and value >= 0 else None
+
+
+def is_final_status(status: int) -> bool:
+    """Return whether a final answer may have a status (RFC 9110, section 15)."""
+    return 200 <= status <= 599
