Count no pause of a target as time of an answer without end

Callers saw: streams that a sound engine interrupts inside an event for over 0.75 s, as it is short of memory, were cut when it went on (LOST).

Cause: the time since the first byte of an event was measured, also while nothing arrived. An answer without end is one on which bytes go on arriving.

Change: a gap of 0.4 s and more is a pause and does not count, at most four for each event; shorter gaps do.

Answers without end are still broken off within a second (test_stream_without_events_ends_within_a_second, real ones in test_endless_answers), those with pauses of 0.5 s within 5 s.

--- a/reedspar/attempts/answer_progress.py
+++ b/reedspar/attempts/answer_progress.py
@@ -7,7 +7,13 @@
 EVENT_MAX_BYTES = 256 * 1024
 """Maximum size of one event of a stream."""
 EVENT_TIMEOUT_S = 0.75
-"""Time in which bytes may go on arriving until an event ends."""
+"""Time in which bytes may go on arriving until an event ends, without pauses."""
+PAUSE_MIN_S = 0.4
+"""Time without bytes that is a pause of the target.
+
+An engine that is short of memory interrupts its newest streams, also inside events."""
+PAUSES_PER_EVENT_MAX = 4
+"""Pauses of one event that do not count as time in which bytes arrive."""
 EVENT_FIELDS = (b"data", b"id")
 """Fields of which an event has one; comments and unknown fields are ignored."""
 LINE_END = re.compile(rb"\r\n|\n|\r")
@@ -59,36 +65,45 @@
         self._max_bytes = EVENT_MAX_BYTES if is_event_stream else plain_max_bytes
         self._pending_bytes = 0
         """Bytes since the last event."""
-        self._pending_s: tuple[float, float] | None = None
-        """Times when the first and the last of these bytes arrived."""
+        self._received_s: float | None = None
+        """When the last of these bytes arrived."""
+        self._took_s = 0.0
+        """Time in which these bytes arrived, without pauses."""
+        self._pauses = 0
 
     def feed(self, data: bytes, now_s: float) -> bool:
         """Record bytes of the body; return whether they are progress."""
         pending_bytes = self._scanner.feed(data) if self._scanner is not None else None
         if pending_bytes is not None:
             self._pending_bytes = pending_bytes
-            self._pending_s = (now_s, now_s) if pending_bytes else None
+            self._received_s = now_s if pending_bytes else None
+            self._took_s, self._pauses = 0.0, 0
             return True
         self._pending_bytes += len(data)
-        first_s = self._pending_s[0] if self._pending_s is not None else now_s
-        self._pending_s = (first_s, now_s)
+        self._count_time(now_s)
         return self._scanner is None
 
+    def _count_time(self, now_s: float) -> None:
+        gap_s = now_s - self._received_s if self._received_s is not None else 0.0
+        self._received_s = now_s
+        if gap_s >= PAUSE_MIN_S and self._pauses < PAUSES_PER_EVENT_MAX:
+            self._pauses += 1
+        else:
+            self._took_s += gap_s
+
     def restart_time(self, now_s: float) -> None:
         """Count the time from now on, after a pause in which nothing was read."""
-        if self._pending_s is not None:
-            self._pending_s = (now_s, now_s)
+        if self._received_s is not None:
+            self._received_s = now_s
+            self._took_s = 0.0
 
     def find_excess(self) -> str:
         """Return which limit the answer exceeds, or an empty string."""
         if self._pending_bytes > self._max_bytes:
             return f"{self._pending_bytes} bytes without an event"
-        if self._scanner is None or self._pending_s is None:
-            return ""
-        took_s = self._pending_s[1] - self._pending_s[0]
-        if took_s < EVENT_TIMEOUT_S:
+        if self._scanner is None or self._took_s < EVENT_TIMEOUT_S:
             return ""
-        return f"{self._pending_bytes} bytes in {took_s:.2f} s without an event"
+        return f"{self._pending_bytes} bytes in {self._took_s:.2f} s without an event"
 
 
 def _has_event_field(line: bytes) -> bool:
--- a/reedspar/direct/tests/test_endless_answers.py
+++ b/reedspar/direct/tests/test_endless_answers.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from reedspar.attempts import AnswerProgress
 from reedspar.direct.endless_news import EndlessNews
 from reedspar.direct.loads import TargetLoads
 from reedspar.direct.tests.cases import EVENT_STREAM_TYPE, Call, make_event
@@ -117,6 +118,33 @@
                     self.assertIsNotNone(ended_s)
                     self.assertLessEqual(ended_s, EVENTLESS_MAX_S)
 
+    def test_stream_that_pauses_inside_an_event_is_whole(self) -> None:
+        # Guards against streams that are cut after a sound engine has interrupted them
+        # between two tokens of an event.
+        begun, rest = [WHOLE[0], b"id: 2\nda"], [b"ta: ", b"x2\n\n"]
+        # After a longer silence, one that may be resumed goes on at another target.
+        pauses_s = {"/q/1": (0.3, 0.5, 0.75, 1.0), "/once/1": (0.5, 1.0, 1.7)}
+        cases = [(path, s) for path, values in pauses_s.items() for s in values]
+        for path, pause_s in cases:
+            pieces: list[Any] = [*begun, pause_s, *rest]
+            paused = FakeResponse(pieces, content_type=EVENT_STREAM_TYPE)
+            faulty = {f"q{i}": paused for i in range(4)}
+            calls, sent = self.run_load(dict(faulty), path, 0.0)
+            with self.subTest(pause_s=pause_s, path=path):
+                self.assertEqual(calls[0].body, b"".join(WHOLE))
+                self.assertTrue(calls[0].is_whole)
+                self.assertEqual(len(sent), 1)
+
+    def test_pauses_do_not_prolong_an_answer_without_end(self) -> None:
+        # Guards against an answer without events that goes on since it pauses.
+        progress = AnswerProgress(is_event_stream=True, plain_max_bytes=1e6)
+        now_s, excess = 0.0, ""
+        while not excess and now_s < 60.0:
+            progress.feed(b"data: x\n", now_s)
+            excess = progress.find_excess()
+            now_s += 0.5
+        self.assertLessEqual(now_s, 5.0)
+
     def test_target_without_events_is_left_by_the_requests_that_follow(self) -> None:
         # Guards against one more wasted second for each request that meets the target.
         for pieces in ([b"x" * 100_000], [b": none\n\n"]):
