Bound the memory that large bodies take

Cause: with a raised limit, one body could take the whole budget for bodies and answers, and several times as much while it is put together and sent: an entry of 300 MB peaked at 377 MB with orders of 48 MiB, one after the other (real daemon, loopback).

Ruled out: to count all bodies with a factor; it refuses small ones that fit.

--- a/reedspar/requests/answer_buffers.py
+++ b/reedspar/requests/answer_buffers.py
@@ -22,6 +22,8 @@
 
 ANSWERS_FRACTION = 0.75
 """Fraction of the budget for answers; the rest is left for bodies of new requests."""
+BODY_COPIES = 1.5
+"""Ratio of the memory that a body takes while it is put together to its size."""
 ANSWER_BOUND_MIN_BYTES = 16 * 1024
 """Bound with which an answer still goes on, some dozens of events."""
 SOCKET_BUFFER_BYTES = 64 * 1024
@@ -77,6 +79,11 @@
         is_full = self._request_count > self._requests_max
         return is_full or self.held_bytes > self._budget_bytes
 
+    @property
+    def largest_body_bytes(self) -> float:
+        """Return the size up to which a single body fits."""
+        return self._budget_bytes / BODY_COPIES
+
     def answer_bound_bytes(self) -> float:
         """Return how much of its answer each request may hold now."""
         free_bytes = min(
@@ -150,7 +157,8 @@
             return False
         self._body_bytes += size_bytes
         self._buffers.body_bytes += size_bytes
-        if self._buffers.is_short:
+        is_too_large = self._body_bytes > self._buffers.largest_body_bytes
+        if is_too_large or self._buffers.is_short:
             self.refuse()
         return not self.is_refused
 
--- a/reedspar/requests/tests/test_slow_readers.py
+++ b/reedspar/requests/tests/test_slow_readers.py
@@ -47,6 +47,15 @@
         hold.set_pending(0)
         self.assertFalse(hold.is_full)
 
+    def test_single_body_leaves_room_for_its_copies(self) -> None:
+        # Guards against a daemon that exceeds its memory while it puts a large body
+        # together that takes all of the budget.
+        buffers = AnswerBuffers(3_000_000)
+        for size_bytes, fits in ((2_000_000, True), (2_000_001, False)):
+            hold = buffers.open_hold()
+            self.assertEqual(hold.add_body(size_bytes), fits)
+            hold.close()
+
     def test_bodies_beyond_the_budget_are_refused_until_others_end(self) -> None:
         # Load: targets that read the bodies of many requests slowly.
         buffers = AnswerBuffers(1_000_000)
