Let answers that declare their size be larger than 1 MB

Cause: a constant told a large answer from one without end.

Change: the declared size, up to 64 MiB, takes the place of the constant; what declares none, or more, is bounded as before.

Evidence: test_answer_that_declares_its_size_is_no_answer_without_end, one of three subtests fails before and passes.

--- a/reedspar/attempts/__init__.py
+++ b/reedspar/attempts/__init__.py
@@ -1,6 +1,6 @@
 """Messages between entry daemons and target agents about attempts and targets."""
 
-from .answer_progress import AnswerProgress, EventScanner
+from .answer_progress import AnswerProgress, EventScanner, read_declared_bytes
 from .messages import (
     CRASH_AFTER_BEGIN_MAX_S,
     AttemptAck,
@@ -52,5 +52,6 @@
     "TargetReport",
     "TargetStatus",
     "create_suspect",
+    "read_declared_bytes",
     "register_messages",
 ]
--- a/reedspar/attempts/answer_progress.py
+++ b/reedspar/attempts/answer_progress.py
@@ -1,9 +1,16 @@
 """Progress of a target's answer: whether it still brings events, or only bytes."""
 
 import re
+from collections.abc import Iterable
 
-__all__ = ["AnswerProgress", "EventScanner"]
+from .messages import Header
 
+__all__ = ["AnswerProgress", "EventScanner", "read_declared_bytes"]
+
+LENGTH_HEADER = "content-length"
+DECLARED_MAX_BYTES = 64 * 1024 * 1024
+"""Largest size that an answer may declare; others count as answers without end."""
+DECLARED_MAX_DIGITS = 9
 EVENT_MAX_BYTES = 256 * 1024
 """Maximum size of one event of a stream."""
 EVENT_TIMEOUT_S = 0.75
@@ -106,5 +113,16 @@
         return f"{self._pending_bytes} bytes in {self._took_s:.2f} s without an event"
 
 
+def read_declared_bytes(headers: Iterable[Header]) -> int:
+    """Return the size that an answer declares, 0 if it declares none that is usable."""
+    for header in headers:
+        text = header.value
+        if header.name.lower() == LENGTH_HEADER:
+            is_usable = text.isdecimal() and len(text) <= DECLARED_MAX_DIGITS
+            size_bytes = int(text) if is_usable else 0
+            return size_bytes if size_bytes <= DECLARED_MAX_BYTES else 0
+    return 0
+
+
 def _has_event_field(line: bytes) -> bool:
     return line.partition(b":")[0] in EVENT_FIELDS
--- a/reedspar/direct/client.py
+++ b/reedspar/direct/client.py
@@ -19,6 +19,7 @@
     AttemptHead,
     AttemptStart,
     Header,
+    read_declared_bytes,
 )
 from reedspar.errors import Failure, Reason, Step
 from reedspar.platform import TargetRequest, TargetResponse
@@ -306,7 +307,7 @@
         headers = assembly.head.headers if assembly.head is not None else ()
         progress = AnswerProgress(
             is_event_stream=is_event_stream(headers),
-            plain_max_bytes=self._plain_max_bytes,
+            plain_max_bytes=max(self._plain_max_bytes, read_declared_bytes(headers)),
         )
         async for piece in response.iterate():
             if isinstance(piece, Failure):
@@ -377,7 +378,8 @@
 ) -> DirectAttemptClient:
     """Create a client whose attempts run in `tasks`.
 
-    `plain_max_bytes` is the largest answer that is no stream of events.
+    `plain_max_bytes` is the largest answer that is no stream of events and does not
+    declare its size.
     """
     return DirectAttemptClient(
         dialer, timers, tasks, record_report, checks, late_arrivals, plain_max_bytes
--- a/reedspar/direct/tests/test_endless_answers.py
+++ b/reedspar/direct/tests/test_endless_answers.py
@@ -135,6 +135,21 @@
                 self.assertTrue(calls[0].is_whole)
                 self.assertEqual(len(sent), 1)
 
+    def test_answer_that_declares_its_size_is_no_answer_without_end(self) -> None:
+        # Guards against large answers that are thrown away after the order has run, and
+        # targets that are avoided since they are sound.
+        large = b"x" * 3_000_000
+        for declared, status in ((str(len(large)), 200), ("", 502), ("9" * 30, 502)):
+            length = {"content-length": declared} if declared else {}
+            fields = (("content-type", "text/plain"), *length.items())
+            answer = FakeResponse([large[:1_500_000], large[1_500_000:]])
+            answer.headers = fields
+            faulty = {f"q{i}": answer for i in range(4)}
+            calls, _ = self.run_load(dict(faulty), "/once/1", 0.0)
+            with self.subTest(declared=declared):
+                is_whole = calls[0].status == 200 and calls[0].body == large
+                self.assertEqual(is_whole, status == 200)
+
     def test_pauses_do_not_prolong_an_answer_without_end(self) -> None:
         # Guards against an answer without events that goes on since it pauses.
         progress = AnswerProgress(is_event_stream=True, plain_max_bytes=1e6)
