List the prefixes at the auditor alone once the store's history is gone

Cause: an audit that met a store without its history had all daemons replace all watches; those from an earlier revision would each have listed its prefix again, with the configuration, at the same moment.

Change: the auditor lists all prefixes, and tells the newest revision below each; who lacks it replaces its watch.

Evidence: test_changes_are_known_in_time_if_the_store_forgets_them (changes in time, and no more listings than the auditor's and those of the readers that missed a change).

--- a/reedspar/fleet/fleet.capnp
+++ b/reedspar/fleet/fleet.capnp
@@ -41,7 +41,6 @@
 struct AuditNews {
   revision @0 :UInt64;
   changed @1 :List(ChangedPrefix);
-  isComplete @2 :Bool;
 }
 
 struct DocumentRequest {
--- a/reedspar/fleet/messages.py
+++ b/reedspar/fleet/messages.py
@@ -96,8 +96,6 @@
     revision: int
     """The audits cover all changes up to this revision."""
     changed: tuple[ChangedPrefix, ...]
-    is_complete: bool = True
-    """False if changes may have been missed that the store can't tell any more."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/reedspar/fleet/prefix_cache.py
+++ b/reedspar/fleet/prefix_cache.py
@@ -85,11 +85,6 @@
         """Return whether calls to the store are failing."""
         return self._is_unavailable
 
-    @property
-    def size(self) -> int:
-        """Return the number of keys that exist or were removed."""
-        return len(self._entries)
-
     @property
     def newest_revision(self) -> int:
         """Return the revision of the newest cached entry or removal."""
@@ -123,6 +118,12 @@
         newer = [e for e in self._entries.values() if e.revision > revision]
         return sorted(newer, key=lambda entry: entry.revision)
 
+    def exists_in(self, listing: Listing) -> bool:
+        """Return whether all keys that are known to exist are listed."""
+        listed = {entry.key for entry in listing.entries}
+        known = (e for e in self._entries.values() if e.value is not None)
+        return all(entry.key in listed for entry in known)
+
     def log_outdated(self, listing: Listing) -> None:
         """Log a listing by the store with entries that are older than cached ones."""
         outdated = sum(
--- a/reedspar/fleet/watch_audit.py
+++ b/reedspar/fleet/watch_audit.py
@@ -149,14 +149,24 @@
         return [prefix for prefix in self._feed.caches if prefix not in names]
 
     async def _begin_anew(self) -> bool:
-        """Replace all watches, as what they may have missed can't be told any more."""
-        _logger.warning("changes of the store can't be audited; beginning anew")
-        smallest = min(self._feed.caches.values(), key=lambda cache: cache.size)
-        listing = await self._store.list_entries(smallest.prefix)
-        if isinstance(listing, Failure):
-            return self._record_failure(listing)
+        """List all prefixes, as the store has dropped the changes since the last audit.
+
+        Only the auditor does so: the others list a prefix if they have missed a change.
+        """
+        _logger.warning("changes of the store can't be audited; listing all prefixes")
+        revisions: list[int] = []
+        changed: list[ChangedPrefix] = []
+        for prefix, cache in self._feed.caches.items():
+            listing = await self._store.list_entries(prefix)
+            if isinstance(listing, Failure):
+                return self._record_failure(listing)
+            revisions.append(listing.revision)
+            newest = max((entry.revision for entry in listing.entries), default=0)
+            if not cache.exists_in(listing):
+                newest = listing.revision
+            changed.append(ChangedPrefix(prefix, newest))
         self._feed.record_store_success()
-        self._publish(AuditNews(listing.revision, (), is_complete=False))
+        self._publish(AuditNews(min(revisions), tuple(changed)))
         return True
 
     def _record_failure(self, failure: Failure) -> bool:
@@ -185,8 +195,6 @@
     def _apply(self, news: AuditNews) -> None:
         self._audited_s = self._timers.now_s()
         self._audited_revision = max(self._audited_revision, news.revision)
-        if not news.is_complete:
-            self._feed.replace_watches()
         for changed in news.changed:
             self._check_watch(changed)
 
