Import as few modules at the start of an entry as before

Change: the codec's protocol stands with the store's, and the order of draws with the chunks that are worth fetching. No change of behaviour.

--- a/reedspar/fleet/__init__.py
+++ b/reedspar/fleet/__init__.py
@@ -11,7 +11,6 @@
     WeightsChange,
     ZoneChange,
 )
-from .codec import FleetCodec
 from .exchange import FleetExchange, create_fleet_exchange
 from .feed import FleetFeed, create_fleet_feed
 from .messages import (
@@ -34,6 +33,7 @@
     revision_in_epoch,
 )
 from .store import (
+    FleetCodec,
     LeasingStore,
     Listing,
     WatchableStore,
--- a/reedspar/fleet/feed.py
+++ b/reedspar/fleet/feed.py
@@ -11,11 +11,16 @@
 from reedspar.supervision import call_contained, run_restarting
 from reedspar.timers import TimerService
 
-from .codec import FleetCodec
 from .prefix_cache import PrefixCache
 from .prefix_options import FleetPrefix
 from .revisions import describe_revision
-from .store import Listing, WatchableStore, WatchedChanges, WatchedEntry
+from .store import (
+    FleetCodec,
+    Listing,
+    WatchableStore,
+    WatchedChanges,
+    WatchedEntry,
+)
 from .store_retry import StoreRetry
 from .view import FleetView
 from .watch_gate import WatchGate
--- a/reedspar/fleet/store.py
+++ b/reedspar/fleet/store.py
@@ -1,4 +1,4 @@
-"""Protocols of a key-value store that can be listed and watched by prefix."""
+"""Protocols of a store that can be listed and watched, and of its entries' codec."""
 
 from dataclasses import dataclass
 from typing import Protocol
@@ -6,7 +6,10 @@
 from reedspar.errors import Failure
 from reedspar.platform import KeyValueStore
 
+from .changes import FleetChange
+
 __all__ = [
+    "FleetCodec",
     "LeasingStore",
     "Listing",
     "WatchableStore",
@@ -80,3 +83,15 @@
     async def end_lease(self, lease_id: str) -> Failure | None:
         """End a lease and remove its entries."""
         ...
+
+
+class FleetCodec(Protocol):
+    """Decodes the store's entries."""
+
+    def decode(self, entry: WatchedEntry) -> FleetChange | None:
+        """Return the change that an entry describes, None if it describes none."""
+        ...
+
+    def is_older(self, entry: WatchedEntry, known: WatchedEntry) -> bool:
+        """Return whether an entry's value is provably older than a known one's."""
+        ...
--- a/reedspar/weights/swarm.py
+++ b/reedspar/weights/swarm.py
@@ -12,7 +12,6 @@
 
 from .announcing import Announcer, EarlyMaps
 from .distribution import Action, ObjectReady, VersionStatus, WeightPeer
-from .draws import DrawOrder, describe_transfer
 from .fetches import Fetch, FetchTable, PeerBackoff, Request
 from .inbound_credit import InboundCredit
 from .limits import SwarmLimits
@@ -28,6 +27,7 @@
     HaveUpdate,
     WeightMessage,
 )
+from .needed_chunks import DrawOrder, describe_transfer
 from .neighbour_fetching import NeighbourFetcher
 from .placement import Placement
 from .reachability import Reachability
